--- /dev/null
+++ b/crates/adapters/src/caller_api.rs
@@ -0,0 +1,325 @@
+//! The front end for callers, on dropshot.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dropshot::{
+    ApiDescription, Body, ConfigDropshot, HandlerTaskMode, HttpError, HttpServer, Path,
+    RequestContext, ServerBuilder, StreamingBody, endpoint,
+};
+use http::header::{CONTENT_LENGTH, EXPECT, HOST};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http_body_util::BodyExt;
+use rosemaryscale_domain::prelude::*;
+use rosemaryscale_ports::dispatch::{Dispatch, DispatchMessage, Outcome, Submission};
+use rosemaryscale_ports::link::{self, OutboundRequest};
+use rosemaryscale_ports::prelude::*;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use slog::{Level, LevelFilter, Logger, o};
+use snafu::{ResultExt, Snafu};
+use tokio::sync::watch;
+
+use crate::problem::ProblemDocument;
+use crate::upstream_link::end_to_end;
+
+/// Above every body limit that a document may state.
+const BODY_MAX_BYTES: usize = 65 << 20;
+
+/// Dispatchers by service.
+pub type Routes = Arc<FastMap<Arc<str>, Dispatch>>;
+
+/// Whether the daemon accepts requests; the reason if it does not.
+pub type Readiness = Result<(), Arc<str>>;
+
+/// Why a server did not start.
+#[derive(Debug)]
+#[derive(Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ServerError {
+    /// The description of the API is inconsistent.
+    #[snafu(display("the API description is inconsistent: {reason}; report this as a defect"))]
+    Describe {
+        /// What is inconsistent.
+        reason: String,
+    },
+    /// The address cannot be used.
+    #[snafu(display("cannot listen on {address}: {source}; set a free address of this instance"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What failed.
+        source: dropshot::BuildError,
+    },
+}
+
+/// What handlers need.
+pub struct CallerContext {
+    /// Dispatchers by service.
+    pub routes: watch::Receiver<Routes>,
+    /// Whether the daemon accepts requests.
+    pub readiness: watch::Receiver<Readiness>,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+/// The running front end.
+pub struct CallerApi {
+    server: HttpServer<CallerContext>,
+}
+
+impl CallerApi {
+    /// Starts the front end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be used.
+    pub fn start(
+        address: SocketAddr,
+        context: CallerContext,
+        log: &Logger,
+    ) -> Result<Self, ServerError> {
+        let config = ConfigDropshot {
+            bind_address: address,
+            default_request_body_max_bytes: BODY_MAX_BYTES,
+            default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
+            ..ConfigDropshot::default()
+        };
+        let server = ServerBuilder::new(describe()?, context, quiet(log))
+            .config(config)
+            .start()
+            .context(ListenSnafu { address })?;
+        Ok(Self { server })
+    }
+
+    /// Where the front end listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    /// Stops accepting connections and waits for the requests in flight.
+    ///
+    /// # Errors
+    ///
+    /// Returns the server's message when its task failed.
+    pub async fn stop(self) -> Result<(), String> {
+        self.server.close().await
+    }
+}
+
+/// dropshot logs each request at level info, which is too much for a busy daemon.
+pub(crate) fn quiet(log: &Logger) -> Logger {
+    let drain = slog::Fuse(LevelFilter::new(log.clone(), Level::Error));
+    Logger::root(drain, o!())
+}
+
+fn describe() -> Result<ApiDescription<CallerContext>, ServerError> {
+    let mut api = ApiDescription::new();
+    let registered = api
+        .register(ready)
+        .and_then(|()| api.register(forward_get))
+        .and_then(|()| api.register(forward_head))
+        .and_then(|()| api.register(forward_post))
+        .and_then(|()| api.register(forward_put))
+        .and_then(|()| api.register(forward_patch))
+        .and_then(|()| api.register(forward_delete))
+        .and_then(|()| api.register(forward_options));
+    registered.map_err(|error| ServerError::Describe {
+        reason: error.to_string(),
+    })?;
+    Ok(api)
+}
+
+/// Path of a request to a service.
+#[derive(Deserialize, JsonSchema)]
+struct ServicePath {
+    service: String,
+    #[serde(rename = "path")]
+    _path: Vec<String>,
+}
+
+type Forwarded = Result<Response<Body>, HttpError>;
+
+/// Whether the daemon accepts requests.
+#[endpoint { method = GET, path = "/v1/ready" }]
+async fn ready(context: RequestContext<CallerContext>) -> Forwarded {
+    let readiness = context.context().readiness.borrow().clone();
+    Ok(match readiness {
+        Ok(()) => Response::new(Body::from("{\"ready\":true}")),
+        Err(reason) => ProblemDocument::not_ready(&reason).into_response(&context.request_id),
+    })
+}
+
+macro_rules! forward {
+    ($name:ident, $method:ident) => {
+        #[endpoint {
+                                                    method = $method,
+                                                    path = "/v1/services/{service}/{path:.*}",
+                                                    unpublished = true,
+                                                }]
+        async fn $name(
+            context: RequestContext<CallerContext>,
+            path: Path<ServicePath>,
+            body: StreamingBody,
+        ) -> Forwarded {
+            Ok(forward(&context, &path.into_inner().service, body).await)
+        }
+    };
+}
+
+forward!(forward_get, GET);
+forward!(forward_head, HEAD);
+forward!(forward_post, POST);
+forward!(forward_put, PUT);
+forward!(forward_patch, PATCH);
+forward!(forward_delete, DELETE);
+forward!(forward_options, OPTIONS);
+
+async fn forward(
+    context: &RequestContext<CallerContext>,
+    service: &str,
+    body: StreamingBody,
+) -> Response<Body> {
+    let state = context.context();
+    state.metrics.count("caller.requests", 1);
+    let request_id = header(context.request.headers(), "x-request-id")
+        .unwrap_or_else(|| context.request_id.clone());
+    match submit(context, service, &request_id, body).await {
+        Ok(response) => whole(response),
+        Err(problem) => {
+            state.metrics.count("caller.problems", 1);
+            problem.into_response(&request_id)
+        }
+    }
+}
+
+async fn submit(
+    context: &RequestContext<CallerContext>,
+    service: &str,
+    request_id: &str,
+    body: StreamingBody,
+) -> Result<link::Response, ProblemDocument> {
+    let state = context.context();
+    let readiness = state.readiness.borrow().clone();
+    readiness.map_err(|reason| ProblemDocument::not_ready(&reason))?;
+    let dispatch = state.routes.borrow().get(service).cloned();
+    let dispatch = dispatch.ok_or_else(|| ProblemDocument::unknown_service(service))?;
+    let headers = context.request.headers();
+    let deadline_ms = deadline(headers)?;
+    let body = read(body, dispatch.body_limit_bytes).await?;
+    let (reply, outcome) = oneshot::channel();
+    let submission = Submission {
+        caller: caller(context).into(),
+        class: header(headers, "x-work-class").map(Into::into),
+        deadline_ms,
+        idempotency_key: header(headers, "idempotency-key").map(Into::into),
+        outbound: outbound(context, service, request_id, body)?,
+        reply,
+    };
+    let stopped = || ProblemDocument::not_ready("the service was removed");
+    dispatch
+        .messages
+        .send(DispatchMessage::Submit(submission))
+        .await
+        .map_err(|_| stopped())?;
+    match outcome.await {
+        Ok(Outcome::Answered(response)) => Ok(response),
+        Ok(Outcome::NotRun(proof)) => Err(ProblemDocument::not_run(proof)),
+        Ok(Outcome::Unknown(unknown)) => Err(ProblemDocument::unknown(unknown)),
+        Ok(Outcome::ResponseTooLarge { limit_bytes }) => {
+            Err(ProblemDocument::response_too_large(limit_bytes))
+        }
+        Ok(Outcome::Invalid(invalid)) => Err(ProblemDocument::invalid(&invalid)),
+        Err(_) => Err(ProblemDocument::unknown(OUTCOME_LOST)),
+    }
+}
+
+/// The dispatcher ended without an outcome; the request may have been sent.
+const OUTCOME_LOST: rosemaryscale_domain::OutcomeUnknown = rosemaryscale_domain::OutcomeUnknown {
+    reason: rosemaryscale_domain::outcome::UnknownReason::HolderGone,
+};
+
+/// Who calls: the name that it states, else its address.
+fn caller(context: &RequestContext<CallerContext>) -> String {
+    header(context.request.headers(), "x-caller")
+        .unwrap_or_else(|| context.request.remote_addr().ip().to_string())
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<u64>, ProblemDocument> {
+    let Some(text) = header(headers, "x-deadline-ms") else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(0) | Err(_) => {
+            let detail = "not run: x-deadline-ms is not a positive number of milliseconds";
+            Err(ProblemDocument::bad_request(detail))
+        }
+        Ok(deadline_ms) => Ok(Some(deadline_ms)),
+    }
+}
+
+async fn read(body: StreamingBody, limit_bytes: u64) -> Result<Bytes, ProblemDocument> {
+    let stream = body.into_stream();
+    let mut stream = std::pin::pin!(stream);
+    let mut whole = bytes::BytesMut::new();
+    while let Some(chunk) = next(&mut stream).await {
+        let chunk = chunk.map_err(|error| {
+            ProblemDocument::bad_request(format!("not run: {}", error.external_message))
+        })?;
+        if (whole.len() + chunk.len()) as u64 > limit_bytes {
+            return Err(ProblemDocument::too_large(limit_bytes));
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(whole.freeze())
+}
+
+async fn next<S: futures_core::Stream>(stream: &mut std::pin::Pin<&mut S>) -> Option<S::Item> {
+    std::future::poll_fn(|context| stream.as_mut().poll_next(context)).await
+}
+
+fn outbound(
+    context: &RequestContext<CallerContext>,
+    service: &str,
+    request_id: &str,
+    body: Bytes,
+) -> Result<OutboundRequest, ProblemDocument> {
+    let request = &context.request;
+    let prefix = format!("/v1/services/{service}");
+    let target = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let path = target.strip_prefix(&prefix).unwrap_or(target);
+    let mut headers = end_to_end(request.headers().clone());
+    for name in [HOST, CONTENT_LENGTH, EXPECT] {
+        headers.remove(name);
+    }
+    let request_id = HeaderValue::from_str(request_id)
+        .map_err(|_| ProblemDocument::bad_request("not run: x-request-id is malformed"))?;
+    headers.insert("x-request-id", request_id);
+    Ok(OutboundRequest {
+        method: request.method().clone(),
+        path: path.into(),
+        headers,
+        body,
+    })
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned)
+}
+
+fn whole(response: link::Response) -> Response<Body> {
+    let mut whole = Response::new(Body::wrap(http_body_util::Full::new(response.body).boxed()));
+    *whole.status_mut() = response.status;
+    *whole.headers_mut() = response.headers;
+    if response.status == StatusCode::NO_CONTENT {
+        whole.headers_mut().remove(CONTENT_LENGTH);
+    }
+    whole
+}
--- /dev/null
+++ b/crates/adapters/src/document_text.rs
@@ -0,0 +1,61 @@
+//! The text of documents: JSON with comments.
+
+use std::sync::Arc;
+
+use jsonc_parser::ParseOptions;
+use rosemaryscale_domain::Document;
+use rosemaryscale_domain::document::{DocumentFields, Parsed, Problem};
+use serde::de::DeserializeOwned;
+use sha2::{Digest, Sha256};
+
+/// Longest text; the platform's store holds values up to 1 MB and the record adds some fields.
+pub const TEXT_MAX_BYTES: usize = 900_000;
+
+/// Reads the text of a document.
+///
+/// # Errors
+///
+/// Returns the mistakes of the text: syntax, unknown or missing fields, wrong types.
+pub fn parse(text: &str) -> Result<Document<Parsed>, Vec<Problem>> {
+    if text.len() > TEXT_MAX_BYTES {
+        return Err(vec![Problem {
+            path: "document".into(),
+            reason: format!("the text has {} bytes", text.len()),
+            remedy: format!("shorten it to {TEXT_MAX_BYTES} bytes"),
+        }]);
+    }
+    let fields: DocumentFields = parse_fields(text).map_err(|problem| vec![problem])?;
+    Ok(Document::parsed(text.into(), digest(text), fields))
+}
+
+/// Reads JSON with comments into a type.
+///
+/// # Errors
+///
+/// Returns the first mistake with its path.
+pub fn parse_fields<T: DeserializeOwned>(text: &str) -> Result<T, Problem> {
+    let options = ParseOptions::default();
+    let value: serde_json::Value =
+        jsonc_parser::parse_to_serde_value(text, &options).map_err(|error| Problem {
+            path: format!(
+                "line {}, column {}",
+                error.line_display(),
+                error.column_display()
+            ),
+            reason: error.kind().to_string(),
+            remedy: "correct the syntax; the format is JSON with comments".into(),
+        })?;
+    serde_path_to_error::deserialize(value).map_err(|error| Problem {
+        path: error.path().to_string(),
+        reason: error.inner().to_string(),
+        remedy: "see docs/reference.md for the fields and their units".into(),
+    })
+}
+
+/// SHA-256 of a text, in hexadecimal.
+#[must_use]
+pub fn digest(text: &str) -> Arc<str> {
+    let digest = Sha256::digest(text.as_bytes());
+    let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    hex.into()
+}
--- /dev/null
+++ b/crates/adapters/src/http_client.rs
@@ -0,0 +1,142 @@
+//! An HTTP client for the platform, with bounded waits.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use snafu::Snafu;
+
+/// Idle connections are dropped before a firewall forgets them.
+const IDLE_CONNECTION: Duration = Duration::from_secs(10);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// A range of the store holds a few values of up to 1 MB in base64.
+const RESPONSE_MAX_BYTES: usize = 32 << 20;
+
+/// Why a call failed.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub enum HttpError {
+    /// No connection could be opened, so nothing was sent.
+    #[snafu(display("cannot connect: {reason}"))]
+    NotConnected {
+        /// What failed.
+        reason: String,
+    },
+    /// The call may have arrived.
+    #[snafu(display("no complete reply: {reason}"))]
+    NoReply {
+        /// What failed.
+        reason: String,
+    },
+}
+
+/// A reply.
+#[derive(Clone, Debug)]
+pub struct HttpReply {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Client of one server.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl HttpClient {
+    /// Makes a client; `timeout` bounds each call.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_CONNECTION)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            client,
+            address,
+            timeout,
+        }
+    }
+
+    /// Makes a call and reads the whole reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no complete reply arrives in time.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<HttpReply, HttpError> {
+        let exchange = async {
+            let response = self.open(method, path, body).await?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES)
+                .collect()
+                .await
+                .map_err(|error| HttpError::NoReply {
+                    reason: error.to_string(),
+                })?
+                .to_bytes();
+            Ok(HttpReply { status, body })
+        };
+        tokio::time::timeout(self.timeout, exchange)
+            .await
+            .map_err(|_| HttpError::NoReply {
+                reason: format!("timeout after {} ms", self.timeout.as_millis()),
+            })?
+    }
+
+    /// Makes a call and returns the response once its head has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no head arrives.
+    pub async fn open(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<http::Response<Incoming>, HttpError> {
+        let uri: Uri = format!("http://{}{path}", self.address)
+            .parse()
+            .map_err(|_| HttpError::NotConnected {
+                reason: format!("bad path {path}"),
+            })?;
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = uri;
+        self.client.request(request).await.map_err(|error| {
+            let reason = describe(&error);
+            if error.is_connect() {
+                HttpError::NotConnected { reason }
+            } else {
+                HttpError::NoReply { reason }
+            }
+        })
+    }
+}
+
+/// The innermost cause, which names the failed system call.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/crates/adapters/src/kv_client/watch.rs
@@ -0,0 +1,167 @@
+//! The watch loop: snapshot, then changes, again after every gap.
+
+use std::time::Duration;
+
+use http::Method;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use rosemaryscale_ports::kv::{KeyRange, KvResult, WatchEvent};
+use rosemaryscale_ports::prelude::*;
+use serde_json::Value;
+
+use super::{KvClient, wire};
+use crate::http_client::HttpError;
+
+/// A watch is opened anew after this time, so that a connection that went silent delays a change by
+/// this much at most.
+const WATCH_REOPEN: Duration = Duration::from_secs(6);
+const RETRY_MIN: Duration = Duration::from_millis(200);
+const RETRY_MAX: Duration = Duration::from_secs(2);
+/// A reply line holds changed values of up to 1 MB each, in base64.
+const LINE_MAX_BYTES: usize = 32 << 20;
+
+/// Runs a watch until the receiver of its events is dropped.
+pub(super) async fn run(client: &KvClient, range: &KeyRange, events: mpsc::Sender<WatchEvent>) {
+    let mut retry = RETRY_MIN;
+    while !events.is_closed() {
+        let failure = match snapshot_and_follow(client, range, &events).await {
+            Ok(()) => {
+                retry = RETRY_MIN;
+                continue;
+            }
+            Err(error) => error.to_string(),
+        };
+        if events
+            .send(WatchEvent::Disconnected { reason: failure })
+            .await
+            .is_err()
+        {
+            return;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(retry) => {}
+            () = events.closed() => return,
+        }
+        retry = (retry * 2).min(RETRY_MAX);
+    }
+}
+
+async fn snapshot_and_follow(
+    client: &KvClient,
+    range: &KeyRange,
+    events: &mpsc::Sender<WatchEvent>,
+) -> KvResult<()> {
+    let (mut revision, entries) = client.range(range).await?;
+    if events
+        .send(WatchEvent::Snapshot { revision, entries })
+        .await
+        .is_err()
+    {
+        return Ok(());
+    }
+    loop {
+        let end = follow(client, range, revision, events).await?;
+        match end {
+            FollowEnd::Reopen(newest) => revision = newest,
+            FollowEnd::Compacted | FollowEnd::Closed => return Ok(()),
+        }
+    }
+}
+
+/// How one watch call ended.
+enum FollowEnd {
+    /// The call ran for its time; the next one starts after this revision.
+    Reopen(u64),
+    /// The store no longer has the changes; a new snapshot is needed.
+    Compacted,
+    /// Nobody receives the events.
+    Closed,
+}
+
+async fn follow(
+    client: &KvClient,
+    range: &KeyRange,
+    mut revision: u64,
+    events: &mpsc::Sender<WatchEvent>,
+) -> KvResult<FollowEnd> {
+    client.metrics.count("platform.watches", 1);
+    let body = Bytes::from(wire::watch(range, revision + 1).to_string());
+    let opened = client.http.open(Method::POST, "/v3/watch", body);
+    let response = tokio::time::timeout(super::CALL_TIMEOUT, opened)
+        .await
+        .unwrap_or_else(|_| {
+            Err(HttpError::NoReply {
+                reason: "the watch did not open".into(),
+            })
+        })
+        .map_err(super::kv_error)?;
+    let mut lines = Lines {
+        body: response.into_body(),
+        buffer: Vec::new(),
+    };
+    let reopen = tokio::time::sleep(WATCH_REOPEN);
+    tokio::pin!(reopen);
+    loop {
+        let line = tokio::select! {
+            line = lines.next() => line?,
+            () = &mut reopen => return Ok(FollowEnd::Reopen(revision)),
+            () = events.closed() => return Ok(FollowEnd::Closed),
+        };
+        let result = line.get("result").unwrap_or(&Value::Null);
+        if result.get("canceled").and_then(Value::as_bool) == Some(true) {
+            return Ok(FollowEnd::Compacted);
+        }
+        let updates = wire::updates(result)?;
+        if updates.is_empty() {
+            continue;
+        }
+        revision = revision.max(wire::revision(result));
+        if events
+            .send(WatchEvent::Changed { revision, updates })
+            .await
+            .is_err()
+        {
+            return Ok(FollowEnd::Closed);
+        }
+    }
+}
+
+/// Reads the lines of a streamed reply.
+struct Lines {
+    body: Incoming,
+    buffer: Vec<u8>,
+}
+
+impl Lines {
+    async fn next(&mut self) -> KvResult<Value> {
+        let mut searched = 0;
+        loop {
+            if let Some(offset) = self.buffer[searched..]
+                .iter()
+                .position(|byte| *byte == b'\n')
+            {
+                let line: Vec<u8> = self.buffer.drain(..=searched + offset).collect();
+                return serde_json::from_slice(&line).map_err(|error| lost(&error.to_string()));
+            }
+            searched = self.buffer.len();
+            if searched > LINE_MAX_BYTES {
+                return Err(lost("a line of the watch is too long"));
+            }
+            let frame = self
+                .body
+                .frame()
+                .await
+                .ok_or_else(|| lost("the watch was closed"))?;
+            let frame = frame.map_err(|error| lost(&error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+}
+
+fn lost(reason: &str) -> rosemaryscale_ports::kv::KvError {
+    rosemaryscale_ports::kv::KvError::Unavailable {
+        reason: reason.into(),
+    }
+}
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -1,1 +1,26 @@
-//! Stub.
+//! Adapters of rosemaryscale: one module for each implementation of a port.
+//!
+//! ```
+//! use rosemaryscale_adapters::document_text;
+//!
+//! let problems = document_text::parse("{ \"format\": 1 }").unwrap_err();
+//! assert!(problems[0].reason.contains("missing field"));
+//! ```
+
+pub mod caller_api;
+pub mod clock;
+pub mod document_text;
+pub mod event_log;
+pub mod http_client;
+pub mod instance_poller;
+pub mod kv_client;
+pub mod log;
+pub mod metrics;
+pub mod operator_api;
+pub mod peer_link;
+pub mod problem;
+pub mod upstream_link;
+
+pub use caller_api::CallerApi;
+pub use clock::SystemClock;
+pub use operator_api::OperatorApi;
--- /dev/null
+++ b/crates/adapters/src/metrics.rs
@@ -0,0 +1,53 @@
+//! Metrics by cadence.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+
+use cadence::{
+    Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
+use rosemaryscale_ports::metric::{MetricSink, Metrics};
+
+const PREFIX: &str = "rosemaryscale";
+
+/// Metrics that go to a statsd server.
+struct Statsd {
+    client: StatsdClient,
+}
+
+/// Opens the metrics; without an address they go nowhere.
+///
+/// # Errors
+///
+/// Fails when no UDP socket can be opened.
+pub fn open(address: Option<SocketAddr>) -> std::io::Result<Metrics> {
+    let Some(address) = address else {
+        return Ok(Arc::new(Statsd {
+            client: StatsdClient::from_sink(PREFIX, NopMetricSink),
+        }));
+    };
+    let local = if address.is_ipv4() {
+        "0.0.0.0:0"
+    } else {
+        "[::]:0"
+    };
+    let socket = UdpSocket::bind(local)?;
+    socket.set_nonblocking(true)?;
+    let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+    let client = StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink));
+    Ok(Arc::new(Statsd { client }))
+}
+
+impl MetricSink for Statsd {
+    fn count(&self, name: &'static str, value: i64) {
+        let _ = self.client.count(name, value);
+    }
+
+    fn gauge(&self, name: &'static str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+
+    fn time_ms(&self, name: &'static str, value_ms: u64) {
+        let _ = self.client.time(name, value_ms);
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/operator_api.rs
@@ -0,0 +1,257 @@
+//! The operator API, on dropshot.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dropshot::{
+    ApiDescription, Body, ConfigDropshot, HandlerTaskMode, HttpError, HttpServer, RequestContext,
+    ServerBuilder, TypedBody, endpoint,
+};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use rosemaryscale_ports::config::{ApplyError, ConfigStore};
+use rosemaryscale_ports::member::MemberWatch;
+use rosemaryscale_ports::operator::{
+    ApplyRequest, CheckRequest, DaemonStatus, OperatorProblem, ProblemReport, StatusReport,
+    TimelineReport,
+};
+use rosemaryscale_ports::peer::{PeerReply, PeerRequest, Peers};
+use rosemaryscale_ports::prelude::*;
+use serde::Serialize;
+use slog::Logger;
+use snafu::ResultExt;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::caller_api::{ListenSnafu, ServerError, quiet};
+
+/// A document of 900,000 bytes grows when it is escaped as JSON text.
+const BODY_MAX_BYTES: usize = 4 << 20;
+const TIMELINE_EVENTS: usize = 500;
+
+/// What handlers need.
+pub struct OperatorContext {
+    /// Name of this daemon.
+    pub name: Arc<str>,
+    /// The configuration task.
+    pub config: ConfigStore,
+    /// Status of this daemon.
+    pub status: watch::Receiver<DaemonStatus>,
+    /// The event log.
+    pub events: EventSink,
+    /// The members.
+    pub members: MemberWatch,
+    /// Calls to peers.
+    pub peers: Peers,
+}
+
+impl OperatorContext {
+    /// Calls every other member; replies and the names of those that gave none.
+    async fn ask_peers(&self, request: &PeerRequest) -> (Vec<PeerReply>, Vec<Arc<str>>) {
+        let view = self.members.borrow().clone();
+        let names = view.members.keys().filter(|name| **name != self.name);
+        let mut calls = JoinSet::new();
+        for name in names {
+            let (peers, name, request) = (self.peers.clone(), Arc::clone(name), request.clone());
+            calls.spawn(async move { (Arc::clone(&name), peers.call(name, request).await) });
+        }
+        let mut replies = Vec::new();
+        let mut unreachable = Vec::new();
+        while let Some(called) = calls.join_next().await {
+            let Ok((name, result)) = called else { continue };
+            match result {
+                Ok(PeerReply::Refused(_)) | Err(_) => unreachable.push(name),
+                Ok(reply) => replies.push(reply),
+            }
+        }
+        unreachable.sort();
+        (replies, unreachable)
+    }
+}
+
+/// The running operator API.
+pub struct OperatorApi {
+    server: HttpServer<OperatorContext>,
+}
+
+impl OperatorApi {
+    /// Starts the API.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be used.
+    pub fn start(
+        address: SocketAddr,
+        context: OperatorContext,
+        log: &Logger,
+    ) -> Result<Self, ServerError> {
+        let config = ConfigDropshot {
+            bind_address: address,
+            default_request_body_max_bytes: BODY_MAX_BYTES,
+            default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
+            ..ConfigDropshot::default()
+        };
+        let server = ServerBuilder::new(describe()?, context, quiet(log))
+            .config(config)
+            .start()
+            .context(ListenSnafu { address })?;
+        Ok(Self { server })
+    }
+
+    /// Stops the API.
+    ///
+    /// # Errors
+    ///
+    /// Returns the server's message when its task failed.
+    pub async fn stop(self) -> Result<(), String> {
+        self.server.close().await
+    }
+}
+
+fn describe() -> Result<ApiDescription<OperatorContext>, ServerError> {
+    let mut api = ApiDescription::new();
+    let registered = api
+        .register(get_status)
+        .and_then(|()| api.register(check_document))
+        .and_then(|()| api.register(apply_document))
+        .and_then(|()| api.register(get_timeline));
+    registered.map_err(|error| ServerError::Describe {
+        reason: error.to_string(),
+    })?;
+    Ok(api)
+}
+
+type Reply = Result<Response<Body>, HttpError>;
+
+/// Status of the daemons.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn get_status(context: RequestContext<OperatorContext>) -> Reply {
+    let state = context.context();
+    let mut daemons = vec![state.status.borrow().clone()];
+    let (replies, unreachable) = state.ask_peers(&PeerRequest::Status).await;
+    daemons.extend(replies.into_iter().filter_map(|reply| match reply {
+        PeerReply::Status(status) => Some(status),
+        _ => None,
+    }));
+    daemons.sort_by(|left, right| left.name.cmp(&right.name));
+    Ok(json(
+        StatusCode::OK,
+        &StatusReport {
+            daemons,
+            unreachable,
+        },
+    ))
+}
+
+/// Checks a document and changes nothing.
+#[endpoint { method = POST, path = "/v1/document/check" }]
+async fn check_document(
+    context: RequestContext<OperatorContext>,
+    request: TypedBody<CheckRequest>,
+) -> Reply {
+    let checked = context
+        .context()
+        .config
+        .check(request.into_inner().text)
+        .await;
+    Ok(checked.map_or_else(
+        |error| refuse(&error),
+        |()| json(StatusCode::OK, &serde_json::json!({"valid": true})),
+    ))
+}
+
+/// Accepts a document for the daemon's environment.
+#[endpoint { method = PUT, path = "/v1/document" }]
+async fn apply_document(
+    context: RequestContext<OperatorContext>,
+    request: TypedBody<ApplyRequest>,
+) -> Reply {
+    let applied = context.context().config.apply(request.into_inner()).await;
+    Ok(match applied {
+        Ok(applied) => json(StatusCode::OK, &applied),
+        Err(error) => refuse(&error),
+    })
+}
+
+/// Events of the daemons, oldest first.
+#[endpoint { method = GET, path = "/v1/timeline" }]
+async fn get_timeline(context: RequestContext<OperatorContext>) -> Reply {
+    let state = context.context();
+    let mut events = state.events.read(TIMELINE_EVENTS).await;
+    let request = PeerRequest::Timeline {
+        limit: TIMELINE_EVENTS,
+    };
+    let (replies, unreachable) = state.ask_peers(&request).await;
+    events.extend(replies.into_iter().flat_map(|reply| match reply {
+        PeerReply::Timeline(events) => events,
+        _ => Vec::new(),
+    }));
+    events.sort_by(|left, right| {
+        let order = |event: &Event| (event.wall_ms, Arc::clone(&event.daemon), event.sequence);
+        order(left).cmp(&order(right))
+    });
+    Ok(json(
+        StatusCode::OK,
+        &TimelineReport {
+            events,
+            unreachable,
+        },
+    ))
+}
+
+fn refuse(error: &ApplyError) -> Response<Body> {
+    let (status, kind, remedy) = match error {
+        ApplyError::Invalid { .. } => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "invalid",
+            "mend the document and send it again",
+        ),
+        ApplyError::Conflict { .. } => (
+            StatusCode::CONFLICT,
+            "conflict",
+            "rebase on the version in force",
+        ),
+        ApplyError::Unknown { .. } => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "unknown",
+            "look at the status before sending it again",
+        ),
+        ApplyError::Unavailable { .. } => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unavailable",
+            "send it again later",
+        ),
+    };
+    let problems = match error {
+        ApplyError::Invalid { problems } => problems
+            .iter()
+            .map(|problem| ProblemReport {
+                path: problem.path.clone(),
+                reason: problem.reason.clone(),
+                remedy: problem.remedy.clone(),
+            })
+            .collect(),
+        _ => Vec::new(),
+    };
+    let kind = Arc::from(kind);
+    let (detail, remedy) = (error.to_string(), remedy.to_owned());
+    json(
+        status,
+        &OperatorProblem {
+            kind,
+            detail,
+            remedy,
+            problems,
+        },
+    )
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_string(body).unwrap_or_default();
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/crates/adapters/src/problem.rs
@@ -0,0 +1,167 @@
+//! Problem documents: the daemon's own responses to callers.
+
+use dropshot::Body;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use rosemaryscale_domain::outcome::{NotRun, NotRunReason, OutcomeUnknown};
+use rosemaryscale_ports::dispatch::Invalid;
+use serde::Serialize;
+
+const RETRY_AFTER_S: &str = "1";
+
+/// A response that the daemon makes itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct ProblemDocument {
+    /// Fixed kind for programs.
+    pub kind: &'static str,
+    /// What happened.
+    pub detail: String,
+    /// What the caller can do.
+    pub remedy: &'static str,
+    /// The request.
+    pub request_id: String,
+    #[serde(skip)]
+    status: StatusCode,
+    #[serde(skip)]
+    retry_after: bool,
+}
+
+impl ProblemDocument {
+    fn new(
+        kind: &'static str,
+        status: StatusCode,
+        detail: impl Into<String>,
+        remedy: &'static str,
+    ) -> Self {
+        let (detail, request_id) = (detail.into(), String::new());
+        Self {
+            kind,
+            detail,
+            remedy,
+            request_id,
+            status,
+            retry_after: false,
+        }
+    }
+
+    /// The request certainly did not run.
+    #[must_use]
+    pub fn not_run(proof: NotRun) -> Self {
+        let remedy = match proof.reason() {
+            NotRunReason::DeadlineUnreachable | NotRunReason::DeadlinePassed => {
+                "send it again later or with a longer x-deadline-ms"
+            }
+            _ => "send it again after the time in Retry-After",
+        };
+        let detail = format!("not run: {}", proof.reason());
+        let problem = Self::new("not_run", StatusCode::SERVICE_UNAVAILABLE, detail, remedy);
+        Self {
+            retry_after: true,
+            ..problem
+        }
+    }
+
+    /// The request may have run.
+    #[must_use]
+    pub fn unknown(unknown: OutcomeUnknown) -> Self {
+        Self::new(
+            "outcome_unknown",
+            StatusCode::GATEWAY_TIMEOUT,
+            format!("the request may have run: {}", unknown.reason),
+            "look up whether it took effect before sending it again",
+        )
+    }
+
+    /// The body is over the service's limit.
+    #[must_use]
+    pub fn too_large(limit_bytes: u64) -> Self {
+        Self::new(
+            "too_large",
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!("not run: the body is over {limit_bytes} bytes"),
+            "send a smaller body, or have body_limit_bytes raised in the document",
+        )
+    }
+
+    /// The request ran but its response is over the limit.
+    #[must_use]
+    pub fn response_too_large(limit_bytes: u64) -> Self {
+        Self::new(
+            "answer_too_large",
+            StatusCode::BAD_GATEWAY,
+            format!("the request ran, but its response is over {limit_bytes} bytes"),
+            "ask for less, or have response_limit_bytes raised in the document",
+        )
+    }
+
+    /// The service is not in the document.
+    #[must_use]
+    pub fn unknown_service(name: &str) -> Self {
+        Self::new(
+            "unknown_service",
+            StatusCode::NOT_FOUND,
+            format!("not run: no service is named \"{name}\""),
+            "use a service of the document in force",
+        )
+    }
+
+    /// A header or the body is malformed.
+    #[must_use]
+    pub fn bad_request(detail: impl Into<String>) -> Self {
+        let remedy = "correct the request; docs/reference.md lists the headers";
+        Self::new("bad_request", StatusCode::BAD_REQUEST, detail, remedy)
+    }
+
+    /// The dispatcher found the request malformed.
+    #[must_use]
+    pub fn invalid(invalid: &Invalid) -> Self {
+        match invalid {
+            Invalid::UnknownClass(class) => {
+                Self::bad_request(format!("not run: no work class is named \"{class}\""))
+            }
+            Invalid::KeyExpired => Self::new(
+                "key_expired",
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "not run: the idempotency key is no UUID of version 7 or is too old",
+                "make a new UUID of version 7 for each new request",
+            ),
+            Invalid::KeyReused => Self::new(
+                "key_reused",
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "this request did not run: its idempotency key was used with another body",
+                "make a new UUID of version 7 for each new request",
+            ),
+        }
+    }
+
+    /// The daemon is not ready.
+    #[must_use]
+    pub fn not_ready(reason: &str) -> Self {
+        let detail = format!("not run: the daemon is not ready: {reason}");
+        let remedy = "send it again after the time in Retry-After";
+        let problem = Self::new("not_run", StatusCode::SERVICE_UNAVAILABLE, detail, remedy);
+        Self {
+            retry_after: true,
+            ..problem
+        }
+    }
+
+    /// The response for the caller of `request_id`.
+    #[must_use]
+    pub fn into_response(mut self, request_id: &str) -> Response<Body> {
+        request_id.clone_into(&mut self.request_id);
+        let text = serde_json::to_string(&self).unwrap_or_default();
+        let mut response = Response::new(Body::from(text));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
+        if self.retry_after {
+            headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+        }
+        response
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,40 @@
-//! Stub.
-fn main() {}
+//! `rosemaryscale`: the operators' command line.
+
+use std::process::ExitCode;
+
+use rosemaryscale_cli::cli::{self, Command};
+use rosemaryscale_cli::{Client, run};
+
+fn main() -> ExitCode {
+    let options = match cli::parse(std::env::args().skip(1)) {
+        Ok(Command::Help(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Ok(Command::Version) => {
+            println!("rosemaryscale {}", env!("CARGO_PKG_VERSION"));
+            return ExitCode::SUCCESS;
+        }
+        Ok(Command::Operate(options)) => options,
+        Err(error) => {
+            eprintln!("rosemaryscale: {error}");
+            return cli::ExitStatus::Usage.into();
+        }
+    };
+    execute(options)
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn execute(options: cli::Options) -> ExitCode {
+    let client = Client::new(options.daemon);
+    match run::run(&client, &options).await {
+        Ok(output) => {
+            println!("{output}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("rosemaryscale: {error}");
+            error.exit_status().into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/dispatcher.rs
@@ -0,0 +1,320 @@
+//! The dispatcher task of one service: request payloads, links and the decisions around them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryscale_adapters::upstream_link::{self, LinkOptions};
+use rosemaryscale_domain::Dispatcher;
+use rosemaryscale_domain::dispatch::{DispatchAction, DispatchPolicy};
+use rosemaryscale_domain::request::{ClassIndex, FailureEvidence, Refusal, RequestInfo};
+use rosemaryscale_ports::clock::ClockHandle;
+use rosemaryscale_ports::dispatch::{DispatchMessage, Invalid, Outcome, Submission};
+use rosemaryscale_ports::instance::{InstanceRecord, ServiceView};
+use rosemaryscale_ports::link::{
+    Exchange, ExchangeEnd, ExchangeResult, Link, LinkMessage, OutboundRequest,
+};
+use rosemaryscale_ports::prelude::*;
+use tokio::task::JoinSet;
+
+const MESSAGES: usize = 1_024;
+/// Deadlines and cancellations of queued requests are noticed this late at most.
+const TICK: Duration = Duration::from_millis(20);
+const TRIES_MAX: u32 = 4;
+
+/// What a dispatcher's task needs.
+pub struct DispatcherOptions {
+    /// Clock of the process.
+    pub clock: ClockHandle,
+    /// The event log.
+    pub events: EventSink,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+/// What the task keeps of a request.
+struct Payload {
+    outbound: OutboundRequest,
+    reply: oneshot::Sender<Outcome>,
+}
+
+/// An instance and its link.
+struct Target {
+    record: InstanceRecord,
+    link: Link,
+}
+
+/// State of a dispatcher's task.
+pub struct DispatcherTask {
+    options: DispatcherOptions,
+    view: Arc<ServiceView>,
+    messages: mpsc::Receiver<DispatchMessage>,
+    ends: mpsc::Sender<DispatchMessage>,
+    dispatcher: Dispatcher,
+    payloads: SecondaryMap<RequestKey, Payload>,
+    targets: SlotMap<InstanceKey, Target>,
+    callers: SlotMap<CallerKey, Arc<str>>,
+    caller_keys: FastMap<Arc<str>, CallerKey>,
+    links: JoinSet<()>,
+    stopping: bool,
+}
+
+/// Makes the task of a service's dispatcher.
+#[must_use]
+pub fn make(
+    options: DispatcherOptions,
+    view: ServiceView,
+) -> (mpsc::Sender<DispatchMessage>, DispatcherTask) {
+    let (sender, messages) = mpsc::channel(MESSAGES);
+    let task = DispatcherTask {
+        options,
+        dispatcher: Dispatcher::new(policy(&view)),
+        view: Arc::new(view),
+        messages,
+        ends: sender.clone(),
+        payloads: SecondaryMap::new(),
+        targets: SlotMap::with_key(),
+        callers: SlotMap::with_key(),
+        caller_keys: FastMap::default(),
+        links: JoinSet::new(),
+        stopping: false,
+    };
+    (sender, task)
+}
+
+fn policy(view: &ServiceView) -> DispatchPolicy {
+    DispatchPolicy {
+        queue_limit: view.fields.queue_limit,
+        tries_max: TRIES_MAX,
+    }
+}
+
+impl DispatcherTask {
+    /// Serves messages until [`DispatchMessage::Stop`] arrives and every request has ended.
+    pub async fn serve(mut self) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        while !(self.stopping && self.dispatcher.is_empty()) {
+            tokio::select! {
+                message = self.messages.recv() => match message {
+                    Some(message) => self.handle(message).await,
+                    None => break,
+                },
+                _ = tick.tick() => self.drop_cancelled(),
+                Some(_) = self.links.join_next() => {}
+            }
+            self.advance().await;
+        }
+        self.retire_all().await;
+    }
+
+    async fn handle(&mut self, message: DispatchMessage) {
+        match message {
+            DispatchMessage::Submit(submission) => self.submit(submission),
+            DispatchMessage::Exchanged(end) => self.exchanged(end),
+            DispatchMessage::Configure(view) => self.configure(view).await,
+            DispatchMessage::Stop => self.stopping = true,
+        }
+    }
+
+    fn submit(&mut self, submission: Submission) {
+        let now = self.options.clock.now();
+        let Submission {
+            caller,
+            class,
+            deadline_ms,
+            idempotency_key,
+            outbound,
+            reply,
+        } = submission;
+        let fields = &self.view.fields;
+        let class = class.unwrap_or_else(|| Arc::clone(&fields.default_class));
+        let Some(class_index) = fields.classes.keys().position(|name| *name == class) else {
+            let _ = reply.send(Outcome::Invalid(Invalid::UnknownClass(class)));
+            return;
+        };
+        let wait_ms = deadline_ms
+            .unwrap_or(fields.default_deadline_ms)
+            .min(fields.request_limit_ms);
+        let path = outbound.path.split('?').next().unwrap_or_default();
+        let repeatable = fields.is_repeatable(outbound.method.as_str(), path);
+        let caller = self.caller_key(caller);
+        let info = RequestInfo {
+            caller,
+            class: ClassIndex(u8::try_from(class_index).unwrap_or(u8::MAX)),
+            arrived: now,
+            deadline: now.after_ms(wait_ms),
+            repeatable,
+            keyed: idempotency_key.is_some(),
+        };
+        match self.dispatcher.submit(info) {
+            Ok(key) => {
+                self.payloads.insert(key, Payload { outbound, reply });
+            }
+            Err(refusal) => {
+                self.options.metrics.count("dispatch.refused", 1);
+                let _ = reply.send(outcome(refusal));
+            }
+        }
+    }
+
+    fn caller_key(&mut self, name: Arc<str>) -> CallerKey {
+        if let Some(key) = self.caller_keys.get(&name) {
+            return *key;
+        }
+        let key = self.callers.insert(Arc::clone(&name));
+        self.caller_keys.insert(name, key);
+        key
+    }
+
+    fn exchanged(&mut self, end: ExchangeEnd) {
+        let now = self.options.clock.now();
+        match end.result {
+            ExchangeResult::Complete(response) => {
+                self.dispatcher.answered(end.request);
+                self.reply(end.request, Outcome::Answered(response));
+            }
+            ExchangeResult::ResponseTooLarge => {
+                self.dispatcher.answered(end.request);
+                let limit_bytes = self.view.fields.response_limit_bytes;
+                self.reply(end.request, Outcome::ResponseTooLarge { limit_bytes });
+            }
+            ExchangeResult::Failed(evidence) => {
+                self.options.metrics.count("dispatch.failed_exchanges", 1);
+                if let Some(refusal) = self.dispatcher.failed(end.request, evidence, now) {
+                    self.reply(end.request, outcome(refusal));
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, key: RequestKey, outcome: Outcome) {
+        if let Some(payload) = self.payloads.remove(key) {
+            let _ = payload.reply.send(outcome);
+        }
+    }
+
+    fn drop_cancelled(&mut self) {
+        let cancelled: Vec<RequestKey> = self
+            .payloads
+            .iter()
+            .filter(|(_, payload)| payload.reply.is_closed())
+            .map(|(key, _)| key)
+            .collect();
+        for key in cancelled {
+            self.dispatcher.cancel(key);
+        }
+        let dispatcher = &self.dispatcher;
+        self.payloads.retain(|key, _| dispatcher.contains(key));
+    }
+
+    async fn advance(&mut self) {
+        let now = self.options.clock.now();
+        for action in self.dispatcher.advance(now) {
+            match action {
+                DispatchAction::Send {
+                    request,
+                    instance,
+                    deadline,
+                } => {
+                    self.send(request, instance, deadline).await;
+                }
+                DispatchAction::Refuse { request, refusal } => {
+                    self.options.metrics.count("dispatch.refused", 1);
+                    self.reply(request, outcome(refusal));
+                }
+            }
+        }
+    }
+
+    async fn send(&mut self, request: RequestKey, instance: InstanceKey, deadline: Millis) {
+        let Some(payload) = self.payloads.get(request) else {
+            return;
+        };
+        let exchange = Exchange {
+            request,
+            outbound: payload.outbound.clone(),
+            deadline,
+            prefer_proven: false,
+            response_limit_bytes: self.view.fields.response_limit_bytes,
+        };
+        let sent = match self.targets.get(instance) {
+            Some(target) => target
+                .link
+                .messages
+                .send(LinkMessage::Exchange(exchange))
+                .await
+                .is_ok(),
+            None => false,
+        };
+        if !sent {
+            let result = ExchangeResult::Failed(FailureEvidence::NothingWritten);
+            self.exchanged(ExchangeEnd {
+                request,
+                instance,
+                result,
+            });
+        }
+    }
+
+    async fn configure(&mut self, view: Arc<ServiceView>) {
+        self.view = view;
+        self.dispatcher.configure(policy(&self.view));
+        let gone: Vec<InstanceKey> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| !self.view.instances.contains(&target.record))
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.dispatcher.remove_instance(key);
+            if let Some(target) = self.targets.remove(key) {
+                let _ = target.link.messages.send(LinkMessage::Retire).await;
+            }
+        }
+        let records: Vec<InstanceRecord> = self.view.instances.clone();
+        for record in records {
+            if !self.targets.values().any(|target| target.record == record) {
+                self.add_target(record);
+            }
+        }
+        let slots = self.view.fields.slots_per_instance;
+        for key in self.targets.keys() {
+            self.dispatcher.set_usable_slots(key, slots);
+        }
+    }
+
+    fn add_target(&mut self, record: InstanceRecord) {
+        let Self {
+            options,
+            ends,
+            links,
+            targets,
+            ..
+        } = self;
+        targets.insert_with_key(|instance| {
+            let (link, task) = upstream_link::make(LinkOptions {
+                instance,
+                address: record.address,
+                clock: ClockHandle::clone(&options.clock),
+                ends: ends.clone(),
+            });
+            links.spawn(task);
+            Target { record, link }
+        });
+    }
+
+    async fn retire_all(&mut self) {
+        for target in self.targets.values() {
+            let _ = target.link.messages.send(LinkMessage::Retire).await;
+        }
+        self.messages.close();
+        while self.links.join_next().await.is_some() {}
+    }
+}
+
+fn outcome(refusal: Refusal) -> Outcome {
+    match refusal {
+        Refusal::NotRun(proof) => Outcome::NotRun(proof),
+        Refusal::Unknown(unknown) => Outcome::Unknown(unknown),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,21 @@
+//! The daemon of rosemaryscale: settings, tasks and their wiring.
+//!
+//! ```
+//! use rosemaryscale_daemon::Config;
+//!
+//! let problem = Config::parse("{}").unwrap_err();
+//! assert!(problem.to_string().contains("name"));
+//! ```
+
+pub mod cli;
+pub mod config;
+pub mod daemon;
+pub mod dispatcher;
+pub mod fan_out;
+pub mod membership;
+pub mod peer_service;
+pub mod rollout;
+pub mod router;
+
+pub use config::Config;
+pub use daemon::Daemon;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,44 @@
-//! Stub.
-fn main() {}
+//! `rosemaryscaled`: the daemon of rosemaryscale.
+
+use std::process::ExitCode;
+
+use rosemaryscale_daemon::cli::{self, Command};
+use rosemaryscale_daemon::{Config, Daemon};
+
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let command = match cli::parse(std::env::args().skip(1)) {
+        Ok(command) => command,
+        Err(error) => return fail(USAGE, &error),
+    };
+    match command {
+        Command::Help(text) => println!("{text}"),
+        Command::Version => println!("rosemaryscaled {}", env!("CARGO_PKG_VERSION")),
+        Command::Check { config } => match Config::read(&config) {
+            Ok(_) => println!("{}: valid", config.display()),
+            Err(error) => return fail(USAGE, &error),
+        },
+        Command::Run { config } => match Config::read(&config) {
+            Ok(config) => return run(config),
+            Err(error) => return fail(USAGE, &error),
+        },
+    }
+    ExitCode::SUCCESS
+}
+
+#[tokio::main]
+async fn run(config: Config) -> ExitCode {
+    match Daemon::start(config).await {
+        Ok(daemon) => match daemon.run().await {
+            Ok(_) => ExitCode::SUCCESS,
+            Err(error) => fail(1, &error),
+        },
+        Err(error) => fail(1, &error),
+    }
+}
+
+fn fail(code: u8, error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("rosemaryscaled: {error}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/daemon/src/membership.rs
@@ -0,0 +1,269 @@
+//! The membership task: registers this daemon, renews its heartbeat, and follows the others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryscale_ports::kv::{
+    Change, KeyValue, KvEntry, KvError, KvResult, Transaction, Update, WatchEvent,
+};
+use rosemaryscale_ports::member::{Member, MemberRecord, MemberView, MemberWatch};
+use rosemaryscale_ports::prelude::*;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+const HEARTBEAT_TTL_MS: u64 = 5_000;
+/// Three renewals fit into the life of a heartbeat, so that one lost reply does not end it.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_600);
+
+/// Value of a heartbeat key.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+struct Heartbeat {
+    incarnation: Arc<str>,
+}
+
+/// What the membership task needs.
+pub struct MembershipOptions {
+    /// Environment of the daemon.
+    pub environment: Arc<str>,
+    /// What this daemon writes of itself.
+    pub record: MemberRecord,
+    /// The platform's store.
+    pub kv: KeyValue,
+    /// The event log.
+    pub events: EventSink,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+/// Keys of the members below one environment.
+struct MemberKeys {
+    members: String,
+    heartbeats: String,
+}
+
+/// State of the membership task.
+pub struct Membership {
+    options: MembershipOptions,
+    keys: MemberKeys,
+    records: FastMap<Arc<str>, MemberRecord>,
+    heartbeats: FastMap<Arc<str>, Arc<str>>,
+    view: watch::Sender<Arc<MemberView>>,
+    lease: Option<u64>,
+    /// Whether this daemon's member record was written under the current lease.
+    registered: bool,
+}
+
+impl Membership {
+    /// Makes the task's state and the watch on its view.
+    #[must_use]
+    pub fn new(options: MembershipOptions) -> (Self, MemberWatch) {
+        let (view, receiver) = watch::channel(Arc::default());
+        let prefix = format!("/rosemaryscale/{}", options.environment);
+        let keys = MemberKeys {
+            members: format!("{prefix}/members/"),
+            heartbeats: format!("{prefix}/heartbeats/"),
+        };
+        let membership = Self {
+            options,
+            keys,
+            records: FastMap::default(),
+            heartbeats: FastMap::default(),
+            view,
+            lease: None,
+            registered: false,
+        };
+        (membership, receiver)
+    }
+
+    /// Follows the members until `stop` resolves, then deletes this daemon's records.
+    pub async fn serve(
+        mut self,
+        mut watched: mpsc::Receiver<Arc<WatchEvent>>,
+        mut stop: oneshot::Receiver<()>,
+    ) {
+        let mut interval = tokio::time::interval(HEARTBEAT_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = &mut stop => break,
+                Some(event) = watched.recv() => self.observe(&event),
+                _ = interval.tick() => {
+                    if self.renew().await.is_err() {
+                        self.options.metrics.count("member.heartbeat_failures", 1);
+                    }
+                }
+            }
+        }
+        self.leave().await;
+    }
+
+    async fn renew(&mut self) -> KvResult<()> {
+        if let Some(lease) = self.lease {
+            match self.options.kv.keep_alive(lease).await {
+                Err(KvError::LeaseExpired { .. }) => {
+                    self.lease = None;
+                    self.registered = false;
+                }
+                other => other?,
+            }
+        }
+        if !self.registered {
+            self.register().await?;
+        }
+        Ok(())
+    }
+
+    async fn register(&mut self) -> KvResult<()> {
+        let lease = match self.lease {
+            Some(lease) => lease,
+            None => self.options.kv.grant(HEARTBEAT_TTL_MS).await?,
+        };
+        self.lease = Some(lease);
+        let record = &self.options.record;
+        let heartbeat = Heartbeat {
+            incarnation: Arc::clone(&record.incarnation),
+        };
+        let transaction = Transaction {
+            compares: Vec::new(),
+            changes: vec![
+                put(self.member_key(), &self.options.record, 0)?,
+                put(self.heartbeat_key(), &heartbeat, lease)?,
+            ],
+        };
+        self.options.kv.transact(transaction).await?;
+        self.registered = true;
+        Ok(())
+    }
+
+    /// Deletes this daemon's records, unless a newer process has taken the name.
+    async fn leave(&mut self) {
+        let own = self.records.get(&self.options.record.name);
+        let replaced = own.is_some_and(|own| own.incarnation != self.options.record.incarnation);
+        if !replaced {
+            let changes = vec![
+                Change::Delete {
+                    key: self.member_key(),
+                },
+                Change::Delete {
+                    key: self.heartbeat_key(),
+                },
+            ];
+            let _ = self
+                .options
+                .kv
+                .transact(Transaction {
+                    compares: Vec::new(),
+                    changes,
+                })
+                .await;
+        }
+        if let Some(lease) = self.lease {
+            let _ = self.options.kv.revoke(lease).await;
+        }
+    }
+
+    fn member_key(&self) -> Arc<str> {
+        format!("{}{}", self.keys.members, self.options.record.name).into()
+    }
+
+    fn heartbeat_key(&self) -> Arc<str> {
+        format!("{}{}", self.keys.heartbeats, self.options.record.name).into()
+    }
+
+    fn observe(&mut self, event: &WatchEvent) {
+        let revision = match event {
+            WatchEvent::Snapshot { revision, entries } => {
+                self.records.clear();
+                self.heartbeats.clear();
+                entries.iter().for_each(|entry| self.put(entry));
+                *revision
+            }
+            WatchEvent::Changed { revision, updates } => {
+                for update in updates {
+                    match update {
+                        Update::Put(entry) => self.put(entry),
+                        Update::Deleted(key) => self.delete(key),
+                    }
+                }
+                *revision
+            }
+            WatchEvent::Disconnected { .. } => return,
+        };
+        self.publish(revision);
+    }
+
+    fn put(&mut self, entry: &KvEntry) {
+        if let Some(name) = entry.key.strip_prefix(&*self.keys.members) {
+            if let Ok(record) = serde_json::from_slice(&entry.value) {
+                self.records.insert(name.into(), record);
+            }
+        } else if let Some(name) = entry.key.strip_prefix(&*self.keys.heartbeats)
+            && let Ok(Heartbeat { incarnation }) = serde_json::from_slice(&entry.value)
+        {
+            self.heartbeats.insert(name.into(), incarnation);
+        }
+    }
+
+    fn delete(&mut self, key: &str) {
+        if let Some(name) = key.strip_prefix(&*self.keys.members) {
+            self.records.remove(name);
+        } else if let Some(name) = key.strip_prefix(&*self.keys.heartbeats) {
+            self.heartbeats.remove(name);
+        }
+    }
+
+    fn publish(&self, revision: u64) {
+        let members: FastMap<Arc<str>, Member> = self
+            .records
+            .iter()
+            .map(|(name, record)| {
+                let heartbeat = self.heartbeats.get(name) == Some(&record.incarnation);
+                (
+                    Arc::clone(name),
+                    Member {
+                        record: record.clone(),
+                        heartbeat,
+                    },
+                )
+            })
+            .collect();
+        let old = self.view.borrow().clone();
+        self.record_changes(&old.members, &members);
+        let changed = old.members != members;
+        if changed || old.revision == 0 {
+            self.view
+                .send_replace(Arc::new(MemberView { revision, members }));
+        }
+    }
+
+    fn record_changes(&self, old: &FastMap<Arc<str>, Member>, new: &FastMap<Arc<str>, Member>) {
+        for (name, member) in new {
+            let before = old.get(name).is_some_and(|member| member.heartbeat);
+            let detail = match (before, member.heartbeat) {
+                (false, true) => "joined",
+                (true, false) => "lost its heartbeat",
+                _ => continue,
+            };
+            self.options
+                .events
+                .record(EventKind::Member, Arc::clone(name), detail);
+        }
+        for name in old.keys().filter(|name| !new.contains_key(*name)) {
+            self.options
+                .events
+                .record(EventKind::Member, Arc::clone(name), "left");
+        }
+    }
+}
+
+fn put(key: Arc<str>, value: &impl Serialize, lease: u64) -> KvResult<Change> {
+    let value = serde_json::to_vec(value).map_err(|error| KvError::Rejected {
+        reason: error.to_string(),
+    })?;
+    Ok(Change::Put {
+        key,
+        value: value.into(),
+        lease,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/router.rs
@@ -0,0 +1,131 @@
+//! The router: keeps one dispatcher per service in step with the document and the instance list.
+
+use std::sync::Arc;
+
+use rosemaryscale_adapters::caller_api::Routes;
+use rosemaryscale_domain::Document;
+use rosemaryscale_domain::document::Accepted;
+use rosemaryscale_ports::clock::ClockHandle;
+use rosemaryscale_ports::config::ConfigWatch;
+use rosemaryscale_ports::dispatch::{Dispatch, DispatchMessage};
+use rosemaryscale_ports::instance::{InstanceList, InstanceState, ServiceView};
+use rosemaryscale_ports::prelude::*;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::dispatcher::{self, DispatcherOptions};
+
+/// What the router needs.
+pub struct RouterOptions {
+    /// The document in force.
+    pub config: ConfigWatch,
+    /// The platform's instance list.
+    pub instances: InstanceList,
+    /// Clock of the process.
+    pub clock: ClockHandle,
+    /// The event log.
+    pub events: EventSink,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+/// Dispatchers by service.
+pub struct Router {
+    options: RouterOptions,
+    routes: watch::Sender<Routes>,
+    dispatchers: JoinSet<()>,
+}
+
+impl Router {
+    /// Makes the router's state and the watch on its routes.
+    #[must_use]
+    pub fn new(options: RouterOptions) -> (Self, watch::Receiver<Routes>) {
+        let (routes, receiver) = watch::channel(Routes::default());
+        (
+            Self {
+                options,
+                routes,
+                dispatchers: JoinSet::new(),
+            },
+            receiver,
+        )
+    }
+
+    /// Follows the document and the instance list until `stop` resolves, then waits until every
+    /// dispatcher has finished its requests.
+    pub async fn serve(mut self, mut stop: oneshot::Receiver<()>) {
+        loop {
+            tokio::select! {
+                _ = &mut stop => break,
+                Ok(()) = self.options.config.changed() => self.update().await,
+                Ok(()) = self.options.instances.changed() => self.update().await,
+                Some(_) = self.dispatchers.join_next() => {}
+            }
+        }
+        let routes = self.routes.send_replace(Routes::default());
+        for dispatch in routes.values() {
+            let _ = dispatch.messages.send(DispatchMessage::Stop).await;
+        }
+        drop(routes);
+        while self.dispatchers.join_next().await.is_some() {}
+    }
+
+    async fn update(&mut self) {
+        let Some(document) = self.options.config.borrow().clone() else {
+            return;
+        };
+        let old = self.routes.borrow().clone();
+        let mut new = FastMap::default();
+        for name in document.fields.services.keys() {
+            let view = self.view(&document, name);
+            let Some(view) = view else { continue };
+            let mut dispatch = old
+                .get(name)
+                .cloned()
+                .unwrap_or_else(|| self.start_dispatcher(&view));
+            dispatch.body_limit_bytes = view.fields.body_limit_bytes;
+            let message = DispatchMessage::Configure(Arc::new(view));
+            let _ = dispatch.messages.send(message).await;
+            new.insert(Arc::clone(name), dispatch);
+        }
+        for (name, dispatch) in old.iter() {
+            if !new.contains_key(name) {
+                let _ = dispatch.messages.send(DispatchMessage::Stop).await;
+            }
+        }
+        self.routes.send_replace(Arc::new(new));
+    }
+
+    fn view(&self, document: &Document<Accepted>, name: &Arc<str>) -> Option<ServiceView> {
+        let fields = document.fields.services.get(name)?.clone();
+        let snapshot = self.options.instances.borrow().clone();
+        let instances = snapshot
+            .instances
+            .iter()
+            .filter(|record| record.pool_hint == fields.pool)
+            .filter(|record| record.state == InstanceState::Live)
+            .cloned()
+            .collect();
+        let version = document.state.version;
+        Some(ServiceView {
+            name: Arc::clone(name),
+            version,
+            fields,
+            instances,
+        })
+    }
+
+    fn start_dispatcher(&mut self, view: &ServiceView) -> Dispatch {
+        let options = DispatcherOptions {
+            clock: ClockHandle::clone(&self.options.clock),
+            events: self.options.events.clone(),
+            metrics: Metrics::clone(&self.options.metrics),
+        };
+        let (messages, task) = dispatcher::make(options, view.clone());
+        self.dispatchers.spawn(task.serve());
+        Dispatch {
+            messages,
+            body_limit_bytes: view.fields.body_limit_bytes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/key.rs
@@ -0,0 +1,22 @@
+//! Small `Copy` keys into arenas. Keys are local to a process; messages between processes carry names.
+
+use slotmap::new_key_type;
+
+new_key_type! {
+    /// Key of a service.
+    pub struct ServiceKey;
+    /// Key of a pool.
+    pub struct PoolKey;
+    /// Key of an upstream instance.
+    pub struct InstanceKey;
+    /// Key of a caller.
+    pub struct CallerKey;
+    /// Key of a request.
+    pub struct RequestKey;
+    /// Key of a connection to an upstream instance.
+    pub struct ConnectionKey;
+    /// Key of a daemon.
+    pub struct DaemonKey;
+    /// Key of a job.
+    pub struct JobKey;
+}
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -1,1 +1,29 @@
-//! Stub.
+//! Decisions of rosemaryscale, free of sockets, async code and system time.
+//!
+//! Every type in this package takes events and the current time and returns actions. Tasks in the
+//! outer packages carry the actions out.
+//!
+//! ```
+//! use rosemaryscale_domain::Millis;
+//!
+//! let arrived = Millis::from_ms(1_000);
+//! let deadline = arrived.after_ms(250);
+//! assert_eq!(deadline.ms_since(arrived), 250);
+//! ```
+
+pub mod connection;
+pub mod dispatch;
+pub mod document;
+pub mod key;
+pub mod map;
+pub mod millis;
+pub mod outcome;
+pub mod prelude;
+pub mod request;
+
+pub use dispatch::Dispatcher;
+pub use document::Document;
+pub use map::{FastMap, FastSet};
+pub use millis::Millis;
+pub use outcome::{NotRun, OutcomeUnknown};
+pub use request::Request;
--- /dev/null
+++ b/crates/domain/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The types that most modules of this package and its users need.
+
+pub use crate::key::{
+    CallerKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, PoolKey, RequestKey, ServiceKey,
+};
+pub use crate::map::{FastMap, FastSet};
+pub use crate::millis::Millis;
+pub use slotmap::{SecondaryMap, SlotMap};
+pub use std::sync::Arc;
--- /dev/null
+++ b/crates/ports/src/dispatch.rs
@@ -0,0 +1,78 @@
+//! The dispatch port: from callers to the dispatcher of a service.
+
+use std::sync::Arc;
+
+use rosemaryscale_domain::outcome::{NotRun, OutcomeUnknown};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::instance::ServiceView;
+use crate::link::{ExchangeEnd, OutboundRequest, Response};
+
+/// A request as a front end hands it over.
+#[derive(Debug)]
+pub struct Submission {
+    /// Name of the caller.
+    pub caller: Arc<str>,
+    /// Work class; the service's default if none.
+    pub class: Option<Arc<str>>,
+    /// How long the caller waits, in milliseconds; the service's default if none.
+    pub deadline_ms: Option<u64>,
+    /// Idempotency key.
+    pub idempotency_key: Option<Arc<str>>,
+    /// What to send to the upstream.
+    pub outbound: OutboundRequest,
+    /// Where the outcome goes. The request is cancelled when the receiver is dropped while it is
+    /// queued.
+    pub reply: oneshot::Sender<Outcome>,
+}
+
+/// What the caller is told.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// The complete response of the upstream.
+    Answered(Response),
+    /// The request certainly did not run.
+    NotRun(NotRun),
+    /// The request may have run.
+    Unknown(OutcomeUnknown),
+    /// The request ran but its response is over the limit.
+    ResponseTooLarge {
+        /// The limit.
+        limit_bytes: u64,
+    },
+    /// The request was malformed and did not run.
+    Invalid(Invalid),
+}
+
+/// Why a request was malformed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Invalid {
+    /// The work class is not in the document.
+    UnknownClass(Arc<str>),
+    /// The idempotency key is not a UUID of version 7 or is older than the retention.
+    KeyExpired,
+    /// The idempotency key was used with another body.
+    KeyReused,
+}
+
+/// Message to a dispatcher.
+#[derive(Debug)]
+pub enum DispatchMessage {
+    /// A request.
+    Submit(Submission),
+    /// An exchange ended.
+    Exchanged(ExchangeEnd),
+    /// The service's limits or instances changed.
+    Configure(Arc<ServiceView>),
+    /// Accept nothing new, finish everything, stop.
+    Stop,
+}
+
+/// Handle of a service's dispatcher.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    /// Messages to the dispatcher's task.
+    pub messages: mpsc::Sender<DispatchMessage>,
+    /// Longest request body, for the front end.
+    pub body_limit_bytes: u64,
+}
--- /dev/null
+++ b/crates/ports/src/instance.rs
@@ -0,0 +1,62 @@
+//! Instances as the platform lists them and as services see them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rosemaryscale_domain::document::ServiceFields;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+/// State of an instance in the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceState {
+    /// It serves.
+    Live,
+    /// It leaves and must get no new work.
+    Leaving,
+}
+
+/// One instance of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct InstanceRecord {
+    /// Name, unique in the platform.
+    pub name: Arc<str>,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Pool that it was created in.
+    pub pool_hint: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Rack.
+    pub rack: Arc<str>,
+    /// State.
+    pub state: InstanceState,
+}
+
+/// The platform's list, as last read.
+#[derive(Clone, Debug, Default)]
+pub struct InstanceSnapshot {
+    /// The instances.
+    pub instances: Arc<[InstanceRecord]>,
+    /// How often the list was read; 0 before the first read.
+    pub reads: u64,
+}
+
+/// Handle of the instance list port: the newest list.
+pub type InstanceList = watch::Receiver<InstanceSnapshot>;
+
+/// What a dispatcher needs to know of its service.
+#[derive(Clone, Debug)]
+pub struct ServiceView {
+    /// Name of the service.
+    pub name: Arc<str>,
+    /// Version of the document.
+    pub version: u64,
+    /// Limits.
+    pub fields: ServiceFields,
+    /// Instances of the service's pool that may get work.
+    pub instances: Vec<InstanceRecord>,
+}
--- /dev/null
+++ b/crates/ports/src/peer.rs
@@ -0,0 +1,156 @@
+//! The peer port: calls between daemons.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::event::Event;
+use crate::operator::DaemonStatus;
+
+/// Version and digest of a daemon's document.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ConfigDigest {
+    /// Version; 0 if none.
+    pub version: u64,
+    /// Digest; empty if none.
+    pub digest: Arc<str>,
+}
+
+/// A document on its way between daemons.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ConfigText {
+    /// Version.
+    pub version: u64,
+    /// Text.
+    pub text: Arc<str>,
+}
+
+/// What travels between daemons: a call or a reply with its sender and time.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub struct Envelope<T> {
+    /// Name of the sender.
+    pub from: Arc<str>,
+    /// Wall-clock time of the sender, in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+    /// The call or the reply.
+    pub body: T,
+}
+
+/// A call to a peer.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerRequest {
+    /// Exchange digests; the reply carries the peer's.
+    Digest(ConfigDigest),
+    /// Read the document in force.
+    Document,
+    /// Read the status.
+    Status,
+    /// Read the newest events.
+    Timeline {
+        /// Events at most.
+        limit: usize,
+    },
+}
+
+/// Reply to a call.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerReply {
+    /// The peer's digest.
+    Digest(ConfigDigest),
+    /// The peer's document, if it has one.
+    Document(Option<ConfigText>),
+    /// The peer's status.
+    Status(DaemonStatus),
+    /// The peer's events.
+    Timeline(Vec<Event>),
+    /// The peer cannot answer now.
+    Refused(String),
+}
+
+/// Why a call to a peer failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
+#[snafu(visibility(pub))]
+pub enum PeerError {
+    /// The member is not known.
+    #[snafu(display("no member is named {name}; see rosemaryscale status"))]
+    UnknownMember {
+        /// The name.
+        name: Arc<str>,
+    },
+    /// The peer did not answer.
+    #[snafu(display("peer {name} did not answer ({reason}); it is asked again later"))]
+    Unreachable {
+        /// The name.
+        name: Arc<str>,
+        /// What failed.
+        reason: String,
+    },
+}
+
+/// A call on its way to the peer link.
+#[derive(Debug)]
+pub struct PeerCall {
+    /// Name of the peer.
+    pub to: Arc<str>,
+    /// The call.
+    pub request: PeerRequest,
+    /// Where the reply goes.
+    pub reply: oneshot::Sender<Result<PeerReply, PeerError>>,
+}
+
+/// A peer's call on its way to the task that answers it.
+#[derive(Debug)]
+pub struct InboundCall {
+    /// Name of the peer.
+    pub from: Arc<str>,
+    /// The call.
+    pub request: PeerRequest,
+    /// Where the reply goes.
+    pub reply: oneshot::Sender<PeerReply>,
+}
+
+/// Handle of the peer port.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    calls: mpsc::Sender<PeerCall>,
+}
+
+impl Peers {
+    /// Makes a handle and the receiver that the peer link serves.
+    #[must_use]
+    pub fn channel(capacity: usize) -> (Self, mpsc::Receiver<PeerCall>) {
+        let (calls, receiver) = mpsc::channel(capacity);
+        (Self { calls }, receiver)
+    }
+
+    /// Calls a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer does not answer.
+    pub async fn call(&self, to: Arc<str>, request: PeerRequest) -> Result<PeerReply, PeerError> {
+        let (reply, result) = oneshot::channel();
+        let name = Arc::clone(&to);
+        let unreachable = |reason: &str| PeerError::Unreachable {
+            name: Arc::clone(&name),
+            reason: reason.into(),
+        };
+        self.calls
+            .send(PeerCall { to, request, reply })
+            .await
+            .map_err(|_| unreachable("the peer link has stopped"))?;
+        result
+            .await
+            .map_err(|_| unreachable("the peer link dropped the call"))?
+    }
+}
--- /dev/null
+++ b/crates/standins/examples/platform.rs
@@ -0,0 +1,15 @@
+//! Runs the platform stand-in as a process: `platform <address>`.
+
+use rosemaryscale_standins::Platform;
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let address = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "127.0.0.1:0".into());
+    let platform = Platform::start(address.parse()?).await?;
+    println!("platform stand-in at {}", platform.address());
+    rosemaryscale_standins::stopped().await?;
+    platform.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/harness.rs
@@ -0,0 +1,487 @@
+//! A test harness: a platform stand-in, upstream stand-ins and daemon processes.
+//!
+//! Each harness has loopback addresses of its own, so tests run side by side.
+
+use std::future::Future;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+
+use crate::platform::Platform;
+use crate::upstream::{Upstream, UpstreamOptions};
+
+const CALLER_PORT: u16 = 7001;
+const OPERATOR_PORT: u16 = 7002;
+const PEER_PORT: u16 = 7003;
+const PLATFORM_PORT: u16 = 7100;
+const UPSTREAM_PORT: u16 = 7200;
+const PORTS_PER_DAEMON: u16 = 10;
+const CONDITION_POLL: Duration = Duration::from_millis(20);
+/// Longest wait for a condition; far above every bound that a test checks.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+static HARNESSES: AtomicU8 = AtomicU8::new(1);
+
+/// An upstream instance to start.
+#[derive(Clone, Debug)]
+pub struct UpstreamSpec {
+    /// Name of the instance.
+    pub name: String,
+    /// Its pool.
+    pub pool: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its rack.
+    pub rack: String,
+    /// Requests executed at once.
+    pub slots: u32,
+    /// How long a request runs if it does not say.
+    pub default_delay: Duration,
+}
+
+impl UpstreamSpec {
+    /// An instance of `pool` with 8 slots and a delay of 5 ms, spread over zones by its number.
+    #[must_use]
+    pub fn numbered(pool: &str, number: usize) -> Self {
+        Self {
+            name: format!("{pool}-{number}"),
+            pool: pool.into(),
+            zone: format!("zone-{}", number % 3 + 1),
+            rack: format!("rack-{}", number / 4 + 1),
+            slots: 8,
+            default_delay: Duration::from_millis(5),
+        }
+    }
+}
+
+/// What a harness starts.
+#[derive(Clone, Debug)]
+pub struct HarnessOptions {
+    /// The daemon's binary, `env!("CARGO_BIN_EXE_rosemaryscaled")` in its tests.
+    pub daemon_binary: PathBuf,
+    /// Daemons.
+    pub daemons: usize,
+    /// Environment of the daemons.
+    pub environment: String,
+    /// Upstream instances.
+    pub upstreams: Vec<UpstreamSpec>,
+}
+
+/// A daemon process.
+#[derive(Debug)]
+struct DaemonProcess {
+    name: String,
+    child: Option<Child>,
+}
+
+/// A reply of a daemon.
+#[derive(Clone, Debug)]
+pub struct DaemonReply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl DaemonReply {
+    /// The body as JSON; null if it is none.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+}
+
+/// A signal for a daemon process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessSignal {
+    /// Ends the process at once.
+    Kill,
+    /// Freezes the process.
+    Freeze,
+    /// Resumes a frozen process.
+    Resume,
+    /// Asks for a graceful stop.
+    Terminate,
+}
+
+/// The running harness.
+#[derive(Debug)]
+pub struct Harness {
+    /// The platform stand-in.
+    pub platform: Platform,
+    /// The upstream stand-ins, in the order of their specs.
+    pub upstreams: Vec<Upstream>,
+    options: HarnessOptions,
+    host: IpAddr,
+    directory: PathBuf,
+    daemons: Vec<DaemonProcess>,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Harness {
+    /// Starts everything and waits until every daemon's operator API answers.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a part does not start.
+    pub async fn start(options: HarnessOptions) -> Self {
+        let number = HARNESSES.fetch_add(1, Ordering::Relaxed);
+        let [high, low] = ((std::process::id() & 0xffff) as u16).to_be_bytes();
+        let host = IpAddr::V4(Ipv4Addr::new(127, high, low, number));
+        let directory =
+            std::env::temp_dir().join(format!("rosemaryscale-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&directory).expect("the temporary directory is writable");
+        let platform = Platform::start(SocketAddr::new(host, PLATFORM_PORT))
+            .await
+            .expect("the platform stand-in starts");
+        let mut upstreams = Vec::new();
+        for (port, spec) in (UPSTREAM_PORT..).zip(&options.upstreams) {
+            let upstream = UpstreamOptions {
+                name: spec.name.clone(),
+                slots: spec.slots,
+                default_delay: spec.default_delay,
+            };
+            let address = SocketAddr::new(host, port);
+            upstreams.push(
+                Upstream::start(address, upstream)
+                    .await
+                    .expect("an upstream starts"),
+            );
+        }
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let daemons = Vec::new();
+        let mut harness = Self {
+            platform,
+            upstreams,
+            options,
+            host,
+            directory,
+            daemons,
+            client,
+        };
+        harness.platform.set_instances(harness.instances()).await;
+        for index in 0..harness.options.daemons {
+            harness.add_daemon(index);
+        }
+        for index in 0..harness.options.daemons {
+            harness.wait_for_operator_api(index).await;
+        }
+        harness
+    }
+
+    /// The instance list with every upstream live, for [`Platform::set_instances`].
+    #[must_use]
+    pub fn instances(&self) -> Value {
+        let specs = self.options.upstreams.iter().zip(&self.upstreams);
+        specs
+            .map(|(spec, upstream)| {
+                json!({
+                    "name": spec.name, "address": upstream.address(), "pool_hint": spec.pool,
+                    "zone": spec.zone, "rack": spec.rack, "state": "live",
+                })
+            })
+            .collect()
+    }
+
+    /// Name of a daemon.
+    #[must_use]
+    pub fn daemon_name(&self, index: usize) -> &str {
+        &self.daemons[index].name
+    }
+
+    /// Caller address of a daemon.
+    #[must_use]
+    pub fn caller_address(&self, index: usize) -> SocketAddr {
+        self.address(index, CALLER_PORT)
+    }
+
+    /// Operator address of a daemon.
+    #[must_use]
+    pub fn operator_address(&self, index: usize) -> SocketAddr {
+        self.address(index, OPERATOR_PORT)
+    }
+
+    /// Process id of a running daemon.
+    #[must_use]
+    pub fn process_id(&self, index: usize) -> Option<u32> {
+        self.daemons[index].child.as_ref().map(Child::id)
+    }
+
+    fn address(&self, index: usize, port: u16) -> SocketAddr {
+        let offset = u16::try_from(index).expect("few daemons") * PORTS_PER_DAEMON;
+        SocketAddr::new(self.host, port + offset)
+    }
+
+    fn add_daemon(&mut self, index: usize) {
+        let name = format!("entry-{}", index + 1);
+        self.daemons.push(DaemonProcess { name, child: None });
+        self.spawn(index);
+    }
+
+    /// Starts the process of a daemon that was stopped or killed.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process does not start.
+    pub fn spawn(&mut self, index: usize) {
+        let name = self.daemons[index].name.clone();
+        let settings = json!({
+            "name": name,
+            "environment": self.options.environment,
+            "availability_zone": format!("zone-{}", index % 3 + 1),
+            "caller_address": self.caller_address(index),
+            "operator_address": self.operator_address(index),
+            "peer_address": self.address(index, PEER_PORT),
+            "platform": {
+                "kv_address": self.platform.address(),
+                "instances_address": self.platform.address(),
+            },
+        });
+        let path = self.directory.join(format!("{name}.jsonc"));
+        std::fs::write(&path, settings.to_string()).expect("settings can be written");
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.directory.join(format!("{name}.log")))
+            .expect("the log can be opened");
+        let child = Command::new(&self.options.daemon_binary)
+            .arg("--config")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the daemon starts");
+        self.daemons[index].child = Some(child);
+    }
+
+    /// The log of a daemon.
+    #[must_use]
+    pub fn log(&self, index: usize) -> String {
+        let path = self
+            .directory
+            .join(format!("{}.log", self.daemons[index].name));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Sends a signal to a daemon.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the daemon is not running.
+    pub fn signal(&self, index: usize, signal: ProcessSignal) {
+        let signal = match signal {
+            ProcessSignal::Kill => libc::SIGKILL,
+            ProcessSignal::Freeze => libc::SIGSTOP,
+            ProcessSignal::Resume => libc::SIGCONT,
+            ProcessSignal::Terminate => libc::SIGTERM,
+        };
+        let id = self.process_id(index).expect("the daemon is running");
+        let id = libc::pid_t::try_from(id).expect("process ids fit");
+        #[allow(unsafe_code, reason = "kill has no safe form in the C library")]
+        // SAFETY: the id is that of a child that was not waited for, so it was not reused.
+        unsafe {
+            libc::kill(id, signal);
+        }
+    }
+
+    /// Waits for the end of a daemon's process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process does not end.
+    pub async fn wait_for_exit(&mut self, index: usize) -> ExitStatus {
+        let started = tokio::time::Instant::now();
+        loop {
+            let child = self.daemons[index]
+                .child
+                .as_mut()
+                .expect("the daemon is running");
+            if let Some(status) = child.try_wait().expect("the process can be waited for") {
+                self.daemons[index].child = None;
+                return status;
+            }
+            assert!(
+                started.elapsed() < PATIENCE,
+                "{} does not end",
+                self.daemons[index].name
+            );
+            tokio::time::sleep(CONDITION_POLL).await;
+        }
+    }
+
+    async fn wait_for_operator_api(&self, index: usize) {
+        eventually("the operator API answers", || async move {
+            self.operate(index, Method::GET, "/v1/status", None)
+                .await
+                .is_some()
+        })
+        .await;
+    }
+
+    /// Waits until a daemon accepts requests.
+    pub async fn wait_until_ready(&self, index: usize) {
+        eventually("the daemon is ready", || async move {
+            let reply = self.call(index, Method::GET, "/v1/ready", &[], "").await;
+            reply.is_some_and(|reply| reply.status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// Applies a document through the first daemon and waits until every daemon is ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the document is refused.
+    pub async fn apply(&self, text: &str) {
+        let body = json!({
+            "text": text,
+            "change_id": format!("change-{}", rand::random::<u64>()),
+            "expected_version": null,
+            "author": "test",
+        });
+        let reply = self
+            .operate(0, Method::PUT, "/v1/document", Some(body))
+            .await;
+        let reply = reply.expect("the operator API answers");
+        assert_eq!(reply.status, StatusCode::OK, "{}", reply.json());
+        for index in 0..self.daemons.len() {
+            self.wait_until_ready(index).await;
+        }
+    }
+
+    /// Calls the operator API of a daemon; `None` if there is no complete reply.
+    pub async fn operate(
+        &self,
+        index: usize,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+    ) -> Option<DaemonReply> {
+        let body = body.map(|body| body.to_string()).unwrap_or_default();
+        let address = self.operator_address(index);
+        self.send(
+            address,
+            method,
+            path,
+            &[("content-type", "application/json")],
+            &body,
+        )
+        .await
+    }
+
+    /// Calls the front end of a daemon; `None` if there is no complete reply.
+    pub async fn call(
+        &self,
+        index: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<DaemonReply> {
+        self.send(self.caller_address(index), method, path, headers, body)
+            .await
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<DaemonReply> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+            .ok()?;
+        let exchange = async {
+            let response = self.client.request(request).await.ok()?;
+            let (head, body) = response.into_parts();
+            let body = body.collect().await.ok()?.to_bytes();
+            Some(DaemonReply {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
+        };
+        tokio::time::timeout(PATIENCE, exchange)
+            .await
+            .ok()
+            .flatten()
+    }
+
+    /// Stops every daemon gracefully, checks that each exits with 0, then stops the stand-ins.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a daemon does not stop or fails.
+    pub async fn stop(mut self) {
+        for index in 0..self.daemons.len() {
+            if self.daemons[index].child.is_some() {
+                self.signal(index, ProcessSignal::Terminate);
+            }
+        }
+        for index in 0..self.daemons.len() {
+            if self.daemons[index].child.is_some() {
+                let status = self.wait_for_exit(index).await;
+                assert!(
+                    status.success(),
+                    "{}: {status}\n{}",
+                    index + 1,
+                    self.log(index)
+                );
+            }
+        }
+        for upstream in std::mem::take(&mut self.upstreams) {
+            upstream.stop().await;
+        }
+    }
+}
+
+impl Drop for Harness {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            if let Some(mut child) = daemon.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics when it does not hold within [`PATIENCE`].
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let started = tokio::time::Instant::now();
+    while !condition().await {
+        assert!(
+            started.elapsed() < PATIENCE,
+            "not within {PATIENCE:?}: {what}"
+        );
+        tokio::time::sleep(CONDITION_POLL).await;
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,42 @@
-//! Stub.
+//! Small stand-ins of the systems around rosemaryscale, for tests and demonstrations.
+//!
+//! ```no_run
+//! use rosemaryscale_standins::platform::Platform;
+//!
+//! # async fn run() -> std::io::Result<()> {
+//! let platform = Platform::start("127.0.0.1:0".parse().unwrap()).await?;
+//! println!("platform at {}", platform.address());
+//! platform.stop().await;
+//! # Ok(())
+//! # }
+//! ```
+
+#![allow(clippy::expect_used, reason = "test support fails loudly")]
+
+pub mod faults;
+pub mod harness;
+pub mod http_server;
+pub mod platform;
+pub mod store;
+pub mod upstream;
+
+pub use faults::Faults;
+pub use harness::Harness;
+pub use platform::Platform;
+pub use upstream::Upstream;
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when the signal handler cannot be installed.
+pub async fn stopped() -> std::io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
