Decide moves and drains of instances between pools

Cause: an instance must be in one pool at any moment, through drains, lagging or frozen daemons, kills and controller changes. Ruled out: ending a drain when a heartbeat expires; a frozen daemon may still hold requests. Tracking vanished members per move; a member killed just before the move also leaves requests running, so the wait belongs to the controller. Change: assignment records with epochs, typestate of a move, a pure controller whose writes compare the zone's revision, quickcheck schedules over 3 daemons with lagging views, kills, restarts and controller changes.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -11,9 +11,12 @@
 //! assert_eq!(deadline.ms_since(arrived), 250);
 //! ```
 
+pub mod assignment;
 pub mod connection;
 pub mod dispatch;
 pub mod document;
+pub mod drain;
+pub mod fleet;
 pub mod key;
 pub mod map;
 pub mod millis;
