Run the controller: assignments, drains and moves through every daemon

Cause: each daemon took the pool of an instance from the platform's list, so an instance could not change its pool safely. Ruled out: reading the members from the membership task's view; it can lag behind the assignments, so a member that just joined could be missed. Both now come from one watch, and a daemon uses instances only once it saw its own member record. Change: controller task with a fenced lease, calls to the store and to peers run beside it; router and dispatchers report requests in flight by epoch; rosemaryscale pools, drain, undrain and move. Conclusion: instances are in one pool at any moment on the real path; open: a daemon that starts in a platform outage has no assignments and serves nothing until then.

--- a/crates/adapters/src/operator_api.rs
+++ b/crates/adapters/src/operator_api.rs
@@ -10,6 +10,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use rosemaryscale_ports::config::{ApplyError, ConfigStore};
+use rosemaryscale_ports::fleet::{Fleet, FleetError, FleetOperation};
 use rosemaryscale_ports::member::MemberWatch;
 use rosemaryscale_ports::operator::{
     ApplyRequest, CheckRequest, DaemonStatus, OperatorProblem, ProblemReport, StatusReport,
@@ -43,6 +44,8 @@
     pub members: MemberWatch,
     /// Calls to peers.
     pub peers: Peers,
+    /// The controller task.
+    pub fleet: Fleet,
 }
 
 impl OperatorContext {
@@ -114,7 +117,9 @@
         .register(get_status)
         .and_then(|()| api.register(check_document))
         .and_then(|()| api.register(apply_document))
-        .and_then(|()| api.register(get_timeline));
+        .and_then(|()| api.register(get_timeline))
+        .and_then(|()| api.register(get_pools))
+        .and_then(|()| api.register(change_fleet));
     registered.map_err(|error| ServerError::Describe {
         reason: error.to_string(),
     })?;
@@ -199,6 +204,62 @@
     ))
 }
 
+/// The pools and their instances.
+#[endpoint { method = GET, path = "/v1/pools" }]
+async fn get_pools(context: RequestContext<OperatorContext>) -> Reply {
+    Ok(json(
+        StatusCode::OK,
+        &context.context().fleet.report(false).await,
+    ))
+}
+
+/// Drains, undrains or moves an instance.
+#[endpoint { method = POST, path = "/v1/fleet" }]
+async fn change_fleet(
+    context: RequestContext<OperatorContext>,
+    operation: TypedBody<FleetOperation>,
+) -> Reply {
+    let result = context
+        .context()
+        .fleet
+        .operate(operation.into_inner(), false)
+        .await;
+    Ok(result.map_or_else(
+        |error| refuse_fleet(&error),
+        |()| json(StatusCode::OK, &serde_json::json!({"accepted": true})),
+    ))
+}
+
+fn refuse_fleet(error: &FleetError) -> Response<Body> {
+    let (status, kind, remedy) = match error {
+        FleetError::Refused { .. } => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "invalid",
+            "see rosemaryscale pools",
+        ),
+        FleetError::NoController { .. } => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unavailable",
+            "send it again later",
+        ),
+        FleetError::Unknown { .. } => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "unknown",
+            "look at the pools before sending it again",
+        ),
+    };
+    let (kind, detail, remedy) = (Arc::from(kind), error.to_string(), remedy.to_owned());
+    json(
+        status,
+        &OperatorProblem {
+            kind,
+            detail,
+            remedy,
+            problems: Vec::new(),
+        },
+    )
+}
+
 fn refuse(error: &ApplyError) -> Response<Body> {
     let (status, kind, remedy) = match error {
         ApplyError::Invalid { .. } => (
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use getopts::{Matches, Options as Definition};
+use rosemaryscale_ports::fleet::FleetOperation;
 use snafu::Snafu;
 
 const DAEMON_DEFAULT: &str = "127.0.0.1:7002";
@@ -17,6 +18,10 @@
     apply FILE          accept a document for the daemon's environment
     status              show the daemons and the document in force
     timeline            show the events of all daemons, oldest first
+    pools               show the pools, their instances and why a move waits
+    drain INSTANCE      take an instance out of service once its requests have ended
+    undrain INSTANCE    return a drained instance to service
+    move INSTANCE POOL  drain an instance, then assign it to another pool
 
 Exit codes:
     0 done, 1 refused, 2 usage, 3 daemon or platform not reachable,
@@ -87,6 +92,10 @@
     Status,
     /// Show the events.
     Timeline,
+    /// Show the pools.
+    Pools,
+    /// Drain, undrain or move an instance.
+    Fleet(FleetOperation),
 }
 
 /// The command line is malformed.
@@ -173,6 +182,20 @@
         },
         "status" => Operation::Status,
         "timeline" => Operation::Timeline,
+        "pools" => Operation::Pools,
+        "drain" => Operation::Fleet(FleetOperation::Drain {
+            instance: instance(words.next())?,
+        }),
+        "undrain" => Operation::Fleet(FleetOperation::Undrain {
+            instance: instance(words.next())?,
+        }),
+        "move" => Operation::Fleet(FleetOperation::Move {
+            instance: instance(words.next())?,
+            to: words.next().map_or_else(
+                || usage("the pool is missing"),
+                |word| Ok(word.as_str().into()),
+            )?,
+        }),
         _ => return usage(format!("no command is named \"{command}\"")),
     };
     match words.next() {
@@ -188,6 +211,13 @@
     )
 }
 
+fn instance(word: Option<&String>) -> Result<Arc<str>, UsageError> {
+    word.map_or_else(
+        || usage("the instance is missing"),
+        |word| Ok(word.as_str().into()),
+    )
+}
+
 fn number(matches: &Matches, option: &str) -> Result<Option<u64>, UsageError> {
     match matches.opt_str(option) {
         None => Ok(None),
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+use rosemaryscale_ports::fleet::{FleetOperation, PoolsReport};
 use rosemaryscale_ports::operator::{Applied, StatusReport, TimelineReport};
 use serde::Serialize;
 use serde_json::json;
@@ -93,6 +94,59 @@
     text.trim_end().to_owned()
 }
 
+/// Result of `pools`.
+#[must_use]
+pub fn pools(report: &PoolsReport, json: bool) -> String {
+    if json {
+        return pretty(report);
+    }
+    let controller = report.controller.as_deref().unwrap_or("none");
+    let mut text = format!(
+        "controller: {controller}\n{:<16} {:<20} {:<14} {:<10} {:>6}  {}",
+        "POOL", "INSTANCE", "ZONE", "PHASE", "EPOCH", "WAITS FOR"
+    );
+    for instance in &report.instances {
+        let mut waits: Vec<String> = Vec::new();
+        if let Some(to) = &instance.to {
+            waits.push(format!("(to {to})"));
+        }
+        if !instance.waiting_for.is_empty() {
+            waits.push(instance.waiting_for.join(", "));
+        }
+        if instance.vanished_wait_ms > 0 {
+            waits.push(format!(
+                "{} ms for requests of lost members",
+                instance.vanished_wait_ms
+            ));
+        }
+        let _ = write!(
+            text,
+            "\n{:<16} {:<20} {:<14} {:<10} {:>6}  {}",
+            instance.pool,
+            instance.name,
+            instance.zone,
+            instance.phase,
+            instance.epoch,
+            waits.join(" ")
+        );
+    }
+    text
+}
+
+/// Result of `drain`, `undrain` and `move`.
+#[must_use]
+pub fn fleet(operation: &FleetOperation, json: bool) -> String {
+    if json {
+        return pretty(&json!({"accepted": operation}));
+    }
+    let accepted = match operation {
+        FleetOperation::Drain { instance } => format!("{instance} drains"),
+        FleetOperation::Undrain { instance } => format!("{instance} returns to service"),
+        FleetOperation::Move { instance, to } => format!("{instance} moves to {to}"),
+    };
+    format!("{accepted}; rosemaryscale pools shows its progress")
+}
+
 fn short(digest: &str) -> &str {
     digest.get(..DIGEST_SHOWN_CHARS).unwrap_or(digest)
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use http::Method;
+use rosemaryscale_ports::fleet::PoolsReport;
 use rosemaryscale_ports::operator::{
     Applied, ApplyRequest, CheckRequest, StatusReport, TimelineReport,
 };
@@ -46,6 +47,14 @@
             let report: StatusReport = client.get("/v1/status").await?;
             Ok(output::status(&report, json))
         }
+        Operation::Pools => {
+            let report: PoolsReport = client.get("/v1/pools").await?;
+            Ok(output::pools(&report, json))
+        }
+        Operation::Fleet(operation) => {
+            let _: serde_json::Value = client.send(Method::POST, "/v1/fleet", operation).await?;
+            Ok(output::fleet(operation, json))
+        }
         Operation::Timeline => {
             let report: TimelineReport = client.get("/v1/timeline").await?;
             Ok(output::timeline(&report, json))
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 };
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
+use rosemaryscale_ports::fleet::Fleet;
 use rosemaryscale_ports::kv::KeyRange;
 use rosemaryscale_ports::member::MemberRecord;
 use rosemaryscale_ports::operator::DaemonStatus;
@@ -22,6 +23,7 @@
 use uuid::Uuid;
 
 use crate::config::Config;
+use crate::controller::{Controller, ControllerOptions};
 use crate::fan_out::FanOut;
 use crate::membership::{Membership, MembershipOptions};
 use crate::peer_service::{PeerService, PeerServiceOptions};
@@ -30,6 +32,8 @@
 
 const CONFIG_MESSAGES: usize = 16;
 const INBOUND_CALLS: usize = 256;
+const FLEET_MESSAGES: usize = 16;
+const QUESTIONS: usize = 64;
 
 /// Why the daemon failed.
 #[derive(Debug)]
@@ -98,6 +102,7 @@
     stop_router: Option<oneshot::Sender<()>>,
     router: Option<JoinHandle<()>>,
     stop_membership: Option<oneshot::Sender<()>>,
+    stop_controller: Option<oneshot::Sender<()>>,
     joined: Vec<JoinHandle<()>>,
     signals: StopSignals,
 }
@@ -147,6 +152,7 @@
             settings.platform.instances_address,
             Metrics::clone(&metrics),
         );
+        let incarnation: Arc<str> = Uuid::now_v7().to_string().into();
         let mut joined = vec![kv_task, poller];
         let mut fan_out = FanOut::default();
 
@@ -163,7 +169,7 @@
 
         let (membership, members) = Membership::new(MembershipOptions {
             environment: Arc::clone(&settings.environment),
-            record: member_record(&settings),
+            record: member_record(&settings, &incarnation),
             kv: kv.clone(),
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
@@ -171,13 +177,6 @@
         let (stop_membership, stopped) = oneshot::channel();
         joined.push(tokio::spawn(membership.serve(fan_out.subscribe(), stopped)));
 
-        let prefix = format!("/rosemaryscale/{}/", settings.environment);
-        let watched = kv
-            .watch(KeyRange::Prefix(prefix.into()))
-            .await
-            .context(PlatformSnafu)?;
-        joined.push(tokio::spawn(fan_out.serve(watched)));
-
         let reason = Arc::from("no document is in force yet");
         let (readiness, ready) = watch::channel(Err(Arc::clone(&reason)));
         let (status, status_receiver) = watch::channel(first_status(&settings, reason));
@@ -190,11 +189,43 @@
         };
         let (peers, peer_task) = peer_link::start(link_options.clone(), members.clone());
         joined.push(peer_task);
+        let (fleet, fleet_messages) = Fleet::channel(FLEET_MESSAGES);
+        let (controller, assignments) = Controller::new(ControllerOptions {
+            name: Arc::clone(&settings.name),
+            incarnation: Arc::clone(&incarnation),
+            environment: Arc::clone(&settings.environment),
+            kv: kv.clone(),
+            peers: peers.clone(),
+            instances: instances.clone(),
+            config: config.clone(),
+            clock: ClockHandle::clone(&clock),
+            events: events.clone(),
+            metrics: Metrics::clone(&metrics),
+        });
+        let (stop_controller, stopped) = oneshot::channel();
+        let controller_events = fan_out.subscribe();
+        joined.push(tokio::spawn(controller.serve(
+            fleet_messages,
+            controller_events,
+            stopped,
+        )));
+
+        let prefix = format!("/rosemaryscale/{}/", settings.environment);
+        let watched = kv
+            .watch(KeyRange::Prefix(prefix.into()))
+            .await
+            .context(PlatformSnafu)?;
+        joined.push(tokio::spawn(fan_out.serve(watched)));
+
+        let (questions, question_receiver) = mpsc::channel(QUESTIONS);
         let (inbound, inbound_calls) = mpsc::channel(INBOUND_CALLS);
         let peer_service = PeerService::new(PeerServiceOptions {
             config: config.clone(),
             status: status_receiver.clone(),
             events: events.clone(),
+            incarnation,
+            fleet: fleet.clone(),
+            questions,
         });
         joined.push(tokio::spawn(peer_service.serve(inbound_calls)));
         let peer_server = PeerServer::start(settings.peer_address, link_options, inbound)
@@ -204,6 +235,8 @@
         let (router, routes) = Router::new(RouterOptions {
             config: config.clone(),
             instances,
+            assignments,
+            questions: question_receiver,
             clock,
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
@@ -225,6 +258,7 @@
             events: events.clone(),
             members,
             peers,
+            fleet,
         };
         let operators =
             OperatorApi::start(settings.operator_address, context, &log).context(ServerSnafu)?;
@@ -241,6 +275,7 @@
             stop_router: Some(stop_router),
             router: Some(router_task),
             stop_membership: Some(stop_membership),
+            stop_controller: Some(stop_controller),
             joined,
             signals: StopSignals::open()?,
         };
@@ -310,6 +345,9 @@
         if let Some(router) = tasks.router.take() {
             let _ = router.await;
         }
+        if let Some(stop) = tasks.stop_controller.take() {
+            let _ = stop.send(());
+        }
         if let Some(stop) = tasks.stop_membership.take() {
             let _ = stop.send(());
         }
@@ -359,13 +397,13 @@
     }
 }
 
-fn member_record(settings: &Config) -> MemberRecord {
+fn member_record(settings: &Config, incarnation: &Arc<str>) -> MemberRecord {
     MemberRecord {
         name: Arc::clone(&settings.name),
         availability_zone: Arc::clone(&settings.availability_zone),
         operator_address: settings.operator_address,
         peer_address: settings.peer_address,
-        incarnation: Uuid::now_v7().to_string().into(),
+        incarnation: Arc::clone(incarnation),
     }
 }
 
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -52,6 +52,8 @@
     dispatcher: Dispatcher,
     payloads: SecondaryMap<RequestKey, Payload>,
     targets: SlotMap<InstanceKey, Target>,
+    /// Removed instances whose exchanges have not ended.
+    retired: FastMap<InstanceKey, Arc<str>>,
     callers: SlotMap<CallerKey, Arc<str>>,
     caller_keys: FastMap<Arc<str>, CallerKey>,
     links: JoinSet<()>,
@@ -73,6 +75,7 @@
         ends: sender.clone(),
         payloads: SecondaryMap::new(),
         targets: SlotMap::with_key(),
+        retired: FastMap::default(),
         callers: SlotMap::with_key(),
         caller_keys: FastMap::default(),
         links: JoinSet::new(),
@@ -112,6 +115,9 @@
             DispatchMessage::Submit(submission) => self.submit(submission),
             DispatchMessage::Exchanged(end) => self.exchanged(end),
             DispatchMessage::Configure(view) => self.configure(view).await,
+            DispatchMessage::InFlight { instance, reply } => {
+                let _ = reply.send(self.in_flight(&instance));
+            }
             DispatchMessage::Stop => self.stopping = true,
         }
     }
@@ -268,6 +274,7 @@
         for key in gone {
             self.dispatcher.remove_instance(key);
             if let Some(target) = self.targets.remove(key) {
+                self.retired.insert(key, Arc::clone(&target.record.name));
                 let _ = target.link.messages.send(LinkMessage::Retire).await;
             }
         }
@@ -283,6 +290,26 @@
         }
     }
 
+    /// Requests in flight on an instance, over all keys that it has had.
+    fn in_flight(&mut self, instance: &str) -> u32 {
+        let Self {
+            dispatcher,
+            retired,
+            targets,
+            ..
+        } = self;
+        retired.retain(|key, _| dispatcher.in_flight(*key) > 0);
+        let current = targets
+            .iter()
+            .map(|(key, target)| (key, &target.record.name));
+        let retired = retired.iter().map(|(key, name)| (*key, name));
+        current
+            .chain(retired)
+            .filter(|(_, name)| &***name == instance)
+            .map(|(key, _)| dispatcher.in_flight(key))
+            .sum()
+    }
+
     fn add_target(&mut self, record: InstanceRecord) {
         let Self {
             options,
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use rosemaryscale_ports::config::ConfigWatch;
+use rosemaryscale_ports::fleet::{Fleet, InFlightQuestion};
 use rosemaryscale_ports::operator::DaemonStatus;
 use rosemaryscale_ports::peer::{ConfigDigest, ConfigText, InboundCall, PeerReply, PeerRequest};
 use rosemaryscale_ports::prelude::*;
@@ -17,6 +18,12 @@
     pub status: watch::Receiver<DaemonStatus>,
     /// The event log.
     pub events: EventSink,
+    /// Incarnation of this daemon.
+    pub incarnation: Arc<str>,
+    /// The controller task.
+    pub fleet: Fleet,
+    /// Questions to the router.
+    pub questions: mpsc::Sender<InFlightQuestion>,
 }
 
 /// Answers calls of peers.
@@ -62,6 +69,19 @@
                 let status = self.options.status.borrow().clone();
                 let _ = reply.send(PeerReply::Status(status));
             }
+            PeerRequest::InFlight { instance } => self.answer_in_flight(instance, reply),
+            PeerRequest::Operate(operation) => {
+                let fleet = self.options.fleet.clone();
+                self.running.spawn(async move {
+                    let _ = reply.send(PeerReply::Operated(fleet.operate(operation, true).await));
+                });
+            }
+            PeerRequest::Pools => {
+                let fleet = self.options.fleet.clone();
+                self.running.spawn(async move {
+                    let _ = reply.send(PeerReply::Pools(fleet.report(true).await));
+                });
+            }
             PeerRequest::Timeline { limit } => {
                 let events = self.options.events.clone();
                 self.running.spawn(async move {
@@ -71,6 +91,26 @@
         }
     }
 
+    fn answer_in_flight(&mut self, instance: Arc<str>, reply: oneshot::Sender<PeerReply>) {
+        let questions = self.options.questions.clone();
+        let incarnation = Arc::clone(&self.options.incarnation);
+        self.running.spawn(async move {
+            let (answer, report) = oneshot::channel();
+            let question = InFlightQuestion {
+                instance,
+                reply: answer,
+            };
+            let report = match questions.send(question).await {
+                Ok(()) => report.await.ok().flatten(),
+                Err(_) => None,
+            };
+            let _ = reply.send(PeerReply::InFlight {
+                incarnation,
+                report,
+            });
+        });
+    }
+
     fn digest(&self) -> ConfigDigest {
         self.options
             .config
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -8,6 +8,9 @@
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config::ConfigWatch;
 use rosemaryscale_ports::dispatch::{Dispatch, DispatchMessage};
+use rosemaryscale_ports::fleet::{
+    AssignmentView, AssignmentWatch, InFlightQuestion, InFlightReport,
+};
 use rosemaryscale_ports::instance::{InstanceList, InstanceState, ServiceView};
 use rosemaryscale_ports::prelude::*;
 use tokio::sync::watch;
@@ -21,6 +24,10 @@
     pub config: ConfigWatch,
     /// The platform's instance list.
     pub instances: InstanceList,
+    /// Assignments of instances to pools.
+    pub assignments: AssignmentWatch,
+    /// Questions about requests in flight.
+    pub questions: mpsc::Receiver<InFlightQuestion>,
     /// Clock of the process.
     pub clock: ClockHandle,
     /// The event log.
@@ -33,7 +40,10 @@
 pub struct Router {
     options: RouterOptions,
     routes: watch::Sender<Routes>,
+    /// The assignments that every dispatcher has been told of.
+    applied: Arc<AssignmentView>,
     dispatchers: JoinSet<()>,
+    answers: JoinSet<()>,
 }
 
 impl Router {
@@ -45,7 +55,9 @@
             Self {
                 options,
                 routes,
+                applied: Arc::default(),
                 dispatchers: JoinSet::new(),
+                answers: JoinSet::new(),
             },
             receiver,
         )
@@ -59,9 +71,13 @@
                 _ = &mut stop => break,
                 Ok(()) = self.options.config.changed() => self.update().await,
                 Ok(()) = self.options.instances.changed() => self.update().await,
+                Ok(()) = self.options.assignments.changed() => self.update().await,
+                Some(question) = self.options.questions.recv() => self.answer(question).await,
                 Some(_) = self.dispatchers.join_next() => {}
+                Some(_) = self.answers.join_next() => {}
             }
         }
+        self.answers.shutdown().await;
         let routes = self.routes.send_replace(Routes::default());
         for dispatch in routes.values() {
             let _ = dispatch.messages.send(DispatchMessage::Stop).await;
@@ -74,10 +90,11 @@
         let Some(document) = self.options.config.borrow().clone() else {
             return;
         };
+        let assignments = self.options.assignments.borrow_and_update().clone();
         let old = self.routes.borrow().clone();
         let mut new = FastMap::default();
         for name in document.fields.services.keys() {
-            let view = self.view(&document, name);
+            let view = self.view(&document, &assignments, name);
             let Some(view) = view else { continue };
             let mut dispatch = old
                 .get(name)
@@ -94,15 +111,56 @@
             }
         }
         self.routes.send_replace(Arc::new(new));
+        self.applied = assignments;
     }
 
-    fn view(&self, document: &Document<Accepted>, name: &Arc<str>) -> Option<ServiceView> {
+    /// Asks every dispatcher what it has in flight on an instance. The dispatchers were told of the
+    /// applied assignments through the same channels, so nothing is sent after the answer.
+    async fn answer(&mut self, question: InFlightQuestion) {
+        let InFlightQuestion { instance, reply } = question;
+        let Some(epoch) = self.applied.record(&instance).map(|record| record.epoch) else {
+            let _ = reply.send(None);
+            return;
+        };
+        let routes = self.routes.borrow().clone();
+        let mut counts = Vec::new();
+        for dispatch in routes.values() {
+            let (reply, count) = oneshot::channel();
+            let instance = Arc::clone(&instance);
+            let message = DispatchMessage::InFlight { instance, reply };
+            if dispatch.messages.send(message).await.is_ok() {
+                counts.push(count);
+            }
+        }
+        self.answers.spawn(async move {
+            let mut in_flight = 0;
+            for count in counts {
+                match count.await {
+                    Ok(count) => in_flight += count,
+                    Err(_) => return,
+                }
+            }
+            let _ = reply.send(Some(InFlightReport { epoch, in_flight }));
+        });
+    }
+
+    fn view(
+        &self,
+        document: &Document<Accepted>,
+        assignments: &AssignmentView,
+        name: &Arc<str>,
+    ) -> Option<ServiceView> {
         let fields = document.fields.services.get(name)?.clone();
         let snapshot = self.options.instances.borrow().clone();
         let instances = snapshot
             .instances
             .iter()
-            .filter(|record| record.pool_hint == fields.pool)
+            .filter(|record| {
+                assignments.registered
+                    && assignments
+                        .record(&record.name)
+                        .is_some_and(|own| own.serves(&fields.pool))
+            })
             .filter(|record| record.state == InstanceState::Live)
             .cloned()
             .collect();
--- /dev/null
+++ b/crates/daemon/tests/fleet.rs
@@ -0,0 +1,194 @@
+//! Drains and moves of instances through daemon processes, and their failures.
+
+#![allow(clippy::expect_used, reason = "test code fails loudly")]
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use rosemaryscale_standins::document;
+use rosemaryscale_standins::harness::{
+    self, Harness, HarnessOptions, ProcessSignal, UpstreamSpec, eventually,
+};
+use serde_json::{Value, json};
+
+const REQUEST: &str = "/v1/services/quotes/cowls";
+
+async fn start(daemons: usize) -> Harness {
+    let harness = Harness::start(HarnessOptions {
+        daemon_binary: env!("CARGO_BIN_EXE_rosemaryscaled").into(),
+        daemons,
+        environment: "production".into(),
+        upstreams: (1..=2)
+            .map(|number| UpstreamSpec::numbered("quotes", number))
+            .collect(),
+    })
+    .await;
+    harness
+        .apply(&document::services(&["quotes", "stores"]))
+        .await;
+    for index in 0..daemons {
+        eventually("the instances are assigned", || async {
+            let reply = harness.call(index, Method::POST, REQUEST, &[], "").await;
+            reply.is_some_and(|reply| reply.status == StatusCode::OK)
+        })
+        .await;
+    }
+    harness
+}
+
+async fn pools(harness: &Harness, index: usize) -> Value {
+    let reply = harness.operate(index, Method::GET, "/v1/pools", None).await;
+    reply.map(|reply| reply.json()).unwrap_or_default()
+}
+
+async fn instance(harness: &Harness, index: usize, name: &str) -> Value {
+    let pools = pools(harness, index).await;
+    let instances = pools["instances"].as_array().cloned().unwrap_or_default();
+    instances
+        .into_iter()
+        .find(|instance| instance["name"] == name)
+        .unwrap_or_default()
+}
+
+/// Asks for a change through the daemon and returns the status.
+async fn operate(harness: &Harness, index: usize, operation: Value) -> (StatusCode, Value) {
+    let reply = harness
+        .operate(index, Method::POST, "/v1/fleet", Some(operation))
+        .await;
+    let reply = reply.expect("the operator API answers");
+    (reply.status, reply.json())
+}
+
+async fn move_to_stores(harness: &Harness, index: usize) {
+    eventually("the move is accepted", || async {
+        let operation = json!({"move": {"instance": "quotes-1", "to": "stores"}});
+        operate(harness, index, operation).await.0 == StatusCode::OK
+    })
+    .await;
+}
+
+/// Guards against a drain that cuts a request in flight or ends before it.
+#[tokio::test]
+async fn a_drain_waits_for_requests_in_flight_and_gets_no_new_ones() {
+    let harness = start(2).await;
+    // A new controller waits for the request limit of 5 s; the drain must wait for its own reason.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let headers = [("x-standin-delay-ms", "2500")];
+    let slow = async {
+        let calls = (0..16).map(|_| harness.call(1, Method::POST, REQUEST, &headers, "slow"));
+        harness::join_all(calls).await
+    };
+    let drain = async {
+        eventually("both instances are busy", || async {
+            harness.upstreams[0].report().await.busy > 0
+        })
+        .await;
+        let (status, body) = operate(&harness, 0, json!({"drain": {"instance": "quotes-1"}})).await;
+        assert_eq!(status, StatusCode::OK, "{body}");
+        eventually("the drain ends", || async {
+            instance(&harness, 0, "quotes-1").await["phase"] == "drained"
+        })
+        .await;
+        assert_eq!(harness.upstreams[0].report().await.busy, 0);
+    };
+    let (replies, ()) = tokio::join!(slow, drain);
+    for reply in replies {
+        assert_eq!(reply.expect("a whole response").status, StatusCode::OK);
+    }
+    let before = harness.upstreams[0].report().await.executed;
+    for _ in 0..20 {
+        let reply = harness.call(1, Method::POST, REQUEST, &[], "").await;
+        assert_eq!(reply.expect("a whole response").status, StatusCode::OK);
+    }
+    assert_eq!(harness.upstreams[0].report().await.executed, before);
+    harness.stop().await;
+}
+
+/// Guards against a move that finishes while a frozen daemon may still use the instance, and
+/// against one that never finishes after the daemon has resumed.
+#[tokio::test]
+async fn a_move_waits_for_a_frozen_daemon() {
+    let harness = start(3).await;
+    let controller = pools(&harness, 0).await["controller"].clone();
+    let names: Vec<usize> = (0..3)
+        .filter(|index| harness.daemon_name(*index) != controller)
+        .collect();
+    let (frozen, asked) = (names[0], names[1]);
+    harness.signal(frozen, ProcessSignal::Freeze);
+    move_to_stores(&harness, asked).await;
+    eventually("the report names the frozen daemon", || async {
+        let moving = instance(&harness, asked, "quotes-1").await;
+        moving["waiting_for"] == json!([harness.daemon_name(frozen)])
+    })
+    .await;
+    // Longer than the heartbeat's life: its end must not finish the move.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    assert_eq!(
+        instance(&harness, asked, "quotes-1").await["phase"],
+        "moving"
+    );
+    harness.signal(frozen, ProcessSignal::Resume);
+    eventually("the move ends", || async {
+        instance(&harness, asked, "quotes-1").await["pool"] == "stores"
+    })
+    .await;
+    let reply = harness
+        .call(asked, Method::POST, "/v1/services/stores/order", &[], "")
+        .await;
+    assert_eq!(
+        reply.expect("a whole response").json()["instance"],
+        "quotes-1"
+    );
+    harness.stop().await;
+}
+
+/// Guards against a move that is lost when the controller is killed in the middle of it.
+#[tokio::test]
+async fn a_move_survives_the_kill_of_the_controller() {
+    let mut harness = start(3).await;
+    let controller = pools(&harness, 0).await["controller"].clone();
+    let killed = (0..3)
+        .find(|index| harness.daemon_name(*index) == controller)
+        .expect("a controller");
+    let asked = (killed + 1) % 3;
+    move_to_stores(&harness, asked).await;
+    harness.signal(killed, ProcessSignal::Kill);
+    harness.wait_for_exit(killed).await;
+    harness.spawn(killed);
+    eventually("another controller ends the move", || async {
+        instance(&harness, asked, "quotes-1").await["pool"] == "stores"
+    })
+    .await;
+    harness.stop().await;
+}
+
+/// Guards against changes by impossible requests.
+#[tokio::test]
+async fn impossible_changes_are_refused_with_a_remedy() {
+    let harness = start(1).await;
+    for (operation, word) in [
+        (
+            json!({"drain": {"instance": "nothing"}}),
+            "rosemaryscale pools",
+        ),
+        (
+            json!({"move": {"instance": "quotes-1", "to": "nothing"}}),
+            "name one of its pools",
+        ),
+        (
+            json!({"undrain": {"instance": "quotes-1"}}),
+            "nothing to do",
+        ),
+    ] {
+        let (status, body) = operate(&harness, 0, operation).await;
+        assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "{body}");
+        assert!(
+            body["detail"]
+                .as_str()
+                .is_some_and(|detail| detail.contains(word)),
+            "{body}"
+        );
+    }
+    assert_eq!(instance(&harness, 0, "quotes-1").await["epoch"], 1);
+    harness.stop().await;
+}
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -114,6 +114,15 @@
         self.requests.contains_key(key)
     }
 
+    /// Requests in flight on an instance, also on one that was removed.
+    #[must_use]
+    pub fn in_flight(&self, instance: InstanceKey) -> u32 {
+        let in_flight = self.requests.values().filter(|entry| {
+            matches!(entry, Entry::Dispatched(request) if request.state.instance == instance)
+        });
+        u32::try_from(in_flight.count()).unwrap_or(u32::MAX)
+    }
+
     /// Whether no request is queued or in flight.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/ports/src/dispatch.rs
+++ b/crates/ports/src/dispatch.rs
@@ -64,6 +64,13 @@
     Exchanged(ExchangeEnd),
     /// The service's limits or instances changed.
     Configure(Arc<ServiceView>),
+    /// Report the requests in flight on an instance.
+    InFlight {
+        /// The instance.
+        instance: Arc<str>,
+        /// Where the number goes.
+        reply: oneshot::Sender<u32>,
+    },
     /// Accept nothing new, finish everything, stop.
     Stop,
 }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod config;
 pub mod dispatch;
 pub mod event;
+pub mod fleet;
 pub mod instance;
 pub mod kv;
 pub mod link;
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::event::Event;
+use crate::fleet::{FleetError, FleetOperation, InFlightReport, PoolsReport};
 use crate::operator::DaemonStatus;
 
 /// Version and digest of a daemon's document.
@@ -57,6 +58,15 @@
         /// Events at most.
         limit: usize,
     },
+    /// Ask what the peer has in flight on an instance.
+    InFlight {
+        /// The instance.
+        instance: Arc<str>,
+    },
+    /// Ask the controller for a change.
+    Operate(FleetOperation),
+    /// Ask the controller for the pools.
+    Pools,
 }
 
 /// Reply to a call.
@@ -72,6 +82,17 @@
     Status(DaemonStatus),
     /// The peer's events.
     Timeline(Vec<Event>),
+    /// What the peer has in flight.
+    InFlight {
+        /// Incarnation of the peer.
+        incarnation: Arc<str>,
+        /// The report; none if the peer does not know the instance's record.
+        report: Option<InFlightReport>,
+    },
+    /// Result of a change.
+    Operated(Result<(), FleetError>),
+    /// The pools.
+    Pools(PoolsReport),
     /// The peer cannot answer now.
     Refused(String),
 }
--- a/crates/standins/examples/bench/control.rs
+++ b/crates/standins/examples/bench/control.rs
@@ -3,10 +3,11 @@
 use std::path::Path;
 use std::time::Duration;
 
+use rosemaryscale_standins::document;
 use serde_json::{Value, json};
 
 use crate::process::Usage;
-use crate::{document, start, upstreams};
+use crate::{start, upstreams};
 
 const DAEMONS: [usize; 3] = [3, 6, 9];
 const INSTANCES: [usize; 3] = [9, 49, 120];
--- a/crates/standins/examples/bench/flood.rs
+++ b/crates/standins/examples/bench/flood.rs
@@ -3,11 +3,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-use rosemaryscale_standins::Harness;
 use rosemaryscale_standins::load::{LoadReport, LoadRequest, OpenLoop, open_loop};
+use rosemaryscale_standins::{Harness, document};
 use serde_json::{Value, json};
 
-use crate::{document, start, upstreams};
+use crate::{start, upstreams};
 
 const INSTANCES: usize = 4;
 const SLOTS: u32 = 8;
--- a/crates/standins/examples/bench/main.rs
+++ b/crates/standins/examples/bench/main.rs
@@ -6,7 +6,6 @@
 #![allow(clippy::expect_used, reason = "a measurement fails loudly")]
 
 mod control;
-mod document;
 mod flood;
 mod process;
 mod rollout;
--- a/crates/standins/examples/bench/rollout.rs
+++ b/crates/standins/examples/bench/rollout.rs
@@ -5,11 +5,11 @@
 
 use hdrhistogram::Histogram;
 use http::{Method, StatusCode};
-use rosemaryscale_standins::{Faults, Harness};
+use rosemaryscale_standins::{Faults, Harness, document};
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use crate::{document, start, upstreams};
+use crate::{start, upstreams};
 
 const DAEMONS: usize = 9;
 const CHANGES: u32 = 30;
--- a/crates/standins/examples/bench/throughput.rs
+++ b/crates/standins/examples/bench/throughput.rs
@@ -3,11 +3,12 @@
 use std::path::Path;
 use std::time::Duration;
 
+use rosemaryscale_standins::document;
 use rosemaryscale_standins::load::{LoadReport, LoadRequest, closed_loop};
 use serde_json::{Value, json};
 
 use crate::process::Usage;
-use crate::{document, start, upstreams};
+use crate::{start, upstreams};
 
 const CONNECTIONS: usize = 16;
 const SLOTS: u32 = 64;
--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -485,3 +486,25 @@
         tokio::time::sleep(CONDITION_POLL).await;
     }
 }
+
+/// Runs futures side by side and returns their outputs in order.
+pub async fn join_all<F: Future>(futures: impl IntoIterator<Item = F>) -> Vec<F::Output> {
+    let mut running: Vec<_> = futures.into_iter().map(|future| Box::pin(future)).collect();
+    let mut outputs: Vec<Option<F::Output>> = running.iter().map(|_| None).collect();
+    std::future::poll_fn(|context| {
+        for (future, output) in running.iter_mut().zip(&mut outputs) {
+            if output.is_none()
+                && let Poll::Ready(ready) = future.as_mut().poll(context)
+            {
+                *output = Some(ready);
+            }
+        }
+        if outputs.iter().all(Option::is_some) {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    })
+    .await;
+    outputs.into_iter().flatten().collect()
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 
 #![allow(clippy::expect_used, reason = "test support fails loudly")]
 
+pub mod document;
 pub mod faults;
 pub mod harness;
 pub mod http_server;
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -42,6 +42,8 @@
     pub executed: u64,
     /// Requests refused because all slots were busy.
     pub refused: u64,
+    /// Requests in execution now.
+    pub busy: u32,
     /// Most requests in execution at once.
     pub busy_max: u32,
     /// Connections opened.
@@ -175,7 +177,10 @@
                 faults = new;
             }
             Command::Report { reply } => {
-                let _ = reply.send(report.clone());
+                let _ = reply.send(Report {
+                    busy,
+                    ..report.clone()
+                });
             }
         }
     }
