Share slots between work classes and callers

Cause: each dispatcher had one first-in-first-out queue.

Change: - class_share: floor first, then start-time fair queueing by measured slot time; work longer than the other classes can wait leaves their unused floors free. - fair_queue: bounds per service, class and caller, kept places per class, turns by slot time, and displacement of the longest queue of a full class. - admission: early refusal from measured times, which never refuses at rest; latest start of queued work; expected wait for Retry-After. - callers: caller keys end with the last request. Cancellation waits for the oneshot of each queued request instead of polling all payloads every 20 ms. - Dispatcher::answered takes the time, as failed does. DispatchPolicy states classes by name, so that queued requests keep their class when a document renumbers it.

The schedules found that displacement kept a class over its bound after retries, and a loop found that the place of a displaced request in the task's map was reused before its caller was answered; both are fixed.

--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -5,6 +5,8 @@
 
 use rosemaryscale_adapters::upstream_link::{self, LinkOptions};
 use rosemaryscale_domain::Dispatcher;
+use rosemaryscale_domain::callers::Callers;
+use rosemaryscale_domain::class_share::ClassPolicy;
 use rosemaryscale_domain::dispatch::{DispatchAction, DispatchPolicy};
 use rosemaryscale_domain::request::{ClassIndex, FailureEvidence, Refusal, RequestInfo};
 use rosemaryscale_ports::clock::ClockHandle;
@@ -16,8 +18,10 @@
 use rosemaryscale_ports::prelude::*;
 use tokio::task::JoinSet;
 
+use crate::reply::Reply;
+
 const MESSAGES: usize = 1_024;
-/// Deadlines and cancellations of queued requests are noticed this late at most.
+/// Deadlines of queued requests are noticed this late at most.
 const TICK: Duration = Duration::from_millis(20);
 const TRIES_MAX: u32 = 4;
 
@@ -33,8 +37,9 @@
 
 /// What the task keeps of a request.
 struct Payload {
+    caller: CallerKey,
     outbound: OutboundRequest,
-    reply: oneshot::Sender<Outcome>,
+    reply: Reply,
 }
 
 /// An instance and its link.
@@ -52,9 +57,12 @@
     dispatcher: Dispatcher,
     payloads: SecondaryMap<RequestKey, Payload>,
     targets: SlotMap<InstanceKey, Target>,
-    callers: SlotMap<CallerKey, Arc<str>>,
-    caller_keys: FastMap<Arc<str>, CallerKey>,
+    callers: Callers,
+    /// Requests that were queued since the queue was last advanced.
+    arrivals: Vec<RequestKey>,
     links: JoinSet<()>,
+    /// Waits for callers of queued requests to go away.
+    watches: JoinSet<Option<RequestKey>>,
     stopping: bool,
 }
 
@@ -73,21 +81,38 @@
         ends: sender.clone(),
         payloads: SecondaryMap::new(),
         targets: SlotMap::with_key(),
-        callers: SlotMap::with_key(),
-        caller_keys: FastMap::default(),
+        callers: Callers::default(),
+        arrivals: Vec::new(),
         links: JoinSet::new(),
+        watches: JoinSet::new(),
         stopping: false,
     };
     (sender, task)
 }
 
 fn policy(view: &ServiceView) -> DispatchPolicy {
+    let fields = &view.fields;
+    let classes = fields.classes.iter().map(|(name, class)| ClassPolicy {
+        name: Arc::clone(name),
+        weight: class.weight,
+        floor_ppm: class.floor_ppm,
+        queue_limit: class.queue_limit,
+    });
     DispatchPolicy {
-        queue_limit: view.fields.queue_limit,
+        queue_limit: fields.queue_limit,
+        queue_limit_per_caller: fields.queue_limit_per_caller,
+        classes: classes.collect(),
+        fallback_class: class_index(view, &fields.default_class).unwrap_or_default(),
         tries_max: TRIES_MAX,
     }
 }
 
+fn class_index(view: &ServiceView, name: &str) -> Option<ClassIndex> {
+    let mut names = view.fields.classes.keys();
+    let position = names.position(|class| &**class == name)?;
+    u8::try_from(position).ok().map(ClassIndex)
+}
+
 impl DispatcherTask {
     /// Serves messages until [`DispatchMessage::Stop`] arrives and every request has ended.
     pub async fn serve(mut self) {
@@ -99,7 +124,12 @@
                     Some(message) => self.handle(message).await,
                     None => break,
                 },
-                _ = tick.tick() => self.drop_cancelled(),
+                _ = tick.tick() => {}
+                Some(watched) = self.watches.join_next() => {
+                    if let Ok(Some(key)) = watched {
+                        self.cancel(key);
+                    }
+                }
                 Some(_) = self.links.join_next() => {}
             }
             self.advance().await;
@@ -128,7 +158,7 @@
         } = submission;
         let fields = &self.view.fields;
         let class = class.unwrap_or_else(|| Arc::clone(&fields.default_class));
-        let Some(class_index) = fields.classes.keys().position(|name| *name == class) else {
+        let Some(class_index) = class_index(&self.view, &class) else {
             let _ = reply.send(Outcome::Invalid(Invalid::UnknownClass(class)));
             return;
         };
@@ -137,10 +167,10 @@
             .min(fields.request_limit_ms);
         let path = outbound.path.split('?').next().unwrap_or_default();
         let repeatable = fields.is_repeatable(outbound.method.as_str(), path);
-        let caller = self.caller_key(caller);
+        let caller = self.callers.acquire(&caller);
         let info = RequestInfo {
             caller,
-            class: ClassIndex(u8::try_from(class_index).unwrap_or(u8::MAX)),
+            class: class_index,
             arrived: now,
             deadline: now.after_ms(wait_ms),
             repeatable,
@@ -148,40 +178,40 @@
         };
         match self.dispatcher.submit(info) {
             Ok(key) => {
-                self.payloads.insert(key, Payload { outbound, reply });
+                let reply = Reply::Direct(reply);
+                let payload = Payload {
+                    caller,
+                    outbound,
+                    reply,
+                };
+                self.payloads.insert(key, payload);
+                self.arrivals.push(key);
             }
             Err(refusal) => {
+                self.callers.release(caller);
                 self.options.metrics.count("dispatch.refused", 1);
                 let _ = reply.send(outcome(refusal));
             }
         }
     }
 
-    fn caller_key(&mut self, name: Arc<str>) -> CallerKey {
-        if let Some(key) = self.caller_keys.get(&name) {
-            return *key;
-        }
-        let key = self.callers.insert(Arc::clone(&name));
-        self.caller_keys.insert(name, key);
-        key
-    }
-
     fn exchanged(&mut self, end: ExchangeEnd) {
         let now = self.options.clock.now();
         match end.result {
             ExchangeResult::Complete(response) => {
-                self.dispatcher.answered(end.request);
+                self.dispatcher.answered(end.request, now);
                 self.reply(end.request, Outcome::Answered(response));
             }
             ExchangeResult::ResponseTooLarge => {
-                self.dispatcher.answered(end.request);
+                self.dispatcher.answered(end.request, now);
                 let limit_bytes = self.view.fields.response_limit_bytes;
                 self.reply(end.request, Outcome::ResponseTooLarge { limit_bytes });
             }
             ExchangeResult::Failed(evidence) => {
                 self.options.metrics.count("dispatch.failed_exchanges", 1);
-                if let Some(refusal) = self.dispatcher.failed(end.request, evidence, now) {
-                    self.reply(end.request, outcome(refusal));
+                match self.dispatcher.failed(end.request, evidence, now) {
+                    Some(refusal) => self.reply(end.request, outcome(refusal)),
+                    None => self.queued_again(end.request),
                 }
             }
         }
@@ -189,22 +219,42 @@
 
     fn reply(&mut self, key: RequestKey, outcome: Outcome) {
         if let Some(payload) = self.payloads.remove(key) {
-            let _ = payload.reply.send(outcome);
+            self.callers.release(payload.caller);
+            payload.reply.send(outcome);
         }
     }
 
-    fn drop_cancelled(&mut self) {
-        let cancelled: Vec<RequestKey> = self
-            .payloads
-            .iter()
-            .filter(|(_, payload)| payload.reply.is_closed())
-            .map(|(key, _)| key)
-            .collect();
-        for key in cancelled {
-            self.dispatcher.cancel(key);
+    /// Drops a request whose caller went away, unless it was sent.
+    fn cancel(&mut self, key: RequestKey) {
+        self.dispatcher.cancel(key);
+        if self.dispatcher.contains(key) {
+            return;
+        }
+        if let Some(payload) = self.payloads.remove(key) {
+            self.options.metrics.count("dispatch.cancelled", 1);
+            self.callers.release(payload.caller);
+        }
+    }
+
+    /// A caller may have gone away while its request was in flight.
+    fn queued_again(&mut self, key: RequestKey) {
+        let payload = self.payloads.get(key);
+        if payload.is_some_and(|payload| payload.reply.is_closed()) {
+            self.cancel(key);
+        } else {
+            self.arrivals.push(key);
+        }
+    }
+
+    /// Watches the callers of requests that were not sent at once.
+    fn watch_arrivals(&mut self) {
+        for key in std::mem::take(&mut self.arrivals) {
+            if self.dispatcher.is_queued(key)
+                && let Some(payload) = self.payloads.get_mut(key)
+            {
+                payload.reply.watch(key, &mut self.watches);
+            }
         }
-        let dispatcher = &self.dispatcher;
-        self.payloads.retain(|key, _| dispatcher.contains(key));
     }
 
     async fn advance(&mut self) {
@@ -224,6 +274,7 @@
                 }
             }
         }
+        self.watch_arrivals();
     }
 
     async fn send(&mut self, request: RequestKey, instance: InstanceKey, deadline: Millis) {
@@ -309,6 +360,7 @@
         }
         self.messages.close();
         while self.links.join_next().await.is_some() {}
+        while self.watches.join_next().await.is_some() {}
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fan_out;
 pub mod membership;
 pub mod peer_service;
+pub mod reply;
 pub mod rollout;
 pub mod router;
 
--- /dev/null
+++ b/crates/domain/src/callers.rs
@@ -0,0 +1,61 @@
+//! Callers that have requests at a service.
+
+use crate::prelude::*;
+
+#[derive(Clone, Debug)]
+struct Caller {
+    name: Arc<str>,
+    requests: u32,
+}
+
+/// Keys of the callers with at least one request, so that their number is bounded by the requests
+/// that are queued or in flight.
+#[derive(Clone, Debug, Default)]
+pub struct Callers {
+    callers: SlotMap<CallerKey, Caller>,
+    keys: FastMap<Arc<str>, CallerKey>,
+}
+
+impl Callers {
+    /// Counts a request of the caller and returns the caller's key.
+    pub fn acquire(&mut self, name: &Arc<str>) -> CallerKey {
+        if let Some(key) = self.keys.get(name).copied()
+            && let Some(caller) = self.callers.get_mut(key)
+        {
+            caller.requests += 1;
+            return key;
+        }
+        let caller = Caller {
+            name: Arc::clone(name),
+            requests: 1,
+        };
+        let key = self.callers.insert(caller);
+        self.keys.insert(Arc::clone(name), key);
+        key
+    }
+
+    /// Counts the end of a request and forgets the caller after its last one.
+    pub fn release(&mut self, key: CallerKey) {
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
+        caller.requests = caller.requests.saturating_sub(1);
+        if caller.requests == 0
+            && let Some(caller) = self.callers.remove(key)
+        {
+            self.keys.remove(&caller.name);
+        }
+    }
+
+    /// Callers with requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Whether no caller has a request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.callers.is_empty()
+    }
+}
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -3,19 +3,28 @@
 //! The dispatcher takes events with the current time and returns [`DispatchAction`]s. The task
 //! around it keeps request bodies and carries the actions out.
 
-use std::collections::VecDeque;
-
+use crate::admission::Admission;
+use crate::class_share::{Charge, ClassPolicy, ClassShares, SlotCount};
+use crate::fair_queue::{FairQueue, QueueLimits};
 use crate::outcome::{NotRunReason, OutcomeUnknown};
 use crate::prelude::*;
 use crate::request::{
-    AfterFailure, Dispatched, FailureEvidence, Queued, Refusal, Request, RequestInfo,
+    AfterFailure, ClassIndex, Dispatched, FailureEvidence, Queued, Refusal, Request,
 };
 
+mod queueing;
+
 /// Limits of a service that the dispatcher applies.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DispatchPolicy {
     /// Requests that are queued at most.
     pub queue_limit: u32,
+    /// Requests of one caller that are queued at most.
+    pub queue_limit_per_caller: u32,
+    /// Work classes, in the order of [`ClassIndex`].
+    pub classes: Vec<ClassPolicy>,
+    /// Class of requests whose own class is no longer in the document.
+    pub fallback_class: ClassIndex,
     /// Tries of one request at most.
     pub tries_max: u32,
 }
@@ -57,12 +66,40 @@
     in_flight: u32,
 }
 
+/// What the end of an exchange says about service times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SlotUse {
+    /// The complete response arrived.
+    Complete,
+    /// The request may have run, without a complete response.
+    Held,
+    /// The request did not run.
+    Unused,
+}
+
+impl SlotUse {
+    const fn of(evidence: FailureEvidence) -> Self {
+        match evidence {
+            FailureEvidence::MayHaveRun(_) => Self::Held,
+            FailureEvidence::NothingWritten | FailureEvidence::RefusedNotRun => Self::Unused,
+        }
+    }
+}
+
 /// Queue and slot accounts of one service.
 #[derive(Debug)]
 pub struct Dispatcher {
     policy: DispatchPolicy,
     requests: SlotMap<RequestKey, Entry>,
-    queue: VecDeque<RequestKey>,
+    queue: FairQueue,
+    shares: ClassShares,
+    admission: Admission,
+    /// Slot time charged for the requests in flight.
+    charges: SecondaryMap<RequestKey, Charge>,
+    /// Requests that gave way to others. They stay in the arena until the next [`Self::advance`], so
+    /// that their place in the maps of the task around the dispatcher is not reused before it has
+    /// answered their callers.
+    displaced: Vec<RequestKey>,
     instances: SecondaryMap<InstanceKey, InstanceAccount>,
 }
 
@@ -70,19 +107,19 @@
     /// A dispatcher without instances.
     #[must_use]
     pub fn new(policy: DispatchPolicy) -> Self {
+        let limits = QueueLimits::of(&policy);
         Self {
-            policy,
             requests: SlotMap::with_key(),
-            queue: VecDeque::new(),
+            queue: FairQueue::new(limits, &policy.classes),
+            shares: ClassShares::new(&policy.classes),
+            admission: Admission::new(policy.classes.len()),
+            charges: SecondaryMap::new(),
+            displaced: Vec::new(),
+            policy,
             instances: SecondaryMap::new(),
         }
     }
 
-    /// Replaces the limits; queued requests stay.
-    pub fn configure(&mut self, policy: DispatchPolicy) {
-        self.policy = policy;
-    }
-
     /// Sets the slots of an instance that this daemon may use.
     pub fn set_usable_slots(&mut self, instance: InstanceKey, slots: u32) {
         if let Some(account) = self.instances.get_mut(instance) {
@@ -120,33 +157,13 @@
         self.requests.is_empty()
     }
 
-    /// Admits a request.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal when the queue is full.
-    pub fn submit(&mut self, info: RequestInfo) -> Result<RequestKey, Refusal> {
-        let request = Request::new(info);
-        if self.queue.len() >= self.policy.queue_limit as usize {
-            return Err(request.refuse(NotRunReason::QueueFull));
-        }
-        let key = self.requests.insert(Entry::Queued(request));
-        self.queue.push_back(key);
-        Ok(key)
-    }
-
-    /// Removes a queued request whose caller went away; requests in flight run on.
-    pub fn cancel(&mut self, key: RequestKey) {
-        if let Some(Entry::Queued(_)) = self.requests.get(key) {
-            self.requests.remove(key);
-            self.queue.retain(|queued| *queued != key);
-        }
-    }
-
     /// Records a complete response. The key is free afterwards.
-    pub fn answered(&mut self, key: RequestKey) {
-        if let Some(Entry::Dispatched(request)) = self.requests.remove(key) {
+    pub fn answered(&mut self, key: RequestKey, now: Millis) {
+        if let Some(Entry::Dispatched(request)) = self.requests.get(key).copied() {
+            self.requests.remove(key);
             self.release(request.state.instance);
+            self.settle(key, SlotUse::Complete, now);
+            self.queue.ended(&request.info);
         }
     }
 
@@ -161,6 +178,7 @@
             return None;
         };
         self.release(request.state.instance);
+        self.settle(key, SlotUse::of(evidence), now);
         match request.fail(evidence) {
             AfterFailure::Unknown(unknown) => self.end(key, Refusal::Unknown(unknown)),
             AfterFailure::Queued(again) => {
@@ -171,7 +189,7 @@
                     return self.end(key, again.refuse(NotRunReason::UpstreamRefused));
                 }
                 self.requests[key] = Entry::Queued(again);
-                self.queue.push_front(key);
+                self.queue.push_returned(key, &again.info);
                 None
             }
         }
@@ -180,17 +198,18 @@
     /// Sends what fits and refuses what is too late.
     pub fn advance(&mut self, now: Millis) -> Vec<DispatchAction> {
         let mut actions = self.expire(now);
+        self.shares.observe_running(self.charges.values(), now);
         while let Some(instance) = self.least_loaded() {
-            let Some(key) = self.queue.pop_front() else {
+            let slots = self.slots();
+            let Some((key, request)) = self.next_queued(slots, now, &mut actions) else {
                 break;
             };
-            let Some(Entry::Queued(request)) = self.requests.get(key).copied() else {
-                continue;
-            };
             self.requests[key] = Entry::Dispatched(request.dispatch(instance, now));
             if let Some(account) = self.instances.get_mut(instance) {
                 account.in_flight += 1;
             }
+            let charge = self.shares.dispatched(request.info, slots.usable, now);
+            self.charges.insert(key, charge);
             let deadline = request.info.deadline;
             actions.push(DispatchAction::Send {
                 request: key,
@@ -198,28 +217,18 @@
                 deadline,
             });
         }
+        self.observe_queues(now);
         actions
     }
 
-    fn expire(&mut self, now: Millis) -> Vec<DispatchAction> {
-        let mut actions = Vec::new();
-        let requests = &mut self.requests;
-        self.queue.retain(|key| {
-            let Some(Entry::Queued(request)) = requests.get(*key).copied() else {
-                return false;
-            };
-            if now < request.info.deadline {
-                return true;
-            }
-            requests.remove(*key);
-            let refusal = request.refuse(NotRunReason::DeadlinePassed);
-            actions.push(DispatchAction::Refuse {
-                request: *key,
-                refusal,
-            });
-            false
-        });
-        actions
+    /// Slots of all instances.
+    fn slots(&self) -> SlotCount {
+        let mut slots = SlotCount::default();
+        for account in self.instances.values() {
+            slots.usable += account.usable_slots;
+            slots.free += account.usable_slots.saturating_sub(account.in_flight);
+        }
+        slots
     }
 
     fn least_loaded(&self) -> Option<InstanceKey> {
@@ -237,7 +246,9 @@
     }
 
     fn end(&mut self, key: RequestKey, refusal: Refusal) -> Option<Refusal> {
-        self.requests.remove(key);
+        if let Some(Entry::Dispatched(request)) = self.requests.remove(key) {
+            self.queue.ended(&request.info);
+        }
         Some(refusal)
     }
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -11,15 +11,21 @@
 //! assert_eq!(deadline.ms_since(arrived), 250);
 //! ```
 
+pub mod admission;
+pub mod callers;
+pub mod class_share;
 pub mod connection;
 pub mod dispatch;
 pub mod document;
+pub mod fair_queue;
 pub mod key;
 pub mod map;
 pub mod millis;
 pub mod outcome;
 pub mod prelude;
+pub mod recent;
 pub mod request;
+pub mod service_time;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
--- a/crates/domain/src/outcome.rs
+++ b/crates/domain/src/outcome.rs
@@ -48,11 +48,29 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotRun {
     reason: NotRunReason,
+    retry_after_ms: Option<u64>,
 }
 
 impl NotRun {
     pub(crate) const fn new(reason: NotRunReason) -> Self {
-        Self { reason }
+        Self {
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Adds how long the queue in front of such a request is expected to last.
+    pub(crate) const fn with_retry_after_ms(self, retry_after_ms: u64) -> Self {
+        Self {
+            reason: self.reason,
+            retry_after_ms: Some(retry_after_ms),
+        }
+    }
+
+    /// When the caller should send the request again, in milliseconds from now, if known.
+    #[must_use]
+    pub const fn retry_after_ms(&self) -> Option<u64> {
+        self.retry_after_ms
     }
 
     /// Why the request was not run.
--- a/crates/domain/src/request.rs
+++ b/crates/domain/src/request.rs
@@ -84,6 +84,17 @@
     Unknown(OutcomeUnknown),
 }
 
+impl Refusal {
+    /// Adds when the caller should send a request again that did not run.
+    #[must_use]
+    pub const fn with_retry_after_ms(self, retry_after_ms: u64) -> Self {
+        match self {
+            Self::NotRun(proof) => Self::NotRun(proof.with_retry_after_ms(retry_after_ms)),
+            Self::Unknown(unknown) => Self::Unknown(unknown),
+        }
+    }
+}
+
 /// Where a failed exchange leaves a request.
 #[derive(Clone, Copy, Debug)]
 pub enum AfterFailure {
--- /dev/null
+++ b/crates/domain/src/service_time.rs
@@ -0,0 +1,79 @@
+//! Measured service times of a work class.
+
+use crate::prelude::*;
+use crate::recent::Recent;
+
+/// Used until the first request of a class has ended.
+const INITIAL_MEAN_MS: f64 = 50.0;
+/// Weights of a new sample, as in the round-trip estimate of TCP (RFC 6298).
+const MEAN_WEIGHT: f64 = 0.125;
+const DEVIATION_WEIGHT: f64 = 0.25;
+const HIGH_DEVIATIONS: f64 = 4.0;
+const LOW_WINDOW_MS: u64 = 5_000;
+/// The clock counts whole milliseconds, and a slot is never held for free.
+const COST_MIN_MS: f64 = 0.5;
+
+/// Estimate of how long requests of one class hold a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceTime {
+    mean_ms: Option<f64>,
+    deviation_ms: f64,
+    low: Recent,
+}
+
+impl Default for ServiceTime {
+    fn default() -> Self {
+        Self {
+            mean_ms: None,
+            deviation_ms: 0.0,
+            low: Recent::smallest(LOW_WINDOW_MS),
+        }
+    }
+}
+
+impl ServiceTime {
+    /// Records how long a request held its slot until its complete response.
+    pub fn record_complete(&mut self, held_ms: u64, now: Millis) {
+        self.record_held(held_ms);
+        self.low.record(held_ms, now);
+    }
+
+    /// Records how long a request held its slot without a complete response. It says nothing about
+    /// how soon a response can arrive.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "service times are far below 2^52 ms"
+    )]
+    pub fn record_held(&mut self, held_ms: u64) {
+        let sample_ms = held_ms as f64;
+        let Some(mean_ms) = self.mean_ms else {
+            self.mean_ms = Some(sample_ms);
+            self.deviation_ms = sample_ms / 2.0;
+            return;
+        };
+        let error_ms = sample_ms - mean_ms;
+        self.deviation_ms += (error_ms.abs() - self.deviation_ms) * DEVIATION_WEIGHT;
+        self.mean_ms = Some(mean_ms + error_ms * MEAN_WEIGHT);
+    }
+
+    /// Mean of the recent requests.
+    #[must_use]
+    pub fn mean_ms(&self) -> f64 {
+        self.mean_ms.unwrap_or(INITIAL_MEAN_MS).max(COST_MIN_MS)
+    }
+
+    /// Time that few requests exceed; unlimited before the first sample.
+    #[must_use]
+    pub fn high_ms(&self) -> f64 {
+        self.mean_ms.map_or(f64::INFINITY, |mean_ms| {
+            mean_ms + HIGH_DEVIATIONS * self.deviation_ms
+        })
+    }
+
+    /// Shortest recent time to a complete response; 0 if none is recent, so that an old measurement
+    /// refuses nothing.
+    #[must_use]
+    pub fn low_ms(&self, now: Millis) -> u64 {
+        self.low.get(now).unwrap_or(0)
+    }
+}
