Refuse ambiguous caller requests and return the caller's request id

Cause: a path whose start was not literally /v1/services/<service> (double slashes, escapes) was forwarded with that start; malformed or repeated headers counted as absent; Retry-After was always 1; dropshot overwrites x-request-id, so a caller could not match a response to its own id.

Change: caller_request reads target and headers. The target below the service is forwarded byte for byte; encoded dot segments and other starts are refused, as are repeated, empty, long or non-ASCII headers. x-caller-request-id returns the caller's id. Retry-After follows the dispatcher's estimate.

--- a/crates/adapters/src/caller_api.rs
+++ b/crates/adapters/src/caller_api.rs
@@ -8,7 +8,7 @@
     RequestContext, ServerBuilder, StreamingBody, endpoint,
 };
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
-use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_ports::dispatch::{Dispatch, DispatchMessage, Outcome, Submission};
@@ -20,12 +20,17 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::watch;
 
+use crate::caller_request::{deadline_ms, text, upstream_target};
 use crate::problem::ProblemDocument;
 use crate::upstream_link::end_to_end;
 
 /// Above every body limit that a document may state.
 const BODY_MAX_BYTES: usize = 65 << 20;
 
+/// Id of the request, as the caller stated it or as the daemon made it. dropshot overwrites
+/// `x-request-id` of every response with an id of its own.
+const CALLER_REQUEST_ID: &str = "x-caller-request-id";
+
 /// Dispatchers by service.
 pub type Routes = Arc<FastMap<Arc<str>, Dispatch>>;
 
@@ -183,15 +188,26 @@
 ) -> Response<Body> {
     let state = context.context();
     state.metrics.count("caller.requests", 1);
-    let request_id = header(context.request.headers(), "x-request-id")
-        .unwrap_or_else(|| context.request_id.clone());
-    match submit(context, service, &request_id, body).await {
+    let stated = text(context.request.headers(), "x-request-id");
+    let (request_id, malformed) = match stated {
+        Ok(stated) => (stated.unwrap_or_else(|| context.request_id.clone()), None),
+        Err(problem) => (context.request_id.clone(), Some(problem)),
+    };
+    let result = match malformed {
+        None => submit(context, service, &request_id, body).await,
+        Some(problem) => Err(problem),
+    };
+    let mut response = match result {
         Ok(response) => whole(response),
         Err(problem) => {
             state.metrics.count("caller.problems", 1);
             problem.into_response(&request_id)
         }
+    };
+    if let Ok(request_id) = HeaderValue::from_str(&request_id) {
+        response.headers_mut().insert(CALLER_REQUEST_ID, request_id);
     }
+    response
 }
 
 async fn submit(
@@ -206,15 +222,19 @@
     let dispatch = state.routes.borrow().get(service).cloned();
     let dispatch = dispatch.ok_or_else(|| ProblemDocument::unknown_service(service))?;
     let headers = context.request.headers();
-    let deadline_ms = deadline(headers)?;
+    let caller = caller(context)?;
+    let class = text(headers, "x-work-class")?;
+    let idempotency_key = text(headers, "idempotency-key")?;
+    let deadline_ms = deadline_ms(headers)?;
+    let path = upstream_target(context.request.uri())?;
     let body = read(body, dispatch.body_limit_bytes).await?;
     let (reply, outcome) = oneshot::channel();
     let submission = Submission {
-        caller: caller(context).into(),
-        class: header(headers, "x-work-class").map(Into::into),
+        caller: caller.into(),
+        class: class.map(Into::into),
         deadline_ms,
-        idempotency_key: header(headers, "idempotency-key").map(Into::into),
-        outbound: outbound(context, service, request_id, body)?,
+        idempotency_key: idempotency_key.map(Into::into),
+        outbound: outbound(context, &path, request_id, body)?,
         reply,
     };
     let stopped = || ProblemDocument::not_ready("the service was removed");
@@ -241,22 +261,9 @@
 };
 
 /// Who calls: the name that it states, else its address.
-fn caller(context: &RequestContext<CallerContext>) -> String {
-    header(context.request.headers(), "x-caller")
-        .unwrap_or_else(|| context.request.remote_addr().ip().to_string())
-}
-
-fn deadline(headers: &HeaderMap) -> Result<Option<u64>, ProblemDocument> {
-    let Some(text) = header(headers, "x-deadline-ms") else {
-        return Ok(None);
-    };
-    match text.parse() {
-        Ok(0) | Err(_) => {
-            let detail = "not run: x-deadline-ms is not a positive number of milliseconds";
-            Err(ProblemDocument::bad_request(detail))
-        }
-        Ok(deadline_ms) => Ok(Some(deadline_ms)),
-    }
+fn caller(context: &RequestContext<CallerContext>) -> Result<String, ProblemDocument> {
+    let stated = text(context.request.headers(), "x-caller")?;
+    Ok(stated.unwrap_or_else(|| context.request.remote_addr().ip().to_string()))
 }
 
 async fn read(body: StreamingBody, limit_bytes: u64) -> Result<Bytes, ProblemDocument> {
@@ -281,17 +288,11 @@
 
 fn outbound(
     context: &RequestContext<CallerContext>,
-    service: &str,
+    path: &str,
     request_id: &str,
     body: Bytes,
 ) -> Result<OutboundRequest, ProblemDocument> {
     let request = &context.request;
-    let prefix = format!("/v1/services/{service}");
-    let target = request
-        .uri()
-        .path_and_query()
-        .map_or("/", |target| target.as_str());
-    let path = target.strip_prefix(&prefix).unwrap_or(target);
     let mut headers = end_to_end(request.headers().clone());
     for name in [HOST, CONTENT_LENGTH, EXPECT] {
         headers.remove(name);
@@ -307,13 +308,6 @@
     })
 }
 
-fn header(headers: &HeaderMap, name: &str) -> Option<String> {
-    headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .map(str::to_owned)
-}
-
 fn whole(response: link::Response) -> Response<Body> {
     let mut whole = Response::new(Body::wrap(http_body_util::Full::new(response.body).boxed()));
     *whole.status_mut() = response.status;
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -8,6 +8,7 @@
 //! ```
 
 pub mod caller_api;
+pub mod caller_request;
 pub mod clock;
 pub mod document_text;
 pub mod event_log;
--- a/crates/adapters/src/problem.rs
+++ b/crates/adapters/src/problem.rs
@@ -7,7 +7,8 @@
 use rosemaryscale_ports::dispatch::Invalid;
 use serde::Serialize;
 
-const RETRY_AFTER_S: &str = "1";
+/// Used where no estimate exists.
+const RETRY_AFTER_S: u64 = 1;
 
 /// A response that the daemon makes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,7 +25,7 @@
     #[serde(skip)]
     status: StatusCode,
     #[serde(skip)]
-    retry_after: bool,
+    retry_after_s: Option<u64>,
 }
 
 impl ProblemDocument {
@@ -41,7 +42,7 @@
             remedy,
             request_id,
             status,
-            retry_after: false,
+            retry_after_s: None,
         }
     }
 
@@ -56,8 +57,9 @@
         };
         let detail = format!("not run: {}", proof.reason());
         let problem = Self::new("not_run", StatusCode::SERVICE_UNAVAILABLE, detail, remedy);
+        let estimate_s = proof.retry_after_ms().map(|ms| ms.div_ceil(1_000));
         Self {
-            retry_after: true,
+            retry_after_s: Some(estimate_s.unwrap_or(RETRY_AFTER_S)),
             ..problem
         }
     }
@@ -142,7 +144,7 @@
         let remedy = "send it again after the time in Retry-After";
         let problem = Self::new("not_run", StatusCode::SERVICE_UNAVAILABLE, detail, remedy);
         Self {
-            retry_after: true,
+            retry_after_s: Some(RETRY_AFTER_S),
             ..problem
         }
     }
@@ -159,8 +161,8 @@
             CONTENT_TYPE,
             HeaderValue::from_static("application/problem+json"),
         );
-        if self.retry_after {
-            headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+        if let Some(retry_after_s) = self.retry_after_s {
+            headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_s));
         }
         response
     }
