--- a/crates/adapters/src/operator_api.rs
+++ b/crates/adapters/src/operator_api.rs
@@ -4,16 +4,17 @@
 use std::sync::Arc;
 
 use dropshot::{
-    ApiDescription, Body, ConfigDropshot, HandlerTaskMode, HttpError, HttpServer, RequestContext,
-    ServerBuilder, TypedBody, endpoint,
+    ApiDescription, Body, ConfigDropshot, HandlerTaskMode, HttpError, HttpServer, Query,
+    RequestContext, ServerBuilder, TypedBody, endpoint,
 };
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use rosemaryscale_ports::config::{ApplyError, ConfigStore};
+use rosemaryscale_ports::event::EventFilter;
 use rosemaryscale_ports::member::MemberWatch;
 use rosemaryscale_ports::operator::{
-    ApplyRequest, CheckRequest, DaemonStatus, OperatorProblem, ProblemReport, StatusReport,
-    TimelineReport,
+    ApplyRequest, CheckRequest, DaemonStatus, OperatorProblem, ProblemReport, PromoteRequest,
+    StatusReport, TimelineReport,
 };
 use rosemaryscale_ports::peer::{PeerReply, PeerRequest, Peers};
 use rosemaryscale_ports::prelude::*;
@@ -114,6 +115,9 @@
         .register(get_status)
         .and_then(|()| api.register(check_document))
         .and_then(|()| api.register(apply_document))
+        .and_then(|()| api.register(promote_document))
+        .and_then(|()| api.register(get_history))
+        .and_then(|()| api.register(get_environments))
         .and_then(|()| api.register(get_timeline));
     registered.map_err(|error| ServerError::Describe {
         reason: error.to_string(),
@@ -167,19 +171,43 @@
     request: TypedBody<ApplyRequest>,
 ) -> Reply {
     let applied = context.context().config.apply(request.into_inner()).await;
-    Ok(match applied {
-        Ok(applied) => json(StatusCode::OK, &applied),
-        Err(error) => refuse(&error),
-    })
+    Ok(reply(applied))
+}
+
+/// Accepts the document of another environment for the daemon's environment.
+#[endpoint { method = PUT, path = "/v1/document/promotion" }]
+async fn promote_document(
+    context: RequestContext<OperatorContext>,
+    request: TypedBody<PromoteRequest>,
+) -> Reply {
+    let promoted = context.context().config.promote(request.into_inner()).await;
+    Ok(reply(promoted))
+}
+
+/// Accepted changes, newest first.
+#[endpoint { method = GET, path = "/v1/history" }]
+async fn get_history(context: RequestContext<OperatorContext>) -> Reply {
+    Ok(reply(context.context().config.history().await))
+}
+
+/// The newest change of each environment.
+#[endpoint { method = GET, path = "/v1/environments" }]
+async fn get_environments(context: RequestContext<OperatorContext>) -> Reply {
+    Ok(reply(context.context().config.environments().await))
 }
 
 /// Events of the daemons, oldest first.
 #[endpoint { method = GET, path = "/v1/timeline" }]
-async fn get_timeline(context: RequestContext<OperatorContext>) -> Reply {
+async fn get_timeline(
+    context: RequestContext<OperatorContext>,
+    filter: Query<EventFilter>,
+) -> Reply {
     let state = context.context();
-    let mut events = state.events.read(TIMELINE_EVENTS).await;
+    let filter = filter.into_inner();
+    let mut events = filter.newest(state.events.read(usize::MAX).await, TIMELINE_EVENTS);
     let request = PeerRequest::Timeline {
         limit: TIMELINE_EVENTS,
+        filter,
     };
     let (replies, unreachable) = state.ask_peers(&request).await;
     events.extend(replies.into_iter().flat_map(|reply| match reply {
@@ -199,6 +227,13 @@
     ))
 }
 
+fn reply(result: Result<impl Serialize, ApplyError>) -> Response<Body> {
+    match result {
+        Ok(body) => json(StatusCode::OK, &body),
+        Err(error) => refuse(&error),
+    }
+}
+
 fn refuse(error: &ApplyError) -> Response<Body> {
     let (status, kind, remedy) = match error {
         ApplyError::Invalid { .. } => (
@@ -211,10 +246,15 @@
             "conflict",
             "rebase on the version in force",
         ),
+        ApplyError::Refused { .. } => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "refused",
+            "remove the reason and send it again",
+        ),
         ApplyError::Unknown { .. } => (
             StatusCode::GATEWAY_TIMEOUT,
             "unknown",
-            "look at the status before sending it again",
+            "send it again with the same change id, also to another daemon",
         ),
         ApplyError::Unavailable { .. } => (
             StatusCode::SERVICE_UNAVAILABLE,
@@ -222,6 +262,10 @@
             "send it again later",
         ),
     };
+    let winner = match error {
+        ApplyError::Conflict { winner, .. } => winner.clone(),
+        _ => None,
+    };
     let problems = match error {
         ApplyError::Invalid { problems } => problems
             .iter()
@@ -242,6 +286,7 @@
             detail,
             remedy,
             problems,
+            winner,
         },
     )
 }
--- a/crates/adapters/src/peer_link.rs
+++ b/crates/adapters/src/peer_link.rs
@@ -21,6 +21,8 @@
 const METHOD: &str = "peer_call";
 const CALLS: usize = 256;
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Clients of daemons outside the environment: settings' peers and members of another environment.
+const OTHER_CLIENTS_MAX: usize = 64;
 /// A document of 900,000 bytes grows when it is escaped as JSON text.
 const MESSAGE_MAX_BYTES: u32 = 4 << 20;
 
@@ -143,6 +145,7 @@
         options,
         members,
         clients: FastMap::default(),
+        others: FastMap::default(),
         running: JoinSet::new(),
     };
     (handle, tokio::spawn(clients.serve(calls)))
@@ -153,6 +156,7 @@
     options: PeerLinkOptions,
     members: MemberWatch,
     clients: FastMap<Arc<str>, PeerClient>,
+    others: FastMap<SocketAddr, HttpClient>,
     running: JoinSet<()>,
 }
 
@@ -177,8 +181,17 @@
     }
 
     fn start_call(&mut self, call: PeerCall) {
-        let PeerCall { to, request, reply } = call;
-        let client = match self.client(&to) {
+        let PeerCall {
+            to,
+            address,
+            request,
+            reply,
+        } = call;
+        let client = match address {
+            Some(address) => self.client_at(&to, address),
+            None => self.client(&to),
+        };
+        let client = match client {
             Ok(client) => client,
             Err(error) => {
                 let _ = reply.send(Err(error));
@@ -222,15 +235,7 @@
         {
             return Ok(known.client.clone());
         }
-        let client = HttpClientBuilder::default()
-            .request_timeout(CALL_TIMEOUT)
-            .max_request_size(MESSAGE_MAX_BYTES)
-            .max_response_size(MESSAGE_MAX_BYTES)
-            .build(format!("http://{address}"))
-            .map_err(|error| PeerError::Unreachable {
-                name: Arc::clone(name),
-                reason: error.to_string(),
-            })?;
+        let client = connect(name, address)?;
         let known = PeerClient {
             address,
             client: client.clone(),
@@ -238,4 +243,29 @@
         self.clients.insert(Arc::clone(name), known);
         Ok(client)
     }
+
+    /// The client of a daemon outside the environment's members.
+    fn client_at(&mut self, name: &Arc<str>, address: SocketAddr) -> Result<HttpClient, PeerError> {
+        if let Some(client) = self.others.get(&address) {
+            return Ok(client.clone());
+        }
+        let client = connect(name, address)?;
+        if self.others.len() >= OTHER_CLIENTS_MAX {
+            self.others.clear();
+        }
+        self.others.insert(address, client.clone());
+        Ok(client)
+    }
+}
+
+fn connect(name: &Arc<str>, address: SocketAddr) -> Result<HttpClient, PeerError> {
+    HttpClientBuilder::default()
+        .request_timeout(CALL_TIMEOUT)
+        .max_request_size(MESSAGE_MAX_BYTES)
+        .max_response_size(MESSAGE_MAX_BYTES)
+        .build(format!("http://{address}"))
+        .map_err(|error| PeerError::Unreachable {
+            name: Arc::clone(name),
+            reason: error.to_string(),
+        })
 }
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -4,18 +4,25 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use getopts::{Matches, Options as Definition};
+use rosemaryscale_ports::event::EventKind;
 use snafu::Snafu;
 
 const DAEMON_DEFAULT: &str = "127.0.0.1:7002";
+const SOURCE_DEFAULT: &str = "trial";
+/// The time within which an accepted change is in force everywhere.
+const WITHIN_DEFAULT_S: u64 = 19;
 const HELP: &str = "\
 Usage: rosemaryscale [OPTIONS] COMMAND
 
 Commands:
     check FILE          check a document and change nothing
     apply FILE          accept a document for the daemon's environment
-    status              show the daemons and the document in force
+    promote             accept the document of another environment, byte for byte
+    status              show the daemons and the documents of the environments
+    history             show the accepted changes, newest first
     timeline            show the events of all daemons, oldest first
 
 Exit codes:
@@ -26,6 +33,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
 pub enum ExitStatus {
+    /// Done.
+    Done = 0,
     /// The daemon refused; nothing changed.
     Refused = 1,
     /// The command line is malformed.
@@ -58,14 +67,27 @@
 /// A command for a daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Options {
-    /// Operator address of the daemon.
-    pub daemon: SocketAddr,
+    /// Operator addresses of daemons, in the order in which they are tried.
+    pub daemons: Vec<SocketAddr>,
     /// Print JSON.
     pub json: bool,
     /// What to do.
     pub operation: Operation,
 }
 
+/// A change that the command line proposes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChangeOptions {
+    /// Version that must be in force.
+    pub expected_version: Option<u64>,
+    /// Identifies the change; a new id if none is named.
+    pub change_id: Option<Arc<str>>,
+    /// Who asks.
+    pub author: Arc<str>,
+    /// How long to wait until the change is in force everywhere; no waiting if none.
+    pub wait: Option<Duration>,
+}
+
 /// What to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Operation {
@@ -78,15 +100,31 @@
     Apply {
         /// The document file.
         file: PathBuf,
-        /// Version that must be in force.
-        expected_version: Option<u64>,
-        /// Who asks.
-        author: Arc<str>,
+        /// The change.
+        change: ChangeOptions,
+    },
+    /// Accept the document of another environment.
+    Promote {
+        /// The other environment.
+        source: Arc<str>,
+        /// Digest of its document; the one there now if none is named.
+        digest: Option<Arc<str>>,
+        /// The change.
+        change: ChangeOptions,
     },
     /// Show the daemons.
     Status,
+    /// Show the accepted changes.
+    History,
     /// Show the events.
-    Timeline,
+    Timeline {
+        /// Only events of this kind.
+        kind: Option<EventKind>,
+        /// Only events of this subject.
+        subject: Option<Arc<str>>,
+        /// Only events of this last while.
+        since: Option<Duration>,
+    },
 }
 
 /// The command line is malformed.
@@ -119,15 +157,9 @@
     if matches.opt_present("version") {
         return Ok(Command::Version);
     }
-    let daemon = matches
-        .opt_str("daemon")
-        .unwrap_or_else(|| DAEMON_DEFAULT.into());
-    let Ok(daemon) = daemon.parse() else {
-        return usage(format!("--daemon {daemon} is no IP address with a port"));
-    };
     let json = matches.opt_present("json");
     Ok(Command::Operate(Options {
-        daemon,
+        daemons: daemons(&matches)?,
         json,
         operation: operation(&matches)?,
     }))
@@ -135,25 +167,79 @@
 
 fn definition() -> Definition {
     let mut definition = Definition::new();
-    definition.optopt(
-        "d",
-        "daemon",
-        "operator address of a daemon (default 127.0.0.1:7002)",
-        "ADDRESS",
-    );
-    definition.optflag("j", "json", "print JSON");
-    definition.optopt(
+    let options = [
+        (
+            "daemon",
+            "operator addresses of daemons, tried in order (default 127.0.0.1:7002)",
+            "ADDRESS[,ADDRESS]",
+        ),
+        (
+            "expect",
+            "apply, promote: the version that must be in force",
+            "VERSION",
+        ),
+        ("author", "apply, promote: who makes the change", "NAME"),
+        (
+            "change-id",
+            "apply, promote: repeat the change with this id",
+            "ID",
+        ),
+        (
+            "within",
+            "apply, promote with --wait: how long to wait (default 19)",
+            "SECONDS",
+        ),
+        (
+            "from",
+            "promote: the other environment (default trial)",
+            "ENVIRONMENT",
+        ),
+        ("digest", "promote: the digest of its document", "DIGEST"),
+        ("kind", "timeline: only events of this kind", "KIND"),
+        (
+            "subject",
+            "timeline: only events of this subject",
+            "SUBJECT",
+        ),
+        (
+            "since",
+            "timeline: only the last while, such as 30s, 5m or 2h",
+            "TIME",
+        ),
+    ];
+    for (name, description, hint) in options {
+        let short = if name == "daemon" { "d" } else { "" };
+        definition.optopt(short, name, description, hint);
+    }
+    definition.optflag(
         "",
-        "expect",
-        "apply: the version that must be in force",
-        "VERSION",
+        "wait",
+        "apply, promote: wait until in force on every member",
     );
-    definition.optopt("", "author", "apply: who makes the change", "NAME");
+    definition.optflag("j", "json", "print JSON");
     definition.optflag("h", "help", "print this text");
     definition.optflag("V", "version", "print the version");
     definition
 }
 
+fn daemons(matches: &Matches) -> Result<Vec<SocketAddr>, UsageError> {
+    let text = matches
+        .opt_str("daemon")
+        .unwrap_or_else(|| DAEMON_DEFAULT.into());
+    text.split(',')
+        .map(|address| {
+            address
+                .trim()
+                .parse()
+                .or_else(|_| usage(format!("--daemon {address} is no IP address with a port")))
+        })
+        .collect()
+}
+
+const CHANGE_OPTIONS: [&str; 5] = ["expect", "author", "change-id", "within", "wait"];
+const PROMOTE_OPTIONS: [&str; 2] = ["from", "digest"];
+const TIMELINE_OPTIONS: [&str; 3] = ["kind", "subject", "since"];
+
 fn operation(matches: &Matches) -> Result<Operation, UsageError> {
     let mut words = matches.free.iter();
     let Some(command) = words.next() else {
@@ -165,20 +251,70 @@
         },
         "apply" => Operation::Apply {
             file: file(words.next())?,
-            expected_version: number(matches, "expect")?,
-            author: matches
-                .opt_str("author")
-                .unwrap_or_else(|| "operator".into())
-                .into(),
+            change: change(matches)?,
+        },
+        "promote" => Operation::Promote {
+            source: text(matches, "from").unwrap_or_else(|| SOURCE_DEFAULT.into()),
+            digest: text(matches, "digest"),
+            change: change(matches)?,
         },
         "status" => Operation::Status,
-        "timeline" => Operation::Timeline,
+        "history" => Operation::History,
+        "timeline" => Operation::Timeline {
+            kind: kind(matches)?,
+            subject: text(matches, "subject"),
+            since: since(matches)?,
+        },
         _ => return usage(format!("no command is named \"{command}\"")),
     };
-    match words.next() {
-        Some(word) => usage(format!("\"{word}\" is one argument too many")),
-        None => Ok(operation),
+    if let Some(word) = words.next() {
+        return usage(format!("\"{word}\" is one argument too many"));
+    }
+    refuse_foreign_options(matches, command, &operation)?;
+    Ok(operation)
+}
+
+/// An option that the command ignores is a mistake: `status --wait` would not wait.
+fn refuse_foreign_options(
+    matches: &Matches,
+    command: &str,
+    operation: &Operation,
+) -> Result<(), UsageError> {
+    let changes = matches!(
+        operation,
+        Operation::Apply { .. } | Operation::Promote { .. }
+    );
+    let promotes = matches!(operation, Operation::Promote { .. });
+    let timeline = matches!(operation, Operation::Timeline { .. });
+    let groups = [
+        (changes, &CHANGE_OPTIONS[..]),
+        (promotes, &PROMOTE_OPTIONS[..]),
+        (timeline, &TIMELINE_OPTIONS[..]),
+    ];
+    for option in groups
+        .iter()
+        .filter(|group| !group.0)
+        .flat_map(|group| group.1)
+    {
+        if matches.opt_present(option) {
+            return usage(format!("{command} has no option --{option}"));
+        }
     }
+    Ok(())
+}
+
+fn change(matches: &Matches) -> Result<ChangeOptions, UsageError> {
+    let within = number(matches, "within")?;
+    let wait = matches.opt_present("wait");
+    if within.is_some() && !wait {
+        return usage("--within needs --wait");
+    }
+    Ok(ChangeOptions {
+        expected_version: number(matches, "expect")?,
+        change_id: text(matches, "change-id"),
+        author: text(matches, "author").unwrap_or_else(|| "operator".into()),
+        wait: wait.then(|| Duration::from_secs(within.unwrap_or(WITHIN_DEFAULT_S))),
+    })
 }
 
 fn file(word: Option<&String>) -> Result<PathBuf, UsageError> {
@@ -188,6 +324,10 @@
     )
 }
 
+fn text(matches: &Matches, option: &str) -> Option<Arc<str>> {
+    matches.opt_str(option).map(Into::into)
+}
+
 fn number(matches: &Matches, option: &str) -> Result<Option<u64>, UsageError> {
     match matches.opt_str(option) {
         None => Ok(None),
@@ -197,3 +337,27 @@
             .or_else(|_| usage(format!("--{option} {text} is no whole number"))),
     }
 }
+
+fn kind(matches: &Matches) -> Result<Option<EventKind>, UsageError> {
+    let Some(name) = matches.opt_str("kind") else {
+        return Ok(None);
+    };
+    serde_json::from_value(name.clone().into())
+        .map(Some)
+        .or_else(|error| usage(format!("--kind {name}: {error}")))
+}
+
+fn since(matches: &Matches) -> Result<Option<Duration>, UsageError> {
+    let Some(text) = matches.opt_str("since") else {
+        return Ok(None);
+    };
+    let units = [("s", 1), ("m", 60), ("h", 3_600)];
+    let parsed = units.into_iter().find_map(|(unit, unit_s)| {
+        let count: u64 = text.strip_suffix(unit)?.parse().ok()?;
+        count.checked_mul(unit_s).map(Duration::from_secs)
+    });
+    match parsed {
+        Some(since) => Ok(Some(since)),
+        None => usage(format!("--since {text} is no time such as 30s, 5m or 2h")),
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cli;
 pub mod client;
 pub mod output;
+pub mod progress;
 pub mod run;
 
 pub use client::Client;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use rosemaryscale_cli::cli::{self, Command};
-use rosemaryscale_cli::{Client, run};
+use rosemaryscale_cli::{Client, output, run};
 
 fn main() -> ExitCode {
     let options = match cli::parse(std::env::args().skip(1)) {
@@ -26,13 +26,17 @@
 
 #[tokio::main(flavor = "current_thread")]
 async fn execute(options: cli::Options) -> ExitCode {
-    let client = Client::new(options.daemon);
-    match run::run(&client, &options).await {
-        Ok(output) => {
-            println!("{output}");
-            ExitCode::SUCCESS
+    let client = Client::new(options.daemons.clone());
+    let progress = |line: &str| eprintln!("{line}");
+    match run::run(&client, &options, progress).await {
+        Ok(outcome) => {
+            println!("{}", outcome.text);
+            outcome.status.into()
         }
         Err(error) => {
+            if options.json {
+                println!("{}", output::problem(&error.report()));
+            }
             eprintln!("rosemaryscale: {error}");
             error.exit_status().into()
         }
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -2,10 +2,15 @@
 
 use std::fmt::Write;
 
-use rosemaryscale_ports::operator::{Applied, StatusReport, TimelineReport};
+use rosemaryscale_ports::operator::{
+    Applied, EnvironmentReport, EnvironmentsReport, HistoryReport, OperatorProblem, StatusReport,
+    TimelineReport,
+};
 use serde::Serialize;
 use serde_json::json;
 
+use crate::progress::Progress;
+
 const DIGEST_SHOWN_CHARS: usize = 12;
 
 fn pretty(value: &impl Serialize) -> String {
@@ -24,24 +29,71 @@
 
 /// Result of `apply`.
 #[must_use]
-pub fn applied(applied: &Applied, json: bool) -> String {
+pub fn applied(applied: &Applied, progress: Option<&Progress>, json: bool) -> String {
     if json {
-        return pretty(applied);
+        let in_force = progress.map(Progress::is_complete);
+        return pretty(&json!({"applied": applied, "in_force": in_force, "members": progress}));
     }
-    format!(
+    let mut text = format!(
         "accepted as version {} of {} (digest {})",
         applied.version,
         applied.environment,
         short(&applied.digest)
-    )
+    );
+    match progress {
+        Some(progress) if progress.is_complete() => text.push_str("; in force on every member"),
+        Some(progress) => {
+            let _ = write!(
+                text,
+                "; not yet in force everywhere: {}",
+                progress.describe()
+            );
+        }
+        None => {}
+    }
+    text
 }
 
-/// Result of `status`.
+/// A failure, for programs.
 #[must_use]
-pub fn status(report: &StatusReport, json: bool) -> String {
+pub fn problem(problem: &OperatorProblem) -> String {
+    pretty(problem)
+}
+
+/// Result of `history`.
+#[must_use]
+pub fn history(report: &HistoryReport, json: bool) -> String {
     if json {
         return pretty(report);
     }
+    let mut text = format!(
+        "{:>7}  {:<13} {:<12} {:<12} CHANGE",
+        "VERSION", "ACCEPTED_MS", "DIGEST", "AUTHOR"
+    );
+    for change in &report.changes {
+        let _ = write!(
+            text,
+            "\n{:>7}  {:<13} {:<12} {:<12} {}",
+            change.version,
+            change.accepted_wall_ms,
+            short(&change.digest),
+            change.author,
+            change.change_id
+        );
+    }
+    text
+}
+
+/// Result of `status`.
+#[must_use]
+pub fn status(report: &StatusReport, environments: &EnvironmentsReport, json: bool) -> String {
+    if json {
+        return pretty(&json!({
+            "daemons": report.daemons,
+            "unreachable": report.unreachable,
+            "environments": environments.environments,
+        }));
+    }
     let mut text = format!(
         "{:<16} {:<12} {:<12} {:<9} {:>7}  {}",
         "DAEMON", "ENVIRONMENT", "ZONE", "STATE", "VERSION", "DIGEST"
@@ -61,10 +113,21 @@
         if !daemon.ready {
             let _ = write!(text, "\n    {}", daemon.reason);
         }
+        if !daemon.platform_reachable {
+            text.push_str("\n    the platform is not reachable from here");
+        }
     }
     for name in &report.unreachable {
         let _ = write!(text, "\n{name:<16} does not answer");
     }
+    for environment in &environments.environments {
+        let _ = write!(
+            text,
+            "\n{}: {}",
+            environment.environment,
+            accepted(environment)
+        );
+    }
     text
 }
 
@@ -93,6 +156,21 @@
     text.trim_end().to_owned()
 }
 
+fn accepted(environment: &EnvironmentReport) -> String {
+    environment.change.as_ref().map_or_else(
+        || environment.reason.clone(),
+        |change| {
+            format!(
+                "version {} (digest {}) by {}, change {}",
+                change.version,
+                short(&change.digest),
+                change.author,
+                change.change_id
+            )
+        },
+    )
+}
+
 fn short(digest: &str) -> &str {
     digest.get(..DIGEST_SHOWN_CHARS).unwrap_or(digest)
 }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -29,6 +29,10 @@
     pub peer_address: SocketAddr,
     /// Addresses of the platform.
     pub platform: PlatformConfig,
+    /// Peer addresses of other daemons of the environment. A daemon that starts while the platform
+    /// is down finds its peers only here.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// Where statsd metrics go; nowhere if it is missing.
     #[serde(default)]
     pub statsd_address: Option<SocketAddr>,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -25,7 +25,7 @@
 use crate::fan_out::FanOut;
 use crate::membership::{Membership, MembershipOptions};
 use crate::peer_service::{PeerService, PeerServiceOptions};
-use crate::rollout::{Rollout, RolloutOptions};
+use crate::rollout::{Rollout, RolloutOptions, RolloutStatus};
 use crate::router::{Router, RouterOptions};
 
 const CONFIG_MESSAGES: usize = 16;
@@ -94,6 +94,7 @@
     readiness: watch::Sender<Readiness>,
     status: watch::Sender<DaemonStatus>,
     config: ConfigWatch,
+    rollout: watch::Receiver<RolloutStatus>,
     events: Option<EventSink>,
     stop_router: Option<oneshot::Sender<()>>,
     router: Option<JoinHandle<()>>,
@@ -150,17 +151,6 @@
         let mut joined = vec![kv_task, poller];
         let mut fan_out = FanOut::default();
 
-        let (rollout, config) = Rollout::new(RolloutOptions {
-            environment: Arc::clone(&settings.environment),
-            kv: kv.clone(),
-            clock: ClockHandle::clone(&clock),
-            events: events.clone(),
-        });
-        let (config_store, config_messages) = ConfigStore::channel(CONFIG_MESSAGES);
-        joined.push(tokio::spawn(
-            rollout.serve(config_messages, fan_out.subscribe()),
-        ));
-
         let (membership, members) = Membership::new(MembershipOptions {
             environment: Arc::clone(&settings.environment),
             record: member_record(&settings),
@@ -171,13 +161,6 @@
         let (stop_membership, stopped) = oneshot::channel();
         joined.push(tokio::spawn(membership.serve(fan_out.subscribe(), stopped)));
 
-        let prefix = format!("/rosemaryscale/{}/", settings.environment);
-        let watched = kv
-            .watch(KeyRange::Prefix(prefix.into()))
-            .await
-            .context(PlatformSnafu)?;
-        joined.push(tokio::spawn(fan_out.serve(watched)));
-
         let reason = Arc::from("no document is in force yet");
         let (readiness, ready) = watch::channel(Err(Arc::clone(&reason)));
         let (status, status_receiver) = watch::channel(first_status(&settings, reason));
@@ -190,8 +173,33 @@
         };
         let (peers, peer_task) = peer_link::start(link_options.clone(), members.clone());
         joined.push(peer_task);
+        let (rollout, watches) = Rollout::new(RolloutOptions {
+            name: Arc::clone(&settings.name),
+            environment: Arc::clone(&settings.environment),
+            kv: kv.clone(),
+            clock: ClockHandle::clone(&clock),
+            events: events.clone(),
+            metrics: Metrics::clone(&metrics),
+            peers: peers.clone(),
+            members: members.clone(),
+            peer_addresses: settings.peers.clone(),
+        });
+        let config = watches.config;
+        let (config_store, config_messages) = ConfigStore::channel(CONFIG_MESSAGES);
+        joined.push(tokio::spawn(
+            rollout.serve(config_messages, fan_out.subscribe()),
+        ));
+        let prefix = format!("/rosemaryscale/{}/", settings.environment);
+        let watched = kv
+            .watch(KeyRange::Prefix(prefix.into()))
+            .await
+            .context(PlatformSnafu)?;
+        joined.push(tokio::spawn(fan_out.serve(watched)));
+
         let (inbound, inbound_calls) = mpsc::channel(INBOUND_CALLS);
         let peer_service = PeerService::new(PeerServiceOptions {
+            environment: Arc::clone(&settings.environment),
+            store: config_store.clone(),
             config: config.clone(),
             status: status_receiver.clone(),
             events: events.clone(),
@@ -237,6 +245,7 @@
             readiness,
             status,
             config,
+            rollout: watches.status,
             events: Some(events),
             stop_router: Some(stop_router),
             router: Some(router_task),
@@ -256,12 +265,12 @@
     ///
     /// Fails when a server's task failed.
     pub async fn run(mut self) -> Result<Daemon<Stopped>, DaemonError> {
-        let ready = tokio::select! {
-            Ok(()) = self.tasks.config.changed() => true,
-            () = self.tasks.signals.received() => false,
-        };
-        if !ready {
-            return Ok(self.drain().finish().await);
+        while self.tasks.config.borrow_and_update().is_none() {
+            tokio::select! {
+                Ok(()) = self.tasks.config.changed() => {}
+                Ok(()) = self.tasks.rollout.changed() => self.tasks.update_reason(),
+                () = self.tasks.signals.received() => return Ok(self.drain().finish().await),
+            }
         }
         let mut daemon = self.ready();
         daemon.serve().await;
@@ -287,6 +296,7 @@
         loop {
             tokio::select! {
                 Ok(()) = self.tasks.config.changed() => self.tasks.update_status(),
+                Ok(()) = self.tasks.rollout.changed() => self.tasks.update_status(),
                 () = self.tasks.signals.received() => return,
             }
         }
@@ -331,11 +341,22 @@
 }
 
 impl Tasks {
+    /// Passes on why there is no document yet.
+    fn update_reason(&mut self) {
+        let reason = Arc::clone(&self.rollout.borrow_and_update().reason);
+        if !reason.is_empty() {
+            let _ = self.readiness.send_replace(Err(reason));
+        }
+        self.update_status();
+    }
+
     fn update_status(&self) {
         let readiness = self.readiness.borrow().clone();
+        let platform_reachable = self.rollout.borrow().platform_reachable;
         let document = self.config.borrow().clone();
         self.status.send_modify(|status| {
             status.ready = readiness.is_ok();
+            status.platform_reachable = platform_reachable;
             status.reason = readiness.err().unwrap_or_default();
             if let Some(document) = document {
                 status.version = document.state.version;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod cli;
 pub mod config;
+pub mod config_record;
 pub mod daemon;
 pub mod dispatcher;
 pub mod fan_out;
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use rosemaryscale_ports::config::ConfigWatch;
+use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
 use rosemaryscale_ports::operator::DaemonStatus;
 use rosemaryscale_ports::peer::{ConfigDigest, ConfigText, InboundCall, PeerReply, PeerRequest};
 use rosemaryscale_ports::prelude::*;
@@ -11,6 +11,10 @@
 
 /// What the service needs.
 pub struct PeerServiceOptions {
+    /// Environment of this daemon.
+    pub environment: Arc<str>,
+    /// The configuration task.
+    pub store: ConfigStore,
     /// The document in force.
     pub config: ConfigWatch,
     /// Status of this daemon.
@@ -50,9 +54,14 @@
     }
 
     fn answer(&mut self, call: InboundCall) {
-        let InboundCall { request, reply, .. } = call;
+        let InboundCall {
+            from,
+            request,
+            reply,
+        } = call;
         match request {
-            PeerRequest::Digest(_) => {
+            PeerRequest::Digest(digest) => {
+                self.options.store.offered(from, digest);
                 let _ = reply.send(PeerReply::Digest(self.digest()));
             }
             PeerRequest::Document => {
@@ -62,29 +71,32 @@
                 let status = self.options.status.borrow().clone();
                 let _ = reply.send(PeerReply::Status(status));
             }
-            PeerRequest::Timeline { limit } => {
+            PeerRequest::Timeline { limit, filter } => {
                 let events = self.options.events.clone();
                 self.running.spawn(async move {
-                    let _ = reply.send(PeerReply::Timeline(events.read(limit).await));
+                    let events = filter.newest(events.read(usize::MAX).await, limit);
+                    let _ = reply.send(PeerReply::Timeline(events));
                 });
             }
         }
     }
 
     fn digest(&self) -> ConfigDigest {
-        self.options
-            .config
-            .borrow()
-            .as_ref()
-            .map_or_else(ConfigDigest::default, |document| ConfigDigest {
-                version: document.state.version,
-                digest: Arc::clone(&document.digest),
-            })
+        let in_force = self.options.config.borrow();
+        let (version, digest) = in_force.as_ref().map_or_else(Default::default, |document| {
+            (document.state.version, Arc::clone(&document.digest))
+        });
+        ConfigDigest {
+            environment: Arc::clone(&self.options.environment),
+            version,
+            digest,
+        }
     }
 
     fn document(&self) -> Option<ConfigText> {
         let document = self.options.config.borrow().clone()?;
         Some(ConfigText {
+            environment: Arc::clone(&self.options.environment),
             version: document.state.version,
             text: Arc::clone(&document.text),
         })
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,128 @@
+//! Steps that tests of the roll-out share.
+
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    dead_code,
+    unreachable_pub,
+    reason = "tests fail loudly and use a part of the steps each"
+)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use rosemaryscale_cli::cli::{self, Command, ExitStatus};
+use rosemaryscale_cli::{Client, run};
+use rosemaryscale_standins::harness::{Harness, HarnessOptions, ProcessSignal, eventually};
+use serde_json::{Value, json};
+
+pub const DOCUMENT: &str = include_str!("../../../../examples/kalahari/document.jsonc");
+/// An accepted change is in force everywhere within this time.
+pub const IN_FORCE: Duration = Duration::from_secs(19);
+
+pub const KEY: &str = "/rosemaryscale/production/config";
+
+/// Value of the document key as a daemon writes it.
+pub fn record(version: u64, text: &str) -> String {
+    json!({
+        "version": version, "digest": "", "change_id": format!("record-{version}"), "author": "",
+        "accepted_wall_ms": 0, "text": text,
+    })
+    .to_string()
+}
+
+pub async fn start(daemons: usize) -> Harness {
+    Harness::start(HarnessOptions {
+        daemon_binary: env!("CARGO_BIN_EXE_rosemaryscaled").into(),
+        daemons,
+        environment: "production".into(),
+        upstreams: Vec::new(),
+    })
+    .await
+}
+
+/// The document with a comment, so that its digest differs.
+pub fn variant(number: u64) -> String {
+    format!("{DOCUMENT}\n// variant {number}\n")
+}
+
+pub fn request(text: &str, change_id: &str, expected_version: Option<u64>) -> Value {
+    json!({
+        "text": text,
+        "change_id": change_id,
+        "expected_version": expected_version,
+        "author": "test",
+    })
+}
+
+pub async fn put(harness: &Harness, index: usize, body: Value) -> (StatusCode, Value) {
+    let reply = harness
+        .operate(index, Method::PUT, "/v1/document", Some(body))
+        .await
+        .expect("the daemon replies");
+    (reply.status, reply.json())
+}
+
+/// Status of a daemon as it reports it itself.
+pub async fn own_status(harness: &Harness, index: usize) -> Value {
+    let reply = harness
+        .operate(index, Method::GET, "/v1/status", None)
+        .await;
+    let report = reply.expect("the daemon replies").json();
+    let name = harness.daemon_name(index);
+    let daemons = report["daemons"].as_array().cloned().unwrap_or_default();
+    let own = daemons.into_iter().find(|daemon| daemon["name"] == name);
+    own.expect("a daemon reports itself")
+}
+
+pub async fn wait_for_version(harness: &Harness, index: usize, version: u64) {
+    eventually("the version is in force", || async move {
+        own_status(harness, index).await["version"] == version
+    })
+    .await;
+}
+
+/// Waits until every daemon sees the others, so that they can exchange digests.
+pub async fn wait_for_members(harness: &Harness, daemons: usize) {
+    for index in 0..daemons {
+        eventually("the members are known", || async move {
+            let reply = harness
+                .operate(index, Method::GET, "/v1/status", None)
+                .await;
+            let report = reply.map(|reply| reply.json()).unwrap_or_default();
+            report["daemons"].as_array().map_or(0, Vec::len) == daemons
+        })
+        .await;
+    }
+}
+
+pub async fn stop_daemon(harness: &mut Harness, index: usize) {
+    harness.signal(index, ProcessSignal::Terminate);
+    harness.wait_for_exit(index).await;
+}
+
+/// Runs a command of the operators' tool.
+pub async fn operator(daemons: &[SocketAddr], words: &[&str]) -> (ExitStatus, String) {
+    let daemons: Vec<String> = daemons.iter().map(ToString::to_string).collect();
+    let list = daemons.join(",");
+    let arguments = ["--daemon", &list, "--json"]
+        .into_iter()
+        .chain(words.iter().copied());
+    let command = cli::parse(arguments.map(str::to_owned)).expect("the command line is valid");
+    let Command::Operate(options) = command else {
+        panic!("the words are a command");
+    };
+    let client = Client::new(options.daemons.clone());
+    match run::run(&client, &options, |_| {}).await {
+        Ok(outcome) => (outcome.status, outcome.text),
+        Err(error) => (error.exit_status(), error.to_string()),
+    }
+}
+
+pub fn document_file(harness: &Harness, text: &str) -> std::path::PathBuf {
+    let port = harness.operator_address(0);
+    let path = std::env::temp_dir().join(format!("rosemaryscale-document-{port}.jsonc"));
+    std::fs::write(&path, text).expect("the temporary directory is writable");
+    path
+}
--- /dev/null
+++ b/crates/daemon/tests/operators.rs
@@ -0,0 +1,159 @@
+//! The operators' tool against daemon processes: races, waiting, promotion, and a daemon that is gone.
+
+use http::{Method, StatusCode};
+use rosemaryscale_cli::cli::ExitStatus;
+use rosemaryscale_standins::harness::{Harness, ProcessSignal, eventually};
+use serde_json::json;
+
+mod common;
+
+use common::*;
+
+/// Guards against two operators who both believe that they won, and a loser who learns no more.
+#[tokio::test]
+async fn of_two_racing_operators_one_wins_and_the_other_learns_who() {
+    let harness = start(2).await;
+    harness.apply(DOCUMENT).await;
+    for round in 1..=10 {
+        let left = request(&variant(10 + round), &format!("left-{round}"), Some(round));
+        let right = request(&variant(30 + round), &format!("right-{round}"), Some(round));
+        let (left, right) = tokio::join!(put(&harness, 0, left), put(&harness, 1, right));
+        let (winner, loser, winner_id) = match (left.0, right.0) {
+            (StatusCode::OK, _) => (left.1, right, format!("left-{round}")),
+            _ => (right.1, left, format!("right-{round}")),
+        };
+        assert_eq!(winner["version"], round + 1, "{winner}");
+        assert_eq!(loser.0, StatusCode::CONFLICT, "{}", loser.1);
+        assert_eq!(loser.1["winner"]["change_id"], *winner_id);
+        assert_eq!(loser.1["winner"]["author"], "test");
+        let detail = loser.1["detail"].as_str().unwrap_or_default();
+        assert!(
+            detail.contains(&format!("--expect {}", round + 1)),
+            "{detail}"
+        );
+        for index in 0..2 {
+            wait_for_version(&harness, index, round + 1).await;
+        }
+    }
+    harness.stop().await;
+}
+
+/// Guards against a change that is called in force while a member lacks it, and against a resumed
+/// daemon that stays behind.
+#[tokio::test]
+async fn apply_names_a_frozen_daemon_and_reaches_it_when_it_resumes() {
+    let harness = start(3).await;
+    harness.apply(DOCUMENT).await;
+    wait_for_members(&harness, 3).await;
+    harness.signal(2, ProcessSignal::Freeze);
+    let file = document_file(&harness, &variant(2));
+    let file = file.to_str().expect("the path is text");
+    let daemon = [harness.operator_address(0)];
+    let (status, text) = operator(&daemon, &["apply", file, "--wait", "--within", "4"]).await;
+    assert_eq!(status, ExitStatus::Pending, "{text}");
+    assert!(
+        text.contains("entry-3") && text.contains("does not answer"),
+        "{text}"
+    );
+    assert!(!text.contains("entry-2"), "{text}");
+    harness.signal(2, ProcessSignal::Resume);
+    wait_for_version(&harness, 2, 2).await;
+    let (status, text) = operator(&daemon, &["apply", file, "--wait"]).await;
+    assert_eq!(status, ExitStatus::Done, "{text}");
+    std::fs::remove_file(file).expect("the file exists");
+    harness.stop().await;
+}
+
+/// Moves daemons 1 and 2 of three to the trial environment.
+async fn start_with_trial() -> Harness {
+    let mut harness = start(3).await;
+    for index in 1..3 {
+        stop_daemon(&mut harness, index).await;
+        harness.set_environment(index, "trial");
+        harness.spawn(index);
+    }
+    for index in 1..3 {
+        eventually("the members are known", || async {
+            let reply = harness
+                .operate(index, Method::GET, "/v1/status", None)
+                .await;
+            let report = reply.map(|reply| reply.json()).unwrap_or_default();
+            report["daemons"].as_array().map_or(0, Vec::len) == 2
+        })
+        .await;
+    }
+    harness
+}
+
+/// Guards against a promotion of a document that some trial member lacks or that changed after the
+/// operator looked at it, of other bytes, and with two effects when it is repeated.
+#[tokio::test]
+async fn a_promotion_copies_the_bytes_once_they_are_in_force_on_every_trial_member() {
+    let harness = start_with_trial().await;
+    let daemon = [harness.operator_address(0)];
+    let (_, first) = put(&harness, 0, request(DOCUMENT, "first", None)).await;
+    wait_for_version(&harness, 0, 1).await;
+    harness.signal(2, ProcessSignal::Freeze);
+    let (_, trial) = put(&harness, 1, request(&variant(2), "trial", None)).await;
+    let (status, text) = operator(&daemon, &["promote"]).await;
+    assert_eq!(status, ExitStatus::Refused, "{text}");
+    assert!(text.contains("entry-3 (does not answer)"), "{text}");
+    harness.signal(2, ProcessSignal::Resume);
+    wait_for_version(&harness, 2, 1).await;
+
+    let old = first["digest"].as_str().expect("a digest");
+    let (status, text) = operator(&daemon, &["promote", "--digest", old]).await;
+    assert_eq!(status, ExitStatus::Refused, "{text}");
+    assert!(text.contains("looked at"), "{text}");
+    let (status, text) = operator(&daemon, &["promote", "--expect", "7"]).await;
+    assert_eq!(status, ExitStatus::Conflict, "{text}");
+
+    let promote = ["promote", "--change-id", "promotion", "--wait"];
+    let (status, text) = operator(&daemon, &promote).await;
+    assert_eq!(status, ExitStatus::Done, "{text}");
+    let own = own_status(&harness, 0).await;
+    assert_eq!(
+        (&own["version"], &own["digest"]),
+        (&json!(2), &trial["digest"])
+    );
+
+    put(&harness, 1, request(&variant(3), "trial-3", None)).await;
+    let (status, text) = operator(&daemon, &promote).await;
+    assert_eq!(status, ExitStatus::Done, "{text}");
+    assert_eq!(own_status(&harness, 0).await["version"], 2);
+    harness.stop().await;
+}
+
+/// Guards against a tool that gives up, or changes twice, when the first daemon it names is gone.
+#[tokio::test]
+async fn the_tool_goes_on_at_the_next_daemon() {
+    let mut harness = start(2).await;
+    harness.apply(DOCUMENT).await;
+    wait_for_members(&harness, 2).await;
+    let daemons = [harness.operator_address(0), harness.operator_address(1)];
+    harness.signal(0, ProcessSignal::Kill);
+    harness.wait_for_exit(0).await;
+    let file = document_file(&harness, &variant(2));
+    let file = file.to_str().expect("the path is text");
+    let apply = ["apply", file, "--expect", "1", "--change-id", "once"];
+    for _ in 0..2 {
+        let (status, text) = operator(&daemons, &apply).await;
+        assert_eq!(status, ExitStatus::Done, "{text}");
+        assert!(text.contains("\"version\": 2"), "{text}");
+    }
+    let (status, text) = operator(&daemons, &["history"]).await;
+    assert_eq!(status, ExitStatus::Done, "{text}");
+    assert_eq!(text.matches("\"version\"").count(), 2, "{text}");
+    let (status, text) = operator(
+        &daemons,
+        &["timeline", "--kind", "config", "--subject", "2"],
+    )
+    .await;
+    assert_eq!(status, ExitStatus::Done, "{text}");
+    assert!(
+        text.contains("in force") && !text.contains("\"member\""),
+        "{text}"
+    );
+    std::fs::remove_file(file).expect("the file exists");
+    harness.stop().await;
+}
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -19,11 +19,17 @@
 pub mod millis;
 pub mod outcome;
 pub mod prelude;
+pub mod promotion;
+pub mod proposal;
 pub mod request;
+pub mod rollout;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
 pub use map::{FastMap, FastSet};
 pub use millis::Millis;
 pub use outcome::{NotRun, OutcomeUnknown};
+pub use promotion::PromotionView;
+pub use proposal::Proposal;
 pub use request::Request;
+pub use rollout::InForce;
--- /dev/null
+++ b/crates/domain/src/promotion.rs
@@ -0,0 +1,121 @@
+//! Promotion: whether the document of one environment may go to another one unchanged.
+
+use snafu::Snafu;
+
+use crate::prelude::*;
+
+/// What one member of the source environment has in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberState {
+    /// Name of the member.
+    pub name: Arc<str>,
+    /// Version and digest in force; `None` if it does not answer.
+    pub in_force: Option<(u64, Arc<str>)>,
+}
+
+/// What a promotion is decided on.
+#[derive(Clone, Debug)]
+pub struct PromotionView {
+    /// The source environment.
+    pub source: Arc<str>,
+    /// Digest that the operator looked at.
+    pub looked_at: Arc<str>,
+    /// Version and digest accepted in the source environment, if there is a document.
+    pub accepted: Option<(u64, Arc<str>)>,
+    /// Every registered member of the source environment, with or without a heartbeat.
+    pub members: Vec<MemberState>,
+}
+
+/// Why a promotion was refused; nothing changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
+pub enum PromotionRefusal {
+    /// The source environment has no document.
+    #[snafu(display("{source_environment} has no document; apply it there first"))]
+    NoDocument {
+        /// The source environment.
+        source_environment: Arc<str>,
+    },
+    /// The source document is not the one that was looked at.
+    #[snafu(display(
+        "{source_environment} now has version {version} with digest {digest}, not the digest {looked_at} that \
+         was looked at; look at rosemaryscale status and promote again"
+    ))]
+    Changed {
+        /// The source environment.
+        source_environment: Arc<str>,
+        /// Version there now.
+        version: u64,
+        /// Digest there now.
+        digest: Arc<str>,
+        /// Digest that the operator looked at.
+        looked_at: Arc<str>,
+    },
+    /// No daemon runs the source environment, so the document was not tried.
+    #[snafu(display(
+        "{source_environment} has no members, so the document was not tried; start one there"
+    ))]
+    NoMembers {
+        /// The source environment.
+        source_environment: Arc<str>,
+    },
+    /// Some members do not have the document in force.
+    #[snafu(display(
+        "version {version} of {source_environment} is not in force on {}; wait for them or remove them, then \
+         promote again",
+        members.join(", ")
+    ))]
+    NotInForce {
+        /// The source environment.
+        source_environment: Arc<str>,
+        /// Version that they lack.
+        version: u64,
+        /// The members, in order.
+        members: Vec<String>,
+    },
+}
+
+impl PromotionView {
+    /// Decides whether the document may be promoted; returns its version in the source environment.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first reason against it.
+    pub fn decide(&self) -> Result<u64, PromotionRefusal> {
+        let source_environment = Arc::clone(&self.source);
+        let Some((version, digest)) = self.accepted.clone() else {
+            return Err(PromotionRefusal::NoDocument { source_environment });
+        };
+        if digest != self.looked_at {
+            let looked_at = Arc::clone(&self.looked_at);
+            return Err(PromotionRefusal::Changed {
+                source_environment,
+                version,
+                digest,
+                looked_at,
+            });
+        }
+        if self.members.is_empty() {
+            return Err(PromotionRefusal::NoMembers { source_environment });
+        }
+        let accepted = Some((version, digest));
+        let mut members: Vec<String> = self
+            .members
+            .iter()
+            .filter(|member| member.in_force != accepted)
+            .map(|member| match &member.in_force {
+                Some((version, _)) => format!("{} (version {version})", member.name),
+                None => format!("{} (does not answer)", member.name),
+            })
+            .collect();
+        if members.is_empty() {
+            return Ok(version);
+        }
+        members.sort();
+        Err(PromotionRefusal::NotInForce {
+            source_environment,
+            version,
+            members,
+        })
+    }
+}
--- a/crates/ports/src/config.rs
+++ b/crates/ports/src/config.rs
@@ -7,7 +7,10 @@
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::operator::{Applied, ApplyRequest};
+use crate::operator::{
+    Applied, ApplyRequest, ChangeReport, EnvironmentsReport, HistoryReport, PromoteRequest,
+};
+use crate::peer::ConfigDigest;
 
 /// The newest accepted document; `None` before the first.
 pub type ConfigWatch = watch::Receiver<Option<Arc<Document<Accepted>>>>;
@@ -28,16 +31,20 @@
     },
     /// Another change won.
     #[snafu(display(
-        "version {version} by change {change_id} is in force, not the expected {expected}; \
-         rebase on it (rosemaryscale status) and apply again"
+        "{}; nothing changed: rebase your document on it and apply with --expect {version}",
+        describe_winner(winner.as_ref(), *version)
     ))]
     Conflict {
-        /// Version in force.
+        /// The change that won, if it is known.
+        winner: Option<ChangeReport>,
+        /// Version that a rebased change must expect.
         version: u64,
-        /// Change that won.
-        change_id: Arc<str>,
-        /// Version that the operator expected.
-        expected: u64,
+    },
+    /// A promotion is not allowed.
+    #[snafu(display("{reason}; nothing changed"))]
+    Refused {
+        /// Why, and what to do.
+        reason: String,
     },
     /// The platform's store did not answer, and reading back did not tell whether the write took effect.
     #[snafu(display("{reason}; look at rosemaryscale status before applying again"))]
@@ -53,6 +60,18 @@
     },
 }
 
+fn describe_winner(winner: Option<&ChangeReport>, version: u64) -> String {
+    winner.map_or_else(
+        || format!("version {version} of another change is accepted"),
+        |winner| {
+            format!(
+                "version {} of change {} by {} is accepted",
+                winner.version, winner.change_id, winner.author
+            )
+        },
+    )
+}
+
 /// A document that passed the checks, ready to be written.
 pub type CheckedDocument = Document<Checked>;
 
@@ -73,6 +92,30 @@
         /// Where the result goes.
         reply: oneshot::Sender<Result<Applied, ApplyError>>,
     },
+    /// Accept the document of another environment for the daemon's environment.
+    Promote {
+        /// What the operator asks.
+        request: PromoteRequest,
+        /// Where the result goes.
+        reply: oneshot::Sender<Result<Applied, ApplyError>>,
+    },
+    /// Read the accepted changes.
+    History {
+        /// Where they go.
+        reply: oneshot::Sender<Result<HistoryReport, ApplyError>>,
+    },
+    /// Read the newest change of each environment of the document in force.
+    Environments {
+        /// Where they go.
+        reply: oneshot::Sender<EnvironmentsReport>,
+    },
+    /// A peer has told which document it has in force.
+    Offered {
+        /// Name of the peer.
+        from: Arc<str>,
+        /// What it has.
+        digest: ConfigDigest,
+    },
 }
 
 /// Handle of the configuration task.
@@ -111,6 +154,42 @@
             .await?
     }
 
+    /// Accepts the document of another environment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the promotion is refused, another change won, or the store does not answer.
+    pub async fn promote(&self, request: PromoteRequest) -> Result<Applied, ApplyError> {
+        self.call(|reply| ConfigMessage::Promote { request, reply })
+            .await?
+    }
+
+    /// Reads the accepted changes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub async fn history(&self) -> Result<HistoryReport, ApplyError> {
+        self.call(|reply| ConfigMessage::History { reply }).await?
+    }
+
+    /// Reads the newest change of each environment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon is stopping.
+    pub async fn environments(&self) -> Result<EnvironmentsReport, ApplyError> {
+        self.call(|reply| ConfigMessage::Environments { reply })
+            .await
+    }
+
+    /// Passes on what a peer has in force. Dropped when the task is behind: the peer tells it again.
+    pub fn offered(&self, from: Arc<str>, digest: ConfigDigest) {
+        let _ = self
+            .messages
+            .try_send(ConfigMessage::Offered { from, digest });
+    }
+
     async fn call<T>(
         &self,
         make: impl FnOnce(oneshot::Sender<T>) -> ConfigMessage,
--- a/crates/ports/src/event.rs
+++ b/crates/ports/src/event.rs
@@ -53,6 +53,43 @@
     pub detail: Arc<str>,
 }
 
+/// Which events a reader wants; the default is all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(default)]
+pub struct EventFilter {
+    /// Only events of this kind.
+    pub kind: Option<EventKind>,
+    /// Only events of this subject.
+    pub subject: Option<Arc<str>>,
+    /// Only events at or after this wall-clock time, in milliseconds since the Unix epoch.
+    pub since_wall_ms: Option<u64>,
+}
+
+impl EventFilter {
+    /// Whether the filter lets an event through.
+    #[must_use]
+    pub fn matches(&self, event: &Event) -> bool {
+        self.kind.is_none_or(|kind| kind == event.kind)
+            && self
+                .subject
+                .as_ref()
+                .is_none_or(|subject| *subject == event.subject)
+            && self
+                .since_wall_ms
+                .is_none_or(|since| since <= event.wall_ms)
+    }
+
+    /// The newest events that the filter lets through, oldest first.
+    #[must_use]
+    pub fn newest(&self, mut events: Vec<Event>, limit: usize) -> Vec<Event> {
+        events.retain(|event| self.matches(event));
+        let skip = events.len().saturating_sub(limit);
+        events.drain(..skip);
+        events
+    }
+}
+
 /// A new event on its way to the event log.
 #[derive(Clone, Debug)]
 pub struct NewEvent {
--- a/crates/ports/src/operator.rs
+++ b/crates/ports/src/operator.rs
@@ -41,6 +41,68 @@
     pub author: Arc<str>,
 }
 
+/// Request to put the document of another environment in force, byte for byte.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+pub struct PromoteRequest {
+    /// Environment that has the document in force.
+    pub source: Arc<str>,
+    /// Digest of its document when the operator looked at it.
+    pub digest: Arc<str>,
+    /// Version of the daemon's environment when the operator looked at it; any if none.
+    pub expected_version: Option<u64>,
+    /// Identifies the change; the same id sent twice has one effect.
+    pub change_id: Arc<str>,
+    /// Who asks.
+    pub author: Arc<str>,
+}
+
+/// A change that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+pub struct ChangeReport {
+    /// Version that it got.
+    pub version: u64,
+    /// SHA-256 of the text.
+    pub digest: Arc<str>,
+    /// Identifies the change.
+    pub change_id: Arc<str>,
+    /// Who made it.
+    pub author: Arc<str>,
+    /// Wall-clock time when it was accepted, in milliseconds since the Unix epoch.
+    pub accepted_wall_ms: u64,
+}
+
+/// The newest accepted change of one environment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+pub struct EnvironmentReport {
+    /// The environment.
+    pub environment: Arc<str>,
+    /// The change; `None` if no document is accepted or it is not known.
+    pub change: Option<ChangeReport>,
+    /// Why the change is not known; empty if it is.
+    pub reason: String,
+}
+
+/// The environments of the document in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+pub struct EnvironmentsReport {
+    /// The daemon's environment first.
+    pub environments: Vec<EnvironmentReport>,
+}
+
+/// Accepted changes of the daemon's environment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+pub struct HistoryReport {
+    /// The environment.
+    pub environment: Arc<str>,
+    /// The changes, newest first.
+    pub changes: Vec<ChangeReport>,
+}
+
 /// A document that was accepted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
@@ -99,7 +161,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
 pub struct OperatorProblem {
-    /// Kind: `invalid`, `conflict`, `unavailable`, `unknown`, `not_found`, `bad_request`.
+    /// Kind: `invalid`, `conflict`, `refused`, `unavailable`, `unknown`, `bad_request`.
     pub kind: Arc<str>,
     /// What is wrong.
     pub detail: String,
@@ -108,4 +170,7 @@
     /// Mistakes of the document, if that is the reason.
     #[serde(default)]
     pub problems: Vec<ProblemReport>,
+    /// The change that won, if that is the reason.
+    #[serde(default)]
+    pub winner: Option<ChangeReport>,
 }
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -1,18 +1,22 @@
 //! The peer port: calls between daemons.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::event::Event;
+use crate::event::{Event, EventFilter};
 use crate::operator::DaemonStatus;
 
 /// Version and digest of a daemon's document.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ConfigDigest {
+    /// Environment of the daemon; a digest of another environment is ignored.
+    #[serde(default)]
+    pub environment: Arc<str>,
     /// Version; 0 if none.
     pub version: u64,
     /// Digest; empty if none.
@@ -23,6 +27,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ConfigText {
+    /// Environment of the daemon that has it in force.
+    #[serde(default)]
+    pub environment: Arc<str>,
     /// Version.
     pub version: u64,
     /// Text.
@@ -56,6 +63,9 @@
     Timeline {
         /// Events at most.
         limit: usize,
+        /// Which events.
+        #[serde(default)]
+        filter: EventFilter,
     },
 }
 
@@ -102,6 +112,9 @@
 pub struct PeerCall {
     /// Name of the peer.
     pub to: Arc<str>,
+    /// Address of the peer if it is not a member of this environment; a member's address is that of
+    /// its record.
+    pub address: Option<SocketAddr>,
     /// The call.
     pub request: PeerRequest,
     /// Where the reply goes.
@@ -139,6 +152,29 @@
     ///
     /// Fails when the peer does not answer.
     pub async fn call(&self, to: Arc<str>, request: PeerRequest) -> Result<PeerReply, PeerError> {
+        self.send(to, None, request).await
+    }
+
+    /// Calls a daemon that is not a member of this environment, or not yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not answer.
+    pub async fn call_at(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+    ) -> Result<PeerReply, PeerError> {
+        self.send(address.to_string().into(), Some(address), request)
+            .await
+    }
+
+    async fn send(
+        &self,
+        to: Arc<str>,
+        address: Option<SocketAddr>,
+        request: PeerRequest,
+    ) -> Result<PeerReply, PeerError> {
         let (reply, result) = oneshot::channel();
         let name = Arc::clone(&to);
         let unreachable = |reason: &str| PeerError::Unreachable {
@@ -146,7 +182,12 @@
             reason: reason.into(),
         };
         self.calls
-            .send(PeerCall { to, request, reply })
+            .send(PeerCall {
+                to,
+                address,
+                request,
+                reply,
+            })
             .await
             .map_err(|_| unreachable("the peer link has stopped"))?;
         result
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -22,4 +22,8 @@
     pub fail: bool,
     /// Upstream only: connections that are open now go silent; new ones work.
     pub silence_open: bool,
+    /// Platform only: watches that are open now deliver nothing more but stay open; new ones work.
+    pub silence_watches: bool,
+    /// Platform only: no watch delivers a change, neither open nor new ones; other calls work.
+    pub withhold_changes: bool,
 }
--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -2,7 +2,6 @@
 //!
 //! Each harness has loopback addresses of its own, so tests run side by side.
 
-use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -17,18 +16,22 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Value, json};
 
+pub use signal::ProcessSignal;
+use wait::CONDITION_POLL;
+pub use wait::{PATIENCE, eventually};
+
 use crate::platform::Platform;
 use crate::upstream::{Upstream, UpstreamOptions};
 
+mod signal;
+mod wait;
+
 const CALLER_PORT: u16 = 7001;
 const OPERATOR_PORT: u16 = 7002;
 const PEER_PORT: u16 = 7003;
 const PLATFORM_PORT: u16 = 7100;
 const UPSTREAM_PORT: u16 = 7200;
 const PORTS_PER_DAEMON: u16 = 10;
-const CONDITION_POLL: Duration = Duration::from_millis(20);
-/// Longest wait for a condition; far above every bound that a test checks.
-pub const PATIENCE: Duration = Duration::from_secs(30);
 
 static HARNESSES: AtomicU8 = AtomicU8::new(1);
 
@@ -81,6 +84,8 @@
 #[derive(Debug)]
 struct DaemonProcess {
     name: String,
+    /// Its environment, if that differs from the harness's.
+    environment: Option<String>,
     child: Option<Child>,
 }
 
@@ -103,19 +108,6 @@
     }
 }
 
-/// A signal for a daemon process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProcessSignal {
-    /// Ends the process at once.
-    Kill,
-    /// Freezes the process.
-    Freeze,
-    /// Resumes a frozen process.
-    Resume,
-    /// Asks for a graceful stop.
-    Terminate,
-}
-
 /// The running harness.
 #[derive(Debug)]
 pub struct Harness {
@@ -226,10 +218,37 @@
 
     fn add_daemon(&mut self, index: usize) {
         let name = format!("entry-{}", index + 1);
-        self.daemons.push(DaemonProcess { name, child: None });
+        self.daemons.push(DaemonProcess {
+            name,
+            environment: None,
+            child: None,
+        });
         self.spawn(index);
     }
 
+    /// Environment of a daemon.
+    #[must_use]
+    pub fn environment(&self, index: usize) -> &str {
+        let own = self
+            .daemons
+            .get(index)
+            .and_then(|daemon| daemon.environment.as_ref());
+        own.unwrap_or(&self.options.environment)
+    }
+
+    /// Sets the environment that a daemon serves from its next start.
+    pub fn set_environment(&mut self, index: usize, environment: &str) {
+        self.daemons[index].environment = Some(environment.to_owned());
+    }
+
+    /// Peer addresses of the other daemons in a daemon's environment.
+    fn peer_addresses(&self, index: usize) -> Vec<SocketAddr> {
+        (0..self.options.daemons)
+            .filter(|other| *other != index && self.environment(*other) == self.environment(index))
+            .map(|other| self.address(other, PEER_PORT))
+            .collect()
+    }
+
     /// Starts the process of a daemon that was stopped or killed.
     ///
     /// # Panics
@@ -239,11 +258,12 @@
         let name = self.daemons[index].name.clone();
         let settings = json!({
             "name": name,
-            "environment": self.options.environment,
+            "environment": self.environment(index),
             "availability_zone": format!("zone-{}", index % 3 + 1),
             "caller_address": self.caller_address(index),
             "operator_address": self.operator_address(index),
             "peer_address": self.address(index, PEER_PORT),
+            "peers": self.peer_addresses(index),
             "platform": {
                 "kv_address": self.platform.address(),
                 "instances_address": self.platform.address(),
@@ -469,19 +489,3 @@
         }
     }
 }
-
-/// Waits until a condition holds.
-///
-/// # Panics
-///
-/// Panics when it does not hold within [`PATIENCE`].
-pub async fn eventually<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
-    let started = tokio::time::Instant::now();
-    while !condition().await {
-        assert!(
-            started.elapsed() < PATIENCE,
-            "not within {PATIENCE:?}: {what}"
-        );
-        tokio::time::sleep(CONDITION_POLL).await;
-    }
-}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -51,6 +53,9 @@
     ListInstances {
         reply: oneshot::Sender<Result<Value, Fault>>,
     },
+    Write {
+        body: Value,
+    },
     SetInstances {
         instances: Value,
     },
@@ -119,6 +124,17 @@
         let _ = self.commands.send(Command::SetFaults { faults }).await;
     }
 
+    /// Writes a key past the faults, or deletes it if there is no value.
+    pub async fn write(&self, key: &str, value: Option<&str>) {
+        let key = STANDARD.encode(key);
+        let change = value.map_or_else(
+            || json!({"request_delete_range": {"key": key}}),
+            |value| json!({"request_put": {"key": key, "value": STANDARD.encode(value)}}),
+        );
+        let body = json!({"compare": [], "success": [change], "failure": []});
+        let _ = self.commands.send(Command::Write { body }).await;
+    }
+
     /// Replaces the instance list.
     pub async fn set_instances(&self, instances: Value) {
         let _ = self
@@ -191,8 +207,18 @@
                 let result = self.fault().map_or_else(|| Ok(self.instances.clone()), Err);
                 let _ = reply.send(result);
             }
+            Command::Write { body } => {
+                let written = self.store.call("/v3/kv/txn", &body, Instant::now());
+                written.expect("the transaction is well-formed");
+            }
             Command::SetInstances { instances } => self.instances = instances,
-            Command::SetFaults { faults } => self.faults = faults,
+            Command::SetFaults { faults } => {
+                if faults.silence_watches {
+                    self.store.silence_watches();
+                }
+                self.store.withhold_changes(faults.withhold_changes);
+                self.faults = faults;
+            }
             Command::Stats { reply } => {
                 self.stats.watches_waiting = self.store.watches() as u64;
                 let _ = reply.send(self.stats);
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -66,6 +66,9 @@
     log: VecDeque<LogEvent>,
     compacted: u64,
     watchers: Vec<Watcher>,
+    /// Watches that stay open without delivering anything.
+    silent: Vec<Watcher>,
+    withhold_changes: bool,
 }
 
 impl Default for Store {
@@ -78,6 +81,8 @@
             log: VecDeque::new(),
             compacted: 0,
             watchers: Vec::new(),
+            silent: Vec::new(),
+            withhold_changes: false,
         }
     }
 }
@@ -148,7 +153,7 @@
         let missed: Vec<Value> = self
             .log
             .iter()
-            .filter(|logged| start != 0 && logged.revision >= start)
+            .filter(|logged| !self.withhold_changes && start != 0 && logged.revision >= start)
             .filter(|logged| in_range(&logged.key, &first, &end))
             .map(|logged| logged.event.clone())
             .collect();
@@ -159,6 +164,17 @@
         Ok(receiver)
     }
 
+    /// Makes the watches that are open now deliver nothing more.
+    pub fn silence_watches(&mut self) {
+        self.silent.retain(|watcher| !watcher.events.is_closed());
+        self.silent.append(&mut self.watchers);
+    }
+
+    /// Whether no watch delivers changes.
+    pub fn withhold_changes(&mut self, withhold: bool) {
+        self.withhold_changes = withhold;
+    }
+
     /// Watches that are waiting.
     pub fn watches(&mut self) -> usize {
         self.watchers.retain(|watcher| !watcher.events.is_closed());
@@ -278,7 +294,7 @@
                 .filter(|logged| in_range(&logged.key, &watcher.first, &watcher.end))
                 .map(|logged| logged.event.clone())
                 .collect();
-            if seen.is_empty() {
+            if seen.is_empty() || self.withhold_changes {
                 return !watcher.events.is_closed();
             }
             watcher
