--- a/crates/adapters/src/document_text.rs
+++ b/crates/adapters/src/document_text.rs
@@ -3,11 +3,29 @@
 use std::sync::Arc;
 
 use jsonc_parser::ParseOptions;
+use jsonc_parser::errors::ParseError;
 use rosemaryscale_domain::Document;
 use rosemaryscale_domain::document::{DocumentFields, Parsed, Problem};
 use serde::de::DeserializeOwned;
 use sha2::{Digest, Sha256};
 
+mod structure;
+
+/// JSON with comments and trailing commas. Looser texts, such as those with a missing comma, are
+/// refused because they are often a slip.
+const OPTIONS: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: true,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
 /// Longest text; the platform's store holds values up to 1 MB and the record adds some fields.
 pub const TEXT_MAX_BYTES: usize = 900_000;
 
@@ -34,17 +52,9 @@
 ///
 /// Returns the first mistake with its path.
 pub fn parse_fields<T: DeserializeOwned>(text: &str) -> Result<T, Problem> {
-    let options = ParseOptions::default();
+    structure::check(text)?;
     let value: serde_json::Value =
-        jsonc_parser::parse_to_serde_value(text, &options).map_err(|error| Problem {
-            path: format!(
-                "line {}, column {}",
-                error.line_display(),
-                error.column_display()
-            ),
-            reason: error.kind().to_string(),
-            remedy: "correct the syntax; the format is JSON with comments".into(),
-        })?;
+        jsonc_parser::parse_to_serde_value(text, &OPTIONS).map_err(|error| syntax(&error))?;
     serde_path_to_error::deserialize(value).map_err(|error| Problem {
         path: error.path().to_string(),
         reason: error.inner().to_string(),
@@ -52,6 +62,25 @@
     })
 }
 
+fn syntax(error: &ParseError) -> Problem {
+    let (line, column) = (error.line_display(), error.column_display());
+    Problem {
+        path: format!("line {line}, column {column}"),
+        reason: error.kind().to_string(),
+        remedy: "correct the syntax; the format is JSON with comments".into(),
+    }
+}
+
+/// The mistake of a file whose bytes are not text.
+#[must_use]
+pub fn not_utf8(error: &std::string::FromUtf8Error) -> Problem {
+    Problem {
+        path: format!("byte {}", error.utf8_error().valid_up_to()),
+        reason: "the bytes are not UTF-8".into(),
+        remedy: "save the file as UTF-8".into(),
+    }
+}
+
 /// SHA-256 of a text, in hexadecimal.
 #[must_use]
 pub fn digest(text: &str) -> Arc<str> {
--- /dev/null
+++ b/crates/adapters/tests/document_text.rs
@@ -0,0 +1,187 @@
+//! Mistakes in the text of documents: each is refused with its path, a reason and a remedy.
+
+#![allow(clippy::panic, reason = "tests fail loudly")]
+
+use rosemaryscale_adapters::document_text::{self, TEXT_MAX_BYTES};
+use rosemaryscale_domain::document::Problem;
+
+const DOCUMENT: &str = include_str!("../../../examples/kalahari/document.jsonc");
+
+fn problems(text: &str) -> Vec<Problem> {
+    match document_text::parse(text).and_then(|document| document.check()) {
+        Ok(_) => Vec::new(),
+        Err(problems) => problems,
+    }
+}
+
+/// The example with one part replaced.
+fn changed(from: &str, to: &str) -> String {
+    assert!(DOCUMENT.contains(from), "the example has no {from}");
+    DOCUMENT.replacen(from, to, 1)
+}
+
+fn assert_refused(text: &str, path: &str, reason: &str) {
+    let problems = problems(text);
+    let found = problems
+        .iter()
+        .find(|problem| problem.path.contains(path) && problem.reason.contains(reason));
+    let found = found.unwrap_or_else(|| panic!("{path}: {reason} is not in {problems:?}"));
+    assert!(!found.remedy.is_empty(), "{found:?}");
+}
+
+/// Guards against checks that refuse the example, which the other cases change.
+#[test]
+fn the_example_is_accepted() {
+    assert_eq!(problems(DOCUMENT), []);
+}
+
+/// Guards against slips of the syntax that are read as something that nobody meant.
+#[test]
+fn malformed_texts_are_refused_where_the_mistake_is() {
+    assert_refused("", "document", "empty");
+    assert_refused(" // only a comment\n", "document", "empty");
+    assert_refused("{", "line 1", "");
+    assert_refused("{} {}", "line 1", "");
+    let missing_comma = changed("\"slots_per_instance\": 8,", "\"slots_per_instance\": 8");
+    assert_refused(&missing_comma, "line ", "comma");
+    let hexadecimal = changed("\"slots_per_instance\": 8,", "\"slots_per_instance\": 0x8,");
+    assert_refused(&hexadecimal, "line ", "exadecimal");
+    assert_refused("[]", "", "list");
+    let list = changed("{ \"spare_instances\": 1 }", "[1]");
+    assert_refused(&list, "environments.trial", "list");
+    let list = changed(
+        "{ \"method\": \"GET\", \"path_prefix\": \"/\" }",
+        "[\"GET\", \"/\"]",
+    );
+    assert_refused(&list, "services.quotes.repeatable", "list");
+    assert_refused("nul", "line 1", "");
+}
+
+/// Guards against a second value that silently replaces the first one.
+#[test]
+fn names_that_appear_twice_are_refused() {
+    let twice = changed(
+        "\"slots_per_instance\": 8,",
+        "\"slots_per_instance\": 8, \"slots_per_instance\": 9,",
+    );
+    assert_refused(&twice, "services.quotes.slots_per_instance", "twice");
+    let service = changed(
+        "\"dispatch\": {\n      \"pool\"",
+        "\"quotes\": {\n      \"pool\"",
+    );
+    assert_refused(&service, "services.quotes", "twice");
+}
+
+/// Guards against texts that exhaust the stack or the memory of a daemon.
+#[test]
+fn deep_nesting_and_long_texts_are_refused() {
+    for depth in [20, 400, 100_000] {
+        let deep = "[".repeat(depth) + &"]".repeat(depth);
+        assert!(!problems(&deep).is_empty(), "{depth}");
+        let deep = "{\"a\":".repeat(depth) + "1" + &"}".repeat(depth);
+        assert!(!problems(&deep).is_empty(), "{depth}");
+    }
+    let long = format!("{DOCUMENT}//{}", "x".repeat(TEXT_MAX_BYTES));
+    assert_refused(&long, "document", "bytes");
+}
+
+/// Guards against numbers that are cut, rounded or wrapped instead of refused.
+#[test]
+fn numbers_that_do_not_fit_are_refused() {
+    for value in [
+        "-1",
+        "1.5",
+        "4294967296",
+        "18446744073709551616",
+        "99999999999999999999999999999999",
+        "\"8\"",
+        "null",
+        "true",
+        "[8]",
+    ] {
+        let text = changed(
+            "\"slots_per_instance\": 8",
+            &format!("\"slots_per_instance\": {value}"),
+        );
+        assert_refused(&text, "services.quotes.slots_per_instance", "");
+    }
+    let text = changed("\"slots_per_instance\": 8", "\"slots_per_instance\": 1e400");
+    assert_refused(&text, "line ", "out of range");
+    for value in ["0", "86400001"] {
+        let text = changed(
+            "\"request_limit_ms\": 15000",
+            &format!("\"request_limit_ms\": {value}"),
+        );
+        assert_refused(&text, "services.quotes.request_limit_ms", "");
+    }
+    let huge = changed("\"min_instances\": 6", "\"min_instances\": 4000000000");
+    assert_refused(&huge, "pools.quotes.min_instances", "");
+}
+
+/// Guards against a misspelt field that has no effect, and against a missing one that gets a default.
+#[test]
+fn unknown_and_missing_fields_are_refused() {
+    let misspelt = changed("\"queue_limit\": 2000", "\"queue_limits\": 2000");
+    assert_refused(&misspelt, "services.quotes", "queue_limits");
+    let missing = changed("      \"default_class\": \"normal\",\n", "");
+    assert_refused(&missing, "services.quotes", "default_class");
+    assert_refused(
+        &changed("\"format\": 1", "\"format\": 2"),
+        "format",
+        "not known",
+    );
+}
+
+/// Guards against names that break keys, URLs or headers.
+#[test]
+fn names_that_cannot_be_parts_of_keys_urls_and_headers_are_refused() {
+    let long = "x".repeat(64);
+    for name in [
+        "",
+        "a/b",
+        "a b",
+        "Trial",
+        "tri\u{e4}l",
+        "-a",
+        "a-",
+        "a\\nb",
+        "..",
+        "a%2fb",
+        &long,
+    ] {
+        let environment = changed("\"trial\":", &format!("\"{name}\":"));
+        assert_refused(&environment, "environments.", "the name");
+        let pool = changed("\"quotes\": { \"min", &format!("\"{name}\": {{ \"min"));
+        assert_refused(&pool, "pools.", "the name");
+        let class = changed("\"urgent\": {", &format!("\"{name}\": {{"));
+        assert_refused(&class, "services.quotes.classes.", "the name");
+        let service = changed("\"quotes\": {\n", &format!("\"{name}\": {{\n"));
+        assert_refused(&service, "services.", "the name");
+    }
+}
+
+/// Guards against limits that contradict each other.
+#[test]
+fn values_that_contradict_each_other_are_refused() {
+    let pool = changed("\"pool\": \"dispatch\"", "\"pool\": \"quotes\"");
+    assert_refused(&pool, "services.quotes.pool", "already runs");
+    let pool = changed("\"pool\": \"dispatch\"", "\"pool\": \"none\"");
+    assert_refused(&pool, "services.dispatch.pool", "does not exist");
+    let minimum = changed("\"min_instances\": 6", "\"min_instances\": 18");
+    assert_refused(
+        &minimum,
+        "pools.quotes.min_instances",
+        "above max_instances",
+    );
+    let deadline = changed(
+        "\"default_deadline_ms\": 5000",
+        "\"default_deadline_ms\": 15001",
+    );
+    assert_refused(
+        &deadline,
+        "services.quotes.default_deadline_ms",
+        "above request_limit_ms",
+    );
+    let floors = changed("\"floor_ppm\": 200000", "\"floor_ppm\": 700000");
+    assert_refused(&floors, "services.quotes.classes", "add up");
+}
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -7,9 +7,13 @@
 use rosemaryscale_adapters::document_text;
 use rosemaryscale_adapters::log::LogFormat;
 use rosemaryscale_domain::document::Problem;
+use rosemaryscale_domain::name;
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 
+/// Peers that settings may list; a few reachable ones are enough for a start.
+const PEERS_MAX: usize = 64;
+
 /// Settings of a daemon.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -90,7 +94,10 @@
     /// Fails when the file cannot be read or has a mistake.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).context(ReadSnafu { path: name })?;
+        let bytes = std::fs::read(path).context(ReadSnafu { path: name })?;
+        let text = String::from_utf8(bytes).map_err(|error| ConfigError::Invalid {
+            problem: document_text::not_utf8(&error),
+        })?;
         Self::parse(&text)
     }
 
@@ -102,20 +109,77 @@
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
         let config: Self = document_text::parse_fields(text)
             .map_err(|problem| ConfigError::Invalid { problem })?;
-        for (path, value) in [
-            ("name", &config.name),
-            ("environment", &config.environment),
-            ("availability_zone", &config.availability_zone),
-        ] {
-            if value.is_empty() || value.contains('/') {
-                let problem = Problem {
-                    path: path.into(),
-                    reason: format!("\"{value}\" is empty or has a slash"),
-                    remedy: "use letters, digits and hyphens".into(),
-                };
-                return Err(ConfigError::Invalid { problem });
+        match config.mistake() {
+            Some(problem) => Err(ConfigError::Invalid { problem }),
+            None => Ok(config),
+        }
+    }
+
+    /// The first value that cannot be used.
+    fn mistake(&self) -> Option<Problem> {
+        self.name_mistake()
+            .or_else(|| self.address_mistake())
+            .or_else(|| self.peer_mistake())
+    }
+
+    fn name_mistake(&self) -> Option<Problem> {
+        let names = [
+            ("name", &self.name),
+            ("environment", &self.environment),
+            ("availability_zone", &self.availability_zone),
+        ];
+        names.into_iter().find_map(|(path, value)| {
+            let reason = name::mistake(value)?;
+            Some(problem(path, reason, name::NAME_REMEDY))
+        })
+    }
+
+    fn address_mistake(&self) -> Option<Problem> {
+        let own = [
+            ("caller_address", self.caller_address),
+            ("operator_address", self.operator_address),
+            ("peer_address", self.peer_address),
+        ];
+        for (index, (path, address)) in own.iter().enumerate() {
+            if address.port() == 0 {
+                return Some(problem(path, "the port is 0".into(), "name a free port"));
             }
+            if let Some((other, _)) = own[..index].iter().find(|(_, other)| other == address) {
+                let reason = format!("{address} is also the {other}");
+                return Some(problem(path, reason, "give each server a port of its own"));
+            }
+        }
+        // Other daemons and the tool connect to the addresses of the member record.
+        let unspecified = own[1..]
+            .iter()
+            .find(|(_, address)| address.ip().is_unspecified());
+        unspecified.map(|(path, address)| {
+            let reason = format!("others cannot connect to {address}");
+            problem(path, reason, "name the address of this instance")
+        })
+    }
+
+    fn peer_mistake(&self) -> Option<Problem> {
+        if self.peers.len() > PEERS_MAX {
+            let reason = format!("{} peers are listed", self.peers.len());
+            return Some(problem(
+                "peers",
+                reason,
+                "list 64 at most; a few are enough",
+            ));
         }
-        Ok(config)
+        let own = |address: &SocketAddr| *address == self.peer_address;
+        let index = self.peers.iter().position(own)?;
+        let path = format!("peers[{index}]");
+        let reason = "this is the daemon's own peer_address".into();
+        Some(problem(&path, reason, "list other daemons only"))
+    }
+}
+
+fn problem(path: &str, reason: String, remedy: &str) -> Problem {
+    Problem {
+        path: path.into(),
+        reason,
+        remedy: remedy.into(),
     }
 }
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -157,3 +157,36 @@
     std::fs::remove_file(file).expect("the file exists");
     harness.stop().await;
 }
+
+/// Guards against a refused document that changes something, and against a document without the
+/// daemon's environment.
+#[tokio::test]
+async fn a_refused_document_changes_nothing() {
+    let harness = start(1).await;
+    harness.apply(DOCUMENT).await;
+    let daemon = [harness.operator_address(0)];
+    let elsewhere = DOCUMENT.replace("\"production\"", "\"staging\"");
+    let typed = DOCUMENT.replace("\"format\": 1", "\"format\": \"1\"");
+    let documents = [
+        (elsewhere.into_bytes(), "environments"),
+        (typed.into_bytes(), "format"),
+        (Vec::new(), "empty"),
+        (vec![b'{', 0xff], "UTF-8"),
+    ];
+    let file = document_file(&harness, "");
+    for (bytes, reason) in documents {
+        std::fs::write(&file, bytes).expect("the file is writable");
+        for command in ["check", "apply"] {
+            let words = [command, file.to_str().expect("the path is text")];
+            let (status, text) = operator(&daemon, &words).await;
+            assert_eq!(status, ExitStatus::Refused, "{text}");
+            assert!(text.contains(reason), "{text}");
+        }
+    }
+    std::fs::remove_file(&file).expect("the file exists");
+    let history = harness.operate(0, Method::GET, "/v1/history", None).await;
+    let history = history.expect("the daemon replies").json();
+    assert_eq!(history["changes"].as_array().map(Vec::len), Some(1));
+    assert_eq!(own_status(&harness, 0).await["version"], 1);
+    harness.stop().await;
+}
--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -186,10 +186,17 @@
             ..faults
         })
         .await;
-    let stuck = put(&harness, 1, request(&variant(3), "stuck", None));
-    let spread = wait_for_version(&harness, 1, 2);
-    let (stuck, ()) = tokio::join!(stuck, spread);
-    assert_ne!(stuck.0, StatusCode::OK, "{}", stuck.1);
+    // Changes are always under way, so a task that waited for them would never take the version.
+    let stuck = async {
+        loop {
+            let (status, body) = put(&harness, 1, request(&variant(3), "stuck", None)).await;
+            assert_ne!(status, StatusCode::OK, "{body}");
+        }
+    };
+    tokio::select! {
+        () = stuck => {}
+        () = wait_for_version(&harness, 1, 2) => {}
+    }
     harness.platform.set_faults(Faults::default()).await;
     harness.stop().await;
 }
--- a/crates/domain/src/document.rs
+++ b/crates/domain/src/document.rs
@@ -6,6 +6,7 @@
 
 use crate::prelude::*;
 
+pub mod bounds;
 mod check;
 
 pub use check::Problem;
@@ -167,7 +168,13 @@
     ///
     /// Returns every problem found, each with its path, reason and remedy.
     pub fn check(self) -> Result<Document<Checked>, Vec<Problem>> {
-        let problems = check::problems(&self.fields);
+        let mut problems = check::problems(&self.fields);
+        for problem in bounds::problems(&self.fields) {
+            // A value of 0 has a more specific reason in some checks.
+            if !problems.iter().any(|known| known.path == problem.path) {
+                problems.push(problem);
+            }
+        }
         if problems.is_empty() {
             Ok(self.with_state(Checked))
         } else {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod key;
 pub mod map;
 pub mod millis;
+pub mod name;
 pub mod outcome;
 pub mod prelude;
 pub mod promotion;
