Add reference, operations and glossary pages, checked against the code

Cause: settings, document fields, operator calls and exit codes were described only in the code; the slow-platform test passed with a task that waits for changes, because each stuck change ended before the bound of the test. Ruled out: generating the page from the code, since units, defaults and reasons are prose. Change: docs/reference.md, docs/operations.md, docs/glossary.md; a test compares the reference with the fields that the decoders know, the bounds table, the endpoints, headers, kinds, commands and options. The slow-platform test now requires that a peer's version comes into force while one change of three slow calls is still under way. Before: no page. Conclusion: a field that is added or renamed fails the test until the page follows.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -186,7 +186,7 @@
         ),
         (
             "within",
-            "apply, promote with --wait: how long to wait (default 19)",
+            "apply, promote: how long to wait (default 19)",
             "SECONDS",
         ),
         (
--- /dev/null
+++ b/crates/daemon/tests/reference.rs
@@ -0,0 +1,207 @@
+//! The reference page against the code, so that it cannot go stale.
+
+#![allow(clippy::expect_used, clippy::panic, reason = "tests fail loudly")]
+
+use std::collections::BTreeSet;
+
+use rosemaryscale_adapters::document_text;
+use rosemaryscale_cli::cli::{self, Command};
+use rosemaryscale_daemon::Config;
+use rosemaryscale_domain::document::bounds::{self, Bound};
+
+const REFERENCE: &str = include_str!("../../../docs/reference.md");
+const DOCUMENT: &str = include_str!("../../../examples/kalahari/document.jsonc");
+const SETTINGS: &str = include_str!("../../../examples/kalahari/entry-1.jsonc");
+
+/// Text of the section under a heading, up to the next heading.
+fn section(heading: &str) -> &'static str {
+    let start = REFERENCE
+        .find(&format!("\n{heading}\n"))
+        .unwrap_or_else(|| panic!("{heading}"));
+    let rest = &REFERENCE[start + heading.len() + 2..];
+    rest.split("\n#").next().unwrap_or(rest)
+}
+
+/// Names in the first column of a section's table.
+fn rows(heading: &str) -> BTreeSet<&'static str> {
+    let lines = section(heading).lines();
+    lines
+        .filter_map(|line| line.strip_prefix("| `")?.split('`').next())
+        .collect()
+}
+
+/// The fields that a decoder names when it meets an unknown one.
+fn expected_fields(message: &str) -> BTreeSet<String> {
+    let (_, list) = message
+        .split_once("expected")
+        .expect("the message lists the fields");
+    list.split('`')
+        .skip(1)
+        .step_by(2)
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Fields of the object that starts after `anchor` in the document.
+fn document_fields(anchor: &str) -> BTreeSet<String> {
+    let text = DOCUMENT.replacen(anchor, &format!("{anchor} \"zzz\": 0,"), 1);
+    let problems = document_text::parse(&text).expect_err("an unknown field is refused");
+    expected_fields(&problems[0].reason)
+}
+
+fn settings_fields(text: &str) -> BTreeSet<String> {
+    expected_fields(
+        &Config::parse(text)
+            .expect_err("an unknown field is refused")
+            .to_string(),
+    )
+}
+
+fn assert_documented(heading: &str, fields: &BTreeSet<String>) {
+    let fields: BTreeSet<&str> = fields.iter().map(String::as_str).collect();
+    assert_eq!(rows(heading), fields, "{heading}");
+}
+
+/// Guards against document fields that the page lacks, and rows for fields that are gone.
+#[test]
+fn the_page_has_exactly_the_fields_of_the_document() {
+    assert_documented("## Document", &document_fields("{\n"));
+    assert_documented(
+        "### `environments.<environment>`",
+        &document_fields("\"trial\": {"),
+    );
+    assert_documented("### `pools.<pool>`", &document_fields("\"quotes\": {"));
+    assert_documented(
+        "### `services.<service>`",
+        &document_fields("\"quotes\": {\n"),
+    );
+    assert_documented(
+        "### `services.<service>.classes.<class>`",
+        &document_fields("\"urgent\": {"),
+    );
+    assert_documented(
+        "### `services.<service>.repeatable[]`",
+        &document_fields("\"repeatable\": [{"),
+    );
+}
+
+/// Guards against settings that the page lacks, and rows for settings that are gone.
+#[test]
+fn the_page_has_exactly_the_settings() {
+    let insert =
+        |anchor: &str, field: &str| SETTINGS.replacen(anchor, &format!("{anchor} {field}"), 1);
+    assert_documented(
+        "## Settings of a daemon",
+        &settings_fields(&insert("{\n", "\"zzz\": 0,")),
+    );
+    assert_documented(
+        "### `platform`",
+        &settings_fields(&insert("\"platform\": {", "\"zzz\": 0,")),
+    );
+    assert_documented(
+        "### `log`",
+        &settings_fields(&insert("{\n", "\"log\": { \"zzz\": 0 },")),
+    );
+}
+
+/// Guards against bounds on the page that the checks do not have.
+#[test]
+fn the_page_has_the_bounds_of_the_checks() {
+    let tables: [(&str, &[Bound]); 4] = [
+        (
+            "### `environments.<environment>`",
+            &[bounds::SPARE_INSTANCES],
+        ),
+        ("### `pools.<pool>`", &bounds::POOL),
+        ("### `services.<service>`", &bounds::SERVICE),
+        ("### `services.<service>.classes.<class>`", &bounds::CLASS),
+    ];
+    for (heading, bounds) in tables {
+        for Bound { field, min, max } in bounds {
+            let row = format!("| `{field}` | {min} to {max} |");
+            assert!(section(heading).contains(&row), "{heading} lacks {row}");
+        }
+    }
+}
+
+/// Literals of a source text that look like names on the wire.
+fn literals(source: &str) -> BTreeSet<&str> {
+    let wire = |text: &&str| {
+        !text.is_empty()
+            && text
+                .bytes()
+                .all(|b| b.is_ascii_lowercase() || b"_-".contains(&b))
+    };
+    source.split('"').skip(1).step_by(2).filter(wire).collect()
+}
+
+/// Guards against headers, problem kinds and calls that the page lacks.
+#[test]
+fn the_page_has_the_headers_kinds_and_calls_of_the_apis() {
+    let caller_api = include_str!("../../adapters/src/caller_api.rs");
+    let headers = literals(caller_api);
+    let headers = headers
+        .iter()
+        .filter(|name| name.starts_with("x-") || name.contains("-key"));
+    for header in headers {
+        assert!(rows("## Callers").contains(header), "{header}");
+    }
+    let problems = include_str!("../../adapters/src/problem.rs");
+    let kinds: Vec<&str> = literals(problems)
+        .into_iter()
+        .filter(|name| name.contains('_'))
+        .collect();
+    assert!(kinds.contains(&"not_run"), "{kinds:?}");
+    for kind in kinds {
+        assert!(rows("## Callers").contains(kind), "{kind}");
+    }
+    let operator_api = include_str!("../../adapters/src/operator_api.rs");
+    for endpoint in operator_api.split("#[endpoint { method = ").skip(1) {
+        let (method, rest) = endpoint.split_once(',').expect("a method");
+        let path = rest.split('"').nth(1).expect("a path");
+        let row = format!("| `{method} {path}` |");
+        assert!(section("### HTTP calls").contains(&row), "{row}");
+    }
+    let refuse = operator_api
+        .split("fn refuse(")
+        .nth(1)
+        .expect("the function exists");
+    let refuse = refuse.split("let winner").next().expect("the kinds");
+    let kinds = literals(refuse);
+    assert!(kinds.contains("conflict"), "{kinds:?}");
+    for kind in kinds {
+        assert!(rows("### HTTP calls").contains(kind), "{kind}");
+    }
+}
+
+/// Guards against commands and options that the page lacks.
+#[test]
+fn the_page_has_the_commands_and_options_of_the_tool() {
+    let Ok(Command::Help(help)) = cli::parse(["--help".to_owned()]) else {
+        panic!("--help prints the help");
+    };
+    let options: BTreeSet<&str> = help
+        .lines()
+        .filter_map(|line| line.trim_start().split("--").nth(1)?.split(' ').next())
+        .collect();
+    let rows: BTreeSet<&str> = rows("### Command line")
+        .into_iter()
+        .map(|row| row.trim_start_matches("--"))
+        .collect();
+    assert_eq!(rows, options);
+    let commands = help
+        .split("Commands:")
+        .nth(1)
+        .and_then(|text| text.split("\n\n").next());
+    for line in commands
+        .expect("the help lists commands")
+        .lines()
+        .filter(|line| !line.is_empty())
+    {
+        let command = line.split_whitespace().next().expect("a command");
+        assert!(
+            section("### Command line").contains(&format!("`{command}")),
+            "{command}"
+        );
+    }
+}
--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -1,5 +1,7 @@
 //! Roll-out of documents through daemon processes, with faults of the platform and of daemons.
 
+#![allow(clippy::panic, reason = "tests fail loudly")]
+
 use std::time::Instant;
 
 use http::{Method, StatusCode};
@@ -179,24 +181,23 @@
     };
     harness.platform.set_faults(faults.clone()).await;
     put(&harness, 0, request(&variant(2), "first", None)).await;
-    harness
-        .platform
-        .set_faults(Faults {
-            silent: true,
-            ..faults
-        })
-        .await;
-    // Changes are always under way, so a task that waited for them would never take the version.
-    let stuck = async {
-        loop {
-            let (status, body) = put(&harness, 1, request(&variant(3), "stuck", None)).await;
-            assert_ne!(status, StatusCode::OK, "{body}");
+    // The change needs three calls of 1.4 s; a round of digests takes place every 2 s.
+    let slow = Faults {
+        delay_ms: 1_400,
+        ..faults
+    };
+    harness.platform.set_faults(slow).await;
+    let (status, body) = {
+        let change = put(&harness, 1, request(&variant(3), "slow", None));
+        tokio::pin!(change);
+        tokio::select! {
+            () = wait_for_version(&harness, 1, 2) => {}
+            (status, body) = &mut change => panic!("the change came first: {status} {body}"),
         }
+        change.await
     };
-    tokio::select! {
-        () = stuck => {}
-        () = wait_for_version(&harness, 1, 2) => {}
-    }
+    assert_eq!(status, StatusCode::OK, "{body}");
+    assert_eq!(body["version"], 3);
     harness.platform.set_faults(Faults::default()).await;
     harness.stop().await;
 }
