Refuse a change id that was used for another document

Cause: a repeated change id reported "accepted" whatever document came with it, so an operator who reused an id was told that a document is accepted which is not. Author and change id had no bound, although each is kept in up to 200 history records. Ruled out: comparing the digest of a promotion, whose source may have moved on when it is repeated; its first effect is reported. Change: the proposal's digest is compared with the accepted one; change id and author have 1 to 128 bytes without control characters; the source of a promotion is a name. Before: the test the_tool_goes_on_at_the_next_daemon fails with the comparison taken out. Conclusion: "accepted" is said only of the document that was sent.

--- a/crates/daemon/src/rollout/change.rs
+++ b/crates/daemon/src/rollout/change.rs
@@ -21,6 +21,9 @@
 /// Wait before a call that follows a failed one, multiplied by the number of failures.
 const RETRY_WAIT: Duration = Duration::from_millis(100);
 
+/// Longest change id and author; each is kept in up to 200 history records.
+const CHANGE_TEXT_MAX_BYTES: usize = 128;
+
 /// What the operations on the store need; each runs in a task of its own, so that a slow platform
 /// delays only the operator who asked.
 #[derive(Clone)]
@@ -57,6 +60,19 @@
     pub(super) conditions: Vec<Compare>,
 }
 
+/// Refuses texts that would bloat the history or garble its display.
+pub(super) fn check_text(field: &str, text: &str) -> Result<(), ApplyError> {
+    let printable = text.chars().all(|character| !character.is_control());
+    if printable && (1..=CHANGE_TEXT_MAX_BYTES).contains(&text.len()) {
+        return Ok(());
+    }
+    Err(ApplyError::Refused {
+        reason: format!(
+            "{field} must have 1 to {CHANGE_TEXT_MAX_BYTES} bytes and no control characters"
+        ),
+    })
+}
+
 impl Operations {
     /// Accepts a document of an operator.
     pub(super) async fn apply(
@@ -64,6 +80,8 @@
         request: ApplyRequest,
         known_version: u64,
     ) -> Result<Change, ApplyError> {
+        check_text("change_id", &request.change_id)?;
+        check_text("author", &request.author)?;
         let document = self.check(&request.text)?;
         let new = NewDocument {
             document,
@@ -125,17 +143,20 @@
 
     fn finish(&self, end: ProposalEnd, document: &Document<Checked>) -> Result<Change, ApplyError> {
         match end {
-            ProposalEnd::Accepted { version, digest } => {
-                let same = digest == document.digest;
-                Ok(Change {
-                    applied: Applied {
-                        environment: Arc::clone(&self.environment),
-                        version,
-                        digest,
-                    },
-                    document: same.then(|| Arc::new(document.clone().accept(version))),
-                })
-            }
+            ProposalEnd::Accepted { version, digest } if digest == document.digest => Ok(Change {
+                applied: Applied {
+                    environment: Arc::clone(&self.environment),
+                    version,
+                    digest,
+                },
+                document: Some(Arc::new(document.clone().accept(version))),
+            }),
+            ProposalEnd::Accepted { version, .. } => Err(ApplyError::Refused {
+                reason: format!(
+                    "this change id was accepted as version {version} with another document; use a \
+                     new change id"
+                ),
+            }),
             ProposalEnd::Conflict { winner, version } => Err(ApplyError::Conflict {
                 winner: winner.map(config_record::report),
                 version,
--- a/crates/daemon/src/rollout/promote.rs
+++ b/crates/daemon/src/rollout/promote.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rosemaryscale_domain::name;
 use rosemaryscale_domain::promotion::{MemberState, PromotionView};
 use rosemaryscale_ports::config::ApplyError;
 use rosemaryscale_ports::kv::{Compare, KeyRange, KvError, KvResult};
@@ -11,7 +12,7 @@
 use rosemaryscale_ports::peer::{ConfigDigest, PeerReply, PeerRequest};
 use tokio::task::JoinSet;
 
-use super::change::{Change, NewDocument, Operations};
+use super::change::{Change, NewDocument, Operations, check_text};
 use crate::config_record::{self, ConfigKeys};
 
 impl Operations {
@@ -29,6 +30,17 @@
                 ),
             });
         }
+        check_text("change_id", &request.change_id)?;
+        check_text("author", &request.author)?;
+        if let Some(reason) = name::mistake(&request.source) {
+            return Err(ApplyError::Refused {
+                reason: format!(
+                    "source \"{}\": {reason}; {}",
+                    request.source,
+                    name::NAME_REMEDY
+                ),
+            });
+        }
         // A repeated request must report the first effect, whatever the source environment has now.
         if let Some(change) = self.earlier_effect(&request).await? {
             return Ok(change);
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -124,7 +124,8 @@
     harness.stop().await;
 }
 
-/// Guards against a tool that gives up, or changes twice, when the first daemon it names is gone.
+/// Guards against a tool that gives up, or changes twice, when the first daemon it names is gone, and
+/// against a repeated change id that is reported as accepted with another document.
 #[tokio::test]
 async fn the_tool_goes_on_at_the_next_daemon() {
     let mut harness = start(2).await;
@@ -141,6 +142,17 @@
         assert_eq!(status, ExitStatus::Done, "{text}");
         assert!(text.contains("\"version\": 2"), "{text}");
     }
+    std::fs::write(file, variant(3)).expect("the file is writable");
+    let (status, text) = operator(&daemons, &apply).await;
+    assert_eq!(status, ExitStatus::Refused, "{text}");
+    assert!(text.contains("new change id"), "{text}");
+    let author = "x".repeat(129);
+    for refused in ["", "a\nb", &author] {
+        let (status, text) = operator(&daemons, &["apply", file, "--author", refused]).await;
+        assert_eq!(status, ExitStatus::Refused, "{text}");
+    }
+    let (status, text) = operator(&daemons, &["promote", "--from", "../trial"]).await;
+    assert_eq!(status, ExitStatus::Refused, "{text}");
     let (status, text) = operator(&daemons, &["history"]).await;
     assert_eq!(status, ExitStatus::Done, "{text}");
     assert_eq!(text.matches("\"version\"").count(), 2, "{text}");
