--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod cli;
 pub mod config;
+pub mod config_record;
 pub mod controller;
 pub mod daemon;
 pub mod dispatcher;
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -1,12 +1,13 @@
 //! The peer port: calls between daemons.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::event::Event;
+use crate::event::{Event, EventFilter};
 use crate::fleet::{FleetError, FleetOperation, InFlightReport, PoolsReport};
 use crate::operator::DaemonStatus;
 
@@ -14,6 +15,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ConfigDigest {
+    /// Environment of the daemon; a digest of another environment is ignored.
+    #[serde(default)]
+    pub environment: Arc<str>,
     /// Version; 0 if none.
     pub version: u64,
     /// Digest; empty if none.
@@ -24,6 +28,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ConfigText {
+    /// Environment of the daemon that has it in force.
+    #[serde(default)]
+    pub environment: Arc<str>,
     /// Version.
     pub version: u64,
     /// Text.
@@ -57,6 +64,9 @@
     Timeline {
         /// Events at most.
         limit: usize,
+        /// Which events.
+        #[serde(default)]
+        filter: EventFilter,
     },
     /// Ask what the peer has in flight on an instance.
     InFlight {
@@ -123,6 +133,9 @@
 pub struct PeerCall {
     /// Name of the peer.
     pub to: Arc<str>,
+    /// Address of the peer if it is not a member of this environment; a member's address is that of
+    /// its record.
+    pub address: Option<SocketAddr>,
     /// The call.
     pub request: PeerRequest,
     /// Where the reply goes.
@@ -160,6 +173,29 @@
     ///
     /// Fails when the peer does not answer.
     pub async fn call(&self, to: Arc<str>, request: PeerRequest) -> Result<PeerReply, PeerError> {
+        self.send(to, None, request).await
+    }
+
+    /// Calls a daemon that is not a member of this environment, or not yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not answer.
+    pub async fn call_at(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+    ) -> Result<PeerReply, PeerError> {
+        self.send(address.to_string().into(), Some(address), request)
+            .await
+    }
+
+    async fn send(
+        &self,
+        to: Arc<str>,
+        address: Option<SocketAddr>,
+        request: PeerRequest,
+    ) -> Result<PeerReply, PeerError> {
         let (reply, result) = oneshot::channel();
         let name = Arc::clone(&to);
         let unreachable = |reason: &str| PeerError::Unreachable {
@@ -167,7 +203,12 @@
             reason: reason.into(),
         };
         self.calls
-            .send(PeerCall { to, request, reply })
+            .send(PeerCall {
+                to,
+                address,
+                request,
+                reply,
+            })
             .await
             .map_err(|_| unreachable("the peer link has stopped"))?;
         result
