Add the state machine of claims for keyed requests

Cause: requests with an idempotency key were dispatched like any other, so a retry at another daemon ran again.

Change: key and age check, shard and bucket, binary records, typestate Requested -> Held | Following -> Settled, group commit with one CAS in flight per shard and a write budget for all daemons, read-back by nonce, release of claims whose request was not run, joins, peer look-up, bounded outcomes and waiting requests, deletion of expired buckets.

--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -19,4 +19,8 @@
     pub struct DaemonKey;
     /// Key of a job.
     pub struct JobKey;
+    /// Key of a claim in its daemon's table.
+    pub struct ClaimKey;
+    /// Key of a request that waits for the outcome of a claim.
+    pub struct WaiterKey;
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(deadline.ms_since(arrived), 250);
 //! ```
 
+pub mod claim;
 pub mod connection;
 pub mod dispatch;
 pub mod document;
--- a/crates/domain/src/outcome.rs
+++ b/crates/domain/src/outcome.rs
@@ -44,7 +44,8 @@
 
 /// Proof that a request was not run.
 ///
-/// Only [`crate::request::Request`] can make one, in a state that rules out execution.
+/// Only [`crate::request::Request`] and [`crate::claim::Claim`] can make one, in a state that rules
+/// out execution.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotRun {
     reason: NotRunReason,
--- /dev/null
+++ b/crates/domain/tests/claim/model/network.rs
@@ -0,0 +1,215 @@
+//! The store, dispatchers and peers of the model.
+
+use rand::Rng;
+use rosemaryscale_domain::claim::{
+    Answer, Ended, Lookup, Nonce, PeerAnswer, PeerState, ReadResult, ShardId, ShardValue,
+    WriteResult,
+};
+use rosemaryscale_domain::outcome::{NotRunReason, OutcomeUnknown, UnknownReason};
+use rosemaryscale_domain::prelude::*;
+
+use super::{
+    CALL_TIMEOUT_MS, Event, Outcome, PEER_TIMEOUT_MS, Process, Question, Submission, World, refused,
+};
+
+impl World {
+    pub(super) fn store_read(&mut self, process: Process, shard: ShardId) {
+        let result = if self.store_down {
+            ReadResult::Failed
+        } else {
+            match self.store.get(&shard) {
+                None => ReadResult::Absent,
+                Some((revision, value)) => {
+                    ReadResult::Found(*revision, ShardValue::decode(value).expect("a value"))
+                }
+            }
+        };
+        let back_ms = self.rng.random_range(0..=self.store_delay_ms);
+        self.after(back_ms, Event::ReadDone(process, shard, result));
+    }
+
+    /// The caller of a slow or lost write gives up after its time-out; the write may come later.
+    pub(super) fn store_write(
+        &mut self,
+        process: Process,
+        shard: ShardId,
+        revision: u64,
+        value: Vec<u8>,
+        lost: bool,
+    ) {
+        if self.store_down {
+            let result = WriteResult::Failed;
+            self.after(0, Event::WriteDone(process, shard, result));
+            return;
+        }
+        if lost && self.rng.random_bool(0.3) {
+            // The write is still on its way when its caller gives up.
+            let late_ms = CALL_TIMEOUT_MS + self.rng.random_range(0..3_000);
+            self.after(
+                late_ms,
+                Event::StoreWrite((process.0, u32::MAX), shard, revision, value, true),
+            );
+            let result = WriteResult::Unknown;
+            self.after(CALL_TIMEOUT_MS, Event::WriteDone(process, shard, result));
+            return;
+        }
+        let found = self.store.get(&shard).map_or(0, |(revision, _)| *revision);
+        let mut result = WriteResult::Conflict;
+        if found == revision {
+            self.revision += 1;
+            self.store.insert(shard, (self.revision, value));
+            result = WriteResult::Written(self.revision);
+        }
+        if lost {
+            result = WriteResult::Unknown;
+        }
+        let back_ms = self.rng.random_range(0..=self.store_delay_ms);
+        self.after(back_ms, Event::WriteDone(process, shard, result));
+    }
+
+    pub(super) fn run(&mut self, process: Process, claim: ClaimKey, deadline: Millis) {
+        let (key, digest) = self.daemons[process.0].payloads[&claim];
+        let refused_now = self.rng.random_ratio(self.refuse_ppm, 1_000_000);
+        if refused_now || self.now >= deadline {
+            assert!(
+                !self.runs.contains_key(&key),
+                "not_run, but the key had run"
+            );
+            let ended = if self.rng.random_bool(0.8) {
+                Ended::NotRun(refused(NotRunReason::QueueFull))
+            } else {
+                Ended::Withdrawn(NotRunReason::Stopping)
+            };
+            return self.after(1, Event::Ended(process, claim, ended));
+        }
+        let runs = self.runs.entry(key).or_default();
+        *runs += 1;
+        assert_eq!(*runs, 1, "{key:?} ran twice");
+        assert!(
+            !self.not_run.contains(&(process, claim)),
+            "not_run was false"
+        );
+        self.ran.insert((process, claim));
+        self.daemons[process.0]
+            .outcomes
+            .insert(claim, (key, digest));
+        let ended = if self.rng.random_bool(0.1) {
+            let reason = UnknownReason::ConnectionLost;
+            Ended::Unknown(OutcomeUnknown { reason })
+        } else {
+            Ended::Ran { bytes: 1 << 20 }
+        };
+        let run_ms = self.rng.random_range(0..1_500);
+        self.after(run_ms, Event::Ended(process, claim, ended));
+    }
+
+    pub(super) fn ended(&mut self, process: Process, claim: ClaimKey, ended: Ended) {
+        let now = self.now;
+        self.daemons[process.0].claims.ended(claim, ended, now);
+    }
+
+    pub(super) fn ask_peer(&mut self, process: Process, question: Question) {
+        let index: usize = question.holder.daemon["entry-".len()..]
+            .parse()
+            .expect("a number");
+        let target = &self.daemons[index];
+        if !target.alive || target.frozen {
+            let live = target.alive || self.rng.random_bool(0.5);
+            let state = if live {
+                PeerState::Live
+            } else {
+                PeerState::Gone
+            };
+            let answer = PeerAnswer::Silent(state);
+            self.after(
+                PEER_TIMEOUT_MS,
+                Event::PeerAnswered(process, question.claim, answer, None),
+            );
+        } else {
+            self.after(1, Event::LookUp(process, index, question));
+        }
+    }
+
+    pub(super) fn look_up(&mut self, asker: Process, index: usize, question: &Question) {
+        let Question {
+            claim, key, nonce, ..
+        } = *question;
+        let incarnation = &question.holder.incarnation;
+        let until = self.now.after_ms(500);
+        let daemon = &mut self.daemons[index];
+        match daemon.claims.look_up(incarnation, key, nonce, until) {
+            Lookup::Waiting(waiter) => {
+                daemon.peers.insert(waiter, (asker, claim));
+            }
+            Lookup::NotRun => {
+                self.after(
+                    1,
+                    Event::PeerAnswered(asker, claim, PeerAnswer::NotRun, None),
+                );
+            }
+            Lookup::Lost => {
+                self.after(1, Event::PeerAnswered(asker, claim, PeerAnswer::Lost, None));
+            }
+        }
+    }
+
+    pub(super) fn peer_answered(
+        &mut self,
+        process: Process,
+        claim: ClaimKey,
+        answer: PeerAnswer,
+        outcome: Option<Outcome>,
+    ) {
+        let (now, nonce) = (self.now, Nonce(self.rng.random()));
+        let daemon = &mut self.daemons[process.0];
+        if let Some(outcome) = outcome {
+            daemon.outcomes.insert(claim, outcome);
+        }
+        daemon.claims.peer_answered(claim, answer, nonce, now);
+    }
+
+    pub(super) fn answer(&mut self, process: Process, waiter: WaiterKey, answer: Answer) {
+        let daemon = &mut self.daemons[process.0];
+        if let Some((asker, claim)) = daemon.peers.remove(&waiter) {
+            let (answer, outcome) = match answer {
+                Answer::Outcome(own) => (
+                    PeerAnswer::Ran { bytes: 1 << 20 },
+                    Some(daemon.outcomes[&own]),
+                ),
+                Answer::NotRun { .. } => (PeerAnswer::NotRun, None),
+                Answer::Unknown(unknown) => (PeerAnswer::Unknown(unknown), None),
+                Answer::StillRunning => (PeerAnswer::Running, None),
+                Answer::KeyReused => (PeerAnswer::Lost, None),
+            };
+            return self.after(1, Event::PeerAnswered(asker, claim, answer, outcome));
+        }
+        let Some(submission) = daemon.callers.remove(&waiter) else {
+            return;
+        };
+        self.answered += 1;
+        match answer {
+            Answer::Outcome(claim) => {
+                self.outcomes += 1;
+                let outcome = daemon.outcomes[&claim];
+                assert_eq!(
+                    outcome,
+                    (submission.key, submission.digest),
+                    "wrong outcome"
+                );
+            }
+            Answer::NotRun { claim, .. } => {
+                self.check_not_run(process, claim, submission);
+            }
+            Answer::KeyReused => assert!(self.bodies[&submission.key].len() > 1),
+            Answer::Unknown(_) => {}
+            Answer::StillRunning => panic!("a caller was told to ask again"),
+        }
+    }
+
+    /// The claim never ran and never will.
+    fn check_not_run(&mut self, process: Process, claim: ClaimKey, submission: Submission) {
+        assert!(!self.ran.contains(&(process, claim)), "not_run was false");
+        assert!(submission.claim.is_none_or(|own| own == claim));
+        self.not_run.insert((process, claim));
+    }
+}
