Claim keyed requests before dispatch and join them across daemons

Cause: the idempotency-key header was parsed and not used.

A daemon that stops ends the claim task after the caller server and before the router.

--- a/crates/adapters/src/caller_api.rs
+++ b/crates/adapters/src/caller_api.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use rosemaryscale_domain::prelude::*;
+use rosemaryscale_ports::claim::{ClaimStore, KeyedSubmission};
 use rosemaryscale_ports::dispatch::{Dispatch, DispatchMessage, Outcome, Submission};
 use rosemaryscale_ports::link::{self, OutboundRequest};
 use rosemaryscale_ports::prelude::*;
@@ -57,6 +58,8 @@
 pub struct CallerContext {
     /// Dispatchers by service.
     pub routes: watch::Receiver<Routes>,
+    /// The claim task, for requests with an idempotency key.
+    pub claims: ClaimStore,
     /// Whether the daemon accepts requests.
     pub readiness: watch::Receiver<Readiness>,
     /// Counters.
@@ -217,12 +220,9 @@
         outbound: outbound(context, service, request_id, body)?,
         reply,
     };
-    let stopped = || ProblemDocument::not_ready("the service was removed");
-    dispatch
-        .messages
-        .send(DispatchMessage::Submit(submission))
-        .await
-        .map_err(|_| stopped())?;
+    if !hand_over(&state.claims, dispatch, service, submission).await {
+        return Err(ProblemDocument::not_ready("the service was removed"));
+    }
     match outcome.await {
         Ok(Outcome::Answered(response)) => Ok(response),
         Ok(Outcome::NotRun(proof)) => Err(ProblemDocument::not_run(proof)),
@@ -235,6 +235,28 @@
     }
 }
 
+/// Sends a request to its dispatcher, or to the claim task if it has a key; false if the receiver has
+/// stopped, so that the request did not run.
+async fn hand_over(
+    claims: &ClaimStore,
+    dispatch: Dispatch,
+    service: &str,
+    submission: Submission,
+) -> bool {
+    let Some(key) = submission.idempotency_key.clone() else {
+        let message = DispatchMessage::Submit(submission);
+        return dispatch.messages.send(message).await.is_ok();
+    };
+    let service = service.into();
+    let keyed = KeyedSubmission {
+        service,
+        dispatch,
+        key,
+        submission,
+    };
+    claims.submit(keyed).await
+}
+
 /// The dispatcher ended without an outcome; the request may have been sent.
 const OUTCOME_LOST: rosemaryscale_domain::OutcomeUnknown = rosemaryscale_domain::OutcomeUnknown {
     reason: rosemaryscale_domain::outcome::UnknownReason::HolderGone,
--- a/crates/adapters/src/problem.rs
+++ b/crates/adapters/src/problem.rs
@@ -52,6 +52,9 @@
             NotRunReason::DeadlineUnreachable | NotRunReason::DeadlinePassed => {
                 "send it again later or with a longer x-deadline-ms"
             }
+            NotRunReason::ClaimUnavailable => {
+                "send it again with the same idempotency key, which finds an earlier submission"
+            }
             _ => "send it again after the time in Retry-After",
         };
         let detail = format!("not run: {}", proof.reason());
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,6 +8,7 @@
 use rosemaryscale_adapters::{
     CallerApi, OperatorApi, SystemClock, event_log, instance_poller, kv_client, log, metrics,
 };
+use rosemaryscale_ports::claim::ClaimStore;
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
 use rosemaryscale_ports::kv::KeyRange;
@@ -21,6 +22,7 @@
 use tokio::task::JoinHandle;
 use uuid::Uuid;
 
+use crate::claims::{ClaimTask, ClaimTaskOptions};
 use crate::config::Config;
 use crate::fan_out::FanOut;
 use crate::membership::{Membership, MembershipOptions};
@@ -28,6 +30,7 @@
 use crate::rollout::{Rollout, RolloutOptions};
 use crate::router::{Router, RouterOptions};
 
+const CLAIM_MESSAGES: usize = 1_024;
 const CONFIG_MESSAGES: usize = 16;
 const INBOUND_CALLS: usize = 256;
 
@@ -95,6 +98,8 @@
     status: watch::Sender<DaemonStatus>,
     config: ConfigWatch,
     events: Option<EventSink>,
+    stop_claims: Option<oneshot::Sender<()>>,
+    claims: Option<JoinHandle<()>>,
     stop_router: Option<oneshot::Sender<()>>,
     router: Option<JoinHandle<()>>,
     stop_membership: Option<oneshot::Sender<()>>,
@@ -161,9 +166,10 @@
             rollout.serve(config_messages, fan_out.subscribe()),
         ));
 
+        let record = member_record(&settings);
         let (membership, members) = Membership::new(MembershipOptions {
             environment: Arc::clone(&settings.environment),
-            record: member_record(&settings),
+            record: record.clone(),
             kv: kv.clone(),
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
@@ -190,11 +196,24 @@
         };
         let (peers, peer_task) = peer_link::start(link_options.clone(), members.clone());
         joined.push(peer_task);
+        let (claims, claim_messages) = ClaimStore::channel(CLAIM_MESSAGES);
+        let claim_task = ClaimTask::new(ClaimTaskOptions {
+            environment: Arc::clone(&settings.environment),
+            record,
+            kv: kv.clone(),
+            peers: peers.clone(),
+            members: members.clone(),
+            clock: ClockHandle::clone(&clock),
+            metrics: Metrics::clone(&metrics),
+        });
+        let (stop_claims, stopped) = oneshot::channel();
+        let claim_task = tokio::spawn(claim_task.serve(claim_messages, stopped));
         let (inbound, inbound_calls) = mpsc::channel(INBOUND_CALLS);
         let peer_service = PeerService::new(PeerServiceOptions {
             config: config.clone(),
             status: status_receiver.clone(),
             events: events.clone(),
+            claims: claims.clone(),
         });
         joined.push(tokio::spawn(peer_service.serve(inbound_calls)));
         let peer_server = PeerServer::start(settings.peer_address, link_options, inbound)
@@ -213,6 +232,7 @@
 
         let context = CallerContext {
             routes,
+            claims,
             readiness: ready,
             metrics,
         };
@@ -238,6 +258,8 @@
             status,
             config,
             events: Some(events),
+            stop_claims: Some(stop_claims),
+            claims: Some(claim_task),
             stop_router: Some(stop_router),
             router: Some(router_task),
             stop_membership: Some(stop_membership),
@@ -304,6 +326,12 @@
         if let Some(callers) = tasks.callers.take() {
             let _ = callers.stop().await;
         }
+        if let Some(stop) = tasks.stop_claims.take() {
+            let _ = stop.send(());
+        }
+        if let Some(claims) = tasks.claims.take() {
+            let _ = claims.await;
+        }
         if let Some(stop) = tasks.stop_router.take() {
             let _ = stop.send(());
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! assert!(problem.to_string().contains("name"));
 //! ```
 
+pub mod claims;
 pub mod cli;
 pub mod config;
 pub mod daemon;
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use rosemaryscale_ports::claim::ClaimStore;
 use rosemaryscale_ports::config::ConfigWatch;
 use rosemaryscale_ports::operator::DaemonStatus;
 use rosemaryscale_ports::peer::{ConfigDigest, ConfigText, InboundCall, PeerReply, PeerRequest};
@@ -17,6 +18,8 @@
     pub status: watch::Receiver<DaemonStatus>,
     /// The event log.
     pub events: EventSink,
+    /// The claim task.
+    pub claims: ClaimStore,
 }
 
 /// Answers calls of peers.
@@ -68,6 +71,12 @@
                     let _ = reply.send(PeerReply::Timeline(events.read(limit).await));
                 });
             }
+            PeerRequest::Outcome(call) => {
+                let claims = self.options.claims.clone();
+                self.running.spawn(async move {
+                    let _ = reply.send(PeerReply::Outcome(claims.look_up(call).await));
+                });
+            }
         }
     }
 
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -84,6 +84,8 @@
                 .cloned()
                 .unwrap_or_else(|| self.start_dispatcher(&view));
             dispatch.body_limit_bytes = view.fields.body_limit_bytes;
+            dispatch.default_deadline_ms = view.fields.default_deadline_ms;
+            dispatch.request_limit_ms = view.fields.request_limit_ms;
             let message = DispatchMessage::Configure(Arc::new(view));
             let _ = dispatch.messages.send(message).await;
             new.insert(Arc::clone(name), dispatch);
@@ -126,6 +128,8 @@
         Dispatch {
             messages,
             body_limit_bytes: view.fields.body_limit_bytes,
+            default_deadline_ms: view.fields.default_deadline_ms,
+            request_limit_ms: view.fields.request_limit_ms,
         }
     }
 }
--- a/crates/ports/src/dispatch.rs
+++ b/crates/ports/src/dispatch.rs
@@ -75,4 +75,8 @@
     pub messages: mpsc::Sender<DispatchMessage>,
     /// Longest request body, for the front end.
     pub body_limit_bytes: u64,
+    /// How long a caller waits if it does not say, in milliseconds.
+    pub default_deadline_ms: u64,
+    /// Longest wait of a caller, in milliseconds.
+    pub request_limit_ms: u64,
 }
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -6,6 +6,7 @@
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::claim::{OutcomeCall, OutcomeReply};
 use crate::event::Event;
 use crate::operator::DaemonStatus;
 
@@ -57,6 +58,8 @@
         /// Events at most.
         limit: usize,
     },
+    /// Look up the outcome of a claimed request.
+    Outcome(OutcomeCall),
 }
 
 /// Reply to a call.
@@ -72,6 +75,8 @@
     Status(DaemonStatus),
     /// The peer's events.
     Timeline(Vec<Event>),
+    /// The outcome of a claimed request.
+    Outcome(OutcomeReply),
     /// The peer cannot answer now.
     Refused(String),
 }
