Merge at-most-once claims; wait for assignments in the harness

Two claim tests occupied all slots with requests of one class. Since the fair queue keeps floors of other classes free under long work, that no longer fills the slots, so the tests ran into free ones. They now use a document with one class; every assertion is kept. The harness waits until the daemons have seen the assignments, which since the controller come a moment after the document.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,6 +8,7 @@
 use rosemaryscale_adapters::{
     CallerApi, OperatorApi, SystemClock, event_log, instance_poller, kv_client, log, metrics,
 };
+use rosemaryscale_ports::claim::ClaimStore;
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
 use rosemaryscale_ports::fleet::Fleet;
@@ -22,6 +23,7 @@
 use tokio::task::JoinHandle;
 use uuid::Uuid;
 
+use crate::claims::{ClaimTask, ClaimTaskOptions};
 use crate::config::Config;
 use crate::controller::{Controller, ControllerOptions};
 use crate::fan_out::FanOut;
@@ -30,6 +32,7 @@
 use crate::rollout::{Rollout, RolloutOptions, RolloutStatus};
 use crate::router::{Router, RouterOptions};
 
+const CLAIM_MESSAGES: usize = 1_024;
 const CONFIG_MESSAGES: usize = 16;
 const INBOUND_CALLS: usize = 256;
 const FLEET_MESSAGES: usize = 16;
@@ -100,6 +103,8 @@
     config: ConfigWatch,
     rollout: watch::Receiver<RolloutStatus>,
     events: Option<EventSink>,
+    stop_claims: Option<oneshot::Sender<()>>,
+    claims: Option<JoinHandle<()>>,
     stop_router: Option<oneshot::Sender<()>>,
     router: Option<JoinHandle<()>>,
     stop_membership: Option<oneshot::Sender<()>>,
@@ -157,9 +162,10 @@
         let mut joined = vec![kv_task, poller];
         let mut fan_out = FanOut::default();
 
+        let record = member_record(&settings, &incarnation);
         let (membership, members) = Membership::new(MembershipOptions {
             environment: Arc::clone(&settings.environment),
-            record: member_record(&settings, &incarnation),
+            record: record.clone(),
             kv: kv.clone(),
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
@@ -224,6 +230,18 @@
         joined.push(tokio::spawn(fan_out.serve(watched)));
 
         let (questions, question_receiver) = mpsc::channel(QUESTIONS);
+        let (claims, claim_messages) = ClaimStore::channel(CLAIM_MESSAGES);
+        let claim_task = ClaimTask::new(ClaimTaskOptions {
+            environment: Arc::clone(&settings.environment),
+            record,
+            kv: kv.clone(),
+            peers: peers.clone(),
+            members: members.clone(),
+            clock: ClockHandle::clone(&clock),
+            metrics: Metrics::clone(&metrics),
+        });
+        let (stop_claims, stopped) = oneshot::channel();
+        let claim_task = tokio::spawn(claim_task.serve(claim_messages, stopped));
         let (inbound, inbound_calls) = mpsc::channel(INBOUND_CALLS);
         let peer_service = PeerService::new(PeerServiceOptions {
             environment: Arc::clone(&settings.environment),
@@ -234,6 +252,7 @@
             incarnation,
             fleet: fleet.clone(),
             questions,
+            claims: claims.clone(),
         });
         joined.push(tokio::spawn(peer_service.serve(inbound_calls)));
         let peer_server = PeerServer::start(settings.peer_address, link_options, inbound)
@@ -254,6 +273,7 @@
 
         let context = CallerContext {
             routes,
+            claims,
             readiness: ready,
             metrics,
         };
@@ -281,6 +301,8 @@
             config,
             rollout: watches.status,
             events: Some(events),
+            stop_claims: Some(stop_claims),
+            claims: Some(claim_task),
             stop_router: Some(stop_router),
             router: Some(router_task),
             stop_membership: Some(stop_membership),
@@ -349,6 +371,12 @@
         if let Some(callers) = tasks.callers.take() {
             let _ = callers.stop().await;
         }
+        if let Some(stop) = tasks.stop_claims.take() {
+            let _ = stop.send(());
+        }
+        if let Some(claims) = tasks.claims.take() {
+            let _ = claims.await;
+        }
         if let Some(stop) = tasks.stop_router.take() {
             let _ = stop.send(());
         }
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use rosemaryscale_ports::claim::ClaimStore;
 use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
 use rosemaryscale_ports::fleet::{Fleet, InFlightQuestion};
 use rosemaryscale_ports::operator::DaemonStatus;
@@ -28,6 +29,8 @@
     pub fleet: Fleet,
     /// Questions to the router.
     pub questions: mpsc::Sender<InFlightQuestion>,
+    /// The claim task.
+    pub claims: ClaimStore,
 }
 
 /// Answers calls of peers.
@@ -98,6 +101,12 @@
                     let _ = reply.send(PeerReply::Timeline(events));
                 });
             }
+            PeerRequest::Outcome(call) => {
+                let claims = self.options.claims.clone();
+                self.running.spawn(async move {
+                    let _ = reply.send(PeerReply::Outcome(claims.look_up(call).await));
+                });
+            }
         }
     }
 
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod admission;
 pub mod assignment;
 pub mod callers;
+pub mod claim;
 pub mod class_share;
 pub mod connection;
 pub mod dispatch;
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -7,6 +7,7 @@
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::claim::{OutcomeCall, OutcomeReply};
 use crate::event::{Event, EventFilter};
 use crate::fleet::{FleetError, FleetOperation, InFlightReport, PoolsReport};
 use crate::operator::DaemonStatus;
@@ -77,6 +78,8 @@
     Operate(FleetOperation),
     /// Ask the controller for the pools.
     Pools,
+    /// Look up the outcome of a claimed request.
+    Outcome(OutcomeCall),
 }
 
 /// Reply to a call.
@@ -103,6 +106,8 @@
     Operated(Result<(), FleetError>),
     /// The pools.
     Pools(PoolsReport),
+    /// The outcome of a claimed request.
+    Outcome(OutcomeReply),
     /// The peer cannot answer now.
     Refused(String),
 }
--- a/crates/standins/src/document.rs
+++ b/crates/standins/src/document.rs
@@ -13,7 +13,9 @@
 #[must_use]
 pub fn one_queue(slots: u32) -> String {
     let classes = json!({"all": {"weight": 1, "floor_ppm": 0, "queue_limit": 10_000}});
-    document(&["quotes"], service(slots, &classes, "all"))
+    let mut service = service(slots, &classes, "all");
+    service["request_limit_ms"] = json!(15_000);
+    document(&["quotes"], service)
 }
 
 /// A document with these services, each on a pool of its own name.
--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -360,7 +360,8 @@
         .await;
     }
 
-    /// Applies a document through the first daemon and waits until every daemon is ready.
+    /// Applies a document through the first daemon and waits until every daemon is ready and the
+    /// members of its environment have seen the assignments of the document's instances.
     ///
     /// # Panics
     ///
@@ -380,6 +381,41 @@
         for index in 0..self.daemons.len() {
             self.wait_until_ready(index).await;
         }
+        let named = |spec: &&UpstreamSpec| text.contains(&format!("\"{}\"", spec.pool));
+        let instances: Vec<&str> = self
+            .options
+            .upstreams
+            .iter()
+            .filter(named)
+            .map(|spec| spec.name.as_str())
+            .collect();
+        eventually("the instances are assigned", || {
+            self.have_assignments(&instances)
+        })
+        .await;
+    }
+
+    /// Whether the members of the first daemon's environment have seen an assignment of each
+    /// instance.
+    async fn have_assignments(&self, instances: &[&str]) -> bool {
+        let status = self.operate(0, Method::GET, "/v1/status", None).await;
+        let moves = self
+            .operate(0, Method::GET, "/v1/timeline?kind=move", None)
+            .await;
+        let (Some(status), Some(moves)) = (status, moves) else {
+            return false;
+        };
+        let (status, moves) = (status.json(), moves.json());
+        let empty = Vec::new();
+        let daemons = status["daemons"].as_array().unwrap_or(&empty);
+        let events = moves["events"].as_array().unwrap_or(&empty);
+        daemons.iter().all(|daemon| {
+            instances.iter().all(|instance| {
+                events
+                    .iter()
+                    .any(|event| event["daemon"] == daemon["name"] && event["subject"] == *instance)
+            })
+        })
     }
 
     /// Calls the operator API of a daemon; `None` if there is no complete reply.
