Lend slots of upstream instances between daemons

Each daemon used all slots of each instance, so several daemons together passed the limit of an instance by up to a factor of nine.

An instance now has one home, chosen by rendezvous hashing over the live members. The home lends slots under leases of 2 s. Reports and grants carry absolute counts, so lost, duplicated and reordered messages change nothing. Slots of a holder whose lease ended stay withheld for the longest request limit. A home that takes an instance over waits for reports of all live members.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,6 +8,7 @@
 use rosemaryscale_adapters::{
     CallerApi, OperatorApi, SystemClock, event_log, instance_poller, kv_client, log, metrics,
 };
+use rosemaryscale_domain::slots::MemberId;
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
 use rosemaryscale_ports::kv::KeyRange;
@@ -27,6 +28,7 @@
 use crate::peer_service::{PeerService, PeerServiceOptions};
 use crate::rollout::{Rollout, RolloutOptions};
 use crate::router::{Router, RouterOptions};
+use crate::slots::{SlotTask, SlotTaskOptions};
 
 const CONFIG_MESSAGES: usize = 16;
 const INBOUND_CALLS: usize = 256;
@@ -161,9 +163,14 @@
             rollout.serve(config_messages, fan_out.subscribe()),
         ));
 
+        let record = member_record(&settings);
+        let slot_member = MemberId {
+            name: Arc::clone(&record.name),
+            incarnation: Arc::clone(&record.incarnation),
+        };
         let (membership, members) = Membership::new(MembershipOptions {
             environment: Arc::clone(&settings.environment),
-            record: member_record(&settings),
+            record,
             kv: kv.clone(),
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
@@ -191,10 +198,20 @@
         let (peers, peer_task) = peer_link::start(link_options.clone(), members.clone());
         joined.push(peer_task);
         let (inbound, inbound_calls) = mpsc::channel(INBOUND_CALLS);
+        let (slot_task, slots, slot_messages) = SlotTask::new(SlotTaskOptions {
+            own: slot_member,
+            clock: ClockHandle::clone(&clock),
+            members: members.clone(),
+            peers: peers.clone(),
+            events: events.clone(),
+            metrics: Metrics::clone(&metrics),
+        });
+        joined.push(tokio::spawn(slot_task.serve(slot_messages)));
         let peer_service = PeerService::new(PeerServiceOptions {
             config: config.clone(),
             status: status_receiver.clone(),
             events: events.clone(),
+            slots: slots.clone(),
         });
         joined.push(tokio::spawn(peer_service.serve(inbound_calls)));
         let peer_server = PeerServer::start(settings.peer_address, link_options, inbound)
@@ -207,6 +224,7 @@
             clock,
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
+            slots,
         });
         let (stop_router, stopped) = oneshot::channel();
         let router_task = tokio::spawn(router.serve(stopped));
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -14,8 +14,11 @@
     Exchange, ExchangeEnd, ExchangeResult, Link, LinkMessage, OutboundRequest,
 };
 use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::slots::{SlotLimits, SlotSender};
 use tokio::task::JoinSet;
 
+use crate::slot_link::SlotLink;
+
 const MESSAGES: usize = 1_024;
 /// Deadlines and cancellations of queued requests are noticed this late at most.
 const TICK: Duration = Duration::from_millis(20);
@@ -29,6 +32,8 @@
     pub events: EventSink,
     /// Counters.
     pub metrics: Metrics,
+    /// The slot task.
+    pub slots: SlotSender,
 }
 
 /// What the task keeps of a request.
@@ -55,6 +60,7 @@
     callers: SlotMap<CallerKey, Arc<str>>,
     caller_keys: FastMap<Arc<str>, CallerKey>,
     links: JoinSet<()>,
+    slots: SlotLink,
     stopping: bool,
 }
 
@@ -66,6 +72,7 @@
 ) -> (mpsc::Sender<DispatchMessage>, DispatcherTask) {
     let (sender, messages) = mpsc::channel(MESSAGES);
     let task = DispatcherTask {
+        slots: SlotLink::new(options.slots.clone(), Arc::clone(&view.name)),
         options,
         dispatcher: Dispatcher::new(policy(&view)),
         view: Arc::new(view),
@@ -99,18 +106,25 @@
                     Some(message) => self.handle(message).await,
                     None => break,
                 },
-                _ = tick.tick() => self.drop_cancelled(),
+                _ = tick.tick() => {
+                    self.drop_cancelled();
+                    self.slots.tick();
+                }
                 Some(_) = self.links.join_next() => {}
             }
             self.advance().await;
+            self.slots
+                .update(&self.dispatcher, |key| name_of(&self.targets, key));
         }
         self.retire_all().await;
+        self.slots.remove().await;
     }
 
     async fn handle(&mut self, message: DispatchMessage) {
         match message {
             DispatchMessage::Submit(submission) => self.submit(submission),
             DispatchMessage::Exchanged(end) => self.exchanged(end),
+            DispatchMessage::Slots(limits) => self.apply_limits(&limits).await,
             DispatchMessage::Configure(view) => self.configure(view).await,
             DispatchMessage::Stop => self.stopping = true,
         }
@@ -237,14 +251,18 @@
             prefer_proven: false,
             response_limit_bytes: self.view.fields.response_limit_bytes,
         };
+        // The process may have been frozen since the slot was chosen.
+        let usable = self
+            .dispatcher
+            .is_usable(instance, self.options.clock.now());
         let sent = match self.targets.get(instance) {
-            Some(target) => target
+            Some(target) if usable => target
                 .link
                 .messages
                 .send(LinkMessage::Exchange(exchange))
                 .await
                 .is_ok(),
-            None => false,
+            _ => false,
         };
         if !sent {
             let result = ExchangeResult::Failed(FailureEvidence::NothingWritten);
@@ -277,10 +295,26 @@
                 self.add_target(record);
             }
         }
-        let slots = self.view.fields.slots_per_instance;
-        for key in self.targets.keys() {
-            self.dispatcher.set_usable_slots(key, slots);
+        self.slots.configure(&self.view, self.ends.clone()).await;
+    }
+
+    async fn apply_limits(&mut self, limits: &SlotLimits) {
+        for limit in &limits.limits {
+            let target = self
+                .targets
+                .iter()
+                .find(|(_, target)| target.record.name == limit.instance);
+            let Some((key, target)) = target else {
+                continue;
+            };
+            self.dispatcher
+                .set_usable_slots(key, limit.slots, limit.until);
+            if self.slots.connections_changed(limit) {
+                let message = LinkMessage::AllowConnections(limit.connections);
+                let _ = target.link.messages.send(message).await;
+            }
         }
+        self.slots.applied(limits.version);
     }
 
     fn add_target(&mut self, record: InstanceRecord) {
@@ -312,6 +346,12 @@
     }
 }
 
+fn name_of(targets: &SlotMap<InstanceKey, Target>, key: InstanceKey) -> Option<Arc<str>> {
+    targets
+        .get(key)
+        .map(|target| Arc::clone(&target.record.name))
+}
+
 fn outcome(refusal: Refusal) -> Outcome {
     match refusal {
         Refusal::NotRun(proof) => Outcome::NotRun(proof),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,9 @@
 pub mod peer_service;
 pub mod rollout;
 pub mod router;
+pub mod slot_link;
+pub mod slot_members;
+pub mod slots;
 
 pub use config::Config;
 pub use daemon::Daemon;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -47,7 +47,8 @@
     options: MembershipOptions,
     keys: MemberKeys,
     records: FastMap<Arc<str>, MemberRecord>,
-    heartbeats: FastMap<Arc<str>, Arc<str>>,
+    /// Incarnation and revision of the heartbeat keys.
+    heartbeats: FastMap<Arc<str>, (Arc<str>, u64)>,
     view: watch::Sender<Arc<MemberView>>,
     lease: Option<u64>,
     /// Whether this daemon's member record was written under the current lease.
@@ -201,7 +202,8 @@
         } else if let Some(name) = entry.key.strip_prefix(&*self.keys.heartbeats)
             && let Ok(Heartbeat { incarnation }) = serde_json::from_slice(&entry.value)
         {
-            self.heartbeats.insert(name.into(), incarnation);
+            self.heartbeats
+                .insert(name.into(), (incarnation, entry.mod_revision));
         }
     }
 
@@ -218,12 +220,15 @@
             .records
             .iter()
             .map(|(name, record)| {
-                let heartbeat = self.heartbeats.get(name) == Some(&record.incarnation);
+                let known = self.heartbeats.get(name);
+                let own = known.filter(|(incarnation, _)| *incarnation == record.incarnation);
+                let heartbeat = own.is_some();
                 (
                     Arc::clone(name),
                     Member {
                         record: record.clone(),
                         heartbeat,
+                        registered: own.map_or(0, |(_, revision)| *revision),
                     },
                 )
             })
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -6,6 +6,7 @@
 use rosemaryscale_ports::operator::DaemonStatus;
 use rosemaryscale_ports::peer::{ConfigDigest, ConfigText, InboundCall, PeerReply, PeerRequest};
 use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::slots::{SlotMessage, SlotSender};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -17,6 +18,8 @@
     pub status: watch::Receiver<DaemonStatus>,
     /// The event log.
     pub events: EventSink,
+    /// The slot task.
+    pub slots: SlotSender,
 }
 
 /// Answers calls of peers.
@@ -50,7 +53,11 @@
     }
 
     fn answer(&mut self, call: InboundCall) {
-        let InboundCall { request, reply, .. } = call;
+        let InboundCall {
+            request,
+            reply,
+            from,
+        } = call;
         match request {
             PeerRequest::Digest(_) => {
                 let _ = reply.send(PeerReply::Digest(self.digest()));
@@ -62,6 +69,17 @@
                 let status = self.options.status.borrow().clone();
                 let _ = reply.send(PeerReply::Status(status));
             }
+            PeerRequest::SlotReport(report) => {
+                self.pass(SlotMessage::Report {
+                    from,
+                    report,
+                    reply,
+                });
+            }
+            PeerRequest::SlotGrants(list) => {
+                self.pass(SlotMessage::Grants { from, list });
+                let _ = reply.send(PeerReply::Received);
+            }
             PeerRequest::Timeline { limit } => {
                 let events = self.options.events.clone();
                 self.running.spawn(async move {
@@ -71,6 +89,11 @@
         }
     }
 
+    /// Passes a message to the slot task; one that does not fit is lost, as on the network.
+    fn pass(&self, message: SlotMessage) {
+        let _ = self.options.slots.try_send(message);
+    }
+
     fn digest(&self) -> ConfigDigest {
         self.options
             .config
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -10,6 +10,7 @@
 use rosemaryscale_ports::dispatch::{Dispatch, DispatchMessage};
 use rosemaryscale_ports::instance::{InstanceList, InstanceState, ServiceView};
 use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::slots::SlotSender;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -27,6 +28,8 @@
     pub events: EventSink,
     /// Counters.
     pub metrics: Metrics,
+    /// The slot task.
+    pub slots: SlotSender,
 }
 
 /// Dispatchers by service.
@@ -120,6 +123,7 @@
             clock: ClockHandle::clone(&self.options.clock),
             events: self.options.events.clone(),
             metrics: Metrics::clone(&self.options.metrics),
+            slots: self.options.slots.clone(),
         };
         let (messages, task) = dispatcher::make(options, view.clone());
         self.dispatchers.spawn(task.serve());
--- /dev/null
+++ b/crates/daemon/src/slots.rs
@@ -0,0 +1,401 @@
+//! The slot task: the ledgers of the instances that this daemon is home for, and its share of the
+//! slots of all others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryscale_domain::slots::{
+    Limit, MemberId, NamedList, NamedReport, ReportAnswer, ServiceUse, ShareAction, SlotAction,
+    SlotCapacity, SlotDirectory, Slots, View, home_of, preference,
+};
+use rosemaryscale_ports::clock::ClockHandle;
+use rosemaryscale_ports::dispatch::DispatchMessage;
+use rosemaryscale_ports::member::MemberWatch;
+use rosemaryscale_ports::peer::{PeerError, PeerReply, PeerRequest, Peers};
+use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::slots::{
+    InstanceLimit, LiveMembers, SlotLimits, SlotMessage, SlotSender, SlotUse,
+};
+use tokio::task::JoinSet;
+
+use crate::slot_members::{MemberChange, SlotMembers};
+
+const MESSAGES: usize = 1_024;
+/// Leases, recalls and idle grants are acted on this late at most.
+const TICK: Duration = Duration::from_millis(20);
+/// At a stop, reports that return grants are waited for at most this long.
+const LAST_CALLS: Duration = Duration::from_millis(500);
+
+/// What the slot task needs.
+pub struct SlotTaskOptions {
+    /// This process.
+    pub own: MemberId,
+    /// Clock of the process.
+    pub clock: ClockHandle,
+    /// The members.
+    pub members: MemberWatch,
+    /// The peers.
+    pub peers: Peers,
+    /// The event log.
+    pub events: EventSink,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+/// A service and its dispatcher.
+struct Service {
+    name: Arc<str>,
+    dispatcher: mpsc::Sender<DispatchMessage>,
+    /// Limits that did not fit into the dispatcher's channel.
+    unsent: Option<SlotLimits>,
+}
+
+/// A call to a peer that has ended.
+struct CallEnd {
+    peer: DaemonKey,
+    /// Position of the report; `None` for a list.
+    seq: Option<u64>,
+    result: Result<PeerReply, PeerError>,
+}
+
+/// State of the slot task.
+pub struct SlotTask {
+    options: SlotTaskOptions,
+    own: DaemonKey,
+    directory: SlotDirectory,
+    members: SlotMembers,
+    homes: SecondaryMap<SlotKey, DaemonKey>,
+    slots: Slots,
+    services: SlotMap<ServiceKey, Service>,
+    calls: JoinSet<CallEnd>,
+    withheld: u32,
+}
+
+impl SlotTask {
+    /// Makes the task and the handle that its messages go to.
+    #[must_use]
+    pub fn new(options: SlotTaskOptions) -> (Self, SlotSender, mpsc::Receiver<SlotMessage>) {
+        let (sender, messages) = mpsc::channel(MESSAGES);
+        let mut directory = SlotDirectory::default();
+        let own = directory.member(&options.own);
+        let start = preference(&options.own.name);
+        let task = Self {
+            slots: Slots::new(own, start, options.clock.now()),
+            own,
+            directory,
+            members: SlotMembers::default(),
+            homes: SecondaryMap::new(),
+            services: SlotMap::with_key(),
+            calls: JoinSet::new(),
+            withheld: 0,
+            options,
+        };
+        (task, sender, messages)
+    }
+
+    /// Serves until every sender is gone, then returns what it holds.
+    pub async fn serve(mut self, mut messages: mpsc::Receiver<SlotMessage>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => break,
+                },
+                Ok(()) = self.options.members.changed() => self.follow_members(),
+                Some(Ok(end)) = self.calls.join_next() => self.end_call(end),
+                _ = tick.tick() => self.note_withheld(),
+            }
+            self.advance();
+        }
+        let last_calls = async { while self.calls.join_next().await.is_some() {} };
+        let _ = tokio::time::timeout(LAST_CALLS, last_calls).await;
+        self.calls.shutdown().await;
+    }
+
+    fn now(&self) -> Millis {
+        self.options.clock.now()
+    }
+
+    fn handle(&mut self, message: SlotMessage) {
+        match message {
+            SlotMessage::Configure {
+                service,
+                capacity,
+                instances,
+                dispatcher,
+            } => self.configure(&service, capacity, &instances, dispatcher),
+            SlotMessage::Remove { service } => self.remove(&service),
+            SlotMessage::Use(slot_use) => self.record_use(&slot_use),
+            SlotMessage::Report {
+                from,
+                report,
+                reply,
+            } => {
+                let _ = reply.send(self.answer(from, &report));
+            }
+            SlotMessage::Grants { from, list } => self.accept(&from, &list),
+        }
+    }
+
+    fn configure(
+        &mut self,
+        name: &Arc<str>,
+        capacity: SlotCapacity,
+        instances: &[Arc<str>],
+        dispatcher: mpsc::Sender<DispatchMessage>,
+    ) {
+        let service = self.service(name).unwrap_or_else(|| {
+            self.services.insert(Service {
+                name: Arc::clone(name),
+                dispatcher,
+                unsent: None,
+            })
+        });
+        let mut slots = Vec::with_capacity(instances.len());
+        for instance in instances {
+            let slot = self.directory.slot(name, instance);
+            let home = self.home(instance);
+            if let Some(home) = home {
+                self.homes.insert(slot, home);
+            }
+            slots.push((slot, home));
+        }
+        let now = self.now();
+        self.slots.set_service(service, capacity, slots, now);
+    }
+
+    fn remove(&mut self, name: &Arc<str>) {
+        if let Some(service) = self.service(name) {
+            let now = self.now();
+            let nothing = SlotCapacity::default();
+            self.slots.set_service(service, nothing, Vec::new(), now);
+            self.services.remove(service);
+        }
+    }
+
+    fn service(&self, name: &Arc<str>) -> Option<ServiceKey> {
+        let mut services = self.services.iter();
+        let known = services.find(|(_, service)| service.name == *name);
+        known.map(|(key, _)| key)
+    }
+
+    fn record_use(&mut self, slot_use: &SlotUse) {
+        let Some(service) = self.service(&slot_use.service) else {
+            return;
+        };
+        let in_flight = slot_use.in_flight.iter();
+        let in_flight = in_flight
+            .map(|(name, count)| (self.directory.slot(&slot_use.service, name), *count))
+            .collect();
+        let service_use = ServiceUse {
+            applied: slot_use.applied,
+            queued: slot_use.queued,
+            in_flight,
+        };
+        self.slots.record_use(service, &service_use);
+    }
+
+    fn answer(&mut self, from: Arc<str>, message: &NamedReport) -> PeerReply {
+        self.options.metrics.count("slots.reports", 1);
+        let from = self.directory.member(&MemberId {
+            name: from,
+            incarnation: Arc::clone(&message.incarnation),
+        });
+        let report = self.directory.read_report(message);
+        let now = self.now();
+        match self.slots.report(from, &report, now) {
+            ReportAnswer::Grants(list) => {
+                PeerReply::SlotGrants(self.directory.name_list(self.own, from, &list))
+            }
+            ReportAnswer::Stale => PeerReply::Refused("a newer report was processed".into()),
+            ReportAnswer::OtherView => PeerReply::OtherMembers(self.members.current().clone()),
+        }
+    }
+
+    fn accept(&mut self, from: &str, message: &NamedList) {
+        let Some(sender) = self.members.find(from) else {
+            return;
+        };
+        if message.holder != self.options.own.incarnation || message.home != sender.incarnation {
+            return;
+        }
+        let from = self.directory.member(&MemberId {
+            name: Arc::clone(&sender.name),
+            incarnation: Arc::clone(&sender.incarnation),
+        });
+        let list = self.directory.read_list(message);
+        let now = self.now();
+        self.slots.accept(from, &list, now);
+    }
+
+    fn end_call(&mut self, end: CallEnd) {
+        let CallEnd { peer, seq, result } = end;
+        let refused = match result {
+            Ok(PeerReply::SlotGrants(list)) => {
+                let name = self
+                    .directory
+                    .member_id(peer)
+                    .map(|id| Arc::clone(&id.name));
+                if let Some(name) = name {
+                    self.accept(&name, &list);
+                }
+                false
+            }
+            Ok(PeerReply::Received) => false,
+            Ok(PeerReply::OtherMembers(members)) => {
+                self.adopt_peer(members);
+                true
+            }
+            Ok(_) | Err(_) => true,
+        };
+        if refused && let Some(seq) = seq {
+            self.options.metrics.count("slots.refused_reports", 1);
+            let now = self.now();
+            self.slots.refused(peer, seq, now);
+        }
+    }
+
+    fn follow_members(&mut self) {
+        let view = self.options.members.borrow_and_update().clone();
+        if let Some(change) = self.members.adopt_view(&view, &self.options.own) {
+            self.set_view(change);
+        }
+    }
+
+    fn adopt_peer(&mut self, members: LiveMembers) {
+        if let Some(change) = self.members.adopt_peer(members, &self.options.own) {
+            let detail = "adopted a newer member list from a peer";
+            let own = Arc::clone(&self.options.own.name);
+            self.options.events.record(EventKind::Slots, own, detail);
+            self.set_view(change);
+        }
+    }
+
+    fn set_view(&mut self, change: MemberChange) {
+        let live: Vec<MemberId> = self
+            .members
+            .current()
+            .live
+            .iter()
+            .map(|member| MemberId {
+                name: Arc::clone(&member.name),
+                incarnation: Arc::clone(&member.incarnation),
+            })
+            .collect();
+        let live = live.iter().map(|id| self.directory.member(id)).collect();
+        let names: Vec<(SlotKey, Arc<str>)> = self
+            .directory
+            .slots()
+            .map(|(slot, id)| (slot, Arc::clone(&id.instance)))
+            .collect();
+        self.homes.clear();
+        for (slot, instance) in names {
+            if let Some(home) = self.home(&instance) {
+                self.homes.insert(slot, home);
+            }
+        }
+        let view = View {
+            id: self.members.view_id(),
+            live,
+            homes: &self.homes,
+            stayed: change.stayed,
+            vanished: change.vanished,
+        };
+        let now = self.options.clock.now();
+        self.slots.set_view(view, now);
+    }
+
+    fn home(&mut self, instance: &str) -> Option<DaemonKey> {
+        let live = self.members.current().live.iter();
+        let names: Vec<Arc<str>> = live.map(|member| Arc::clone(&member.name)).collect();
+        let home = self.members.find(home_of(instance, &names)?)?;
+        let id = MemberId {
+            name: Arc::clone(&home.name),
+            incarnation: Arc::clone(&home.incarnation),
+        };
+        Some(self.directory.member(&id))
+    }
+
+    fn advance(&mut self) {
+        let now = self.now();
+        for action in self.slots.advance(now) {
+            match action {
+                SlotAction::Share(ShareAction::Report { to, report }) => {
+                    let seq = Some(report.seq);
+                    let message = self.directory.name_report(self.own, &report);
+                    self.call(to, seq, PeerRequest::SlotReport(message));
+                }
+                SlotAction::Share(ShareAction::Limits {
+                    service,
+                    version,
+                    limits,
+                }) => self.tell(service, version, &limits),
+                SlotAction::Grants { to, list } => {
+                    let message = self.directory.name_list(self.own, to, &list);
+                    self.call(to, None, PeerRequest::SlotGrants(message));
+                }
+            }
+        }
+        self.send_limits();
+    }
+
+    fn call(&mut self, peer: DaemonKey, seq: Option<u64>, request: PeerRequest) {
+        let Some(id) = self.directory.member_id(peer) else {
+            return;
+        };
+        self.options.metrics.count("slots.sent", 1);
+        let name = Arc::clone(&id.name);
+        let peers = self.options.peers.clone();
+        self.calls.spawn(async move {
+            let result = peers.call(name, request).await;
+            CallEnd { peer, seq, result }
+        });
+    }
+
+    fn tell(&mut self, service: ServiceKey, version: u64, limits: &[Limit]) {
+        let named = limits.iter().filter_map(|limit| {
+            let id = self.directory.slot_id(limit.slot)?;
+            Some(InstanceLimit {
+                instance: Arc::clone(&id.instance),
+                slots: limit.slots,
+                connections: limit.connections,
+                until: limit.until,
+            })
+        });
+        let limits = named.collect();
+        if let Some(service) = self.services.get_mut(service) {
+            service.unsent = Some(SlotLimits { version, limits });
+        }
+    }
+
+    /// Hands limits over without waiting, since a dispatcher may be waiting for this task.
+    fn send_limits(&mut self) {
+        for service in self.services.values_mut() {
+            if let Some(limits) = service.unsent.take()
+                && let Err(mpsc::error::TrySendError::Full(DispatchMessage::Slots(limits))) =
+                    service.dispatcher.try_send(DispatchMessage::Slots(limits))
+            {
+                service.unsent = Some(limits);
+            }
+        }
+    }
+
+    fn note_withheld(&mut self) {
+        let ledgers = self
+            .homes
+            .keys()
+            .filter_map(|slot| self.slots.home().ledger(slot));
+        let withheld = ledgers.map(|ledger| ledger.withheld()).sum();
+        if withheld != self.withheld {
+            self.withheld = withheld;
+            self.options
+                .metrics
+                .gauge("slots.withheld", u64::from(withheld));
+            let own = Arc::clone(&self.options.own.name);
+            let detail = format!("{withheld} slots are withheld");
+            self.options.events.record(EventKind::Slots, own, detail);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/slots.rs
@@ -0,0 +1,220 @@
+//! Slots shared by daemon processes, against upstream stand-ins that refuse what is over theirs.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use http::{Method, StatusCode};
+use rosemaryscale_standins::harness::{
+    Harness, HarnessOptions, ProcessSignal, UpstreamSpec, eventually,
+};
+use tokio::task::JoinSet;
+
+const DOCUMENT: &str = include_str!("../../../examples/kalahari/document.jsonc");
+const DAEMONS: usize = 3;
+const UPSTREAMS: usize = 3;
+/// Requests that a flood keeps at one daemon. The slots that are left while others are withheld
+/// serve them well before their deadline; an exchange that is cut at its deadline would go on at the
+/// upstream and be counted there.
+const LOOPS: usize = 10;
+
+async fn start() -> Arc<Harness> {
+    let options = HarnessOptions {
+        daemon_binary: env!("CARGO_BIN_EXE_rosemaryscaled").into(),
+        daemons: DAEMONS,
+        environment: "production".into(),
+        upstreams: (0..UPSTREAMS)
+            .map(|number| UpstreamSpec::numbered("quotes", number))
+            .collect(),
+    };
+    let harness = Harness::start(options).await;
+    // A short limit, so that withheld slots come back within the test.
+    let document = DOCUMENT
+        .replace("\"request_limit_ms\": 15000", "\"request_limit_ms\": 4000")
+        .replace(
+            "\"default_deadline_ms\": 5000",
+            "\"default_deadline_ms\": 4000",
+        );
+    assert!(document.contains("\"request_limit_ms\": 4000"));
+    harness.apply(&document).await;
+    Arc::new(harness)
+}
+
+async fn request(harness: Arc<Harness>, daemon: usize, run_ms: u64) -> Option<StatusCode> {
+    let run = run_ms.to_string();
+    let headers = [("x-standin-delay-ms", run.as_str())];
+    let path = "/v1/services/quotes/cowls";
+    let reply = harness.call(daemon, Method::POST, path, &headers, "").await;
+    reply.map(|reply| reply.status)
+}
+
+async fn busy_max(harness: &Harness) -> u32 {
+    let mut sum = 0;
+    for upstream in &harness.upstreams {
+        sum += upstream.report().await.busy_max;
+    }
+    sum
+}
+
+async fn executed(harness: &Harness) -> u64 {
+    let mut sum = 0;
+    for upstream in &harness.upstreams {
+        sum += upstream.report().await.executed;
+    }
+    sum
+}
+
+async fn assert_nothing_was_refused(harness: &Harness) {
+    for upstream in &harness.upstreams {
+        let report = upstream.report().await;
+        assert_eq!(report.refused, 0, "{} busy at most", report.busy_max);
+        assert!(report.busy_max <= 8);
+    }
+}
+
+/// Keeps every slot wanted by a daemon until the flag is set.
+fn flood(harness: &Arc<Harness>, daemon: usize, stop: &Arc<AtomicBool>, tasks: &mut JoinSet<()>) {
+    for _ in 0..LOOPS {
+        let (harness, stop) = (Arc::clone(harness), Arc::clone(stop));
+        tasks.spawn(async move {
+            while !stop.load(Ordering::Relaxed) {
+                let status = request(Arc::clone(&harness), daemon, 150).await;
+                if status.is_none() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Waits until both survivors have had slots of daemon 1 withheld after it vanished and released
+/// them.
+async fn wait_until_nothing_is_withheld(harness: &Harness) {
+    let last = |index| {
+        let log = harness.log(index);
+        let since = log.find("lost its heartbeat").map_or("", |at| &log[at..]);
+        let mut lines = since.lines().filter(|line| line.contains("withheld"));
+        lines.next_back().map(|line| line.contains("\"0 slots"))
+    };
+    eventually("withheld slots are released", || async {
+        let states = [last(0), last(2)];
+        states.contains(&Some(true)) && !states.contains(&Some(false))
+    })
+    .await;
+}
+
+async fn join_all(tasks: &mut JoinSet<()>) {
+    while let Some(result) = tasks.join_next().await {
+        assert!(result.is_ok(), "a load loop failed: {result:?}");
+    }
+}
+
+async fn stop(harness: Arc<Harness>) {
+    let harness = Arc::into_inner(harness);
+    assert!(harness.is_some(), "a task still uses the harness");
+    if let Some(harness) = harness {
+        harness.stop().await;
+    }
+}
+
+/// Guards against fixed shares: a burst that reaches one daemon gets the slots of all homes, and
+/// no upstream gets more than it has slots for.
+#[tokio::test]
+async fn a_burst_at_one_daemon_gets_most_slots() {
+    let harness = start().await;
+    let mut tasks = JoinSet::new();
+    for _ in 0..72 {
+        let harness = Arc::clone(&harness);
+        tasks.spawn(async move {
+            let status = request(harness, 0, 400).await;
+            assert_eq!(status, Some(StatusCode::OK));
+        });
+    }
+    join_all(&mut tasks).await;
+    let busy = busy_max(&harness).await;
+    assert!(busy >= 20, "{busy} of 24 slots were used at once");
+    assert_nothing_was_refused(&harness).await;
+    stop(harness).await;
+}
+
+/// Guards against slots of a killed daemon that are lent again while its requests still run, and
+/// against slots that never come back.
+#[tokio::test]
+async fn the_limit_holds_after_a_daemon_is_killed() {
+    let harness = start().await;
+    let stop_flag = Arc::new(AtomicBool::new(false));
+    let mut tasks = JoinSet::new();
+    let mut doomed = JoinSet::new();
+    // Its own home's slots and as many of the others.
+    for _ in 0..16 {
+        let harness = Arc::clone(&harness);
+        doomed.spawn(async move {
+            let _ = request(harness, 1, 3_700).await;
+        });
+    }
+    eventually("the daemon has requests in flight", || async {
+        executed(&harness).await >= 16
+    })
+    .await;
+    flood(&harness, 0, &stop_flag, &mut tasks);
+    flood(&harness, 2, &stop_flag, &mut tasks);
+    eventually("the others have the rest", || async {
+        executed(&harness).await >= 36
+    })
+    .await;
+    harness.signal(1, ProcessSignal::Kill);
+    join_all(&mut doomed).await;
+    eventually("the daemon's heartbeat has ended", || async {
+        harness.log(0).contains("lost its heartbeat")
+    })
+    .await;
+    wait_until_nothing_is_withheld(&harness).await;
+    let before = executed(&harness).await;
+    eventually("the survivors serve", || async {
+        executed(&harness).await > before + 200
+    })
+    .await;
+    stop_flag.store(true, Ordering::Relaxed);
+    join_all(&mut tasks).await;
+    assert_nothing_was_refused(&harness).await;
+    let mut harness = Arc::try_unwrap(harness).expect("every task has ended");
+    let _ = harness.wait_for_exit(1).await;
+    harness.stop().await;
+}
+
+/// Guards against a daemon that resumes and sends on grants that ended while it was frozen.
+#[tokio::test]
+async fn the_limit_holds_after_a_daemon_was_frozen() {
+    let harness = start().await;
+    let stop_flag = Arc::new(AtomicBool::new(false));
+    let mut tasks = JoinSet::new();
+    flood(&harness, 1, &stop_flag, &mut tasks);
+    eventually("the daemon uses slots", || async {
+        executed(&harness).await >= 40
+    })
+    .await;
+    harness.signal(1, ProcessSignal::Freeze);
+    for daemon in [0, 2, 0, 2] {
+        flood(&harness, daemon, &stop_flag, &mut tasks);
+    }
+    eventually("the daemon's heartbeat has ended", || async {
+        harness.log(0).contains("lost its heartbeat")
+    })
+    .await;
+    wait_until_nothing_is_withheld(&harness).await;
+    // These reach the daemon's socket and are read when it resumes.
+    flood(&harness, 1, &stop_flag, &mut tasks);
+    harness.signal(1, ProcessSignal::Resume);
+    eventually("the daemon is a member again", || async {
+        harness.log(0).matches("joined").count() >= 4
+    })
+    .await;
+    let before = executed(&harness).await;
+    eventually("all serve", || async {
+        executed(&harness).await > before + 300
+    })
+    .await;
+    stop_flag.store(true, Ordering::Relaxed);
+    join_all(&mut tasks).await;
+    assert_nothing_was_refused(&harness).await;
+    stop(harness).await;
+}
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -53,6 +53,8 @@
 struct InstanceAccount {
     /// Slots that this daemon may use now.
     usable_slots: u32,
+    /// When this daemon must stop using them.
+    usable_until: Millis,
     /// Exchanges in flight.
     in_flight: u32,
 }
@@ -83,19 +85,36 @@
         self.policy = policy;
     }
 
-    /// Sets the slots of an instance that this daemon may use.
-    pub fn set_usable_slots(&mut self, instance: InstanceKey, slots: u32) {
+    /// Sets the slots of an instance that this daemon may use before `until`.
+    pub fn set_usable_slots(&mut self, instance: InstanceKey, slots: u32, until: Millis) {
+        if !self.instances.contains_key(instance) {
+            self.instances.insert(instance, InstanceAccount::default());
+        }
         if let Some(account) = self.instances.get_mut(instance) {
             account.usable_slots = slots;
-        } else {
-            let account = InstanceAccount {
-                usable_slots: slots,
-                in_flight: 0,
-            };
-            self.instances.insert(instance, account);
+            account.usable_until = until;
         }
     }
 
+    /// Whether an exchange may start on an instance at `now`, as far as its lease is concerned.
+    #[must_use]
+    pub fn is_usable(&self, instance: InstanceKey, now: Millis) -> bool {
+        let account = self.instances.get(instance);
+        account.is_some_and(|account| now < account.usable_until)
+    }
+
+    /// Exchanges in flight by instance.
+    pub fn in_flight(&self) -> impl Iterator<Item = (InstanceKey, u32)> {
+        let accounts = self.instances.iter();
+        accounts.map(|(instance, account)| (instance, account.in_flight))
+    }
+
+    /// Requests that wait for a slot.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Forgets an instance. Its exchanges in flight still end through [`Self::failed`] or
     /// [`Self::answered`].
     pub fn remove_instance(&mut self, instance: InstanceKey) {
@@ -180,7 +199,7 @@
     /// Sends what fits and refuses what is too late.
     pub fn advance(&mut self, now: Millis) -> Vec<DispatchAction> {
         let mut actions = self.expire(now);
-        while let Some(instance) = self.least_loaded() {
+        while let Some(instance) = self.least_loaded(now) {
             let Some(key) = self.queue.pop_front() else {
                 break;
             };
@@ -222,9 +241,10 @@
         actions
     }
 
-    fn least_loaded(&self) -> Option<InstanceKey> {
+    fn least_loaded(&self, now: Millis) -> Option<InstanceKey> {
         self.instances
             .iter()
+            .filter(|(_, account)| now < account.usable_until)
             .filter(|(_, account)| account.in_flight < account.usable_slots)
             .min_by_key(|(_, account)| account.in_flight)
             .map(|(key, _)| key)
--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -19,4 +19,6 @@
     pub struct DaemonKey;
     /// Key of a job.
     pub struct JobKey;
+    /// Key of the slots of one service on one instance.
+    pub struct SlotKey;
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod outcome;
 pub mod prelude;
 pub mod request;
+pub mod slots;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
@@ -27,3 +28,4 @@
 pub use millis::Millis;
 pub use outcome::{NotRun, OutcomeUnknown};
 pub use request::Request;
+pub use slots::{SlotHome, SlotLedger, SlotShare, Slots};
--- /dev/null
+++ b/crates/domain/src/slots/directory.rs
@@ -0,0 +1,236 @@
+//! Names of members and instances, with their keys, and the messages that carry names.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Allowance, GrantList, Need, Report, ViewId};
+use crate::prelude::*;
+
+/// Counts of one instance in a message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct NamedCounts(
+    /// Name of the instance.
+    pub Arc<str>,
+    /// Slots: committed in a report, allowed in a list.
+    pub u32,
+    /// Slots wanted in a report, 0 in a list.
+    #[serde(default)]
+    pub u32,
+);
+
+/// Counts of the instances of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct NamedService {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Its instances.
+    pub instances: Vec<NamedCounts>,
+}
+
+/// A [`Report`] with names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct NamedReport {
+    /// Incarnation of the holder.
+    pub incarnation: Arc<str>,
+    /// See [`Report::view`].
+    pub view: ViewId,
+    /// See [`Report::seq`].
+    pub seq: u64,
+    /// See [`Report::heard`].
+    pub heard: u64,
+    /// See [`Report::needs`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub needs: Option<Vec<NamedService>>,
+    /// See [`Report::vanished_ms_ago`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub vanished_ms_ago: Option<u64>,
+}
+
+/// A [`GrantList`] with names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct NamedList {
+    /// Incarnation of the home.
+    pub home: Arc<str>,
+    /// Incarnation of the holder.
+    pub holder: Arc<str>,
+    /// See [`GrantList::basis`].
+    pub basis: u64,
+    /// See [`GrantList::number`].
+    pub number: u64,
+    /// See [`GrantList::resend`].
+    #[serde(default)]
+    pub resend: bool,
+    /// See [`GrantList::allowances`].
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowances: Vec<NamedService>,
+}
+
+/// A process of a member.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct MemberId {
+    /// Name of the daemon.
+    pub name: Arc<str>,
+    /// Distinguishes processes that used the same name.
+    pub incarnation: Arc<str>,
+}
+
+/// Slots of one service on one instance.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct SlotId {
+    /// The service.
+    pub service: Arc<str>,
+    /// The instance.
+    pub instance: Arc<str>,
+}
+
+/// Arenas of the members and slots that a daemon knows.
+#[derive(Debug, Default)]
+pub struct SlotDirectory {
+    members: SlotMap<DaemonKey, MemberId>,
+    member_keys: FastMap<MemberId, DaemonKey>,
+    slots: SlotMap<SlotKey, SlotId>,
+    slot_keys: FastMap<SlotId, SlotKey>,
+}
+
+impl SlotDirectory {
+    /// Key of a member, made if there is none.
+    pub fn member(&mut self, id: &MemberId) -> DaemonKey {
+        if let Some(key) = self.member_keys.get(id) {
+            return *key;
+        }
+        let key = self.members.insert(id.clone());
+        self.member_keys.insert(id.clone(), key);
+        key
+    }
+
+    /// Key of the slots of a service on an instance, made if there is none.
+    pub fn slot(&mut self, service: &Arc<str>, instance: &Arc<str>) -> SlotKey {
+        let id = SlotId {
+            service: Arc::clone(service),
+            instance: Arc::clone(instance),
+        };
+        if let Some(key) = self.slot_keys.get(&id) {
+            return *key;
+        }
+        let key = self.slots.insert(id.clone());
+        self.slot_keys.insert(id, key);
+        key
+    }
+
+    /// Name and incarnation of a member.
+    #[must_use]
+    pub fn member_id(&self, key: DaemonKey) -> Option<&MemberId> {
+        self.members.get(key)
+    }
+
+    /// Service and instance of a slot key.
+    #[must_use]
+    pub fn slot_id(&self, key: SlotKey) -> Option<&SlotId> {
+        self.slots.get(key)
+    }
+
+    /// Every slot key with its names.
+    pub fn slots(&self) -> impl Iterator<Item = (SlotKey, &SlotId)> {
+        self.slots.iter()
+    }
+
+    /// The message for a report.
+    #[must_use]
+    pub fn name_report(&self, own: DaemonKey, report: &Report) -> NamedReport {
+        let counts = |need: &Need| (need.slot, need.committed, need.wanted);
+        let named = |needs: &Vec<Need>| self.name_counts(needs.iter().map(counts));
+        NamedReport {
+            incarnation: self.incarnation(own),
+            view: report.view,
+            seq: report.seq,
+            heard: report.heard,
+            needs: report.needs.as_ref().map(named),
+            vanished_ms_ago: report.vanished_ms_ago,
+        }
+    }
+
+    /// The report in a message.
+    pub fn read_report(&mut self, message: &NamedReport) -> Report {
+        let needs = message.needs.as_ref().map(|services| {
+            let counts = self.read_counts(services);
+            let need = |(slot, committed, wanted)| Need {
+                slot,
+                committed,
+                wanted,
+            };
+            counts.into_iter().map(need).collect()
+        });
+        Report {
+            view: message.view,
+            seq: message.seq,
+            heard: message.heard,
+            needs,
+            vanished_ms_ago: message.vanished_ms_ago,
+        }
+    }
+
+    /// The message for a list.
+    #[must_use]
+    pub fn name_list(&self, own: DaemonKey, holder: DaemonKey, list: &GrantList) -> NamedList {
+        let counts = |allowance: &Allowance| (allowance.slot, allowance.slots, 0);
+        NamedList {
+            home: self.incarnation(own),
+            holder: self.incarnation(holder),
+            basis: list.basis,
+            number: list.number,
+            resend: list.resend,
+            allowances: self.name_counts(list.allowances.iter().map(counts)),
+        }
+    }
+
+    /// The list in a message.
+    pub fn read_list(&mut self, message: &NamedList) -> GrantList {
+        let counts = self.read_counts(&message.allowances);
+        let allowance = |(slot, slots, _)| Allowance { slot, slots };
+        GrantList {
+            basis: message.basis,
+            number: message.number,
+            resend: message.resend,
+            allowances: counts.into_iter().map(allowance).collect(),
+        }
+    }
+
+    fn incarnation(&self, key: DaemonKey) -> Arc<str> {
+        let id = self.members.get(key);
+        id.map(|id| Arc::clone(&id.incarnation)).unwrap_or_default()
+    }
+
+    fn name_counts(&self, counts: impl Iterator<Item = (SlotKey, u32, u32)>) -> Vec<NamedService> {
+        let mut services: Vec<NamedService> = Vec::new();
+        for (slot, first, second) in counts {
+            let Some(id) = self.slots.get(slot) else {
+                continue;
+            };
+            let named = NamedCounts(Arc::clone(&id.instance), first, second);
+            match services
+                .iter_mut()
+                .find(|known| known.service == id.service)
+            {
+                Some(known) => known.instances.push(named),
+                None => services.push(NamedService {
+                    service: Arc::clone(&id.service),
+                    instances: vec![named],
+                }),
+            }
+        }
+        services
+    }
+
+    fn read_counts(&mut self, services: &[NamedService]) -> Vec<(SlotKey, u32, u32)> {
+        let mut counts = Vec::new();
+        for NamedService { service, instances } in services {
+            for NamedCounts(instance, first, second) in instances {
+                counts.push((self.slot(service, instance), *first, *second));
+            }
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/slot_rules.rs
@@ -0,0 +1,130 @@
+//! Rules of slots that need no schedule: homes, fair division and connections.
+
+use quickcheck::{Gen, QuickCheck};
+use rosemaryscale_domain::Dispatcher;
+use rosemaryscale_domain::dispatch::DispatchPolicy;
+use rosemaryscale_domain::prelude::*;
+use rosemaryscale_domain::request::{ClassIndex, RequestInfo};
+use rosemaryscale_domain::slots::{SlotCapacity, fair_targets, home_of, view_id};
+
+const SEED: u64 = 0x40;
+/// Computed apart from this code with SHA-256 over each part, its length as 8 bytes before it.
+const HOMES: [&str; 4] = ["entry-9", "entry-2", "entry-9", "entry-8"];
+const VIEW: u64 = 1268969292875055805;
+
+fn members(count: usize) -> Vec<Arc<str>> {
+    (1..=count)
+        .map(|number| format!("entry-{number}").into())
+        .collect()
+}
+
+fn check<A: quickcheck::Testable>(property: A) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, SEED))
+        .tests(300)
+        .quickcheck(property);
+}
+
+/// Guards against a hash that differs between versions, which would give an instance two homes
+/// during a roll-out.
+#[test]
+fn homes_are_the_same_in_every_version() {
+    let members = members(9);
+    let homes: Vec<&str> = ["quotes-1", "quotes-2", "stores-1", "stores-2"]
+        .iter()
+        .filter_map(|instance| home_of(instance, &members).map(|home| &**home))
+        .collect();
+    assert_eq!(homes, HOMES);
+    let view = view_id([("entry-1", "a"), ("entry-2", "b")].into_iter());
+    assert_eq!(view.0, VIEW);
+}
+
+/// Guards against a member that leaves and moves instances which were not its own.
+#[test]
+fn only_the_instances_of_a_member_move_when_it_leaves() {
+    let all = members(9);
+    for leaver in &all {
+        let rest: Vec<Arc<str>> = all.iter().filter(|m| *m != leaver).cloned().collect();
+        for number in 0..200 {
+            let instance = format!("instance-{number}");
+            let before = home_of(&instance, &all);
+            if before != Some(leaver) {
+                assert_eq!(home_of(&instance, &rest), before);
+            }
+        }
+    }
+    assert_eq!(home_of("instance-1", &[]), None);
+}
+
+/// Guards against a division that exceeds the total, wastes a slot that somebody wants, or gives
+/// one holder two more than another one that wants more.
+#[test]
+fn division_is_fair_and_complete() {
+    fn holds(demands: Vec<u8>, total: u8, first: u8) -> bool {
+        let demands: Vec<u32> = demands.into_iter().map(u32::from).collect();
+        let total = u32::from(total);
+        let targets = fair_targets(&demands, total, usize::from(first));
+        let sum: u32 = targets.iter().sum();
+        let complete = sum == total.min(demands.iter().sum());
+        let pairs = || targets.iter().zip(&demands);
+        let within = pairs().all(|(target, demand)| target <= demand);
+        let short = pairs().filter(|(target, demand)| target < demand);
+        let least = short.map(|(target, _)| *target).min();
+        let most = targets.iter().copied().max().unwrap_or_default();
+        complete && within && least.is_none_or(|least| most <= least + 1)
+    }
+    check(holds as fn(Vec<u8>, u8, u8) -> bool);
+}
+
+/// Guards against connections that pass the instance's limit or use the reserve for those of a
+/// replaced daemon.
+#[test]
+fn connections_of_all_holders_leave_the_reserve_free() {
+    fn holds(split: Vec<u8>, slots: u8, connections: u8) -> bool {
+        let slots = u32::from(slots % 32) + 1;
+        let connections = slots + u32::from(connections);
+        let capacity = SlotCapacity {
+            slots,
+            connections,
+            request_limit_ms: 1_000,
+        };
+        let demands: Vec<u32> = split.into_iter().map(u32::from).collect();
+        let shares = fair_targets(&demands, slots, 0);
+        let open = shares.iter().map(|share| capacity.connections_for(*share));
+        let reserve = 8.min(connections - slots);
+        let usable = shares
+            .iter()
+            .all(|share| capacity.connections_for(*share) >= *share);
+        open.sum::<u32>() <= connections - reserve && usable
+    }
+    check(holds as fn(Vec<u8>, u8, u8) -> bool);
+}
+
+/// Guards against a daemon that resumes after its lease has ended and sends what it had queued
+/// before its slot task runs.
+#[test]
+fn a_dispatcher_sends_nothing_after_the_end_of_its_lease() {
+    let mut instances: SlotMap<InstanceKey, ()> = SlotMap::with_key();
+    let mut callers: SlotMap<CallerKey, ()> = SlotMap::with_key();
+    let instance = instances.insert(());
+    let mut dispatcher = Dispatcher::new(DispatchPolicy {
+        queue_limit: 10,
+        tries_max: 4,
+    });
+    dispatcher.set_usable_slots(instance, 8, Millis::from_ms(100));
+    for _ in 0..2 {
+        let info = RequestInfo {
+            caller: callers.insert(()),
+            class: ClassIndex(0),
+            arrived: Millis::ZERO,
+            deadline: Millis::from_ms(10_000),
+            repeatable: false,
+            keyed: false,
+        };
+        assert!(dispatcher.submit(info).is_ok());
+    }
+    assert!(dispatcher.advance(Millis::from_ms(100)).is_empty());
+    assert!(!dispatcher.is_usable(instance, Millis::from_ms(100)));
+    assert_eq!(dispatcher.advance(Millis::from_ms(99)).len(), 2);
+    assert!(dispatcher.is_usable(instance, Millis::from_ms(99)));
+}
--- a/crates/ports/src/dispatch.rs
+++ b/crates/ports/src/dispatch.rs
@@ -7,6 +7,7 @@
 
 use crate::instance::ServiceView;
 use crate::link::{ExchangeEnd, OutboundRequest, Response};
+use crate::slots::SlotLimits;
 
 /// A request as a front end hands it over.
 #[derive(Debug)]
@@ -62,6 +63,8 @@
     Submit(Submission),
     /// An exchange ended.
     Exchanged(ExchangeEnd),
+    /// Slots that the dispatcher may use.
+    Slots(SlotLimits),
     /// The service's limits or instances changed.
     Configure(Arc<ServiceView>),
     /// Accept nothing new, finish everything, stop.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod operator;
 pub mod peer;
 pub mod prelude;
+pub mod slots;
 
 pub use clock::Clock;
 pub use dispatch::Dispatch;
--- a/crates/ports/src/member.rs
+++ b/crates/ports/src/member.rs
@@ -30,6 +30,8 @@
     pub record: MemberRecord,
     /// Whether its heartbeat key exists and belongs to this incarnation.
     pub heartbeat: bool,
+    /// Revision at which the heartbeat key was written; 0 without one.
+    pub registered: u64,
 }
 
 /// The members as last seen.
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -2,12 +2,14 @@
 
 use std::sync::Arc;
 
+use rosemaryscale_domain::slots::{NamedList, NamedReport};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::event::Event;
 use crate::operator::DaemonStatus;
+use crate::slots::LiveMembers;
 
 /// Version and digest of a daemon's document.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -52,6 +54,10 @@
     Document,
     /// Read the status.
     Status,
+    /// What a holder has and wants of the instances of this home.
+    SlotReport(NamedReport),
+    /// Grants that follow the answer to a report.
+    SlotGrants(NamedList),
     /// Read the newest events.
     Timeline {
         /// Events at most.
@@ -72,6 +78,12 @@
     Status(DaemonStatus),
     /// The peer's events.
     Timeline(Vec<Event>),
+    /// Answer to a slot report.
+    SlotGrants(NamedList),
+    /// A slot report was not used, since the peer sees other members.
+    OtherMembers(LiveMembers),
+    /// The message arrived.
+    Received,
     /// The peer cannot answer now.
     Refused(String),
 }
