Merge slots lent between daemons

Decisions in the merge: the fair queue counts only slots whose lease has not ended, so that floors are not kept on slots that cannot be used.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,6 +8,7 @@
 use rosemaryscale_adapters::{
     CallerApi, OperatorApi, SystemClock, event_log, instance_poller, kv_client, log, metrics,
 };
+use rosemaryscale_domain::slots::MemberId;
 use rosemaryscale_ports::claim::ClaimStore;
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
@@ -31,6 +32,7 @@
 use crate::peer_service::{PeerService, PeerServiceOptions};
 use crate::rollout::{Rollout, RolloutOptions, RolloutStatus};
 use crate::router::{Router, RouterOptions};
+use crate::slots::{SlotTask, SlotTaskOptions};
 
 const CLAIM_MESSAGES: usize = 1_024;
 const CONFIG_MESSAGES: usize = 16;
@@ -163,6 +165,10 @@
         let mut fan_out = FanOut::default();
 
         let record = member_record(&settings, &incarnation);
+        let slot_member = MemberId {
+            name: Arc::clone(&record.name),
+            incarnation: Arc::clone(&record.incarnation),
+        };
         let (membership, members) = Membership::new(MembershipOptions {
             environment: Arc::clone(&settings.environment),
             record: record.clone(),
@@ -243,6 +249,15 @@
         let (stop_claims, stopped) = oneshot::channel();
         let claim_task = tokio::spawn(claim_task.serve(claim_messages, stopped));
         let (inbound, inbound_calls) = mpsc::channel(INBOUND_CALLS);
+        let (slot_task, slots, slot_messages) = SlotTask::new(SlotTaskOptions {
+            own: slot_member,
+            clock: ClockHandle::clone(&clock),
+            members: members.clone(),
+            peers: peers.clone(),
+            events: events.clone(),
+            metrics: Metrics::clone(&metrics),
+        });
+        joined.push(tokio::spawn(slot_task.serve(slot_messages)));
         let peer_service = PeerService::new(PeerServiceOptions {
             environment: Arc::clone(&settings.environment),
             store: config_store.clone(),
@@ -253,6 +268,7 @@
             fleet: fleet.clone(),
             questions,
             claims: claims.clone(),
+            slots: slots.clone(),
         });
         joined.push(tokio::spawn(peer_service.serve(inbound_calls)));
         let peer_server = PeerServer::start(settings.peer_address, link_options, inbound)
@@ -267,6 +283,7 @@
             clock,
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
+            slots,
         });
         let (stop_router, stopped) = oneshot::channel();
         let router_task = tokio::spawn(router.serve(stopped));
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -16,9 +16,11 @@
     Exchange, ExchangeEnd, ExchangeResult, Link, LinkMessage, OutboundRequest,
 };
 use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::slots::{SlotLimits, SlotSender};
 use tokio::task::JoinSet;
 
 use crate::reply::Reply;
+use crate::slot_link::SlotLink;
 
 const MESSAGES: usize = 1_024;
 /// Deadlines of queued requests are noticed this late at most.
@@ -33,6 +35,8 @@
     pub events: EventSink,
     /// Counters.
     pub metrics: Metrics,
+    /// The slot task.
+    pub slots: SlotSender,
 }
 
 /// What the task keeps of a request.
@@ -65,6 +69,7 @@
     links: JoinSet<()>,
     /// Waits for callers of queued requests to go away.
     watches: JoinSet<Option<RequestKey>>,
+    slots: SlotLink,
     stopping: bool,
 }
 
@@ -76,6 +81,7 @@
 ) -> (mpsc::Sender<DispatchMessage>, DispatcherTask) {
     let (sender, messages) = mpsc::channel(MESSAGES);
     let task = DispatcherTask {
+        slots: SlotLink::new(options.slots.clone(), Arc::clone(&view.name)),
         options,
         dispatcher: Dispatcher::new(policy(&view)),
         view: Arc::new(view),
@@ -127,7 +133,7 @@
                     Some(message) => self.handle(message).await,
                     None => break,
                 },
-                _ = tick.tick() => {}
+                _ = tick.tick() => self.slots.tick(),
                 Some(watched) = self.watches.join_next() => {
                     if let Ok(Some(key)) = watched {
                         self.cancel(key);
@@ -136,14 +142,18 @@
                 Some(_) = self.links.join_next() => {}
             }
             self.advance().await;
+            self.slots
+                .update(&self.dispatcher, |key| name_of(&self.targets, key));
         }
         self.retire_all().await;
+        self.slots.remove().await;
     }
 
     async fn handle(&mut self, message: DispatchMessage) {
         match message {
             DispatchMessage::Submit(submission) => self.submit(submission),
             DispatchMessage::Exchanged(end) => self.exchanged(end),
+            DispatchMessage::Slots(limits) => self.apply_limits(&limits).await,
             DispatchMessage::Configure(view) => self.configure(view).await,
             DispatchMessage::InFlight { instance, reply } => {
                 let _ = reply.send(self.in_flight(&instance));
@@ -294,14 +304,18 @@
             prefer_proven: false,
             response_limit_bytes: self.view.fields.response_limit_bytes,
         };
+        // The process may have been frozen since the slot was chosen.
+        let usable = self
+            .dispatcher
+            .is_usable(instance, self.options.clock.now());
         let sent = match self.targets.get(instance) {
-            Some(target) => target
+            Some(target) if usable => target
                 .link
                 .messages
                 .send(LinkMessage::Exchange(exchange))
                 .await
                 .is_ok(),
-            None => false,
+            _ => false,
         };
         if !sent {
             let result = ExchangeResult::Failed(FailureEvidence::NothingWritten);
@@ -335,10 +349,26 @@
                 self.add_target(record);
             }
         }
-        let slots = self.view.fields.slots_per_instance;
-        for key in self.targets.keys() {
-            self.dispatcher.set_usable_slots(key, slots);
+        self.slots.configure(&self.view, self.ends.clone()).await;
+    }
+
+    async fn apply_limits(&mut self, limits: &SlotLimits) {
+        for limit in &limits.limits {
+            let target = self
+                .targets
+                .iter()
+                .find(|(_, target)| target.record.name == limit.instance);
+            let Some((key, target)) = target else {
+                continue;
+            };
+            self.dispatcher
+                .set_usable_slots(key, limit.slots, limit.until);
+            if self.slots.connections_changed(limit) {
+                let message = LinkMessage::AllowConnections(limit.connections);
+                let _ = target.link.messages.send(message).await;
+            }
         }
+        self.slots.applied(limits.version);
     }
 
     /// Requests in flight on an instance, over all keys that it has had.
@@ -391,6 +421,12 @@
     }
 }
 
+fn name_of(targets: &SlotMap<InstanceKey, Target>, key: InstanceKey) -> Option<Arc<str>> {
+    targets
+        .get(key)
+        .map(|target| Arc::clone(&target.record.name))
+}
+
 fn outcome(refusal: Refusal) -> Outcome {
     match refusal {
         Refusal::NotRun(proof) => Outcome::NotRun(proof),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,9 @@
 pub mod reply;
 pub mod rollout;
 pub mod router;
+pub mod slot_link;
+pub mod slot_members;
+pub mod slots;
 
 pub use config::Config;
 pub use daemon::Daemon;
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -8,6 +8,7 @@
 use rosemaryscale_ports::operator::DaemonStatus;
 use rosemaryscale_ports::peer::{ConfigDigest, ConfigText, InboundCall, PeerReply, PeerRequest};
 use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::slots::{SlotMessage, SlotSender};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -31,6 +32,8 @@
     pub questions: mpsc::Sender<InFlightQuestion>,
     /// The claim task.
     pub claims: ClaimStore,
+    /// The slot task.
+    pub slots: SlotSender,
 }
 
 /// Answers calls of peers.
@@ -94,6 +97,17 @@
                     let _ = reply.send(PeerReply::Pools(fleet.report(true).await));
                 });
             }
+            PeerRequest::SlotReport(report) => {
+                self.pass(SlotMessage::Report {
+                    from,
+                    report,
+                    reply,
+                });
+            }
+            PeerRequest::SlotGrants(list) => {
+                self.pass(SlotMessage::Grants { from, list });
+                let _ = reply.send(PeerReply::Received);
+            }
             PeerRequest::Timeline { limit, filter } => {
                 let events = self.options.events.clone();
                 self.running.spawn(async move {
@@ -130,6 +144,11 @@
         });
     }
 
+    /// Passes a message to the slot task; one that does not fit is lost, as on the network.
+    fn pass(&self, message: SlotMessage) {
+        let _ = self.options.slots.try_send(message);
+    }
+
     fn digest(&self) -> ConfigDigest {
         let in_force = self.options.config.borrow();
         let (version, digest) = in_force.as_ref().map_or_else(Default::default, |document| {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -13,6 +13,7 @@
 };
 use rosemaryscale_ports::instance::{InstanceList, InstanceState, ServiceView};
 use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::slots::SlotSender;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -34,6 +35,8 @@
     pub events: EventSink,
     /// Counters.
     pub metrics: Metrics,
+    /// The slot task.
+    pub slots: SlotSender,
 }
 
 /// Dispatchers by service.
@@ -180,6 +183,7 @@
             clock: ClockHandle::clone(&self.options.clock),
             events: self.options.events.clone(),
             metrics: Metrics::clone(&self.options.metrics),
+            slots: self.options.slots.clone(),
         };
         let (messages, task) = dispatcher::make(options, view.clone());
         self.dispatchers.spawn(task.serve());
--- a/crates/domain/examples/flood/model.rs
+++ b/crates/domain/examples/flood/model.rs
@@ -40,7 +40,8 @@
 
 impl Queueing for Fair {
     fn set_slots(&mut self, slots: u32) {
-        self.dispatcher.set_usable_slots(self.instance, slots);
+        self.dispatcher
+            .set_usable_slots(self.instance, slots, Millis::MAX);
     }
 
     fn submit(&mut self, info: RequestInfo) -> Option<RequestKey> {
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -62,6 +62,8 @@
 struct InstanceAccount {
     /// Slots that this daemon may use now.
     usable_slots: u32,
+    /// When this daemon must stop using them.
+    usable_until: Millis,
     /// Exchanges in flight.
     in_flight: u32,
 }
@@ -120,19 +122,30 @@
         }
     }
 
-    /// Sets the slots of an instance that this daemon may use.
-    pub fn set_usable_slots(&mut self, instance: InstanceKey, slots: u32) {
+    /// Sets the slots of an instance that this daemon may use before `until`.
+    pub fn set_usable_slots(&mut self, instance: InstanceKey, slots: u32, until: Millis) {
+        if !self.instances.contains_key(instance) {
+            self.instances.insert(instance, InstanceAccount::default());
+        }
         if let Some(account) = self.instances.get_mut(instance) {
             account.usable_slots = slots;
-        } else {
-            let account = InstanceAccount {
-                usable_slots: slots,
-                in_flight: 0,
-            };
-            self.instances.insert(instance, account);
+            account.usable_until = until;
         }
     }
 
+    /// Whether an exchange may start on an instance at `now`, as far as its lease is concerned.
+    #[must_use]
+    pub fn is_usable(&self, instance: InstanceKey, now: Millis) -> bool {
+        let account = self.instances.get(instance);
+        account.is_some_and(|account| now < account.usable_until)
+    }
+
+    /// Exchanges in flight by instance.
+    pub fn exchanges(&self) -> impl Iterator<Item = (InstanceKey, u32)> {
+        let accounts = self.instances.iter();
+        accounts.map(|(instance, account)| (instance, account.in_flight))
+    }
+
     /// Forgets an instance. Its exchanges in flight still end through [`Self::failed`] or
     /// [`Self::answered`].
     pub fn remove_instance(&mut self, instance: InstanceKey) {
@@ -208,8 +221,8 @@
     pub fn advance(&mut self, now: Millis) -> Vec<DispatchAction> {
         let mut actions = self.expire(now);
         self.shares.observe_running(self.charges.values(), now);
-        while let Some(instance) = self.least_loaded() {
-            let slots = self.slots();
+        while let Some(instance) = self.least_loaded(now) {
+            let slots = self.slots(now);
             let Some((key, request)) = self.next_queued(slots, now, &mut actions) else {
                 break;
             };
@@ -230,19 +243,24 @@
         actions
     }
 
-    /// Slots of all instances.
-    fn slots(&self) -> SlotCount {
+    /// Slots of all instances that may get work now.
+    fn slots(&self, now: Millis) -> SlotCount {
         let mut slots = SlotCount::default();
-        for account in self.instances.values() {
+        let usable = self
+            .instances
+            .values()
+            .filter(|account| now < account.usable_until);
+        for account in usable {
             slots.usable += account.usable_slots;
             slots.free += account.usable_slots.saturating_sub(account.in_flight);
         }
         slots
     }
 
-    fn least_loaded(&self) -> Option<InstanceKey> {
+    fn least_loaded(&self, now: Millis) -> Option<InstanceKey> {
         self.instances
             .iter()
+            .filter(|(_, account)| now < account.usable_until)
             .filter(|(_, account)| account.in_flight < account.usable_slots)
             .min_by_key(|(_, account)| account.in_flight)
             .map(|(key, _)| key)
--- a/crates/domain/src/dispatch/queueing.rs
+++ b/crates/domain/src/dispatch/queueing.rs
@@ -281,7 +281,7 @@
     }
 
     pub(super) fn observe_queues(&mut self, now: Millis) {
-        let usable = self.slots().usable;
+        let usable = self.slots(now).usable;
         for class in self.queue.classes() {
             let queued = self.queue.len_of(class);
             self.admission.observe(class, queued, usable, now);
--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -23,4 +23,6 @@
     pub struct ClaimKey;
     /// Key of a request that waits for the outcome of a claim.
     pub struct WaiterKey;
+    /// Key of the slots of one service on one instance.
+    pub struct SlotKey;
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod request;
 pub mod rollout;
 pub mod service_time;
+pub mod slots;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
@@ -44,3 +45,4 @@
 pub use proposal::Proposal;
 pub use request::Request;
 pub use rollout::InForce;
+pub use slots::{SlotHome, SlotLedger, SlotShare, Slots};
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -2,7 +2,7 @@
 
 pub use crate::key::{
     CallerKey, ClaimKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, PoolKey, RequestKey,
-    ServiceKey, WaiterKey,
+    ServiceKey, SlotKey, WaiterKey,
 };
 pub use crate::map::{FastMap, FastSet};
 pub use crate::millis::Millis;
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rosemaryscale_domain::slots::{NamedList, NamedReport};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
@@ -11,6 +12,7 @@
 use crate::event::{Event, EventFilter};
 use crate::fleet::{FleetError, FleetOperation, InFlightReport, PoolsReport};
 use crate::operator::DaemonStatus;
+use crate::slots::LiveMembers;
 
 /// Version and digest of a daemon's document.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -61,6 +63,10 @@
     Document,
     /// Read the status.
     Status,
+    /// What a holder has and wants of the instances of this home.
+    SlotReport(NamedReport),
+    /// Grants that follow the answer to a report.
+    SlotGrants(NamedList),
     /// Read the newest events.
     Timeline {
         /// Events at most.
@@ -108,6 +114,12 @@
     Pools(PoolsReport),
     /// The outcome of a claimed request.
     Outcome(OutcomeReply),
+    /// Answer to a slot report.
+    SlotGrants(NamedList),
+    /// A slot report was not used, since the peer sees other members.
+    OtherMembers(LiveMembers),
+    /// The message arrived.
+    Received,
     /// The peer cannot answer now.
     Refused(String),
 }
