Join every task of the stand-ins, and add clients and a scripted upstream

Cause: the upstream stand-in detached a task per request and the platform's watch detached one per stream, against the house rule. The tests of upstream faults also need clients that check every reply, and responses that no HTTP library writes.

Ruled out: keeping the task of a request in its connection, since the work must go on when the caller goes away.

Change: the upstream's own task holds the running work in a JoinSet; the watch reads its events without a task. `Upstream::stop` returns the last report, so that work which was cut by a kill is counted.

Before: two detached tasks. After: none; grep for tokio::spawn shows only tasks whose handle the owner joins.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,10 +13,12 @@
 
 #![allow(clippy::expect_used, reason = "test support fails loudly")]
 
+pub mod clients;
 pub mod faults;
 pub mod harness;
 pub mod http_server;
 pub mod platform;
+pub mod scripted;
 pub mod store;
 pub mod upstream;
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -312,46 +312,33 @@
 async fn watch(commands: mpsc::Sender<Command>, body: Value) -> Reply {
     let (reply, events) = oneshot::channel();
     commands.send(Command::Watch { body, reply }).await.ok()?;
-    let mut watch = match events.await.ok()? {
+    let watch = match events.await.ok()? {
         Ok(watch) => watch,
         Err(error) => return Some(store_error(&error)),
     };
     if let Some(fault) = watch.fault {
         return unanswered(fault).await;
     }
-    let (frames, receiver) = mpsc::channel::<Result<Frame<Bytes>, std::io::Error>>(16);
-    tokio::spawn(async move {
-        while let Some(event) = tokio::select! {
-            event = watch.events.recv() => event,
-            () = frames.closed() => None,
-        } {
-            let line = format!("{event}\n");
-            if frames
-                .send(Ok(Frame::data(Bytes::from(line))))
-                .await
-                .is_err()
-            {
-                return;
-            }
-        }
+    let stream = StreamBody::new(EventStream {
+        events: watch.events,
     });
-    let stream = StreamBody::new(ReceiverStream { receiver });
     Some(http::Response::new(BodyExt::boxed(stream)))
 }
 
-/// A channel as a stream of body frames.
-struct ReceiverStream<T> {
-    receiver: mpsc::Receiver<T>,
+/// Events as body frames, one line each.
+struct EventStream {
+    events: mpsc::UnboundedReceiver<Value>,
 }
 
-impl<T> futures_core::Stream for ReceiverStream<T> {
-    type Item = T;
+impl futures_core::Stream for EventStream {
+    type Item = Result<Frame<Bytes>, std::io::Error>;
 
     fn poll_next(
         mut self: std::pin::Pin<&mut Self>,
         context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<T>> {
-        self.receiver.poll_recv(context)
+    ) -> std::task::Poll<Option<Self::Item>> {
+        let event = self.events.poll_recv(context);
+        event.map(|event| event.map(|event| Ok(Frame::data(Bytes::from(format!("{event}\n"))))))
     }
 }
 
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::faults::Faults;
 use crate::http_server::{
@@ -54,9 +54,9 @@
     Start {
         connection: ConnectionNumber,
         run: String,
+        delay: Duration,
         reply: oneshot::Sender<Start>,
     },
-    Finish,
     SetFaults {
         faults: Faults,
     },
@@ -66,7 +66,10 @@
 }
 
 enum Start {
-    Run(Faults),
+    Run {
+        faults: Faults,
+        finished: oneshot::Receiver<()>,
+    },
     Refused,
     Silent,
     Close,
@@ -125,11 +128,15 @@
         report.await.unwrap_or_default()
     }
 
-    /// Closes every connection and stops.
-    pub async fn stop(self) {
+    /// Closes every connection, whatever it carries, and stops. Returns the last report.
+    pub async fn stop(self) -> Report {
         self.server.stop().await;
+        let (reply, report) = oneshot::channel();
+        let _ = self.commands.send(Command::Report { reply }).await;
+        let report = report.await.unwrap_or_default();
         drop(self.commands);
         let _ = self.task.await;
+        report
     }
 }
 
@@ -139,11 +146,22 @@
     let mut busy = 0;
     let mut newest = ConnectionNumber(0);
     let mut silent_up_to = ConnectionNumber(0);
-    while let Some(command) = commands.recv().await {
+    // The work goes on when the caller goes away, as in a service that does not notice it.
+    let mut work = JoinSet::new();
+    loop {
+        let command = tokio::select! {
+            command = commands.recv() => command,
+            Some(_) = work.join_next() => {
+                busy -= 1;
+                continue;
+            }
+        };
+        let Some(command) = command else { break };
         match command {
             Command::Start {
                 connection,
                 run,
+                delay,
                 reply,
             } => {
                 newest = newest.max(connection);
@@ -160,14 +178,17 @@
                     report.busy_max = report.busy_max.max(busy);
                     report.executed += 1;
                     *report.runs.entry(run).or_default() += 1;
-                    Start::Run(faults.clone())
+                    let (finish, finished) = oneshot::channel();
+                    let delay = delay + Duration::from_millis(faults.delay_ms);
+                    work.spawn(async move {
+                        tokio::time::sleep(delay).await;
+                        let _ = finish.send(());
+                    });
+                    let faults = faults.clone();
+                    Start::Run { faults, finished }
                 };
-                let started = matches!(start, Start::Run(_));
-                if reply.send(start).is_err() && started {
-                    busy -= 1;
-                }
+                let _ = reply.send(start);
             }
-            Command::Finish => busy -= 1,
             Command::SetFaults { faults: new } => {
                 if new.silence_open {
                     silent_up_to = newest;
@@ -179,6 +200,7 @@
             }
         }
     }
+    work.shutdown().await;
 }
 
 async fn handle(
@@ -215,31 +237,26 @@
     let run = header(&head.headers, "idempotency-key")
         .or_else(|| header(&head.headers, "x-request-id"))
         .unwrap_or_default();
+    let delay = header(&head.headers, "x-standin-delay-ms")
+        .and_then(|text| text.parse().ok())
+        .map_or(options.default_delay, Duration::from_millis);
     let (reply, start) = oneshot::channel();
     commands
         .send(Command::Start {
             connection,
             run,
+            delay,
             reply,
         })
         .await
         .ok()?;
-    let faults = match start.await.ok()? {
-        Start::Run(faults) => faults,
+    let (faults, finished) = match start.await.ok()? {
+        Start::Run { faults, finished } => (faults, finished),
         Start::Refused => return Some(refused()),
         Start::Silent => return std::future::pending().await,
         Start::Close => return None,
     };
-    let delay = header(&head.headers, "x-standin-delay-ms")
-        .and_then(|text| text.parse().ok())
-        .map_or(options.default_delay, Duration::from_millis);
-    // The work goes on when the caller goes away, as in a service that does not notice it.
-    let finish = commands.clone();
-    let work = tokio::spawn(async move {
-        tokio::time::sleep(delay + Duration::from_millis(faults.delay_ms)).await;
-        let _ = finish.send(Command::Finish).await;
-    });
-    let _ = work.await;
+    let _ = finished.await;
     if faults.fail {
         return Some(json_reply(
             StatusCode::INTERNAL_SERVER_ERROR,
