--- a/crates/adapters/src/instance_poller.rs
+++ b/crates/adapters/src/instance_poller.rs
@@ -5,8 +5,11 @@
 
 use bytes::Bytes;
 use http::Method;
+use rosemaryscale_domain::roster::Roster;
 use rosemaryscale_ports::instance::{InstanceList, InstanceRecord, InstanceSnapshot};
 use rosemaryscale_ports::prelude::*;
+use serde::Deserialize;
+use serde_json::Value;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -27,25 +30,44 @@
 async fn poll(client: HttpClient, sender: watch::Sender<InstanceSnapshot>, metrics: Metrics) {
     let mut interval = tokio::time::interval(POLL_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut roster = Roster::default();
     loop {
         tokio::select! {
             _ = interval.tick() => {}
             () = sender.closed() => return,
         }
-        let Some(instances) = read(&client).await else {
+        let Some(entries) = read(&client).await else {
             metrics.count("platform.list_failures", 1);
             continue;
         };
-        sender.send_if_modified(|snapshot| {
-            let changed = snapshot.reads == 0 || *snapshot.instances != *instances;
-            snapshot.reads += 1;
-            snapshot.instances = instances.into();
-            changed
-        });
+        let instances: Vec<InstanceRecord> = entries
+            .iter()
+            .filter_map(|entry| InstanceRecord::deserialize(entry).ok())
+            .collect();
+        let malformed = entries.len() - instances.len();
+        if malformed > 0 {
+            metrics.count("platform.list_malformed_entries", malformed as i64);
+        }
+        roster.read(instances);
+        publish(&sender, &roster);
     }
 }
 
-async fn read(client: &HttpClient) -> Option<Vec<InstanceRecord>> {
+fn publish(sender: &watch::Sender<InstanceSnapshot>, roster: &Roster<InstanceRecord>) {
+    let instances = roster.entries();
+    let absent = roster.absent();
+    sender.send_if_modified(|snapshot| {
+        let changed =
+            snapshot.reads == 0 || *snapshot.instances != *instances || *snapshot.absent != *absent;
+        snapshot.reads += 1;
+        snapshot.instances = instances.into();
+        snapshot.absent = absent.into();
+        changed
+    });
+}
+
+/// Reads the list. A malformed entry is left to the caller, so that it does not hide the others.
+async fn read(client: &HttpClient) -> Option<Vec<Value>> {
     let reply = client
         .call(Method::GET, "/v1/instances", Bytes::new())
         .await
--- a/crates/adapters/src/upstream_link.rs
+++ b/crates/adapters/src/upstream_link.rs
@@ -1,24 +1,31 @@
 //! Upstream links: one task per instance owns the connections to it.
+//!
+//! A link keeps no queue. An exchange that finds as many connections in use as are allowed ends at
+//! once as not written, and the dispatcher decides what becomes of it.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rosemaryscale_domain::connection::{Connection, Idle};
+use rosemaryscale_domain::connection::{Connections, Lease};
+use rosemaryscale_domain::health::Observation;
+use rosemaryscale_domain::outcome::UnknownReason;
 use rosemaryscale_domain::request::FailureEvidence;
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::dispatch::DispatchMessage;
 use rosemaryscale_ports::link::{Exchange, ExchangeEnd, ExchangeResult, Link, LinkMessage};
 use rosemaryscale_ports::prelude::*;
-use tokio::task::JoinSet;
+use tokio::task::{Id, JoinError, JoinSet};
 
 mod counting;
+mod exchange;
 pub(crate) mod transport;
 
-use transport::Transport;
+use exchange::Finished;
 pub(crate) use transport::end_to_end;
+use transport::{Exchanged, Transport};
 
 const MESSAGES: usize = 256;
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_CHECK: Duration = Duration::from_secs(1);
 
 /// What a link's task needs.
 pub struct LinkOptions {
@@ -26,6 +33,8 @@
     pub instance: InstanceKey,
     /// Where the instance accepts connections.
     pub address: SocketAddr,
+    /// Connections that may be open, until [`LinkMessage::AllowConnections`] says otherwise.
+    pub connections: u32,
     /// Clock of the process.
     pub clock: ClockHandle,
     /// Where ends of exchanges go.
@@ -37,26 +46,27 @@
 pub fn make(options: LinkOptions) -> (Link, impl Future<Output = ()> + Send) {
     let (messages, receiver) = mpsc::channel(MESSAGES);
     let task = LinkTask {
+        connections: Connections::new(options.connections),
         options,
-        idle: Vec::new(),
         running: JoinSet::new(),
+        requests: FastMap::default(),
     };
     (Link { messages }, task.serve(receiver))
 }
 
-type IdleConnection = Connection<Idle, Transport>;
-
-/// End of an exchange together with its connection, if that can carry another one.
-struct Finished {
-    end: ExchangeEnd,
-    connection: Option<IdleConnection>,
+/// What a task of the link ended with.
+enum Done {
+    Exchange(Box<Finished>),
+    Probe { healthy: bool },
 }
 
 /// State of a link.
 struct LinkTask {
     options: LinkOptions,
-    idle: Vec<IdleConnection>,
-    running: JoinSet<Finished>,
+    connections: Connections<Transport>,
+    running: JoinSet<Done>,
+    /// Requests by the task that carries their exchange out.
+    requests: FastMap<Id, RequestKey>,
 }
 
 impl LinkTask {
@@ -64,93 +74,98 @@
         loop {
             tokio::select! {
                 message = messages.recv() => match message {
-                    Some(LinkMessage::Exchange(exchange)) => self.start_exchange(exchange),
-                    Some(LinkMessage::AllowConnections(_)) => {}
+                    Some(LinkMessage::Exchange(exchange)) => self.start_exchange(exchange).await,
+                    Some(LinkMessage::AllowConnections(count)) => self.connections.allow(count),
+                    Some(LinkMessage::Probe) => self.start_probe().await,
                     Some(LinkMessage::Retire) | None => break,
                 },
-                Some(finished) = self.running.join_next() => self.finish(finished).await,
+                Some(done) = self.running.join_next_with_id() => self.finish(done).await,
+                () = tokio::time::sleep(IDLE_CHECK), if self.connections.has_idle() => {
+                    self.connections.close_expired(self.options.clock.now());
+                }
             }
         }
-        while let Some(finished) = self.running.join_next().await {
-            self.finish(finished).await;
+        self.connections.close_idle();
+        while let Some(done) = self.running.join_next_with_id().await {
+            self.finish(done).await;
+            self.connections.close_idle();
         }
     }
 
-    fn start_exchange(&mut self, exchange: Exchange) {
-        let idle = self.idle.pop();
+    async fn start_exchange(&mut self, exchange: Exchange) {
+        let now = self.options.clock.now();
+        let request = exchange.request;
+        let idle = match self.connections.take(exchange.prefer_proven, now) {
+            Lease::Reuse(connection) => Some(connection),
+            Lease::Open => None,
+            Lease::Full => return self.report(request, Exchanged::not_sent()).await,
+        };
         let clock = ClockHandle::clone(&self.options.clock);
-        let instance = self.options.instance;
         let address = self.options.address;
-        self.running.spawn(async move {
-            let request = exchange.request;
-            let (result, connection) = run(exchange, idle, address, &clock).await;
-            Finished {
-                end: ExchangeEnd {
-                    request,
-                    instance,
-                    result,
-                },
-                connection,
-            }
+        let task = self.running.spawn(async move {
+            let finished = exchange::run(exchange, idle, address, &clock).await;
+            Done::Exchange(Box::new(finished))
         });
+        self.requests.insert(task.id(), request);
     }
 
-    async fn finish(&mut self, finished: Result<Finished, tokio::task::JoinError>) {
-        let Ok(Finished { end, connection }) = finished else {
-            return;
-        };
-        self.idle.extend(connection);
-        let _ = self
-            .options
-            .ends
-            .send(DispatchMessage::Exchanged(end))
-            .await;
+    async fn start_probe(&mut self) {
+        if matches!(self.connections.take_fresh(), Lease::Full) {
+            return self.report_probe(false).await;
+        }
+        let address = self.options.address;
+        self.running.spawn(async move {
+            let healthy = exchange::probe(address).await;
+            Done::Probe { healthy }
+        });
     }
-}
 
-/// Carries out an exchange on an idle connection, or on a fresh one if there is none or it turns
-/// out to be closed.
-async fn run(
-    exchange: Exchange,
-    idle: Option<IdleConnection>,
-    address: SocketAddr,
-    clock: &ClockHandle,
-) -> (ExchangeResult, Option<IdleConnection>) {
-    let time_left = Duration::from_millis(exchange.deadline.ms_since(clock.now()));
-    let deadline = tokio::time::Instant::now() + time_left;
-    let connection = match reuse(idle).await {
-        Some(connection) => connection,
-        None => match connect(address, deadline).await {
-            Some(transport) => Connection::open(transport, clock.now()),
-            None => {
-                return (
-                    ExchangeResult::Failed(FailureEvidence::NothingWritten),
-                    None,
-                );
+    async fn finish(&mut self, done: Result<(Id, Done), JoinError>) {
+        let id = match &done {
+            Ok((id, _)) => *id,
+            Err(error) => error.id(),
+        };
+        let request = self.requests.remove(&id);
+        match (request, done) {
+            (Some(request), Ok((_, Done::Exchange(finished)))) => {
+                if finished.exchanged.observation == Observation::TimedOut {
+                    self.connections.suspect(self.options.clock.now());
+                }
+                self.connections.give_back(finished.connection);
+                self.report(request, finished.exchanged).await;
+            }
+            (Some(request), _) => {
+                // The task failed, and what it had written is not known.
+                self.connections.give_back(None);
+                let evidence = FailureEvidence::MayHaveRun(UnknownReason::ConnectionLost);
+                let exchanged = Exchanged {
+                    result: ExchangeResult::Failed(evidence),
+                    observation: Observation::Nothing,
+                };
+                self.report(request, exchanged).await;
+            }
+            (None, done) => {
+                self.connections.give_back(None);
+                let healthy = matches!(done, Ok((_, Done::Probe { healthy: true })));
+                self.report_probe(healthy).await;
             }
-        },
-    };
-    let mut busy = connection.start(exchange.request);
-    let result = busy.transport.exchange(&exchange, deadline).await;
-    match result {
-        ExchangeResult::Complete(_) => {
-            let idle = busy.complete(clock.now());
-            (result, Some(idle))
         }
-        _ => (result, None),
     }
-}
 
-async fn reuse(idle: Option<IdleConnection>) -> Option<IdleConnection> {
-    let mut connection = idle?;
-    connection.transport.is_usable().await.then_some(connection)
-}
+    async fn report(&self, request: RequestKey, exchanged: Exchanged) {
+        let end = ExchangeEnd {
+            request,
+            instance: self.options.instance,
+            result: exchanged.result,
+            observation: exchanged.observation,
+        };
+        let message = DispatchMessage::Exchanged(end);
+        let _ = self.options.ends.send(message).await;
+    }
 
-async fn connect(address: SocketAddr, deadline: tokio::time::Instant) -> Option<Transport> {
-    let connect = tokio::time::timeout(CONNECT_TIMEOUT, Transport::open(address));
-    tokio::time::timeout_at(deadline, connect)
-        .await
-        .ok()?
-        .ok()?
-        .ok()
+    async fn report_probe(&self, healthy: bool) {
+        let instance = self.options.instance;
+        let message = DispatchMessage::Probed { instance, healthy };
+        let _ = self.options.ends.send(message).await;
+    }
 }
--- a/crates/adapters/src/upstream_link/transport.rs
+++ b/crates/adapters/src/upstream_link/transport.rs
@@ -8,13 +8,15 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use rosemaryscale_domain::health::Observation;
 use rosemaryscale_domain::outcome::UnknownReason;
 use rosemaryscale_domain::request::FailureEvidence;
 use rosemaryscale_ports::link::{self, Exchange, ExchangeResult, OutboundRequest};
@@ -24,6 +26,10 @@
 use super::counting::{CountingStream, WrittenBytes};
 
 const NOT_RUN_HEADER: &str = "x-not-run";
+const RESPONSE_HEADERS_MAX: usize = 256;
+/// Bounds the head of a response and what a connection buffers.
+const BUFFER_MAX_BYTES: usize = 64 << 10;
+const REFUSAL_BODY_LIMIT: Duration = Duration::from_millis(100);
 /// Headers that concern one connection and are not passed on.
 pub(crate) const HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -53,7 +59,10 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let (stream, written) = CountingStream::new(stream);
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_headers(RESPONSE_HEADERS_MAX)
+            .max_buf_size(BUFFER_MAX_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         Ok(Self {
@@ -64,58 +73,131 @@
         })
     }
 
-    /// Whether the connection can carry another exchange. A close by the upstream is seen here.
-    pub(super) async fn is_usable(&mut self) -> bool {
+    /// Whether the connection can carry another exchange: the last request was written in full, its
+    /// response was read in full, and the upstream has neither closed the connection nor sent more.
+    pub(super) async fn is_idle(&mut self) -> bool {
         let Self { sender, driver, .. } = self;
-        drive(driver, sender.ready()).await.is_ok() && driver.is_some()
+        drive(driver, std::future::ready(())).await;
+        driver.is_some() && sender.is_ready()
     }
 
     /// Sends a request and reads the whole response.
-    pub(super) async fn exchange(
-        &mut self,
-        exchange: &Exchange,
-        deadline: Instant,
-    ) -> ExchangeResult {
+    pub(super) async fn exchange(&mut self, exchange: &Exchange, deadline: Instant) -> Exchanged {
         let before = self.written.get();
         let work = self.send_and_read(exchange);
         let failure = match tokio::time::timeout_at(deadline, work).await {
-            Ok(Ok(result)) => return result,
+            Ok(Ok(exchanged)) => return exchanged,
             Ok(Err(reason)) => reason,
             Err(_) => UnknownReason::TimedOut,
         };
         self.driver = None;
-        if self.written.get() == before {
-            ExchangeResult::Failed(FailureEvidence::NothingWritten)
+        let evidence = if self.written.get() == before {
+            FailureEvidence::NothingWritten
         } else {
-            ExchangeResult::Failed(FailureEvidence::MayHaveRun(failure))
+            FailureEvidence::MayHaveRun(failure)
+        };
+        Exchanged {
+            result: ExchangeResult::Failed(evidence),
+            observation: match failure {
+                UnknownReason::TimedOut => Observation::TimedOut,
+                UnknownReason::Malformed => Observation::ErrorResponse,
+                _ => Observation::ConnectionLost,
+            },
         }
     }
 
-    async fn send_and_read(
-        &mut self,
-        exchange: &Exchange,
-    ) -> Result<ExchangeResult, UnknownReason> {
+    async fn send_and_read(&mut self, exchange: &Exchange) -> Result<Exchanged, UnknownReason> {
         let Some(request) = request(&exchange.outbound, self.host) else {
-            return Ok(ExchangeResult::Failed(FailureEvidence::NothingWritten));
+            return Ok(Exchanged::not_sent());
         };
         let Self { sender, driver, .. } = self;
         let response = drive(driver, sender.send_request(request))
             .await
-            .map_err(|_| UnknownReason::ConnectionLost)?;
+            .map_err(|error| head_failure(&error))?;
         let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE
-            && response.headers().contains_key(NOT_RUN_HEADER);
+            && response
+                .headers()
+                .get(NOT_RUN_HEADER)
+                .is_some_and(|value| value == "true");
+        let limit_bytes = exchange.response_limit_bytes;
+        if refused {
+            // The head is the proof. The body is read only so that the connection can be reused.
+            let body = drive(driver, read(response.into_body(), limit_bytes));
+            let whole = tokio::time::timeout(REFUSAL_BODY_LIMIT, body).await;
+            if !matches!(whole, Ok(Ok(Some(_)))) {
+                *driver = None;
+            }
+            return Ok(Exchanged {
+                result: ExchangeResult::Failed(FailureEvidence::RefusedNotRun),
+                observation: Observation::Overloaded,
+            });
+        }
+        if !is_delimited(&response) {
+            return Err(UnknownReason::Malformed);
+        }
         let (head, body) = response.into_parts();
-        let Some(body) = drive(driver, read(body, exchange.response_limit_bytes)).await? else {
-            return Ok(ExchangeResult::ResponseTooLarge);
+        let Some(body) = drive(driver, read(body, limit_bytes)).await? else {
+            *driver = None;
+            return Ok(Exchanged {
+                result: ExchangeResult::ResponseTooLarge,
+                observation: Observation::Answered,
+            });
         };
-        if refused {
-            return Ok(ExchangeResult::Failed(FailureEvidence::RefusedNotRun));
+        let observation = if head.status.is_server_error() {
+            Observation::ErrorResponse
+        } else {
+            Observation::Answered
+        };
+        Ok(Exchanged {
+            result: ExchangeResult::Complete(complete(Response::from_parts(head, body))),
+            observation,
+        })
+    }
+}
+
+/// End of an exchange on one connection.
+pub(super) struct Exchanged {
+    pub(super) result: ExchangeResult,
+    pub(super) observation: Observation,
+}
+
+impl Exchanged {
+    /// Nothing was sent, for a reason within the daemon.
+    pub(super) const fn not_sent() -> Self {
+        Self {
+            result: ExchangeResult::Failed(FailureEvidence::NothingWritten),
+            observation: Observation::Nothing,
         }
-        let response = Response::from_parts(head, body);
-        Ok(ExchangeResult::Complete(complete(response)))
     }
 }
 
+fn head_failure(error: &hyper::Error) -> UnknownReason {
+    if error.is_parse() || error.is_parse_too_large() {
+        UnknownReason::Malformed
+    } else {
+        UnknownReason::ConnectionLost
+    }
+}
+
+/// Whether the end of the response can be told from the end of the connection. A response that
+/// lasts until the connection closes may have been cut short anywhere, and a change of protocol
+/// was not asked for.
+fn is_delimited(response: &Response<Incoming>) -> bool {
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        return false;
+    }
+    let chunked = response
+        .headers()
+        .get_all(http::header::TRANSFER_ENCODING)
+        .iter()
+        .next_back()
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.rsplit(',').next())
+        .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    // The length is known to be zero where the status or the method rules a body out.
+    chunked || response.body().size_hint().exact().is_some()
+}
+
 /// Polls the connection together with the work that waits for it.
 async fn drive<T>(driver: &mut Option<Driver>, work: impl Future<Output = T>) -> T {
     let mut work = pin!(work);
@@ -149,6 +231,9 @@
 
 /// Reads a body; `None` if it is over the limit.
 async fn read(mut body: Incoming, limit_bytes: u64) -> Result<Option<Bytes>, UnknownReason> {
+    if body.size_hint().lower() > limit_bytes {
+        return Ok(None);
+    }
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| UnknownReason::Truncated)?.into_data() else {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon: starts the tasks, joins them, and goes through its life cycle.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rosemaryscale_adapters::caller_api::{CallerContext, Readiness, ServerError};
 use rosemaryscale_adapters::operator_api::OperatorContext;
@@ -24,12 +25,17 @@
 use crate::config::Config;
 use crate::fan_out::FanOut;
 use crate::membership::{Membership, MembershipOptions};
+use crate::observations::Observations;
 use crate::peer_service::{PeerService, PeerServiceOptions};
 use crate::rollout::{Rollout, RolloutOptions};
 use crate::router::{Router, RouterOptions};
 
 const CONFIG_MESSAGES: usize = 16;
 const INBOUND_CALLS: usize = 256;
+const OBSERVATIONS: usize = 64;
+/// A stopping daemon waits this much longer than its longest request. A caller that never sends
+/// the end of its body would hold up the stop for good; its request was not run.
+const BODY_GRACE: Duration = Duration::from_secs(5);
 
 /// Why the daemon failed.
 #[derive(Debug)]
@@ -191,10 +197,16 @@
         let (peers, peer_task) = peer_link::start(link_options.clone(), members.clone());
         joined.push(peer_task);
         let (inbound, inbound_calls) = mpsc::channel(INBOUND_CALLS);
+        let (observations, observed) = mpsc::channel(OBSERVATIONS);
+        let (refusing, refusing_receiver) = mpsc::channel(OBSERVATIONS);
+        let name = Arc::clone(&settings.name);
+        let tell_peers = Observations::new(name, members.clone(), peers.clone());
+        joined.push(tokio::spawn(tell_peers.serve(refusing_receiver)));
         let peer_service = PeerService::new(PeerServiceOptions {
             config: config.clone(),
             status: status_receiver.clone(),
             events: events.clone(),
+            observations,
         });
         joined.push(tokio::spawn(peer_service.serve(inbound_calls)));
         let peer_server = PeerServer::start(settings.peer_address, link_options, inbound)
@@ -207,6 +219,8 @@
             clock,
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
+            refusing,
+            observed,
         });
         let (stop_router, stopped) = oneshot::channel();
         let router_task = tokio::spawn(router.serve(stopped));
@@ -302,7 +316,8 @@
     async fn finish(mut self) -> Daemon<Stopped> {
         let tasks = &mut self.tasks;
         if let Some(callers) = tasks.callers.take() {
-            let _ = callers.stop().await;
+            let limit = tasks.longest_request() + BODY_GRACE;
+            let _ = tokio::time::timeout(limit, callers.stop()).await;
         }
         if let Some(stop) = tasks.stop_router.take() {
             let _ = stop.send(());
@@ -331,6 +346,16 @@
 }
 
 impl Tasks {
+    /// Longest time that an accepted request may take.
+    fn longest_request(&self) -> Duration {
+        let document = self.config.borrow().clone();
+        let services = document
+            .iter()
+            .flat_map(|known| known.fields.services.values());
+        let longest_ms = services.map(|service| service.request_limit_ms).max();
+        Duration::from_millis(longest_ms.unwrap_or_default())
+    }
+
     fn update_status(&self) {
         let readiness = self.readiness.borrow().clone();
         let document = self.config.borrow().clone();
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -6,6 +6,7 @@
 use rosemaryscale_adapters::upstream_link::{self, LinkOptions};
 use rosemaryscale_domain::Dispatcher;
 use rosemaryscale_domain::dispatch::{DispatchAction, DispatchPolicy};
+use rosemaryscale_domain::health::{FaultDomain, HealthChange, Observation};
 use rosemaryscale_domain::request::{ClassIndex, FailureEvidence, Refusal, RequestInfo};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::dispatch::{DispatchMessage, Invalid, Outcome, Submission};
@@ -13,6 +14,7 @@
 use rosemaryscale_ports::link::{
     Exchange, ExchangeEnd, ExchangeResult, Link, LinkMessage, OutboundRequest,
 };
+use rosemaryscale_ports::peer::{PeerObservation, RefusingInstance};
 use rosemaryscale_ports::prelude::*;
 use tokio::task::JoinSet;
 
@@ -29,6 +31,8 @@
     pub events: EventSink,
     /// Counters.
     pub metrics: Metrics,
+    /// Where this daemon's observations for its peers go.
+    pub refusing: mpsc::Sender<RefusingInstance>,
 }
 
 /// What the task keeps of a request.
@@ -43,6 +47,20 @@
     link: Link,
 }
 
+impl Target {
+    /// Whether the record is of this instance; its labels may differ.
+    fn is(&self, record: &InstanceRecord) -> bool {
+        self.record.name == record.name && self.record.address == record.address
+    }
+
+    fn refusing(&self) -> RefusingInstance {
+        RefusingInstance {
+            name: Arc::clone(&self.record.name),
+            address: self.record.address,
+        }
+    }
+}
+
 /// State of a dispatcher's task.
 pub struct DispatcherTask {
     options: DispatcherOptions,
@@ -55,7 +73,6 @@
     callers: SlotMap<CallerKey, Arc<str>>,
     caller_keys: FastMap<Arc<str>, CallerKey>,
     links: JoinSet<()>,
-    stopping: bool,
 }
 
 /// Makes the task of a service's dispatcher.
@@ -76,7 +93,6 @@
         callers: SlotMap::with_key(),
         caller_keys: FastMap::default(),
         links: JoinSet::new(),
-        stopping: false,
     };
     (sender, task)
 }
@@ -85,6 +101,7 @@
     DispatchPolicy {
         queue_limit: view.fields.queue_limit,
         tries_max: TRIES_MAX,
+        retry_budget_ppm: view.fields.retry_budget_ppm,
     }
 }
 
@@ -93,26 +110,32 @@
     pub async fn serve(mut self) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        while !(self.stopping && self.dispatcher.is_empty()) {
+        while !self.dispatcher.is_finished() {
             tokio::select! {
                 message = self.messages.recv() => match message {
-                    Some(message) => self.handle(message).await,
+                    Some(message) => self.handle(message),
                     None => break,
                 },
                 _ = tick.tick() => self.drop_cancelled(),
                 Some(_) = self.links.join_next() => {}
             }
-            self.advance().await;
+            self.advance();
+            self.retire_idle();
         }
         self.retire_all().await;
     }
 
-    async fn handle(&mut self, message: DispatchMessage) {
+    fn handle(&mut self, message: DispatchMessage) {
         match message {
             DispatchMessage::Submit(submission) => self.submit(submission),
             DispatchMessage::Exchanged(end) => self.exchanged(end),
-            DispatchMessage::Configure(view) => self.configure(view).await,
-            DispatchMessage::Stop => self.stopping = true,
+            DispatchMessage::Probed { instance, healthy } => {
+                let now = self.options.clock.now();
+                self.dispatcher.probed(instance, healthy, now);
+            }
+            DispatchMessage::PeerObserved(observation) => self.peer_observed(observation),
+            DispatchMessage::Configure(view) => self.configure(view),
+            DispatchMessage::Stop => self.dispatcher.stop(),
         }
     }
 
@@ -168,6 +191,7 @@
 
     fn exchanged(&mut self, end: ExchangeEnd) {
         let now = self.options.clock.now();
+        self.dispatcher.observe(end.request, end.observation, now);
         match end.result {
             ExchangeResult::Complete(response) => {
                 self.dispatcher.answered(end.request);
@@ -207,7 +231,7 @@
         self.payloads.retain(|key, _| dispatcher.contains(key));
     }
 
-    async fn advance(&mut self) {
+    fn advance(&mut self) {
         let now = self.options.clock.now();
         for action in self.dispatcher.advance(now) {
             match action {
@@ -215,9 +239,12 @@
                     request,
                     instance,
                     deadline,
+                    prefer_proven,
                 } => {
-                    self.send(request, instance, deadline).await;
+                    self.send(request, instance, deadline, prefer_proven);
                 }
+                DispatchAction::Probe { instance } => self.probe(instance),
+                DispatchAction::Report { instance, change } => self.report(instance, change),
                 DispatchAction::Refuse { request, refusal } => {
                     self.options.metrics.count("dispatch.refused", 1);
                     self.reply(request, outcome(refusal));
@@ -226,7 +253,13 @@
         }
     }
 
-    async fn send(&mut self, request: RequestKey, instance: InstanceKey, deadline: Millis) {
+    fn send(
+        &mut self,
+        request: RequestKey,
+        instance: InstanceKey,
+        deadline: Millis,
+        prefer_proven: bool,
+    ) {
         let Some(payload) = self.payloads.get(request) else {
             return;
         };
@@ -234,58 +267,102 @@
             request,
             outbound: payload.outbound.clone(),
             deadline,
-            prefer_proven: false,
+            prefer_proven,
             response_limit_bytes: self.view.fields.response_limit_bytes,
         };
-        let sent = match self.targets.get(instance) {
-            Some(target) => target
-                .link
-                .messages
-                .send(LinkMessage::Exchange(exchange))
-                .await
-                .is_ok(),
-            None => false,
-        };
-        if !sent {
-            let result = ExchangeResult::Failed(FailureEvidence::NothingWritten);
+        // Waiting for a link that waits to report to this task would stop both.
+        if !self.tell(instance, LinkMessage::Exchange(exchange)) {
             self.exchanged(ExchangeEnd {
                 request,
                 instance,
-                result,
+                result: ExchangeResult::Failed(FailureEvidence::NothingWritten),
+                observation: Observation::Nothing,
             });
         }
     }
 
-    async fn configure(&mut self, view: Arc<ServiceView>) {
+    fn tell(&self, instance: InstanceKey, message: LinkMessage) -> bool {
+        let target = self.targets.get(instance);
+        target.is_some_and(|target| target.link.messages.try_send(message).is_ok())
+    }
+
+    fn probe(&mut self, instance: InstanceKey) {
+        if !self.tell(instance, LinkMessage::Probe) {
+            let now = self.options.clock.now();
+            self.dispatcher.probed(instance, false, now);
+        }
+    }
+
+    fn report(&self, instance: InstanceKey, change: HealthChange) {
+        let Some(target) = self.targets.get(instance) else {
+            return;
+        };
+        let record = &target.record;
+        let detail = match change {
+            HealthChange::Ejected { pause_ms, refuses } => {
+                self.options.metrics.count("health.ejections", 1);
+                if refuses {
+                    let _ = self.options.refusing.try_send(target.refusing());
+                }
+                let (rack, zone) = (&record.rack, &record.zone);
+                format!("ejected, probed in {pause_ms} ms (rack {rack}, zone {zone})")
+            }
+            HealthChange::OnTrial => "on trial with one request at a time".into(),
+            HealthChange::Returned => "returned to full use".into(),
+        };
+        let name = Arc::clone(&record.name);
+        self.options
+            .events
+            .record(EventKind::Instance, name, detail);
+    }
+
+    fn peer_observed(&mut self, observation: PeerObservation) {
+        let PeerObservation { peer, refusing } = observation;
+        let mut targets = self.targets.iter();
+        let known = targets.find(|(_, target)| target.refusing() == refusing);
+        if let Some((key, _)) = known {
+            let now = self.options.clock.now();
+            self.dispatcher.peer_refused(key, peer, now);
+        }
+    }
+
+    fn configure(&mut self, view: Arc<ServiceView>) {
+        let now = self.options.clock.now();
         self.view = view;
         self.dispatcher.configure(policy(&self.view));
-        let gone: Vec<InstanceKey> = self
-            .targets
-            .iter()
-            .filter(|(_, target)| !self.view.instances.contains(&target.record))
-            .map(|(key, _)| key)
-            .collect();
-        for key in gone {
-            self.dispatcher.remove_instance(key);
-            if let Some(target) = self.targets.remove(key) {
-                let _ = target.link.messages.send(LinkMessage::Retire).await;
+        let listed = &self.view.instances;
+        for (key, target) in &self.targets {
+            if !listed.iter().any(|record| target.is(record)) {
+                self.dispatcher.leave(key, now);
             }
         }
-        let records: Vec<InstanceRecord> = self.view.instances.clone();
-        for record in records {
-            if !self.targets.values().any(|target| target.record == record) {
-                self.add_target(record);
+        for record in self.view.instances.clone() {
+            let known = self.targets.iter().find(|(_, target)| target.is(&record));
+            let key = known.map(|(key, _)| key);
+            let key = key.unwrap_or_else(|| self.add_target(record.clone()));
+            let domain = FaultDomain {
+                rack: Arc::clone(&record.rack),
+                zone: Arc::clone(&record.zone),
+            };
+            let absent = self.view.absent.contains(&record.name);
+            self.dispatcher.join(key, domain, absent, now);
+            let fields = &self.view.fields;
+            self.dispatcher
+                .set_usable_slots(key, fields.slots_per_instance);
+            self.tell(
+                key,
+                LinkMessage::AllowConnections(fields.connections_per_instance),
+            );
+            if let Some(target) = self.targets.get_mut(key) {
+                target.record = record;
             }
         }
-        let slots = self.view.fields.slots_per_instance;
-        for key in self.targets.keys() {
-            self.dispatcher.set_usable_slots(key, slots);
-        }
     }
 
-    fn add_target(&mut self, record: InstanceRecord) {
+    fn add_target(&mut self, record: InstanceRecord) -> InstanceKey {
         let Self {
             options,
+            view,
             ends,
             links,
             targets,
@@ -295,19 +372,33 @@
             let (link, task) = upstream_link::make(LinkOptions {
                 instance,
                 address: record.address,
+                connections: view.fields.connections_per_instance,
                 clock: ClockHandle::clone(&options.clock),
                 ends: ends.clone(),
             });
             links.spawn(task);
             Target { record, link }
-        });
+        })
     }
 
-    async fn retire_all(&mut self) {
-        for target in self.targets.values() {
-            let _ = target.link.messages.send(LinkMessage::Retire).await;
+    /// Ends the links of instances that left and have no exchange in flight.
+    fn retire_idle(&mut self) {
+        for key in self.dispatcher.remove_idle() {
+            if let Some(target) = self.targets.remove(key) {
+                let _ = target.link.messages.try_send(LinkMessage::Retire);
+            }
         }
+    }
+
+    async fn retire_all(&mut self) {
+        self.targets.clear();
         self.messages.close();
+        while let Some(message) = self.messages.recv().await {
+            if let DispatchMessage::Submit(submission) = message {
+                // It was sent before the routes changed.
+                self.submit(submission);
+            }
+        }
         while self.links.join_next().await.is_some() {}
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dispatcher;
 pub mod fan_out;
 pub mod membership;
+pub mod observations;
 pub mod peer_service;
 pub mod rollout;
 pub mod router;
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -4,7 +4,9 @@
 
 use rosemaryscale_ports::config::ConfigWatch;
 use rosemaryscale_ports::operator::DaemonStatus;
-use rosemaryscale_ports::peer::{ConfigDigest, ConfigText, InboundCall, PeerReply, PeerRequest};
+use rosemaryscale_ports::peer::{
+    ConfigDigest, ConfigText, InboundCall, PeerObservation, PeerReply, PeerRequest,
+};
 use rosemaryscale_ports::prelude::*;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -17,6 +19,8 @@
     pub status: watch::Receiver<DaemonStatus>,
     /// The event log.
     pub events: EventSink,
+    /// Where peers' observations of instances go; they are dropped when it is behind.
+    pub observations: mpsc::Sender<PeerObservation>,
 }
 
 /// Answers calls of peers.
@@ -50,7 +54,11 @@
     }
 
     fn answer(&mut self, call: InboundCall) {
-        let InboundCall { request, reply, .. } = call;
+        let InboundCall {
+            from,
+            request,
+            reply,
+        } = call;
         match request {
             PeerRequest::Digest(_) => {
                 let _ = reply.send(PeerReply::Digest(self.digest()));
@@ -62,6 +70,12 @@
                 let status = self.options.status.borrow().clone();
                 let _ = reply.send(PeerReply::Status(status));
             }
+            PeerRequest::Refusing(refusing) => {
+                let peer = from;
+                let observation = PeerObservation { peer, refusing };
+                let _ = self.options.observations.try_send(observation);
+                let _ = reply.send(PeerReply::Noted);
+            }
             PeerRequest::Timeline { limit } => {
                 let events = self.options.events.clone();
                 self.running.spawn(async move {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -9,6 +9,7 @@
 use rosemaryscale_ports::config::ConfigWatch;
 use rosemaryscale_ports::dispatch::{Dispatch, DispatchMessage};
 use rosemaryscale_ports::instance::{InstanceList, InstanceState, ServiceView};
+use rosemaryscale_ports::peer::{PeerObservation, RefusingInstance};
 use rosemaryscale_ports::prelude::*;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -27,6 +28,10 @@
     pub events: EventSink,
     /// Counters.
     pub metrics: Metrics,
+    /// Where this daemon's observations for its peers go.
+    pub refusing: mpsc::Sender<RefusingInstance>,
+    /// Peers' observations.
+    pub observed: mpsc::Receiver<PeerObservation>,
 }
 
 /// Dispatchers by service.
@@ -59,6 +64,7 @@
                 _ = &mut stop => break,
                 Ok(()) = self.options.config.changed() => self.update().await,
                 Ok(()) = self.options.instances.changed() => self.update().await,
+                Some(observation) = self.options.observed.recv() => self.pass_on(&observation),
                 Some(_) = self.dispatchers.join_next() => {}
             }
         }
@@ -70,6 +76,13 @@
         while self.dispatchers.join_next().await.is_some() {}
     }
 
+    fn pass_on(&self, observation: &PeerObservation) {
+        for dispatch in self.routes.borrow().values() {
+            let message = DispatchMessage::PeerObserved(observation.clone());
+            let _ = dispatch.messages.try_send(message);
+        }
+    }
+
     async fn update(&mut self) {
         let Some(document) = self.options.config.borrow().clone() else {
             return;
@@ -112,6 +125,7 @@
             version,
             fields,
             instances,
+            absent: snapshot.absent,
         })
     }
 
@@ -120,6 +134,7 @@
             clock: ClockHandle::clone(&self.options.clock),
             events: self.options.events.clone(),
             metrics: Metrics::clone(&self.options.metrics),
+            refusing: self.options.refusing.clone(),
         };
         let (messages, task) = dispatcher::make(options, view.clone());
         self.dispatchers.spawn(task.serve());
--- /dev/null
+++ b/crates/daemon/tests/planned_changes.rs
@@ -0,0 +1,214 @@
+//! Planned changes under load: a stop of the daemon, a service that is removed or changed, and
+//! upstreams that leave, vanish from the list or move.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use rosemaryscale_standins::clients::{Load, check, count, finish, reports, run, start_load};
+use rosemaryscale_standins::harness::{Harness, ProcessSignal, eventually};
+use serde_json::{Value, json};
+
+mod load;
+
+use load::{DOCUMENT, PATH, start, stop};
+
+/// Bound on new work for an upstream that the platform marks as leaving.
+const LEAVING_BOUND: Duration = Duration::from_secs(5);
+
+fn load(name: &'static str, requests_per_client: usize, delay_ms: u64) -> Load {
+    Load {
+        name,
+        path: PATH,
+        method: Method::POST,
+        clients: 12,
+        requests_per_client,
+        delay_ms,
+        deadline_ms: 10_000,
+    }
+}
+
+async fn executed(harness: &Harness) -> u64 {
+    let reports = reports(harness).await;
+    reports.iter().map(|report| report.executed).sum()
+}
+
+/// Guards against a planned stop that cuts requests: every request that ran is answered in full,
+/// and every other one is refused as not run or finds no daemon.
+#[tokio::test]
+async fn a_planned_stop_cuts_no_request() {
+    for round in 0..3 {
+        let harness = start(2).await;
+        let harness = Arc::new(harness);
+        let clients = start_load(&harness, &load("stop", 30, 100));
+        eventually("requests run", || async {
+            executed(&harness).await >= 20 + round * 7
+        })
+        .await;
+        harness.signal(0, ProcessSignal::Terminate);
+        let sent = finish(clients).await;
+        check(&sent, &reports(&harness).await, false);
+        let answered = count(&sent, StatusCode::OK);
+        assert_eq!(answered as u64, executed(&harness).await);
+        assert!(answered < sent.len(), "the stop came too late");
+        let mut harness = Arc::try_unwrap(harness).expect("the clients have ended");
+        let status = harness.wait_for_exit(0).await;
+        assert!(status.success(), "{status}");
+        harness.stop().await;
+    }
+}
+
+/// Guards against a stop that one caller holds up for good by not sending the end of its body.
+#[tokio::test]
+async fn an_unfinished_body_does_not_hold_up_a_stop() {
+    let harness = start(1).await;
+    let short = DOCUMENT
+        .replace("\"request_limit_ms\": 15000", "\"request_limit_ms\": 500")
+        .replace(
+            "\"default_deadline_ms\": 5000",
+            "\"default_deadline_ms\": 500",
+        );
+    harness.apply(&short).await;
+    let mut caller = std::net::TcpStream::connect(harness.caller_address(0)).expect("it listens");
+    let head = "POST /v1/services/quotes/x HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nhalf";
+    caller.write_all(head.as_bytes()).expect("it reads");
+    let reply = harness.call(0, Method::GET, PATH, &[], "").await;
+    assert_eq!(reply.map(|reply| reply.status), Some(StatusCode::OK));
+    harness.stop().await;
+}
+
+/// Guards against a new document that cuts the requests of a service that it changes or removes.
+#[tokio::test]
+async fn a_new_document_cuts_no_request() {
+    let changed = DOCUMENT
+        .replace("\"slots_per_instance\": 8", "\"slots_per_instance\": 4")
+        .replace(
+            "\"connections_per_instance\": 64",
+            "\"connections_per_instance\": 4",
+        );
+    let renamed = DOCUMENT.replace(
+        "\"services\": {\n    \"quotes\"",
+        "\"services\": {\n    \"estimates\"",
+    );
+    assert_ne!(changed, DOCUMENT);
+    assert_ne!(renamed, DOCUMENT);
+    let harness = Arc::new(start(2).await);
+    let before = start_load(&harness, &load("changed", 3, 500));
+    eventually("requests run", || async { executed(&harness).await >= 12 }).await;
+    harness.apply(&changed).await;
+    let sent = finish(before).await;
+    assert_eq!(count(&sent, StatusCode::OK), sent.len());
+
+    let before = start_load(&harness, &load("removed", 1, 1_000));
+    let ran = executed(&harness).await;
+    eventually("requests run", || async {
+        executed(&harness).await >= ran + 8
+    })
+    .await;
+    harness.apply(&renamed).await;
+    eventually("the service is gone", || async {
+        let reply = harness.call(0, Method::GET, PATH, &[], "").await;
+        reply.is_some_and(|reply| reply.status == StatusCode::NOT_FOUND)
+    })
+    .await;
+    let sent = finish(before).await;
+    assert_eq!(count(&sent, StatusCode::OK), sent.len());
+    check(&sent, &reports(&harness).await, false);
+    stop(harness).await;
+}
+
+/// Guards against new work for a leaving upstream after the bound, and against the loss of what it
+/// was running.
+#[tokio::test]
+async fn a_leaving_upstream_gets_no_new_work() {
+    let harness = Arc::new(start(2).await);
+    let long = start_load(&harness, &load("long", 1, 7_000));
+    eventually("requests run", || async { executed(&harness).await >= 12 }).await;
+    let mut instances = harness.instances();
+    instances[0]["state"] = json!("leaving");
+    harness.platform.set_instances(instances).await;
+    let marked = Instant::now();
+    let mut last_work = marked;
+    let mut ran = harness.upstreams[0].report().await.executed;
+    while marked.elapsed() < LEAVING_BOUND + Duration::from_secs(1) {
+        run(&harness, &load("short", 1, 0)).await;
+        let now = harness.upstreams[0].report().await.executed;
+        if now > ran {
+            last_work = Instant::now();
+            ran = now;
+        }
+    }
+    let took = last_work.duration_since(marked);
+    println!("last new work {} ms after the mark", took.as_millis());
+    assert!(took < LEAVING_BOUND, "new work {took:?} after the mark");
+    let sent = finish(long).await;
+    assert_eq!(count(&sent, StatusCode::OK), sent.len());
+    stop(harness).await;
+}
+
+/// Guards against requests that are lost, or sent beyond the slots, when an upstream vanishes from
+/// the list and comes back, moves to another rack, or changes its address and back.
+#[tokio::test]
+async fn a_flapping_list_disturbs_no_request() {
+    let harness = Arc::new(start(4).await);
+    let all = harness.instances();
+    let listed = json!([all[0], all[1], all[2]]);
+    let without = json!([all[1], all[2]]);
+    let mut moved = listed.clone();
+    moved[0]["rack"] = json!("rack-9");
+    let mut readdressed = listed.clone();
+    readdressed[0]["address"] = all[3]["address"].clone();
+    set_list(&harness, &listed).await;
+    set_list(&harness, &listed).await;
+    // More clients than slots, so that an account that starts anew would get work at once.
+    let clients = start_load(
+        &harness,
+        &Load {
+            clients: 40,
+            deadline_ms: 15_000,
+            ..load("flap", 1, 4_000)
+        },
+    );
+    eventually("all slots are in use", || async {
+        executed(&harness).await >= 24
+    })
+    .await;
+    for list in [&without, &listed, &moved, &readdressed, &listed] {
+        set_list(&harness, list).await;
+    }
+    let sent = finish(clients).await;
+    assert_eq!(count(&sent, StatusCode::OK), sent.len());
+    let reports = reports(&harness).await;
+    check(&sent, &reports, false);
+    let refused: u64 = reports.iter().map(|report| report.refused).sum();
+    assert_eq!(refused, 0, "an upstream got more than its slots");
+    stop(harness).await;
+}
+
+/// Replaces the platform's list and waits until the daemon has read it twice.
+async fn set_list(harness: &Harness, list: &Value) {
+    harness.platform.set_instances(list.clone()).await;
+    let reads = harness.platform.stats().await.list_reads;
+    eventually("the list is read", || async {
+        harness.platform.stats().await.list_reads > reads + 1
+    })
+    .await;
+}
+
+/// Guards against an empty or malformed list that takes the whole pool away.
+#[tokio::test]
+async fn an_empty_or_malformed_list_does_not_empty_the_pool() {
+    let harness = Arc::new(start(3).await);
+    let all = harness.instances();
+    let malformed = json!([{"name": 7}, all[1]]);
+    for list in [json!([]), json!({"error": "none"}), malformed] {
+        set_list(&harness, &list).await;
+        set_list(&harness, &list).await;
+        let sent = run(&harness, &load("short", 3, 5)).await;
+        assert_eq!(count(&sent, StatusCode::OK), sent.len());
+    }
+    let executed: Vec<u64> = reports(&harness).await.iter().map(|r| r.executed).collect();
+    assert!(executed.iter().all(|count| *count > 0), "{executed:?}");
+    stop(harness).await;
+}
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -14,12 +14,15 @@
 pub mod connection;
 pub mod dispatch;
 pub mod document;
+pub mod health;
 pub mod key;
 pub mod map;
 pub mod millis;
 pub mod outcome;
 pub mod prelude;
 pub mod request;
+pub mod retry;
+pub mod roster;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
--- a/crates/domain/src/outcome.rs
+++ b/crates/domain/src/outcome.rs
@@ -73,6 +73,9 @@
     TimedOut,
     /// The response was cut short.
     Truncated,
+    /// The response was no valid HTTP, or had neither a length nor chunks, so that its completeness
+    /// cannot be proved.
+    Malformed,
     /// The request was dispatched by a daemon that is gone or no longer has the response.
     HolderGone,
 }
@@ -83,6 +86,9 @@
             Self::ConnectionLost => "the connection to the upstream was lost",
             Self::TimedOut => "the upstream did not answer before the deadline",
             Self::Truncated => "the response of the upstream was cut short",
+            Self::Malformed => {
+                "the response of the upstream was malformed, or had neither a length nor chunks"
+            }
             Self::HolderGone => "the daemon that sent the request no longer has the response",
         })
     }
--- /dev/null
+++ b/crates/domain/tests/retry.rs
@@ -0,0 +1,112 @@
+//! Retries: budget, choice of another instance, and the time of a try.
+
+use quickcheck::{Gen, QuickCheck};
+use rosemaryscale_domain::prelude::*;
+use rosemaryscale_domain::retry::{Retry, RetryBudget, TryTime};
+
+mod simulation;
+
+use simulation::{BUDGET_PPM, Behaviour, SLOTS, Simulation};
+
+fn check(seed: u64) -> QuickCheck {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, seed))
+        .tests(100)
+}
+
+/// Guards against a retry storm: in any order of events, retries stay within the reserve plus the
+/// share of the first tries.
+#[test]
+fn retries_stay_within_the_budget() {
+    fn property(ppm: u32, events: Vec<bool>) {
+        let ppm = ppm % 1_000_001;
+        let mut budget = RetryBudget::new(ppm);
+        budget.set_slots(40);
+        let (mut first_tries, mut retries) = (0_u64, 0_u64);
+        for retry in events {
+            if retry {
+                retries += u64::from(budget.take());
+            } else {
+                budget.first_try();
+                first_tries += 1;
+            }
+            let limit = 40 + first_tries * u64::from(ppm) / 1_000_000;
+            assert!(retries <= limit, "{retries} retries, limit {limit}");
+        }
+    }
+    check(11).quickcheck(property as fn(u32, Vec<bool>));
+}
+
+/// Guards against retries that multiply the load when every instance refuses.
+#[test]
+fn a_refusing_pool_gets_the_budgeted_retries_only() {
+    let mut simulation = Simulation::new(4, 7);
+    for instance in simulation.instances.clone() {
+        let lost = Behaviour::RefusesConnections;
+        simulation.behaviour.insert(instance, lost);
+    }
+    simulation.load(20_000, 5, true);
+    let reserve = u64::from(SLOTS) * 4;
+    let share = simulation.first_tries * u64::from(BUDGET_PPM) / 1_000_000;
+    assert!(simulation.retries <= reserve + share);
+    assert!(simulation.retries > share / 2, "the budget is not used");
+}
+
+/// Guards against a retry on the instance that has just refused while another one works.
+#[test]
+fn a_retry_goes_to_another_instance() {
+    let mut keys: SlotMap<InstanceKey, ()> = SlotMap::with_key();
+    let (failed, other) = (keys.insert(()), keys.insert(()));
+    let now = Millis::from_ms(1_000);
+    for (tries, pause_ms) in [(1, 20), (2, 40), (9, 320)] {
+        let retry = Retry::after(RequestKey::default(), failed, tries, now);
+        assert!(retry.allows(other, now));
+        assert!(!retry.allows(failed, now.after_ms(pause_ms - 1)));
+        assert!(retry.allows(failed, now.after_ms(pause_ms)));
+    }
+    let mut simulation = Simulation::new(2, 7);
+    let busy = simulation.instances[0];
+    simulation.behaviour.insert(busy, Behaviour::Overloaded);
+    // As many at once as both instances have slots: the other one is full when the refusals come.
+    for _ in 0..2 * SLOTS {
+        simulation.submit(false);
+    }
+    simulation.run(100);
+    assert_eq!(simulation.answered, u64::from(2 * SLOTS));
+    assert_eq!(simulation.sent[&busy], u64::from(SLOTS));
+}
+
+/// Guards against a silent connection that uses up the deadline of repeatable work.
+#[test]
+fn repeatable_work_leaves_a_silent_instance_in_time() {
+    let mut simulation = Simulation::new(2, 7);
+    simulation.load(200, 5, true);
+    simulation.run(10);
+    let answered = simulation.answered;
+    let silent = simulation.instances[0];
+    simulation.behaviour.insert(silent, Behaviour::Silent);
+    simulation.submit(true);
+    simulation.submit(true);
+    simulation.run(600);
+    assert_eq!(simulation.answered, answered + 2);
+}
+
+/// Guards against slow work that is cut on every try: a cut raises the next limit, and old
+/// responses no longer count after two periods.
+#[test]
+fn the_time_of_a_try_follows_the_responses() {
+    let deadline = Millis::from_ms(1_000_000);
+    let mut now = Millis::from_ms(1_000);
+    let mut time = TryTime::default();
+    assert_eq!(time.limit(deadline, now), deadline);
+    time.record(10, now);
+    assert_eq!(time.limit(deadline, now), now.after_ms(250));
+    time.record(250, now);
+    assert_eq!(time.limit(deadline, now), now.after_ms(750));
+    now = now.after_ms(31_000);
+    time.record(10, now);
+    assert_eq!(time.limit(deadline, now), now.after_ms(750));
+    now = now.after_ms(61_000);
+    time.record(10, now);
+    assert_eq!(time.limit(deadline, now), now.after_ms(250));
+}
--- /dev/null
+++ b/crates/domain/tests/roster.rs
@@ -0,0 +1,80 @@
+//! The roster: what a lagging or faulty instance list can do.
+
+use quickcheck::{Gen, QuickCheck};
+use rosemaryscale_domain::prelude::*;
+use rosemaryscale_domain::roster::{Listed, Roster};
+
+#[derive(Clone, Debug)]
+struct Entry {
+    name: Arc<str>,
+    pool: Arc<str>,
+}
+
+impl Listed for Entry {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    fn pool(&self) -> &Arc<str> {
+        &self.pool
+    }
+}
+
+fn list(present: &[bool]) -> Vec<Entry> {
+    let present = present.iter().enumerate().filter(|(_, present)| **present);
+    present
+        .map(|(number, _)| Entry {
+            name: format!("instance-{number}").into(),
+            pool: "quotes".into(),
+        })
+        .collect()
+}
+
+/// Guards against an instance that flaps in the lagging list, and against an empty or short list
+/// that empties a pool: no instance goes that was missing once, and no pool loses more than half
+/// within fewer than 30 reads that lack it.
+#[test]
+fn short_lists_do_not_empty_a_pool() {
+    fn property(reads: Vec<Vec<bool>>) {
+        let mut roster = Roster::default();
+        roster.read(list(&[true; 8]));
+        let mut missing = [0_u32; 8];
+        for mut read in reads {
+            read.resize(8, false);
+            roster.read(list(&read));
+            for (count, present) in missing.iter_mut().zip(&read) {
+                *count = if *present { 0 } else { *count + 1 };
+            }
+            let known = roster.entries();
+            for (number, count) in missing.iter().enumerate() {
+                let name = format!("instance-{number}");
+                let kept = known.iter().any(|entry| *entry.name == *name);
+                assert!(kept || *count >= 2, "{name} went after {count} reads");
+            }
+            assert!(missing.iter().any(|count| *count >= 30) || !known.is_empty());
+        }
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(25, 21))
+        .tests(200)
+        .quickcheck(property as fn(Vec<Vec<bool>>));
+}
+
+/// Guards against a list that is never believed: a missing instance goes after the second read,
+/// and a whole pool after 30.
+#[test]
+fn a_lasting_absence_is_believed() {
+    let mut roster = Roster::default();
+    roster.read(list(&[true, true, true]));
+    roster.read(list(&[true, true]));
+    assert_eq!(roster.entries().len(), 3);
+    assert_eq!(roster.absent().len(), 1);
+    roster.read(list(&[true, true]));
+    assert_eq!(roster.entries().len(), 2);
+    for _ in 0..29 {
+        roster.read(Vec::new());
+        assert_eq!(roster.entries().len(), 2);
+    }
+    roster.read(Vec::new());
+    assert!(roster.entries().is_empty());
+}
--- /dev/null
+++ b/crates/domain/tests/simulation/mod.rs
@@ -0,0 +1,300 @@
+//! A dispatcher with simulated instances, in simulated time.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part")]
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test support fails loudly"
+)]
+
+use std::collections::BTreeMap;
+
+use quickcheck::{Arbitrary, Gen};
+use rosemaryscale_domain::Dispatcher;
+use rosemaryscale_domain::dispatch::{DispatchAction, DispatchPolicy};
+use rosemaryscale_domain::health::{FaultDomain, HealthChange, Observation};
+use rosemaryscale_domain::outcome::UnknownReason;
+use rosemaryscale_domain::prelude::*;
+use rosemaryscale_domain::request::{ClassIndex, FailureEvidence, Refusal, RequestInfo};
+
+pub const SLOTS: u32 = 8;
+pub const BUDGET_PPM: u32 = 100_000;
+const RUN_MS: u64 = 5;
+const DEADLINE_MS: u64 = 2_000;
+
+/// How an instance treats requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    Good,
+    /// Runs requests and answers this percentage of them with a server error.
+    Errors(u8),
+    RefusesConnections,
+    Overloaded,
+    /// Runs requests and never answers.
+    Silent,
+    /// Runs requests and loses the connection.
+    LosesConnections,
+}
+
+impl Arbitrary for Behaviour {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 8 {
+            0 | 1 => Self::Good,
+            2 => Self::Errors(100),
+            3 => Self::Errors(u8::arbitrary(g) % 101),
+            4 => Self::RefusesConnections,
+            5 => Self::Overloaded,
+            6 => Self::Silent,
+            _ => Self::LosesConnections,
+        }
+    }
+}
+
+/// An exchange in flight.
+struct Flight {
+    ends: Millis,
+    request: RequestKey,
+    observation: Observation,
+    evidence: Option<FailureEvidence>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Tracked {
+    repeatable: bool,
+    deadline: Millis,
+    runs: u32,
+    sends: u32,
+}
+
+pub struct Simulation {
+    pub dispatcher: Dispatcher,
+    pub now: Millis,
+    pub instances: Vec<InstanceKey>,
+    pub behaviour: BTreeMap<InstanceKey, Behaviour>,
+    pub changes: Vec<(Millis, InstanceKey, HealthChange)>,
+    pub sent: BTreeMap<InstanceKey, u64>,
+    pub first_tries: u64,
+    pub retries: u64,
+    pub answered: u64,
+    pub refused: u64,
+    /// Whether an ill instance answers its probe with success.
+    pub probe_lies: bool,
+    ejected: Vec<InstanceKey>,
+    flights: Vec<Flight>,
+    requests: BTreeMap<RequestKey, Tracked>,
+    seed: u64,
+}
+
+impl Simulation {
+    /// Instances spread over three availability zones.
+    pub fn new(count: usize, seed: u64) -> Self {
+        let mut keys: SlotMap<InstanceKey, ()> = SlotMap::with_key();
+        let instances: Vec<InstanceKey> = (0..count).map(|_| keys.insert(())).collect();
+        let mut dispatcher = Dispatcher::new(DispatchPolicy {
+            queue_limit: 1_000,
+            tries_max: 4,
+            retry_budget_ppm: BUDGET_PPM,
+        });
+        for (number, instance) in instances.iter().enumerate() {
+            dispatcher.join(*instance, domain(number), false, Millis::ZERO);
+            dispatcher.set_usable_slots(*instance, SLOTS);
+        }
+        let good = instances.iter().map(|key| (*key, Behaviour::Good));
+        Self {
+            dispatcher,
+            now: Millis::ZERO,
+            behaviour: good.collect(),
+            instances,
+            changes: Vec::new(),
+            sent: BTreeMap::new(),
+            first_tries: 0,
+            retries: 0,
+            answered: 0,
+            refused: 0,
+            probe_lies: false,
+            ejected: Vec::new(),
+            flights: Vec::new(),
+            requests: BTreeMap::new(),
+            seed: seed | 1,
+        }
+    }
+
+    pub fn ejected(&self) -> usize {
+        self.ejected.len()
+    }
+
+    pub fn is_ejected(&self, instance: InstanceKey) -> bool {
+        self.ejected.contains(&instance)
+    }
+
+    pub fn ejections(&self) -> usize {
+        let ejected = |change: &HealthChange| matches!(change, HealthChange::Ejected { .. });
+        self.changes.iter().filter(|(_, _, c)| ejected(c)).count()
+    }
+
+    pub fn submit(&mut self, repeatable: bool) {
+        let deadline = self.now.after_ms(DEADLINE_MS);
+        let info = RequestInfo {
+            caller: CallerKey::default(),
+            class: ClassIndex(0),
+            arrived: self.now,
+            deadline,
+            repeatable,
+            keyed: false,
+        };
+        if let Ok(key) = self.dispatcher.submit(info) {
+            let tracked = Tracked {
+                repeatable,
+                deadline,
+                runs: 0,
+                sends: 0,
+            };
+            self.requests.insert(key, tracked);
+        }
+    }
+
+    /// Lets time pass in steps of 1 ms.
+    pub fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now = self.now.after_ms(1);
+            self.land();
+            for action in self.dispatcher.advance(self.now) {
+                self.carry_out(action);
+            }
+            let half = self.instances.len() / 2;
+            assert!(self.ejected.len() <= half, "more than half is ejected");
+        }
+    }
+
+    /// Submits a request every `every_ms` for a time.
+    pub fn load(&mut self, ms: u64, every_ms: u64, repeatable: bool) {
+        for _ in 0..ms / every_ms {
+            self.submit(repeatable);
+            self.run(every_ms);
+        }
+    }
+
+    fn land(&mut self) {
+        let now = self.now;
+        let flights = std::mem::take(&mut self.flights);
+        let (landed, rest) = flights.into_iter().partition(|flight| flight.ends <= now);
+        self.flights = rest;
+        let landed: Vec<Flight> = landed;
+        for flight in landed {
+            let key = flight.request;
+            self.dispatcher.observe(key, flight.observation, now);
+            match flight.evidence {
+                None => {
+                    self.dispatcher.answered(key);
+                    self.requests.remove(&key);
+                    self.answered += 1;
+                }
+                Some(evidence) => {
+                    if let Some(refusal) = self.dispatcher.failed(key, evidence, now) {
+                        self.end(key, refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, key: RequestKey, refusal: Refusal) {
+        let tracked = self.requests.remove(&key).expect("a request ends once");
+        if matches!(refusal, Refusal::NotRun(_)) {
+            assert_eq!(tracked.runs, 0, "a refusal says not run, but it ran");
+        }
+        self.refused += 1;
+    }
+
+    fn carry_out(&mut self, action: DispatchAction) {
+        match action {
+            DispatchAction::Send {
+                request,
+                instance,
+                deadline,
+                prefer_proven,
+            } => {
+                let repeatable = self.requests[&request].repeatable;
+                assert_eq!(prefer_proven, !repeatable, "on an unproven connection");
+                self.send(request, instance, deadline);
+            }
+            DispatchAction::Refuse { request, refusal } => self.end(request, refusal),
+            DispatchAction::Probe { instance } => {
+                let good = self.behaviour[&instance] == Behaviour::Good;
+                let healthy = good || self.probe_lies;
+                self.dispatcher.probed(instance, healthy, self.now);
+            }
+            DispatchAction::Report { instance, change } => {
+                match change {
+                    HealthChange::Ejected { .. } => self.ejected.push(instance),
+                    _ => self.ejected.retain(|other| *other != instance),
+                }
+                self.changes.push((self.now, instance, change));
+            }
+        }
+    }
+
+    fn send(&mut self, request: RequestKey, instance: InstanceKey, deadline: Millis) {
+        let behaviour = self.behaviour[&instance];
+        let roll = self.roll();
+        let tracked = self.requests.get_mut(&request).expect("sent while tracked");
+        assert!(self.now < tracked.deadline, "sent after its deadline");
+        assert!(!self.ejected.contains(&instance), "sent to an ejected one");
+        tracked.sends += 1;
+        *self.sent.entry(instance).or_default() += 1;
+        if tracked.sends == 1 {
+            self.first_tries += 1;
+        } else {
+            self.retries += 1;
+        }
+        let soon = self.now.after_ms(RUN_MS);
+        let at_once = self.now.after_ms(1);
+        let lost = FailureEvidence::MayHaveRun(UnknownReason::ConnectionLost);
+        let timed_out = FailureEvidence::MayHaveRun(UnknownReason::TimedOut);
+        let (ends, observation, evidence) = match behaviour {
+            Behaviour::Good => (soon, Observation::Answered, None),
+            Behaviour::Errors(percent) if roll < percent => {
+                (at_once, Observation::ErrorResponse, None)
+            }
+            Behaviour::Errors(_) => (soon, Observation::Answered, None),
+            Behaviour::RefusesConnections => {
+                let nothing = FailureEvidence::NothingWritten;
+                (at_once, Observation::ConnectFailed, Some(nothing))
+            }
+            Behaviour::Overloaded => {
+                let refused = FailureEvidence::RefusedNotRun;
+                (at_once, Observation::Overloaded, Some(refused))
+            }
+            Behaviour::Silent => (deadline, Observation::TimedOut, Some(timed_out)),
+            Behaviour::LosesConnections => (soon, Observation::ConnectionLost, Some(lost)),
+        };
+        let not_run = matches!(
+            evidence,
+            Some(FailureEvidence::NothingWritten | FailureEvidence::RefusedNotRun)
+        );
+        tracked.runs += u32::from(!not_run);
+        let repeated = tracked.runs > 1 && !tracked.repeatable;
+        assert!(!repeated, "a request that must not be repeated ran twice");
+        self.flights.push(Flight {
+            ends,
+            request,
+            observation,
+            evidence,
+        });
+    }
+
+    /// A number below 100 from a small generator (xorshift), the same on every run.
+    fn roll(&mut self) -> u8 {
+        self.seed ^= self.seed << 13;
+        self.seed ^= self.seed >> 7;
+        self.seed ^= self.seed << 17;
+        (self.seed % 100) as u8
+    }
+}
+
+pub fn domain(number: usize) -> FaultDomain {
+    FaultDomain {
+        rack: format!("rack-{}", number / 4).into(),
+        zone: format!("zone-{}", number % 3).into(),
+    }
+}
--- a/crates/ports/src/dispatch.rs
+++ b/crates/ports/src/dispatch.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use rosemaryscale_domain::key::InstanceKey;
 use rosemaryscale_domain::outcome::{NotRun, OutcomeUnknown};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::instance::ServiceView;
 use crate::link::{ExchangeEnd, OutboundRequest, Response};
+use crate::peer::PeerObservation;
 
 /// A request as a front end hands it over.
 #[derive(Debug)]
@@ -62,6 +64,15 @@
     Submit(Submission),
     /// An exchange ended.
     Exchanged(ExchangeEnd),
+    /// A probe ended.
+    Probed {
+        /// The instance.
+        instance: InstanceKey,
+        /// Whether it answered its probe with success.
+        healthy: bool,
+    },
+    /// A peer observed an instance, of this service or of another one.
+    PeerObserved(PeerObservation),
     /// The service's limits or instances changed.
     Configure(Arc<ServiceView>),
     /// Accept nothing new, finish everything, stop.
--- a/crates/ports/src/instance.rs
+++ b/crates/ports/src/instance.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use rosemaryscale_domain::document::ServiceFields;
+use rosemaryscale_domain::roster::Listed;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
@@ -36,11 +37,23 @@
     pub state: InstanceState,
 }
 
-/// The platform's list, as last read.
+impl Listed for InstanceRecord {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    fn pool(&self) -> &Arc<str> {
+        &self.pool_hint
+    }
+}
+
+/// The instances that are taken to exist after the last read of the platform's list.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceSnapshot {
     /// The instances.
     pub instances: Arc<[InstanceRecord]>,
+    /// Names of those of the instances that the last read lacked.
+    pub absent: Arc<[Arc<str>]>,
     /// How often the list was read; 0 before the first read.
     pub reads: u64,
 }
@@ -59,4 +72,6 @@
     pub fields: ServiceFields,
     /// Instances of the service's pool that may get work.
     pub instances: Vec<InstanceRecord>,
+    /// Names of those of the instances that the platform's last list lacked.
+    pub absent: Arc<[Arc<str>]>,
 }
--- a/crates/ports/src/link.rs
+++ b/crates/ports/src/link.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
+use rosemaryscale_domain::health::Observation;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::request::FailureEvidence;
 use tokio::sync::mpsc;
@@ -67,6 +68,8 @@
     pub instance: InstanceKey,
     /// How it ended.
     pub result: ExchangeResult,
+    /// What it showed of the instance.
+    pub observation: Observation,
 }
 
 /// Message to a link.
@@ -74,8 +77,10 @@
 pub enum LinkMessage {
     /// Carry out an exchange.
     Exchange(Exchange),
-    /// Set how many connections may be open.
+    /// Set how many connections may be open. Those that carry an exchange beyond it finish it.
     AllowConnections(u32),
+    /// Ask the instance for its health on a fresh connection; the result goes to the dispatcher.
+    Probe,
     /// Finish the exchanges in flight and stop.
     Retire,
 }
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -1,5 +1,6 @@
 //! The peer port: calls between daemons.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,25 @@
     pub text: Arc<str>,
 }
 
+/// An instance that refuses a daemon's connections.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RefusingInstance {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Address that refused.
+    pub address: SocketAddr,
+}
+
+/// A peer's observation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerObservation {
+    /// Name of the peer.
+    pub peer: Arc<str>,
+    /// What it observed.
+    pub refusing: RefusingInstance,
+}
+
 /// What travels between daemons: a call or a reply with its sender and time.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
@@ -52,6 +72,8 @@
     Document,
     /// Read the status.
     Status,
+    /// Note that an instance refuses the sender's connections.
+    Refusing(RefusingInstance),
     /// Read the newest events.
     Timeline {
         /// Events at most.
@@ -72,6 +94,8 @@
     Status(DaemonStatus),
     /// The peer's events.
     Timeline(Vec<Event>),
+    /// The peer noted an observation.
+    Noted,
     /// The peer cannot answer now.
     Refused(String),
 }
