--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,6 +11,7 @@
 };
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
+use rosemaryscale_ports::fleet::Fleet;
 use rosemaryscale_ports::kv::KeyRange;
 use rosemaryscale_ports::member::MemberRecord;
 use rosemaryscale_ports::operator::DaemonStatus;
@@ -23,11 +24,12 @@
 use uuid::Uuid;
 
 use crate::config::Config;
+use crate::controller::{Controller, ControllerOptions};
 use crate::fan_out::FanOut;
 use crate::membership::{Membership, MembershipOptions};
 use crate::observations::Observations;
 use crate::peer_service::{PeerService, PeerServiceOptions};
-use crate::rollout::{Rollout, RolloutOptions};
+use crate::rollout::{Rollout, RolloutOptions, RolloutStatus};
 use crate::router::{Router, RouterOptions};
 
 const CONFIG_MESSAGES: usize = 16;
@@ -36,6 +38,8 @@
 /// A stopping daemon waits this much longer than its longest request. A caller that never sends
 /// the end of its body would hold up the stop for good; its request was not run.
 const BODY_GRACE: Duration = Duration::from_secs(5);
+const FLEET_MESSAGES: usize = 16;
+const QUESTIONS: usize = 64;
 
 /// Why the daemon failed.
 #[derive(Debug)]
@@ -100,10 +104,12 @@
     readiness: watch::Sender<Readiness>,
     status: watch::Sender<DaemonStatus>,
     config: ConfigWatch,
+    rollout: watch::Receiver<RolloutStatus>,
     events: Option<EventSink>,
     stop_router: Option<oneshot::Sender<()>>,
     router: Option<JoinHandle<()>>,
     stop_membership: Option<oneshot::Sender<()>>,
+    stop_controller: Option<oneshot::Sender<()>>,
     joined: Vec<JoinHandle<()>>,
     signals: StopSignals,
 }
@@ -153,29 +159,68 @@
             settings.platform.instances_address,
             Metrics::clone(&metrics),
         );
+        let incarnation: Arc<str> = Uuid::now_v7().to_string().into();
         let mut joined = vec![kv_task, poller];
         let mut fan_out = FanOut::default();
 
-        let (rollout, config) = Rollout::new(RolloutOptions {
+        let (membership, members) = Membership::new(MembershipOptions {
+            environment: Arc::clone(&settings.environment),
+            record: member_record(&settings, &incarnation),
+            kv: kv.clone(),
+            events: events.clone(),
+            metrics: Metrics::clone(&metrics),
+        });
+        let (stop_membership, stopped) = oneshot::channel();
+        joined.push(tokio::spawn(membership.serve(fan_out.subscribe(), stopped)));
+
+        let reason = Arc::from("no document is in force yet");
+        let (readiness, ready) = watch::channel(Err(Arc::clone(&reason)));
+        let (status, status_receiver) = watch::channel(first_status(&settings, reason));
+
+        let link_options = PeerLinkOptions {
+            name: Arc::clone(&settings.name),
+            clock: ClockHandle::clone(&clock),
+            events: events.clone(),
+            metrics: Metrics::clone(&metrics),
+        };
+        let (peers, peer_task) = peer_link::start(link_options.clone(), members.clone());
+        joined.push(peer_task);
+        let (rollout, watches) = Rollout::new(RolloutOptions {
+            name: Arc::clone(&settings.name),
             environment: Arc::clone(&settings.environment),
             kv: kv.clone(),
             clock: ClockHandle::clone(&clock),
             events: events.clone(),
+            metrics: Metrics::clone(&metrics),
+            peers: peers.clone(),
+            members: members.clone(),
+            peer_addresses: settings.peers.clone(),
         });
+        let config = watches.config;
         let (config_store, config_messages) = ConfigStore::channel(CONFIG_MESSAGES);
         joined.push(tokio::spawn(
             rollout.serve(config_messages, fan_out.subscribe()),
         ));
-
-        let (membership, members) = Membership::new(MembershipOptions {
+        let (fleet, fleet_messages) = Fleet::channel(FLEET_MESSAGES);
+        let (controller, assignments) = Controller::new(ControllerOptions {
+            name: Arc::clone(&settings.name),
+            incarnation: Arc::clone(&incarnation),
             environment: Arc::clone(&settings.environment),
-            record: member_record(&settings),
             kv: kv.clone(),
+            peers: peers.clone(),
+            instances: instances.clone(),
+            config: config.clone(),
+            clock: ClockHandle::clone(&clock),
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
         });
-        let (stop_membership, stopped) = oneshot::channel();
-        joined.push(tokio::spawn(membership.serve(fan_out.subscribe(), stopped)));
+        let (stop_controller, stopped) = oneshot::channel();
+        let controller_events = fan_out.subscribe();
+        joined.push(tokio::spawn(controller.serve(
+            fleet_messages,
+            controller_events,
+            stopped,
+        )));
 
         let prefix = format!("/rosemaryscale/{}/", settings.environment);
         let watched = kv
@@ -184,18 +229,7 @@
             .context(PlatformSnafu)?;
         joined.push(tokio::spawn(fan_out.serve(watched)));
 
-        let reason = Arc::from("no document is in force yet");
-        let (readiness, ready) = watch::channel(Err(Arc::clone(&reason)));
-        let (status, status_receiver) = watch::channel(first_status(&settings, reason));
-
-        let link_options = PeerLinkOptions {
-            name: Arc::clone(&settings.name),
-            clock: ClockHandle::clone(&clock),
-            events: events.clone(),
-            metrics: Metrics::clone(&metrics),
-        };
-        let (peers, peer_task) = peer_link::start(link_options.clone(), members.clone());
-        joined.push(peer_task);
+        let (questions, question_receiver) = mpsc::channel(QUESTIONS);
         let (inbound, inbound_calls) = mpsc::channel(INBOUND_CALLS);
         let (observations, observed) = mpsc::channel(OBSERVATIONS);
         let (refusing, refusing_receiver) = mpsc::channel(OBSERVATIONS);
@@ -203,10 +237,15 @@
         let tell_peers = Observations::new(name, members.clone(), peers.clone());
         joined.push(tokio::spawn(tell_peers.serve(refusing_receiver)));
         let peer_service = PeerService::new(PeerServiceOptions {
+            environment: Arc::clone(&settings.environment),
+            store: config_store.clone(),
             config: config.clone(),
             status: status_receiver.clone(),
             events: events.clone(),
             observations,
+            incarnation,
+            fleet: fleet.clone(),
+            questions,
         });
         joined.push(tokio::spawn(peer_service.serve(inbound_calls)));
         let peer_server = PeerServer::start(settings.peer_address, link_options, inbound)
@@ -216,6 +255,8 @@
         let (router, routes) = Router::new(RouterOptions {
             config: config.clone(),
             instances,
+            assignments,
+            questions: question_receiver,
             clock,
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
@@ -239,6 +280,7 @@
             events: events.clone(),
             members,
             peers,
+            fleet,
         };
         let operators =
             OperatorApi::start(settings.operator_address, context, &log).context(ServerSnafu)?;
@@ -251,10 +293,12 @@
             readiness,
             status,
             config,
+            rollout: watches.status,
             events: Some(events),
             stop_router: Some(stop_router),
             router: Some(router_task),
             stop_membership: Some(stop_membership),
+            stop_controller: Some(stop_controller),
             joined,
             signals: StopSignals::open()?,
         };
@@ -270,12 +314,12 @@
     ///
     /// Fails when a server's task failed.
     pub async fn run(mut self) -> Result<Daemon<Stopped>, DaemonError> {
-        let ready = tokio::select! {
-            Ok(()) = self.tasks.config.changed() => true,
-            () = self.tasks.signals.received() => false,
-        };
-        if !ready {
-            return Ok(self.drain().finish().await);
+        while self.tasks.config.borrow_and_update().is_none() {
+            tokio::select! {
+                Ok(()) = self.tasks.config.changed() => {}
+                Ok(()) = self.tasks.rollout.changed() => self.tasks.update_reason(),
+                () = self.tasks.signals.received() => return Ok(self.drain().finish().await),
+            }
         }
         let mut daemon = self.ready();
         daemon.serve().await;
@@ -301,6 +345,7 @@
         loop {
             tokio::select! {
                 Ok(()) = self.tasks.config.changed() => self.tasks.update_status(),
+                Ok(()) = self.tasks.rollout.changed() => self.tasks.update_status(),
                 () = self.tasks.signals.received() => return,
             }
         }
@@ -325,6 +370,9 @@
         if let Some(router) = tasks.router.take() {
             let _ = router.await;
         }
+        if let Some(stop) = tasks.stop_controller.take() {
+            let _ = stop.send(());
+        }
         if let Some(stop) = tasks.stop_membership.take() {
             let _ = stop.send(());
         }
@@ -356,11 +404,22 @@
         Duration::from_millis(longest_ms.unwrap_or_default())
     }
 
+    /// Passes on why there is no document yet.
+    fn update_reason(&mut self) {
+        let reason = Arc::clone(&self.rollout.borrow_and_update().reason);
+        if !reason.is_empty() {
+            let _ = self.readiness.send_replace(Err(reason));
+        }
+        self.update_status();
+    }
+
     fn update_status(&self) {
         let readiness = self.readiness.borrow().clone();
+        let platform_reachable = self.rollout.borrow().platform_reachable;
         let document = self.config.borrow().clone();
         self.status.send_modify(|status| {
             status.ready = readiness.is_ok();
+            status.platform_reachable = platform_reachable;
             status.reason = readiness.err().unwrap_or_default();
             if let Some(document) = document {
                 status.version = document.state.version;
@@ -384,13 +443,13 @@
     }
 }
 
-fn member_record(settings: &Config) -> MemberRecord {
+fn member_record(settings: &Config, incarnation: &Arc<str>) -> MemberRecord {
     MemberRecord {
         name: Arc::clone(&settings.name),
         availability_zone: Arc::clone(&settings.availability_zone),
         operator_address: settings.operator_address,
         peer_address: settings.peer_address,
-        incarnation: Uuid::now_v7().to_string().into(),
+        incarnation: Arc::clone(incarnation),
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,12 +9,15 @@
 
 pub mod cli;
 pub mod config;
+pub mod config_record;
+pub mod controller;
 pub mod daemon;
 pub mod dispatcher;
 pub mod fan_out;
 pub mod membership;
 pub mod observations;
 pub mod peer_service;
+pub mod reply;
 pub mod rollout;
 pub mod router;
 
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use rosemaryscale_ports::config::ConfigWatch;
+use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
+use rosemaryscale_ports::fleet::{Fleet, InFlightQuestion};
 use rosemaryscale_ports::operator::DaemonStatus;
 use rosemaryscale_ports::peer::{
     ConfigDigest, ConfigText, InboundCall, PeerObservation, PeerReply, PeerRequest,
@@ -13,6 +14,10 @@
 
 /// What the service needs.
 pub struct PeerServiceOptions {
+    /// Environment of this daemon.
+    pub environment: Arc<str>,
+    /// The configuration task.
+    pub store: ConfigStore,
     /// The document in force.
     pub config: ConfigWatch,
     /// Status of this daemon.
@@ -21,6 +26,12 @@
     pub events: EventSink,
     /// Where peers' observations of instances go; they are dropped when it is behind.
     pub observations: mpsc::Sender<PeerObservation>,
+    /// Incarnation of this daemon.
+    pub incarnation: Arc<str>,
+    /// The controller task.
+    pub fleet: Fleet,
+    /// Questions to the router.
+    pub questions: mpsc::Sender<InFlightQuestion>,
 }
 
 /// Answers calls of peers.
@@ -60,7 +71,8 @@
             reply,
         } = call;
         match request {
-            PeerRequest::Digest(_) => {
+            PeerRequest::Digest(digest) => {
+                self.options.store.offered(from, digest);
                 let _ = reply.send(PeerReply::Digest(self.digest()));
             }
             PeerRequest::Document => {
@@ -76,29 +88,65 @@
                 let _ = self.options.observations.try_send(observation);
                 let _ = reply.send(PeerReply::Noted);
             }
-            PeerRequest::Timeline { limit } => {
+            PeerRequest::InFlight { instance } => self.answer_in_flight(instance, reply),
+            PeerRequest::Operate(operation) => {
+                let fleet = self.options.fleet.clone();
+                self.running.spawn(async move {
+                    let _ = reply.send(PeerReply::Operated(fleet.operate(operation, true).await));
+                });
+            }
+            PeerRequest::Pools => {
+                let fleet = self.options.fleet.clone();
+                self.running.spawn(async move {
+                    let _ = reply.send(PeerReply::Pools(fleet.report(true).await));
+                });
+            }
+            PeerRequest::Timeline { limit, filter } => {
                 let events = self.options.events.clone();
                 self.running.spawn(async move {
-                    let _ = reply.send(PeerReply::Timeline(events.read(limit).await));
+                    let events = filter.newest(events.read(usize::MAX).await, limit);
+                    let _ = reply.send(PeerReply::Timeline(events));
                 });
             }
         }
     }
 
+    fn answer_in_flight(&mut self, instance: Arc<str>, reply: oneshot::Sender<PeerReply>) {
+        let questions = self.options.questions.clone();
+        let incarnation = Arc::clone(&self.options.incarnation);
+        self.running.spawn(async move {
+            let (answer, report) = oneshot::channel();
+            let question = InFlightQuestion {
+                instance,
+                reply: answer,
+            };
+            let report = match questions.send(question).await {
+                Ok(()) => report.await.ok().flatten(),
+                Err(_) => None,
+            };
+            let _ = reply.send(PeerReply::InFlight {
+                incarnation,
+                report,
+            });
+        });
+    }
+
     fn digest(&self) -> ConfigDigest {
-        self.options
-            .config
-            .borrow()
-            .as_ref()
-            .map_or_else(ConfigDigest::default, |document| ConfigDigest {
-                version: document.state.version,
-                digest: Arc::clone(&document.digest),
-            })
+        let in_force = self.options.config.borrow();
+        let (version, digest) = in_force.as_ref().map_or_else(Default::default, |document| {
+            (document.state.version, Arc::clone(&document.digest))
+        });
+        ConfigDigest {
+            environment: Arc::clone(&self.options.environment),
+            version,
+            digest,
+        }
     }
 
     fn document(&self) -> Option<ConfigText> {
         let document = self.options.config.borrow().clone()?;
         Some(ConfigText {
+            environment: Arc::clone(&self.options.environment),
             version: document.state.version,
             text: Arc::clone(&document.text),
         })
--- a/crates/daemon/tests/load/mod.rs
+++ b/crates/daemon/tests/load/mod.rs
@@ -1,4 +1,4 @@
-//! A harness with the example document.
+//! A harness with a document of one service.
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses a part")]
 #![allow(
@@ -9,9 +9,42 @@
 
 use std::sync::Arc;
 
-use rosemaryscale_standins::harness::{Harness, HarnessOptions, UpstreamSpec};
+use http::Method;
+use rosemaryscale_standins::harness::{Harness, HarnessOptions, UpstreamSpec, eventually};
 
-pub const DOCUMENT: &str = include_str!("../../../../examples/kalahari/document.jsonc");
+/// One service whose requests are all of one class, so that they may use every slot: with floors,
+/// long requests would leave slots free for other classes.
+pub const DOCUMENT: &str = r#"{
+  "format": 1,
+  "environments": {
+    "trial": { "spare_instances": 1 },
+    "production": { "spare_instances": 8 }
+  },
+  "pools": {
+    "quotes": { "min_instances": 0, "max_instances": 17 }
+  },
+  "services": {
+    "quotes": {
+      "pool": "quotes",
+      "availability_budget_ppm": 1000,
+      "slots_per_instance": 8,
+      "connections_per_instance": 64,
+      "request_limit_ms": 15000,
+      "default_deadline_ms": 5000,
+      "body_limit_bytes": 8388608,
+      "response_limit_bytes": 1048576,
+      "queue_limit": 2000,
+      "queue_limit_per_caller": 2000,
+      "retry_budget_ppm": 100000,
+      "classes": {
+        "all": { "weight": 1, "floor_ppm": 0, "queue_limit": 2000 }
+      },
+      "default_class": "all",
+      "repeatable": [{ "method": "GET", "path_prefix": "/" }]
+    }
+  }
+}
+"#;
 pub const PATH: &str = "/v1/services/quotes/x";
 
 /// Starts a daemon with upstreams and applies the document.
@@ -30,6 +63,18 @@
     })
     .await;
     harness.apply(DOCUMENT).await;
+    for daemon in 0..daemons {
+        eventually("the instances are assigned", || async {
+            let reply = harness
+                .operate(daemon, Method::GET, "/v1/pools", None)
+                .await;
+            let pools = reply.map(|reply| reply.json()).unwrap_or_default();
+            let instances = pools["instances"].as_array().cloned().unwrap_or_default();
+            let assigned = instances.iter().filter(|one| one["pool"] == "quotes");
+            assigned.count() == upstreams
+        })
+        .await;
+    }
     harness
 }
 
--- a/crates/daemon/tests/upstream_faults.rs
+++ b/crates/daemon/tests/upstream_faults.rs
@@ -1,5 +1,7 @@
 //! Faults of upstreams, seen through a daemon process.
 
+#![allow(clippy::expect_used, clippy::panic, reason = "test code fails loudly")]
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -195,6 +197,9 @@
 #[tokio::test]
 async fn peers_observations_speed_up_an_ejection() {
     let mut harness = load::start_daemons(3, 2).await;
+    for daemon in 0..3 {
+        take_turns(&harness, daemon).await;
+    }
     let lost = harness.upstreams.remove(0);
     lost.stop().await;
     for daemon in 0..2 {
@@ -217,6 +222,21 @@
     harness.stop().await;
 }
 
+/// Sends requests until the daemon uses both upstreams, and its next request goes to the first one.
+async fn take_turns(harness: &Harness, daemon: usize) {
+    let mut last = String::new();
+    for _ in 0..1_000 {
+        let reply = harness.call(daemon, Method::GET, PATH, &[], "").await;
+        let reply = reply.expect("a whole response").json();
+        let instance = reply["instance"].as_str().unwrap_or_default();
+        if last == "quotes-0" && instance == "quotes-1" {
+            return;
+        }
+        last = instance.to_owned();
+    }
+    panic!("the daemon does not use both upstreams");
+}
+
 /// Daemons whose timeline has an ejection.
 async fn ejections(harness: &Harness) -> usize {
     let path = "/v1/timeline?limit=1000";
--- a/crates/domain/src/health.rs
+++ b/crates/domain/src/health.rs
@@ -433,15 +433,33 @@
             State::InUse if !health.is_suspect(now) => Some(Preference::Normal),
             // Beyond the ejection limit, a lost instance costs one exchange at a time, unless the
             // whole pool looks lost and the fault may be this daemon's own.
-            State::InUse
-                if health.refuses_connections() && in_flight > 0 && self.has_unsuspected(now) =>
-            {
-                None
-            }
+            State::InUse if in_flight > 0 && self.is_lost(health, now) => None,
             State::InUse => Some(Preference::Suspect),
         }
     }
 
+    /// Exchanges that the instance may have at once, given those in flight.
+    #[must_use]
+    pub fn exchanges_max(&self, instance: InstanceKey, in_flight: u32, now: Millis) -> u32 {
+        let Some(health) = self.instances.get(instance) else {
+            return u32::MAX;
+        };
+        match health.state {
+            State::Ejected { .. } => 0,
+            _ if now < health.paused_until => 0,
+            State::OnTrial { .. } => 1,
+            State::InUse if self.is_lost(health, now) => 1,
+            // The next exchange starts a pause.
+            State::InUse if health.refusals > 0 => in_flight.saturating_add(1),
+            State::InUse => u32::MAX,
+        }
+    }
+
+    /// Whether the instance refuses connections while others of the pool work.
+    fn is_lost(&self, health: &InstanceHealth, now: Millis) -> bool {
+        health.is_suspect(now) && health.refuses_connections() && self.has_unsuspected(now)
+    }
+
     fn has_unsuspected(&self, now: Millis) -> bool {
         self.instances
             .values()
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -11,22 +11,38 @@
 //! assert_eq!(deadline.ms_since(arrived), 250);
 //! ```
 
+pub mod admission;
+pub mod assignment;
+pub mod callers;
+pub mod class_share;
 pub mod connection;
 pub mod dispatch;
 pub mod document;
+pub mod drain;
+pub mod fair_queue;
+pub mod fleet;
 pub mod health;
 pub mod key;
 pub mod map;
 pub mod millis;
+pub mod name;
 pub mod outcome;
 pub mod prelude;
+pub mod promotion;
+pub mod proposal;
+pub mod recent;
 pub mod request;
 pub mod retry;
+pub mod rollout;
 pub mod roster;
+pub mod service_time;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
 pub use map::{FastMap, FastSet};
 pub use millis::Millis;
 pub use outcome::{NotRun, OutcomeUnknown};
+pub use promotion::PromotionView;
+pub use proposal::Proposal;
 pub use request::Request;
+pub use rollout::InForce;
--- a/crates/domain/src/retry.rs
+++ b/crates/domain/src/retry.rs
@@ -142,8 +142,8 @@
     }
 }
 
-/// Requests that wait for another try, oldest first. There are never more than the slots in use,
-/// since each comes from a failed exchange.
+/// Requests that wait for another try, oldest first. The retry budget limits their number, since
+/// each has taken one retry out of it.
 #[derive(Clone, Debug, Default)]
 pub struct Retries {
     waiting: VecDeque<Retry>,
@@ -155,14 +155,11 @@
         self.waiting.push_back(retry);
     }
 
-    /// Forgets a request.
-    pub fn remove(&mut self, request: RequestKey) {
+    /// Forgets a request; `false` if it does not wait.
+    pub fn remove(&mut self, request: RequestKey) -> bool {
+        let before = self.waiting.len();
         self.waiting.retain(|retry| retry.request != request);
-    }
-
-    /// Keeps the retries for which `keep` returns true.
-    pub fn retain(&mut self, keep: impl FnMut(&Retry) -> bool) {
-        self.waiting.retain(keep);
+        self.waiting.len() < before
     }
 
     /// The retries, oldest first.
--- a/crates/domain/tests/simulation/mod.rs
+++ b/crates/domain/tests/simulation/mod.rs
@@ -90,11 +90,7 @@
     pub fn new(count: usize, seed: u64) -> Self {
         let mut keys: SlotMap<InstanceKey, ()> = SlotMap::with_key();
         let instances: Vec<InstanceKey> = (0..count).map(|_| keys.insert(())).collect();
-        let mut dispatcher = Dispatcher::new(DispatchPolicy {
-            queue_limit: 1_000,
-            tries_max: 4,
-            retry_budget_ppm: BUDGET_PPM,
-        });
+        let mut dispatcher = Dispatcher::new(DispatchPolicy::of_one_class(1_000, 4, BUDGET_PPM));
         for (number, instance) in instances.iter().enumerate() {
             dispatcher.join(*instance, domain(number), false, Millis::ZERO);
             dispatcher.set_usable_slots(*instance, SLOTS);
@@ -185,7 +181,7 @@
             self.dispatcher.observe(key, flight.observation, now);
             match flight.evidence {
                 None => {
-                    self.dispatcher.answered(key);
+                    self.dispatcher.answered(key, now);
                     self.requests.remove(&key);
                     self.answered += 1;
                 }
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -7,13 +7,17 @@
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::event::Event;
+use crate::event::{Event, EventFilter};
+use crate::fleet::{FleetError, FleetOperation, InFlightReport, PoolsReport};
 use crate::operator::DaemonStatus;
 
 /// Version and digest of a daemon's document.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ConfigDigest {
+    /// Environment of the daemon; a digest of another environment is ignored.
+    #[serde(default)]
+    pub environment: Arc<str>,
     /// Version; 0 if none.
     pub version: u64,
     /// Digest; empty if none.
@@ -24,6 +28,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ConfigText {
+    /// Environment of the daemon that has it in force.
+    #[serde(default)]
+    pub environment: Arc<str>,
     /// Version.
     pub version: u64,
     /// Text.
@@ -78,7 +85,19 @@
     Timeline {
         /// Events at most.
         limit: usize,
+        /// Which events.
+        #[serde(default)]
+        filter: EventFilter,
     },
+    /// Ask what the peer has in flight on an instance.
+    InFlight {
+        /// The instance.
+        instance: Arc<str>,
+    },
+    /// Ask the controller for a change.
+    Operate(FleetOperation),
+    /// Ask the controller for the pools.
+    Pools,
 }
 
 /// Reply to a call.
@@ -96,6 +115,17 @@
     Timeline(Vec<Event>),
     /// The peer noted an observation.
     Noted,
+    /// What the peer has in flight.
+    InFlight {
+        /// Incarnation of the peer.
+        incarnation: Arc<str>,
+        /// The report; none if the peer does not know the instance's record.
+        report: Option<InFlightReport>,
+    },
+    /// Result of a change.
+    Operated(Result<(), FleetError>),
+    /// The pools.
+    Pools(PoolsReport),
     /// The peer cannot answer now.
     Refused(String),
 }
@@ -126,6 +156,9 @@
 pub struct PeerCall {
     /// Name of the peer.
     pub to: Arc<str>,
+    /// Address of the peer if it is not a member of this environment; a member's address is that of
+    /// its record.
+    pub address: Option<SocketAddr>,
     /// The call.
     pub request: PeerRequest,
     /// Where the reply goes.
@@ -163,6 +196,29 @@
     ///
     /// Fails when the peer does not answer.
     pub async fn call(&self, to: Arc<str>, request: PeerRequest) -> Result<PeerReply, PeerError> {
+        self.send(to, None, request).await
+    }
+
+    /// Calls a daemon that is not a member of this environment, or not yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not answer.
+    pub async fn call_at(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+    ) -> Result<PeerReply, PeerError> {
+        self.send(address.to_string().into(), Some(address), request)
+            .await
+    }
+
+    async fn send(
+        &self,
+        to: Arc<str>,
+        address: Option<SocketAddr>,
+        request: PeerRequest,
+    ) -> Result<PeerReply, PeerError> {
         let (reply, result) = oneshot::channel();
         let name = Arc::clone(&to);
         let unreachable = |reason: &str| PeerError::Unreachable {
@@ -170,7 +226,12 @@
             reason: reason.into(),
         };
         self.calls
-            .send(PeerCall { to, request, reply })
+            .send(PeerCall {
+                to,
+                address,
+                request,
+                reply,
+            })
             .await
             .map_err(|_| unreachable("the peer link has stopped"))?;
         result
--- /dev/null
+++ b/crates/standins/src/harness/wait.rs
@@ -0,0 +1,47 @@
+//! Waiting for conditions.
+
+use std::future::Future;
+use std::task::Poll;
+use std::time::Duration;
+
+pub(super) const CONDITION_POLL: Duration = Duration::from_millis(20);
+/// Longest wait for a condition; far above every bound that a test checks.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics when it does not hold within [`PATIENCE`].
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let started = tokio::time::Instant::now();
+    while !condition().await {
+        assert!(
+            started.elapsed() < PATIENCE,
+            "not within {PATIENCE:?}: {what}"
+        );
+        tokio::time::sleep(CONDITION_POLL).await;
+    }
+}
+
+/// Runs futures side by side and returns their outputs in order.
+pub async fn join_all<F: Future>(futures: impl IntoIterator<Item = F>) -> Vec<F::Output> {
+    let mut running: Vec<_> = futures.into_iter().map(|future| Box::pin(future)).collect();
+    let mut outputs: Vec<Option<F::Output>> = running.iter().map(|_| None).collect();
+    std::future::poll_fn(|context| {
+        for (future, output) in running.iter_mut().zip(&mut outputs) {
+            if output.is_none()
+                && let Poll::Ready(ready) = future.as_mut().poll(context)
+            {
+                *output = Some(ready);
+            }
+        }
+        if outputs.iter().all(Option::is_some) {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    })
+    .await;
+    outputs.into_iter().flatten().collect()
+}
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -42,6 +42,8 @@
     pub executed: u64,
     /// Requests refused because all slots were busy.
     pub refused: u64,
+    /// Requests in execution now.
+    pub busy: u32,
     /// Most requests in execution at once.
     pub busy_max: u32,
     /// Connections opened.
@@ -181,7 +183,10 @@
                     let (finish, finished) = oneshot::channel();
                     let delay = delay + Duration::from_millis(faults.delay_ms);
                     work.spawn(async move {
-                        tokio::time::sleep(delay).await;
+                        // The timer rounds up to a millisecond, so a sleep of zero time would take one.
+                        if !delay.is_zero() {
+                            tokio::time::sleep(delay).await;
+                        }
                         let _ = finish.send(());
                     });
                     let faults = faults.clone();
@@ -196,7 +201,10 @@
                 faults = new;
             }
             Command::Report { reply } => {
-                let _ = reply.send(report.clone());
+                let _ = reply.send(Report {
+                    busy,
+                    ..report.clone()
+                });
             }
         }
     }
