--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon: starts the tasks, joins them, and goes through its life cycle.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rosemaryscale_adapters::caller_api::{CallerContext, Readiness, ServerError};
 use rosemaryscale_adapters::operator_api::OperatorContext;
@@ -29,6 +30,7 @@
 use crate::controller::{Controller, ControllerOptions};
 use crate::fan_out::FanOut;
 use crate::membership::{Membership, MembershipOptions};
+use crate::observations::Observations;
 use crate::peer_service::{PeerService, PeerServiceOptions};
 use crate::rollout::{Rollout, RolloutOptions, RolloutStatus};
 use crate::router::{Router, RouterOptions};
@@ -37,6 +39,10 @@
 const CLAIM_MESSAGES: usize = 1_024;
 const CONFIG_MESSAGES: usize = 16;
 const INBOUND_CALLS: usize = 256;
+const OBSERVATIONS: usize = 64;
+/// A stopping daemon waits this much longer than its longest request. A caller that never sends
+/// the end of its body would hold up the stop for good; its request was not run.
+const BODY_GRACE: Duration = Duration::from_secs(5);
 const FLEET_MESSAGES: usize = 16;
 const QUESTIONS: usize = 64;
 
@@ -258,12 +264,18 @@
             metrics: Metrics::clone(&metrics),
         });
         joined.push(tokio::spawn(slot_task.serve(slot_messages)));
+        let (observations, observed) = mpsc::channel(OBSERVATIONS);
+        let (refusing, refusing_receiver) = mpsc::channel(OBSERVATIONS);
+        let name = Arc::clone(&settings.name);
+        let tell_peers = Observations::new(name, members.clone(), peers.clone());
+        joined.push(tokio::spawn(tell_peers.serve(refusing_receiver)));
         let peer_service = PeerService::new(PeerServiceOptions {
             environment: Arc::clone(&settings.environment),
             store: config_store.clone(),
             config: config.clone(),
             status: status_receiver.clone(),
             events: events.clone(),
+            observations,
             incarnation,
             fleet: fleet.clone(),
             questions,
@@ -284,6 +296,8 @@
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
             slots,
+            refusing,
+            observed,
         });
         let (stop_router, stopped) = oneshot::channel();
         let router_task = tokio::spawn(router.serve(stopped));
@@ -386,7 +400,8 @@
     async fn finish(mut self) -> Daemon<Stopped> {
         let tasks = &mut self.tasks;
         if let Some(callers) = tasks.callers.take() {
-            let _ = callers.stop().await;
+            let limit = tasks.longest_request() + BODY_GRACE;
+            let _ = tokio::time::timeout(limit, callers.stop()).await;
         }
         if let Some(stop) = tasks.stop_claims.take() {
             let _ = stop.send(());
@@ -424,6 +439,16 @@
 }
 
 impl Tasks {
+    /// Longest time that an accepted request may take.
+    fn longest_request(&self) -> Duration {
+        let document = self.config.borrow().clone();
+        let services = document
+            .iter()
+            .flat_map(|known| known.fields.services.values());
+        let longest_ms = services.map(|service| service.request_limit_ms).max();
+        Duration::from_millis(longest_ms.unwrap_or_default())
+    }
+
     /// Passes on why there is no document yet.
     fn update_reason(&mut self) {
         let reason = Arc::clone(&self.rollout.borrow_and_update().reason);
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use rosemaryscale_domain::callers::Callers;
 use rosemaryscale_domain::class_share::ClassPolicy;
 use rosemaryscale_domain::dispatch::{DispatchAction, DispatchPolicy};
+use rosemaryscale_domain::health::{FaultDomain, HealthChange, Observation};
 use rosemaryscale_domain::request::{ClassIndex, FailureEvidence, Refusal, RequestInfo};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::dispatch::{DispatchMessage, Invalid, Outcome, Submission};
@@ -15,6 +16,7 @@
 use rosemaryscale_ports::link::{
     Exchange, ExchangeEnd, ExchangeResult, Link, LinkMessage, OutboundRequest,
 };
+use rosemaryscale_ports::peer::{PeerObservation, RefusingInstance};
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::slots::{SlotLimits, SlotSender};
 use tokio::task::JoinSet;
@@ -37,6 +39,8 @@
     pub metrics: Metrics,
     /// The slot task.
     pub slots: SlotSender,
+    /// Where this daemon's observations for its peers go.
+    pub refusing: mpsc::Sender<RefusingInstance>,
 }
 
 /// What the task keeps of a request.
@@ -52,6 +56,20 @@
     link: Link,
 }
 
+impl Target {
+    /// Whether the record is of this instance; its labels may differ.
+    fn is(&self, record: &InstanceRecord) -> bool {
+        self.record.name == record.name && self.record.address == record.address
+    }
+
+    fn refusing(&self) -> RefusingInstance {
+        RefusingInstance {
+            name: Arc::clone(&self.record.name),
+            address: self.record.address,
+        }
+    }
+}
+
 /// State of a dispatcher's task.
 pub struct DispatcherTask {
     options: DispatcherOptions,
@@ -61,8 +79,6 @@
     dispatcher: Dispatcher,
     payloads: SecondaryMap<RequestKey, Payload>,
     targets: SlotMap<InstanceKey, Target>,
-    /// Removed instances whose exchanges have not ended.
-    retired: FastMap<InstanceKey, Arc<str>>,
     callers: Callers,
     /// Requests that were queued since the queue was last advanced.
     arrivals: Vec<RequestKey>,
@@ -70,7 +86,6 @@
     /// Waits for callers of queued requests to go away.
     watches: JoinSet<Option<RequestKey>>,
     slots: SlotLink,
-    stopping: bool,
 }
 
 /// Makes the task of a service's dispatcher.
@@ -89,12 +104,10 @@
         ends: sender.clone(),
         payloads: SecondaryMap::new(),
         targets: SlotMap::with_key(),
-        retired: FastMap::default(),
         callers: Callers::default(),
         arrivals: Vec::new(),
         links: JoinSet::new(),
         watches: JoinSet::new(),
-        stopping: false,
     };
     (sender, task)
 }
@@ -113,6 +126,7 @@
         classes: classes.collect(),
         fallback_class: class_index(view, &fields.default_class).unwrap_or_default(),
         tries_max: TRIES_MAX,
+        retry_budget_ppm: view.fields.retry_budget_ppm,
     }
 }
 
@@ -127,7 +141,7 @@
     pub async fn serve(mut self) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        while !(self.stopping && self.dispatcher.is_empty()) {
+        while !self.dispatcher.is_finished() {
             tokio::select! {
                 message = self.messages.recv() => match message {
                     Some(message) => self.handle(message).await,
@@ -141,9 +155,11 @@
                 }
                 Some(_) = self.links.join_next() => {}
             }
-            self.advance().await;
+            self.advance();
+            self.retire_idle();
+            let now = self.options.clock.now();
             self.slots
-                .update(&self.dispatcher, |key| name_of(&self.targets, key));
+                .update(&self.dispatcher, |key| name_of(&self.targets, key), now);
         }
         self.retire_all().await;
         self.slots.remove().await;
@@ -153,12 +169,17 @@
         match message {
             DispatchMessage::Submit(submission) => self.submit(submission),
             DispatchMessage::Exchanged(end) => self.exchanged(end),
-            DispatchMessage::Slots(limits) => self.apply_limits(&limits).await,
+            DispatchMessage::Slots(limits) => self.apply_limits(&limits),
+            DispatchMessage::Probed { instance, healthy } => {
+                let now = self.options.clock.now();
+                self.dispatcher.probed(instance, healthy, now);
+            }
+            DispatchMessage::PeerObserved(observation) => self.peer_observed(observation),
             DispatchMessage::Configure(view) => self.configure(view).await,
             DispatchMessage::InFlight { instance, reply } => {
                 let _ = reply.send(self.in_flight(&instance));
             }
-            DispatchMessage::Stop => self.stopping = true,
+            DispatchMessage::Stop => self.dispatcher.stop(),
         }
     }
 
@@ -213,6 +234,7 @@
 
     fn exchanged(&mut self, end: ExchangeEnd) {
         let now = self.options.clock.now();
+        self.dispatcher.observe(end.request, end.observation, now);
         match end.result {
             ExchangeResult::Complete(response) => {
                 self.dispatcher.answered(end.request, now);
@@ -273,7 +295,7 @@
         }
     }
 
-    async fn advance(&mut self) {
+    fn advance(&mut self) {
         let now = self.options.clock.now();
         for action in self.dispatcher.advance(now) {
             match action {
@@ -281,9 +303,12 @@
                     request,
                     instance,
                     deadline,
+                    prefer_proven,
                 } => {
-                    self.send(request, instance, deadline).await;
+                    self.send(request, instance, deadline, prefer_proven);
                 }
+                DispatchAction::Probe { instance } => self.probe(instance),
+                DispatchAction::Report { instance, change } => self.report(instance, change),
                 DispatchAction::Refuse { request, refusal } => {
                     self.options.metrics.count("dispatch.refused", 1);
                     self.reply(request, outcome(refusal));
@@ -293,7 +318,13 @@
         self.watch_arrivals();
     }
 
-    async fn send(&mut self, request: RequestKey, instance: InstanceKey, deadline: Millis) {
+    fn send(
+        &mut self,
+        request: RequestKey,
+        instance: InstanceKey,
+        deadline: Millis,
+        prefer_proven: bool,
+    ) {
         let Some(payload) = self.payloads.get(request) else {
             return;
         };
@@ -301,99 +332,131 @@
             request,
             outbound: payload.outbound.clone(),
             deadline,
-            prefer_proven: false,
+            prefer_proven,
             response_limit_bytes: self.view.fields.response_limit_bytes,
         };
         // The process may have been frozen since the slot was chosen.
         let usable = self
             .dispatcher
             .is_usable(instance, self.options.clock.now());
-        let sent = match self.targets.get(instance) {
-            Some(target) if usable => target
-                .link
-                .messages
-                .send(LinkMessage::Exchange(exchange))
-                .await
-                .is_ok(),
-            _ => false,
-        };
-        if !sent {
-            let result = ExchangeResult::Failed(FailureEvidence::NothingWritten);
+        // Waiting for a link that waits to report to this task would stop both.
+        if !usable || !self.tell(instance, LinkMessage::Exchange(exchange)) {
             self.exchanged(ExchangeEnd {
                 request,
                 instance,
-                result,
+                result: ExchangeResult::Failed(FailureEvidence::NothingWritten),
+                observation: Observation::Nothing,
             });
         }
     }
 
-    async fn configure(&mut self, view: Arc<ServiceView>) {
-        self.view = view;
-        self.dispatcher.configure(policy(&self.view));
-        let gone: Vec<InstanceKey> = self
-            .targets
-            .iter()
-            .filter(|(_, target)| !self.view.instances.contains(&target.record))
-            .map(|(key, _)| key)
-            .collect();
-        for key in gone {
-            self.dispatcher.remove_instance(key);
-            if let Some(target) = self.targets.remove(key) {
-                self.retired.insert(key, Arc::clone(&target.record.name));
-                let _ = target.link.messages.send(LinkMessage::Retire).await;
+    fn apply_limits(&mut self, limits: &SlotLimits) {
+        for limit in &limits.limits {
+            let listed = &self.view.instances;
+            let target = self.targets.iter().find(|(_, target)| {
+                target.record.name == limit.instance
+                    && listed.iter().any(|record| target.is(record))
+            });
+            let Some((key, _)) = target else {
+                continue;
+            };
+            self.dispatcher
+                .set_usable_slots(key, limit.slots, limit.until);
+            if self.slots.connections_changed(limit)
+                && !self.tell(key, LinkMessage::AllowConnections(limit.connections))
+            {
+                self.slots.forget(&limit.instance);
             }
         }
-        let records: Vec<InstanceRecord> = self.view.instances.clone();
-        for record in records {
-            if !self.targets.values().any(|target| target.record == record) {
-                self.add_target(record);
+        self.slots.applied(limits.version);
+    }
+
+    fn tell(&self, instance: InstanceKey, message: LinkMessage) -> bool {
+        let target = self.targets.get(instance);
+        target.is_some_and(|target| target.link.messages.try_send(message).is_ok())
+    }
+
+    fn probe(&mut self, instance: InstanceKey) {
+        if !self.tell(instance, LinkMessage::Probe) {
+            let now = self.options.clock.now();
+            self.dispatcher.probed(instance, false, now);
+        }
+    }
+
+    fn report(&self, instance: InstanceKey, change: HealthChange) {
+        let Some(target) = self.targets.get(instance) else {
+            return;
+        };
+        let record = &target.record;
+        let detail = match change {
+            HealthChange::Ejected { pause_ms, refuses } => {
+                self.options.metrics.count("health.ejections", 1);
+                if refuses {
+                    let _ = self.options.refusing.try_send(target.refusing());
+                }
+                let (rack, zone) = (&record.rack, &record.zone);
+                format!("ejected, probed in {pause_ms} ms (rack {rack}, zone {zone})")
             }
+            HealthChange::OnTrial => "on trial with one request at a time".into(),
+            HealthChange::Returned => "returned to full use".into(),
+        };
+        let name = Arc::clone(&record.name);
+        self.options
+            .events
+            .record(EventKind::Instance, name, detail);
+    }
+
+    fn peer_observed(&mut self, observation: PeerObservation) {
+        let PeerObservation { peer, refusing } = observation;
+        let mut targets = self.targets.iter();
+        let known = targets.find(|(_, target)| target.refusing() == refusing);
+        if let Some((key, _)) = known {
+            let now = self.options.clock.now();
+            self.dispatcher.peer_refused(key, peer, now);
         }
-        self.slots.configure(&self.view, self.ends.clone()).await;
     }
 
-    async fn apply_limits(&mut self, limits: &SlotLimits) {
-        for limit in &limits.limits {
-            let target = self
-                .targets
-                .iter()
-                .find(|(_, target)| target.record.name == limit.instance);
-            let Some((key, target)) = target else {
-                continue;
+    async fn configure(&mut self, view: Arc<ServiceView>) {
+        let now = self.options.clock.now();
+        self.view = view;
+        self.dispatcher.configure(policy(&self.view));
+        let listed = &self.view.instances;
+        for (key, target) in &self.targets {
+            if !listed.iter().any(|record| target.is(record)) {
+                self.dispatcher.leave(key, now);
+            }
+        }
+        for record in self.view.instances.clone() {
+            let known = self.targets.iter().find(|(_, target)| target.is(&record));
+            let key = known.map(|(key, _)| key);
+            let key = key.unwrap_or_else(|| self.add_target(record.clone()));
+            let domain = FaultDomain {
+                rack: Arc::clone(&record.rack),
+                zone: Arc::clone(&record.zone),
             };
-            self.dispatcher
-                .set_usable_slots(key, limit.slots, limit.until);
-            if self.slots.connections_changed(limit) {
-                let message = LinkMessage::AllowConnections(limit.connections);
-                let _ = target.link.messages.send(message).await;
+            let absent = self.view.absent.contains(&record.name);
+            self.dispatcher.join(key, domain, absent, now);
+            if let Some(target) = self.targets.get_mut(key) {
+                target.record = record;
             }
         }
-        self.slots.applied(limits.version);
+        self.slots.configure(&self.view, self.ends.clone()).await;
     }
 
-    /// Requests in flight on an instance, over all keys that it has had.
-    fn in_flight(&mut self, instance: &str) -> u32 {
-        let Self {
-            dispatcher,
-            retired,
-            targets,
-            ..
-        } = self;
-        retired.retain(|key, _| dispatcher.in_flight(*key) > 0);
-        let current = targets
-            .iter()
-            .map(|(key, target)| (key, &target.record.name));
-        let retired = retired.iter().map(|(key, name)| (*key, name));
-        current
-            .chain(retired)
-            .filter(|(_, name)| &***name == instance)
-            .map(|(key, _)| dispatcher.in_flight(key))
+    /// Requests in flight on an instance, over all keys that it has: a leaving instance keeps its
+    /// key until its last exchange has ended, and has another one if its address changed.
+    fn in_flight(&self, instance: &str) -> u32 {
+        let targets = self.targets.iter();
+        targets
+            .filter(|(_, target)| &*target.record.name == instance)
+            .map(|(key, _)| self.dispatcher.in_flight(key))
             .sum()
     }
 
-    fn add_target(&mut self, record: InstanceRecord) {
+    fn add_target(&mut self, record: InstanceRecord) -> InstanceKey {
         let Self {
             options,
+            view,
             ends,
             links,
             targets,
@@ -403,19 +466,33 @@
             let (link, task) = upstream_link::make(LinkOptions {
                 instance,
                 address: record.address,
+                connections: view.fields.connections_per_instance,
                 clock: ClockHandle::clone(&options.clock),
                 ends: ends.clone(),
             });
             links.spawn(task);
             Target { record, link }
-        });
+        })
     }
 
-    async fn retire_all(&mut self) {
-        for target in self.targets.values() {
-            let _ = target.link.messages.send(LinkMessage::Retire).await;
+    /// Ends the links of instances that left and have no exchange in flight.
+    fn retire_idle(&mut self) {
+        for key in self.dispatcher.remove_idle() {
+            if let Some(target) = self.targets.remove(key) {
+                let _ = target.link.messages.try_send(LinkMessage::Retire);
+            }
         }
+    }
+
+    async fn retire_all(&mut self) {
+        self.targets.clear();
         self.messages.close();
+        while let Some(message) = self.messages.recv().await {
+            if let DispatchMessage::Submit(submission) = message {
+                // It was sent before the routes changed.
+                self.submit(submission);
+            }
+        }
         while self.links.join_next().await.is_some() {}
         while self.watches.join_next().await.is_some() {}
     }
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -6,7 +6,9 @@
 use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
 use rosemaryscale_ports::fleet::{Fleet, InFlightQuestion};
 use rosemaryscale_ports::operator::DaemonStatus;
-use rosemaryscale_ports::peer::{ConfigDigest, ConfigText, InboundCall, PeerReply, PeerRequest};
+use rosemaryscale_ports::peer::{
+    ConfigDigest, ConfigText, InboundCall, PeerObservation, PeerReply, PeerRequest,
+};
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::slots::{SlotMessage, SlotSender};
 use tokio::sync::watch;
@@ -24,6 +26,8 @@
     pub status: watch::Receiver<DaemonStatus>,
     /// The event log.
     pub events: EventSink,
+    /// Where peers' observations of instances go; they are dropped when it is behind.
+    pub observations: mpsc::Sender<PeerObservation>,
     /// Incarnation of this daemon.
     pub incarnation: Arc<str>,
     /// The controller task.
@@ -84,6 +88,12 @@
                 let status = self.options.status.borrow().clone();
                 let _ = reply.send(PeerReply::Status(status));
             }
+            PeerRequest::Refusing(refusing) => {
+                let peer = from;
+                let observation = PeerObservation { peer, refusing };
+                let _ = self.options.observations.try_send(observation);
+                let _ = reply.send(PeerReply::Noted);
+            }
             PeerRequest::InFlight { instance } => self.answer_in_flight(instance, reply),
             PeerRequest::Operate(operation) => {
                 let fleet = self.options.fleet.clone();
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -12,6 +12,7 @@
     AssignmentView, AssignmentWatch, InFlightQuestion, InFlightReport,
 };
 use rosemaryscale_ports::instance::{InstanceList, InstanceState, ServiceView};
+use rosemaryscale_ports::peer::{PeerObservation, RefusingInstance};
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::slots::SlotSender;
 use tokio::sync::watch;
@@ -37,6 +38,10 @@
     pub metrics: Metrics,
     /// The slot task.
     pub slots: SlotSender,
+    /// Where this daemon's observations for its peers go.
+    pub refusing: mpsc::Sender<RefusingInstance>,
+    /// Peers' observations.
+    pub observed: mpsc::Receiver<PeerObservation>,
 }
 
 /// Dispatchers by service.
@@ -74,6 +79,7 @@
                 _ = &mut stop => break,
                 Ok(()) = self.options.config.changed() => self.update().await,
                 Ok(()) = self.options.instances.changed() => self.update().await,
+                Some(observation) = self.options.observed.recv() => self.pass_on(&observation),
                 Ok(()) = self.options.assignments.changed() => self.update().await,
                 Some(question) = self.options.questions.recv() => self.answer(question).await,
                 Some(_) = self.dispatchers.join_next() => {}
@@ -89,6 +95,13 @@
         while self.dispatchers.join_next().await.is_some() {}
     }
 
+    fn pass_on(&self, observation: &PeerObservation) {
+        for dispatch in self.routes.borrow().values() {
+            let message = DispatchMessage::PeerObserved(observation.clone());
+            let _ = dispatch.messages.try_send(message);
+        }
+    }
+
     async fn update(&mut self) {
         let Some(document) = self.options.config.borrow().clone() else {
             return;
@@ -175,6 +188,7 @@
             version,
             fields,
             instances,
+            absent: snapshot.absent,
         })
     }
 
@@ -184,6 +198,7 @@
             events: self.options.events.clone(),
             metrics: Metrics::clone(&self.options.metrics),
             slots: self.options.slots.clone(),
+            refusing: self.options.refusing.clone(),
         };
         let (messages, task) = dispatcher::make(options, view.clone());
         self.dispatchers.spawn(task.serve());
--- a/crates/daemon/src/slot_link.rs
+++ b/crates/daemon/src/slot_link.rs
@@ -64,6 +64,11 @@
         old.is_none_or(|(_, connections)| connections != limit.connections)
     }
 
+    /// Forgets the limit of an instance, so that its link is told of its connections again.
+    pub fn forget(&mut self, instance: &str) {
+        self.limits.remove(instance);
+    }
+
     /// Acknowledges limits.
     pub fn applied(&mut self, version: u64) {
         self.applied = version;
@@ -81,6 +86,7 @@
         &mut self,
         dispatcher: &Dispatcher,
         name: impl Fn(InstanceKey) -> Option<Arc<str>>,
+        now: Millis,
     ) {
         let queued = u32::try_from(dispatcher.queued()).unwrap_or(u32::MAX);
         let begins = queued > 0 && self.said.queued == 0;
@@ -96,6 +102,7 @@
             in_flight: busy
                 .filter_map(|(key, count)| Some((name(key)?, count)))
                 .collect(),
+            blocked: dispatcher.blocked(now).filter_map(&name).collect(),
         };
         self.due = false;
         if news == self.said {
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -189,10 +189,15 @@
         let in_flight = in_flight
             .map(|(name, count)| (self.directory.slot(&slot_use.service, name), *count))
             .collect();
+        let blocked = slot_use.blocked.iter();
+        let blocked = blocked
+            .map(|name| self.directory.slot(&slot_use.service, name))
+            .collect();
         let service_use = ServiceUse {
             applied: slot_use.applied,
             queued: slot_use.queued,
             in_flight,
+            blocked,
         };
         self.slots.record_use(service, &service_use);
     }
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -195,3 +195,40 @@
     assert_eq!(instance(&harness, 0, "quotes-1").await["epoch"], 1);
     harness.stop().await;
 }
+
+/// Guards against an instance that gets no work after its drain was undone, and against an undone
+/// drain that cuts the requests in flight.
+#[tokio::test]
+async fn an_undone_drain_gives_the_instance_work_again() {
+    let harness = start(2).await;
+    let headers = [("x-standin-delay-ms", "4000")];
+    let slow = async {
+        let calls = (0..8).map(|_| harness.call(1, Method::POST, REQUEST, &headers, "slow"));
+        harness::join_all(calls).await
+    };
+    let undone = async {
+        eventually("the instance is busy", || async {
+            harness.upstreams[0].report().await.busy > 0
+        })
+        .await;
+        for operation in ["drain", "undrain"] {
+            eventually("the change is accepted", || async {
+                let change = json!({operation: {"instance": "quotes-1"}});
+                operate(&harness, 0, change).await.0 == StatusCode::OK
+            })
+            .await;
+        }
+        let before = harness.upstreams[0].report().await.executed;
+        eventually("the instance gets work again", || async {
+            let reply = harness.call(1, Method::POST, REQUEST, &[], "").await;
+            assert_eq!(reply.expect("a whole response").status, StatusCode::OK);
+            harness.upstreams[0].report().await.executed > before
+        })
+        .await;
+    };
+    let (replies, ()) = tokio::join!(slow, undone);
+    for reply in replies {
+        assert_eq!(reply.expect("a whole response").status, StatusCode::OK);
+    }
+    harness.stop().await;
+}
--- a/crates/domain/examples/flood/model.rs
+++ b/crates/domain/examples/flood/model.rs
@@ -5,6 +5,7 @@
 
 use rosemaryscale_domain::Dispatcher;
 use rosemaryscale_domain::dispatch::{DispatchAction, DispatchPolicy};
+use rosemaryscale_domain::health::FaultDomain;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::request::{ClassIndex, RequestInfo};
 
@@ -31,9 +32,16 @@
 impl Fair {
     pub(crate) fn new(policy: DispatchPolicy) -> Self {
         let mut instances: SlotMap<InstanceKey, ()> = SlotMap::with_key();
+        let instance = instances.insert(());
+        let mut dispatcher = Dispatcher::new(policy);
+        let domain = FaultDomain {
+            rack: "rack".into(),
+            zone: "zone".into(),
+        };
+        dispatcher.join(instance, domain, false, Millis::ZERO);
         Self {
-            dispatcher: Dispatcher::new(policy),
-            instance: instances.insert(()),
+            dispatcher,
+            instance,
         }
     }
 }
@@ -55,7 +63,7 @@
     fn advance(&mut self, now: Millis) -> Vec<RequestKey> {
         let sent = |action| match action {
             DispatchAction::Send { request, .. } => Some(request),
-            DispatchAction::Refuse { .. } => None,
+            _ => None,
         };
         let actions = self.dispatcher.advance(now);
         actions.into_iter().filter_map(sent).collect()
--- a/crates/domain/examples/flood/work.rs
+++ b/crates/domain/examples/flood/work.rs
@@ -90,6 +90,7 @@
         ],
         fallback_class: ClassIndex(1),
         tries_max: 4,
+        retry_budget_ppm: 100_000,
     }
 }
 
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -4,16 +4,21 @@
 //! around it keeps request bodies and carries the actions out.
 
 use crate::admission::Admission;
-use crate::class_share::{Charge, ClassPolicy, ClassShares, SlotCount};
+use crate::class_share::{Charge, ClassPolicy, ClassShares};
 use crate::fair_queue::{FairQueue, QueueLimits};
+use crate::health::{HealthChange, PoolHealth};
 use crate::outcome::{NotRunReason, OutcomeUnknown};
 use crate::prelude::*;
 use crate::request::{
     AfterFailure, ClassIndex, Dispatched, FailureEvidence, Queued, Refusal, Request,
 };
+use crate::retry::{Retries, Retry, RetryBudget, TryTime};
 
+mod instances;
 mod queueing;
 
+use instances::InstanceAccount;
+
 /// Limits of a service that the dispatcher applies.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DispatchPolicy {
@@ -27,6 +32,8 @@
     pub fallback_class: ClassIndex,
     /// Tries of one request at most.
     pub tries_max: u32,
+    /// Retries allowed for each million first tries.
+    pub retry_budget_ppm: u32,
 }
 
 /// What the task around the dispatcher must do.
@@ -40,6 +47,20 @@
         instance: InstanceKey,
         /// When the exchange must have ended.
         deadline: Millis,
+        /// Whether it must not be repeated, so that a proven connection is preferred.
+        prefer_proven: bool,
+    },
+    /// Ask the instance for its health; [`Dispatcher::probed`] follows.
+    Probe {
+        /// The instance.
+        instance: InstanceKey,
+    },
+    /// Tell operators that the health of an instance changed.
+    Report {
+        /// The instance.
+        instance: InstanceKey,
+        /// The change.
+        change: HealthChange,
     },
     /// Tell the caller that the request ended without a response; the key is free afterwards.
     Refuse {
@@ -57,15 +78,12 @@
     Dispatched(Request<Dispatched>),
 }
 
-/// Use of one instance.
-#[derive(Clone, Copy, Debug, Default)]
-struct InstanceAccount {
-    /// Slots that this daemon may use now.
-    usable_slots: u32,
-    /// When this daemon must stop using them.
-    usable_until: Millis,
-    /// Exchanges in flight.
-    in_flight: u32,
+/// The request that is sent next.
+#[derive(Clone, Copy, Debug)]
+struct Next {
+    key: RequestKey,
+    request: Request<Queued>,
+    instance: InstanceKey,
 }
 
 /// What the end of an exchange says about service times.
@@ -103,6 +121,12 @@
     /// answered their callers.
     displaced: Vec<RequestKey>,
     instances: SecondaryMap<InstanceKey, InstanceAccount>,
+    dispatches: u64,
+    health: PoolHealth,
+    retries: Retries,
+    budget: RetryBudget,
+    try_time: TryTime,
+    stopping: bool,
 }
 
 impl Dispatcher {
@@ -111,6 +135,7 @@
     pub fn new(policy: DispatchPolicy) -> Self {
         let limits = QueueLimits::of(&policy);
         Self {
+            budget: RetryBudget::new(policy.retry_budget_ppm),
             requests: SlotMap::with_key(),
             queue: FairQueue::new(limits, &policy.classes),
             shares: ClassShares::new(&policy.classes),
@@ -119,37 +144,23 @@
             displaced: Vec::new(),
             policy,
             instances: SecondaryMap::new(),
+            dispatches: 0,
+            health: PoolHealth::default(),
+            retries: Retries::default(),
+            try_time: TryTime::default(),
+            stopping: false,
         }
     }
 
-    /// Sets the slots of an instance that this daemon may use before `until`.
-    pub fn set_usable_slots(&mut self, instance: InstanceKey, slots: u32, until: Millis) {
-        if !self.instances.contains_key(instance) {
-            self.instances.insert(instance, InstanceAccount::default());
-        }
-        if let Some(account) = self.instances.get_mut(instance) {
-            account.usable_slots = slots;
-            account.usable_until = until;
-        }
+    /// Admits no further requests.
+    pub fn stop(&mut self) {
+        self.stopping = true;
     }
 
-    /// Whether an exchange may start on an instance at `now`, as far as its lease is concerned.
+    /// Whether it was stopped and every request has ended.
     #[must_use]
-    pub fn is_usable(&self, instance: InstanceKey, now: Millis) -> bool {
-        let account = self.instances.get(instance);
-        account.is_some_and(|account| now < account.usable_until)
-    }
-
-    /// Exchanges in flight by instance.
-    pub fn exchanges(&self) -> impl Iterator<Item = (InstanceKey, u32)> {
-        let accounts = self.instances.iter();
-        accounts.map(|(instance, account)| (instance, account.in_flight))
-    }
-
-    /// Forgets an instance. Its exchanges in flight still end through [`Self::failed`] or
-    /// [`Self::answered`].
-    pub fn remove_instance(&mut self, instance: InstanceKey) {
-        self.instances.remove(instance);
+    pub fn is_finished(&self) -> bool {
+        self.stopping && self.is_empty()
     }
 
     /// Requests that are queued or in flight.
@@ -164,15 +175,6 @@
         self.requests.contains_key(key)
     }
 
-    /// Requests in flight on an instance, also on one that was removed.
-    #[must_use]
-    pub fn in_flight(&self, instance: InstanceKey) -> u32 {
-        let in_flight = self.requests.values().filter(|entry| {
-            matches!(entry, Entry::Dispatched(request) if request.state.instance == instance)
-        });
-        u32::try_from(in_flight.count()).unwrap_or(u32::MAX)
-    }
-
     /// Whether no request is queued or in flight.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -199,7 +201,8 @@
         let Some(Entry::Dispatched(request)) = self.requests.get(key).copied() else {
             return None;
         };
-        self.release(request.state.instance);
+        let instance = request.state.instance;
+        self.release(instance);
         self.settle(key, SlotUse::of(evidence), now);
         match request.fail(evidence) {
             AfterFailure::Unknown(unknown) => self.end(key, Refusal::Unknown(unknown)),
@@ -207,68 +210,54 @@
                 if now >= again.info.deadline {
                     return self.end(key, again.refuse(NotRunReason::DeadlinePassed));
                 }
-                if again.state.failed_tries >= self.policy.tries_max {
+                let tries = again.state.failed_tries;
+                if tries >= self.policy.tries_max || !self.budget.take() {
                     return self.end(key, again.refuse(NotRunReason::UpstreamRefused));
                 }
                 self.requests[key] = Entry::Queued(again);
-                self.queue.push_returned(key, &again.info);
+                self.retries.push(Retry::after(key, instance, tries, now));
                 None
             }
         }
     }
 
-    /// Sends what fits and refuses what is too late.
+    /// Sends what fits, refuses what is too late, and starts probes.
     pub fn advance(&mut self, now: Millis) -> Vec<DispatchAction> {
         let mut actions = self.expire(now);
+        self.report_health(now, &mut actions);
         self.shares.observe_running(self.charges.values(), now);
-        while let Some(instance) = self.least_loaded(now) {
-            let slots = self.slots(now);
-            let Some((key, request)) = self.next_queued(slots, now, &mut actions) else {
-                break;
-            };
-            self.requests[key] = Entry::Dispatched(request.dispatch(instance, now));
-            if let Some(account) = self.instances.get_mut(instance) {
-                account.in_flight += 1;
-            }
-            let charge = self.shares.dispatched(request.info, slots.usable, now);
-            self.charges.insert(key, charge);
-            let deadline = request.info.deadline;
-            actions.push(DispatchAction::Send {
-                request: key,
-                instance,
-                deadline,
-            });
+        while let Some(next) = self.next_request(now, &mut actions) {
+            actions.push(self.send(next, now));
         }
         self.observe_queues(now);
         actions
     }
 
-    /// Slots of all instances that may get work now.
-    fn slots(&self, now: Millis) -> SlotCount {
-        let mut slots = SlotCount::default();
-        let usable = self
-            .instances
-            .values()
-            .filter(|account| now < account.usable_until);
-        for account in usable {
-            slots.usable += account.usable_slots;
-            slots.free += account.usable_slots.saturating_sub(account.in_flight);
+    fn send(&mut self, next: Next, now: Millis) -> DispatchAction {
+        let Next {
+            key,
+            request,
+            instance,
+        } = next;
+        let usable = self.slots(now).usable;
+        let charge = self.shares.dispatched(request.info, usable, now);
+        self.charges.insert(key, charge);
+        self.requests[key] = Entry::Dispatched(request.dispatch(instance, now));
+        self.occupy(instance, now);
+        if request.state.failed_tries == 0 {
+            self.budget.first_try();
         }
-        slots
-    }
-
-    fn least_loaded(&self, now: Millis) -> Option<InstanceKey> {
-        self.instances
-            .iter()
-            .filter(|(_, account)| now < account.usable_until)
-            .filter(|(_, account)| account.in_flight < account.usable_slots)
-            .min_by_key(|(_, account)| account.in_flight)
-            .map(|(key, _)| key)
-    }
-
-    fn release(&mut self, instance: InstanceKey) {
-        if let Some(account) = self.instances.get_mut(instance) {
-            account.in_flight = account.in_flight.saturating_sub(1);
+        let last = request.state.failed_tries + 1 >= self.policy.tries_max;
+        let deadline = if request.info.repeatable && !last && self.budget.has_retry() {
+            self.try_time.limit(request.info.deadline, now)
+        } else {
+            request.info.deadline
+        };
+        DispatchAction::Send {
+            request: key,
+            instance,
+            deadline,
+            prefer_proven: !request.info.repeatable,
         }
     }
 
--- a/crates/domain/src/dispatch/queueing.rs
+++ b/crates/domain/src/dispatch/queueing.rs
@@ -1,12 +1,13 @@
 //! Admission, cancellation and the choice of the next request.
 
-use super::{DispatchAction, DispatchPolicy, Dispatcher, Entry, SlotUse};
+use super::{DispatchAction, DispatchPolicy, Dispatcher, Entry, Next, SlotUse};
 use crate::admission::{self, Admission, Load};
-use crate::class_share::{ClassPolicy, SlotCount};
+use crate::class_share::ClassPolicy;
 use crate::fair_queue::{FairQueue, Full, QueueLimits};
 use crate::outcome::NotRunReason;
 use crate::prelude::*;
 use crate::request::{ClassIndex, Queued, Refusal, Request, RequestInfo};
+use crate::retry::Retry;
 
 impl QueueLimits {
     /// The bounds that a policy states.
@@ -22,7 +23,7 @@
 impl DispatchPolicy {
     /// Limits of a service whose requests are all of one class.
     #[must_use]
-    pub fn of_one_class(queue_limit: u32, tries_max: u32) -> Self {
+    pub fn of_one_class(queue_limit: u32, tries_max: u32, retry_budget_ppm: u32) -> Self {
         let class = ClassPolicy {
             name: "all".into(),
             weight: 1,
@@ -35,6 +36,7 @@
             classes: vec![class],
             fallback_class: ClassIndex(0),
             tries_max,
+            retry_budget_ppm,
         }
     }
 
@@ -66,6 +68,7 @@
         self.queue = FairQueue::new(QueueLimits::of(&policy), &policy.classes);
         self.shares.configure(&policy.classes);
         self.admission = Admission::new(policy.classes.len());
+        self.budget.set_share(policy.retry_budget_ppm);
         for entry in self.requests.values_mut() {
             match entry {
                 Entry::Queued(request) => renumber(&mut request.info),
@@ -84,6 +87,11 @@
                 self.queue.push(key, &request.info);
             }
         }
+        for retry in self.retries.iter() {
+            if let Some(Entry::Queued(request)) = self.requests.get(retry.request) {
+                self.queue.restore_in_flight(&request.info);
+            }
+        }
         self.policy = policy;
     }
 
@@ -91,10 +99,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal when the queue is full or the deadline cannot be met.
+    /// Returns the refusal when the queue is full, the deadline cannot be met or the dispatcher is
+    /// stopping.
     pub fn submit(&mut self, info: RequestInfo) -> Result<RequestKey, Refusal> {
         let now = info.arrived;
         let request = Request::new(info);
+        if self.stopping {
+            return Err(request.refuse(NotRunReason::Stopping));
+        }
         let displaced = match self.queue.place(&info) {
             Ok(displaced) => displaced,
             Err(Full) => return Err(self.refusal(request, NotRunReason::QueueFull, now)),
@@ -118,7 +130,14 @@
     pub fn cancel(&mut self, key: RequestKey) {
         if let Some(Entry::Queued(request)) = self.requests.get(key).copied() {
             self.requests.remove(key);
-            self.queue.remove(key, &request.info);
+            self.withdraw(key, &request.info);
+        }
+    }
+
+    /// Takes a request out of the queue or the waiting retries.
+    fn withdraw(&mut self, key: RequestKey, info: &RequestInfo) {
+        if !self.queue.remove(key, info) && self.retries.remove(key) {
+            self.queue.ended(info);
         }
     }
 
@@ -128,22 +147,36 @@
         matches!(self.requests.get(key), Some(Entry::Queued(_)))
     }
 
-    /// Requests that are queued.
+    /// Requests that wait for a slot, with those that wait for a retry.
     #[must_use]
-    pub const fn queued(&self) -> usize {
-        self.queue.len()
+    pub fn queued(&self) -> usize {
+        self.queue.len() + self.retries.len()
     }
 
-    /// Requests of a class that are queued.
+    /// Requests of a class that wait for a slot, with those that wait for a retry.
     #[must_use]
     pub fn queued_of(&self, class: ClassIndex) -> usize {
-        self.queue.len_of(class)
+        let retries = self.waiting_retries();
+        self.queue.len_of(class) + retries.filter(|info| info.class == class).count()
     }
 
-    /// Requests of a caller that are queued.
+    /// Requests of a caller that wait for a slot, with those that wait for a retry.
     #[must_use]
     pub fn queued_of_caller(&self, caller: CallerKey) -> u32 {
-        self.queue.len_of_caller(caller)
+        let retries = self.waiting_retries();
+        let retries = retries.filter(|info| info.caller == caller).count();
+        self.queue.len_of_caller(caller) + u32::try_from(retries).unwrap_or(u32::MAX)
+    }
+
+    fn waiting_retries(&self) -> impl Iterator<Item = RequestInfo> {
+        let entries = self
+            .retries
+            .iter()
+            .map(|retry| self.requests.get(retry.request));
+        entries.filter_map(|entry| match entry {
+            Some(Entry::Queued(request)) => Some(request.info),
+            _ => None,
+        })
     }
 
     /// Requests of a class that are in flight.
@@ -176,7 +209,7 @@
         actions
     }
 
-    /// Refuses queued requests that can no longer be answered in time.
+    /// Refuses requests that can no longer be answered in time, in the queue and among the retries.
     pub(super) fn expire(&mut self, now: Millis) -> Vec<DispatchAction> {
         let mut actions = self.refuse_displaced(now);
         for class in self.queue.classes() {
@@ -190,6 +223,15 @@
                 actions.push(self.refuse_queued(key, request, reason, now));
             }
         }
+        let waiting: Vec<RequestKey> = self.retries.iter().map(|retry| retry.request).collect();
+        for key in waiting {
+            let Some(Entry::Queued(request)) = self.requests.get(key).copied() else {
+                continue;
+            };
+            if let Some(reason) = self.lateness(&request.info, now) {
+                actions.push(self.refuse_queued(key, request, reason, now));
+            }
+        }
         actions
     }
 
@@ -202,26 +244,50 @@
         is_late.then_some(NotRunReason::DeadlineUnreachable)
     }
 
-    /// Takes the request that gets the next free slot. A request that was measured against a longer
-    /// service time than its neighbours can be late without having the first deadline; it is
-    /// refused here.
-    pub(super) fn next_queued(
+    /// Takes the request that gets the next free slot. Retries count for the choice of the class as
+    /// queued requests do, and go first within their class. A queued request that was measured
+    /// against a longer service time than its neighbours can be late without having the first
+    /// deadline; it is refused here.
+    pub(super) fn next_request(
         &mut self,
-        slots: SlotCount,
         now: Millis,
         actions: &mut Vec<DispatchAction>,
-    ) -> Option<(RequestKey, Request<Queued>)> {
+    ) -> Option<Next> {
+        let for_repeatable = self.least_loaded(now, true, None)?;
+        let for_others = self.least_loaded(now, false, None)?;
+        let slots = self.slots(now);
+        let retries = self.sendable_retries(now);
         loop {
             let queue = &self.queue;
-            let has_queue = |class| queue.len_of(class) > 0;
-            let class = self.shares.choose(has_queue, slots)?;
+            let retry_of = |class| {
+                retries
+                    .iter()
+                    .find(|retry| retry.request.info.class == class)
+                    .copied()
+            };
+            let has_work = |class| queue.len_of(class) > 0 || retry_of(class).is_some();
+            let class = self.shares.choose(has_work, slots)?;
+            if let Some(retry) = retry_of(class) {
+                self.take_retry(&retry);
+                return Some(retry);
+            }
             let turn_ms = self.shares.service(class).mean_ms();
             let key = self.queue.pop(class, turn_ms)?;
             let Some(Entry::Queued(request)) = self.requests.get(key).copied() else {
                 continue;
             };
             let Some(reason) = self.lateness(&request.info, now) else {
-                return Some((key, request));
+                let repeatable = request.info.repeatable;
+                let instance = if repeatable {
+                    for_repeatable
+                } else {
+                    for_others
+                };
+                return Some(Next {
+                    key,
+                    request,
+                    instance,
+                });
             };
             self.queue.settle(&request.info, -turn_ms, turn_ms);
             self.queue.ended(&request.info);
@@ -229,6 +295,30 @@
         }
     }
 
+    /// Retries that an instance with a free slot can take now, oldest first.
+    fn sendable_retries(&self, now: Millis) -> Vec<Next> {
+        let next = |retry: &Retry| {
+            let Some(Entry::Queued(request)) = self.requests.get(retry.request).copied() else {
+                return None;
+            };
+            let instance = self.least_loaded(now, request.info.repeatable, Some(retry))?;
+            Some(Next {
+                key: retry.request,
+                request,
+                instance,
+            })
+        };
+        self.retries.iter().filter_map(next).collect()
+    }
+
+    /// Takes a retry out of those that wait. Its caller pays for each of its tries.
+    fn take_retry(&mut self, retry: &Next) {
+        let info = &retry.request.info;
+        self.retries.remove(retry.key);
+        let turn_ms = self.shares.service(info.class).mean_ms();
+        self.queue.settle(info, turn_ms, turn_ms);
+    }
+
     fn refuse_queued(
         &mut self,
         key: RequestKey,
@@ -237,7 +327,7 @@
         now: Millis,
     ) -> DispatchAction {
         self.requests.remove(key);
-        self.queue.remove(key, &request.info);
+        self.withdraw(key, &request.info);
         let refusal = self.refusal(request, reason, now);
         DispatchAction::Refuse {
             request: key,
--- a/crates/domain/src/fair_queue.rs
+++ b/crates/domain/src/fair_queue.rs
@@ -31,6 +31,7 @@
 #[derive(Clone, Debug, Default)]
 struct Turn {
     queue: VecDeque<Waiting>,
+    /// Requests that were sent and have not ended, also those that wait for a retry.
     in_flight: u32,
     /// Slot time that the caller may use before the next caller's turn.
     deficit_ms: f64,
@@ -73,19 +74,13 @@
         }
     }
 
-    fn insert(&mut self, key: RequestKey, info: &RequestInfo, returned: bool) {
+    fn insert(&mut self, key: RequestKey, info: &RequestInfo) {
         let turn = self.turns.entry(info.caller).or_default();
         if turn.queue.is_empty() {
             self.ring.push_back(info.caller);
         }
         let deadline = info.deadline;
-        let waiting = Waiting { key, deadline };
-        if returned {
-            turn.in_flight = turn.in_flight.saturating_sub(1);
-            turn.queue.push_front(waiting);
-        } else {
-            turn.queue.push_back(waiting);
-        }
+        turn.queue.push_back(Waiting { key, deadline });
         self.by_deadline.insert((deadline, key));
         self.len += 1;
     }
@@ -238,7 +233,7 @@
             return Ok(None);
         }
         if queue.len > queue.limit || self.len > self.limits.service as usize {
-            // Requests that came back passed the bounds; an exchange would keep them passed.
+            // New bounds can be below the queue; an exchange would keep them passed.
             return Err(Full);
         }
         queue.longest(info.caller).map(Some).ok_or(Full)
@@ -260,26 +255,16 @@
 
     /// Queues a new request that [`Self::place`] accepted.
     pub fn push(&mut self, key: RequestKey, info: &RequestInfo) {
-        self.insert(key, info, false);
-    }
-
-    /// Queues a request again whose exchange failed, before the others of its caller. It was
-    /// admitted before, so it may pass the bounds by as many requests as were in flight.
-    pub fn push_returned(&mut self, key: RequestKey, info: &RequestInfo) {
-        self.insert(key, info, true);
-    }
-
-    fn insert(&mut self, key: RequestKey, info: &RequestInfo, returned: bool) {
         let Some(queue) = self.classes.get_mut(usize::from(info.class.0)) else {
             return;
         };
-        queue.insert(key, info, returned);
+        queue.insert(key, info);
         self.len += 1;
         let queued = self.len_of_caller(info.caller);
         self.queued_by_caller.insert(info.caller, queued + 1);
     }
 
-    /// Counts a request in flight whose caller must be known, after a change of the classes.
+    /// Counts a request that was sent and whose caller must be known, after a change of the classes.
     pub fn restore_in_flight(&mut self, info: &RequestInfo) {
         if let Some(queue) = self.classes.get_mut(usize::from(info.class.0)) {
             queue.turns.entry(info.caller).or_default().in_flight += 1;
@@ -326,7 +311,7 @@
         }
     }
 
-    /// Ends a request that was in flight.
+    /// Ends a request that was sent, or that waited for a retry.
     pub fn ended(&mut self, info: &RequestInfo) {
         let Some(queue) = self.classes.get_mut(usize::from(info.class.0)) else {
             return;
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod drain;
 pub mod fair_queue;
 pub mod fleet;
+pub mod health;
 pub mod key;
 pub mod map;
 pub mod millis;
@@ -32,7 +33,9 @@
 pub mod proposal;
 pub mod recent;
 pub mod request;
+pub mod retry;
 pub mod rollout;
+pub mod roster;
 pub mod service_time;
 pub mod slots;
 
--- a/crates/domain/src/slots/share.rs
+++ b/crates/domain/src/slots/share.rs
@@ -18,6 +18,9 @@
     pub queued: u32,
     /// Exchanges in flight by instance.
     pub in_flight: Vec<(SlotKey, u32)>,
+    /// Instances that get no more exchanges now, for example since they are ejected. Their unused
+    /// slots serve no waiting request.
+    pub blocked: Vec<SlotKey>,
 }
 
 /// What a dispatcher may use of one instance.
@@ -63,6 +66,8 @@
     /// The most that it may still act on.
     limit_unacknowledged: u32,
     in_flight: u32,
+    /// Whether the dispatcher sends nothing more to the instance.
+    blocked: bool,
     /// Most exchanges in flight in the current window and the one before.
     peaks: [u32; 2],
     until: Millis,
@@ -238,6 +243,7 @@
             if let Some(account) = self.accounts.get_mut(*slot) {
                 account.in_flight = in_flight.get(slot).copied().unwrap_or_default();
                 account.peaks[0] = account.peaks[0].max(account.in_flight);
+                account.blocked = service_use.blocked.contains(slot);
                 if acknowledged {
                     account.limit_unacknowledged = account.limit;
                 }
@@ -382,6 +388,7 @@
             limit: 0,
             limit_unacknowledged: 0,
             in_flight: 0,
+            blocked: false,
             peaks: [0; 2],
             until: Millis::ZERO,
             denied_until: Millis::ZERO,
@@ -416,6 +423,9 @@
         if let Some(account) = accounts.get_mut(*slot) {
             let limit = account.limit;
             account.wanted = account.peak().min(account.capacity.slots);
+            if account.blocked {
+                continue;
+            }
             if state.queued > 0 {
                 account.wanted = account.wanted.max(limit);
             }
@@ -434,6 +444,7 @@
             if let Some(account) = accounts.get_mut(*slot)
                 && (account.home == Some(own)) == own_home
                 && now >= account.denied_until
+                && !account.blocked
             {
                 let room = account.capacity.slots.saturating_sub(account.wanted);
                 let more = room.min(left);
@@ -442,7 +453,7 @@
             }
         }
     }
-    let denied = |account: &Account| now < account.denied_until;
+    let denied = |account: &Account| now < account.denied_until && !account.blocked;
     let of_service = state.slots.iter().filter_map(|slot| accounts.get(*slot));
     let count = of_service.filter(|account| denied(account)).count();
     let each = left.div_ceil(u32::try_from(count.max(1)).unwrap_or(u32::MAX));
--- a/crates/domain/tests/fairness.rs
+++ b/crates/domain/tests/fairness.rs
@@ -11,6 +11,7 @@
 use rosemaryscale_domain::callers::Callers;
 use rosemaryscale_domain::class_share::ClassPolicy;
 use rosemaryscale_domain::dispatch::{DispatchAction, DispatchPolicy};
+use rosemaryscale_domain::health::FaultDomain;
 use rosemaryscale_domain::outcome::NotRunReason;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::request::{ClassIndex, Refusal, RequestInfo};
@@ -37,6 +38,7 @@
         ],
         fallback_class: ClassIndex(0),
         tries_max: 4,
+        retry_budget_ppm: 1_000_000,
     }
 }
 
@@ -58,6 +60,11 @@
         let mut instances: SlotMap<InstanceKey, ()> = SlotMap::with_key();
         let instance = instances.insert(());
         let mut dispatcher = Dispatcher::new(policy(queue_limit));
+        let domain = FaultDomain {
+            rack: "rack".into(),
+            zone: "zone".into(),
+        };
+        dispatcher.join(instance, domain, false, Millis::ZERO);
         dispatcher.set_usable_slots(instance, slots, Millis::MAX);
         Self {
             dispatcher,
@@ -101,6 +108,9 @@
                     };
                     self.refused.push((self.infos[request], proof.reason()));
                 }
+                DispatchAction::Probe { .. } | DispatchAction::Report { .. } => {
+                    panic!("nothing failed here");
+                }
             }
         }
     }
--- a/crates/domain/tests/support/cluster_traffic.rs
+++ b/crates/domain/tests/support/cluster_traffic.rs
@@ -73,6 +73,7 @@
     pub(super) fn say(&mut self, index: usize, always: bool) {
         let node = &mut self.nodes[index];
         let service_use = ServiceUse {
+            blocked: Vec::new(),
             applied: node.applied,
             queued: u32::try_from(node.queue.len()).unwrap_or(u32::MAX),
             in_flight: node
--- a/crates/ports/src/dispatch.rs
+++ b/crates/ports/src/dispatch.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use rosemaryscale_domain::key::InstanceKey;
 use rosemaryscale_domain::outcome::{NotRun, OutcomeUnknown};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::instance::ServiceView;
 use crate::link::{ExchangeEnd, OutboundRequest, Response};
+use crate::peer::PeerObservation;
 use crate::slots::SlotLimits;
 
 /// A request as a front end hands it over.
@@ -65,6 +67,15 @@
     Exchanged(ExchangeEnd),
     /// Slots that the dispatcher may use.
     Slots(SlotLimits),
+    /// A probe ended.
+    Probed {
+        /// The instance.
+        instance: InstanceKey,
+        /// Whether it answered its probe with success.
+        healthy: bool,
+    },
+    /// A peer observed an instance, of this service or of another one.
+    PeerObserved(PeerObservation),
     /// The service's limits or instances changed.
     Configure(Arc<ServiceView>),
     /// Report the requests in flight on an instance.
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -40,6 +40,25 @@
     pub text: Arc<str>,
 }
 
+/// An instance that refuses a daemon's connections.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RefusingInstance {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Address that refused.
+    pub address: SocketAddr,
+}
+
+/// A peer's observation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerObservation {
+    /// Name of the peer.
+    pub peer: Arc<str>,
+    /// What it observed.
+    pub refusing: RefusingInstance,
+}
+
 /// What travels between daemons: a call or a reply with its sender and time.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
@@ -67,6 +86,8 @@
     SlotReport(NamedReport),
     /// Grants that follow the answer to a report.
     SlotGrants(NamedList),
+    /// Note that an instance refuses the sender's connections.
+    Refusing(RefusingInstance),
     /// Read the newest events.
     Timeline {
         /// Events at most.
@@ -101,6 +122,8 @@
     Status(DaemonStatus),
     /// The peer's events.
     Timeline(Vec<Event>),
+    /// The peer noted an observation.
+    Noted,
     /// What the peer has in flight.
     InFlight {
         /// Incarnation of the peer.
--- a/crates/ports/src/slots.rs
+++ b/crates/ports/src/slots.rs
@@ -43,6 +43,8 @@
     pub queued: u32,
     /// Exchanges in flight by instance, where there are any.
     pub in_flight: Vec<(Arc<str>, u32)>,
+    /// Instances that get no more exchanges now.
+    pub blocked: Vec<Arc<str>>,
 }
 
 /// The members that a daemon computes homes from.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,12 +13,14 @@
 
 #![allow(clippy::expect_used, reason = "test support fails loudly")]
 
+pub mod clients;
 pub mod document;
 pub mod faults;
 pub mod harness;
 pub mod http_server;
 pub mod load;
 pub mod platform;
+pub mod scripted;
 pub mod store;
 pub mod upstream;
 
