Plan maintenance waves with pace, limits, pauses and a stop

Cause: every instance is maintained once in 28 days, but nothing decided which one is drained next, and nothing stopped a wave whose reboots go wrong.

Change: MaintenancePlanner in the domain package (event and time in, actions out) with the typestate Maintenance<Draining> -> <Rebooting> -> <Verified>, the optional document section `maintenance` and the example `waves`. It is not wired to the controller yet.

Not caught by any test: a reboot of an instance that was draining when the wave stopped, the half period between two maintenances, and the store of a resume without another change.

--- a/crates/adapters/tests/document_text.rs
+++ b/crates/adapters/tests/document_text.rs
@@ -185,3 +185,19 @@
     let floors = changed("\"floor_ppm\": 200000", "\"floor_ppm\": 700000");
     assert_refused(&floors, "services.quotes.classes", "add up");
 }
+
+/// Guards against limits of maintenance that contradict each other or would never allow a drain.
+#[test]
+fn impossible_maintenance_is_refused() {
+    let path = "maintenance.window_hours";
+    assert_refused(
+        &changed("\"window_hours\": 8", "\"window_hours\": 0"),
+        path,
+        "0",
+    );
+    let path = "maintenance.parallel_per_pool";
+    let above = changed("\"parallel_per_pool\": 1", "\"parallel_per_pool\": 3");
+    assert_refused(&above, path, "above");
+    let unknown = changed("\"window_hours\": 8", "\"window_h\": 8");
+    assert_refused(&unknown, "maintenance", "unknown field");
+}
--- a/crates/daemon/tests/reference.rs
+++ b/crates/daemon/tests/reference.rs
@@ -70,6 +70,7 @@
         "### `environments.<environment>`",
         &document_fields("\"trial\": {"),
     );
+    assert_documented("### `maintenance`", &document_fields("\"maintenance\": {"));
     assert_documented("### `pools.<pool>`", &document_fields("\"quotes\": {"));
     assert_documented(
         "### `services.<service>`",
@@ -107,11 +108,12 @@
 /// Guards against bounds on the page that the checks do not have.
 #[test]
 fn the_page_has_the_bounds_of_the_checks() {
-    let tables: [(&str, &[Bound]); 4] = [
+    let tables: [(&str, &[Bound]); 5] = [
         (
             "### `environments.<environment>`",
             &[bounds::SPARE_INSTANCES],
         ),
+        ("### `maintenance`", &bounds::MAINTENANCE),
         ("### `pools.<pool>`", &bounds::POOL),
         ("### `services.<service>`", &bounds::SERVICE),
         ("### `services.<service>.classes.<class>`", &bounds::CLASS),
--- a/crates/domain/src/document.rs
+++ b/crates/domain/src/document.rs
@@ -8,8 +8,10 @@
 
 pub mod bounds;
 mod check;
+pub mod maintenance;
 
 pub use check::Problem;
+pub use maintenance::MaintenanceFields;
 
 /// The document format that this version reads.
 pub const DOCUMENT_FORMAT: u32 = 1;
@@ -27,6 +29,9 @@
     pub pools: BTreeMap<Arc<str>, PoolFields>,
     /// Services, by service.
     pub services: BTreeMap<Arc<str>, ServiceFields>,
+    /// How instances are maintained.
+    #[serde(default)]
+    pub maintenance: MaintenanceFields,
 }
 
 /// What an environment pays for.
--- a/crates/domain/src/document/bounds.rs
+++ b/crates/domain/src/document/bounds.rs
@@ -1,6 +1,6 @@
 //! Checks of single values of a document: names and numbers.
 
-use super::{ClassFields, DocumentFields, PoolFields, Problem, ServiceFields};
+use super::{ClassFields, DocumentFields, MaintenanceFields, PoolFields, Problem, ServiceFields};
 use crate::name;
 
 /// Smallest and largest value of a number.
@@ -57,6 +57,33 @@
     bound("queue_limit", 1, QUEUE_MAX),
 ];
 
+/// Bounds of the maintenance section, in the order of [`maintenance_values`].
+pub const MAINTENANCE: [Bound; 9] = [
+    bound("period_days", 1, 365),
+    bound("parallel_instances", 1, INSTANCES_MAX),
+    bound("parallel_per_pool", 1, INSTANCES_MAX),
+    bound("window_start_hour", 0, 23),
+    bound("window_hours", 1, 24),
+    bound("drain_limit_ms", 60_000, REQUEST_MAX_MS),
+    bound("return_limit_ms", 60_000, REQUEST_MAX_MS),
+    bound("pause_budget_ppm", 1, PPM),
+    bound("stop_failures", 1, 100),
+];
+
+fn maintenance_values(maintenance: &MaintenanceFields) -> [u64; 9] {
+    [
+        maintenance.period_days.into(),
+        maintenance.parallel_instances.into(),
+        maintenance.parallel_per_pool.into(),
+        maintenance.window_start_hour.into(),
+        maintenance.window_hours.into(),
+        maintenance.drain_limit_ms,
+        maintenance.return_limit_ms,
+        maintenance.pause_budget_ppm.into(),
+        maintenance.stop_failures.into(),
+    ]
+}
+
 fn pool_values(pool: &PoolFields) -> [u64; 2] {
     [pool.min_instances.into(), pool.max_instances.into()]
 }
@@ -87,6 +114,12 @@
 /// Every name and number that is out of its bounds.
 pub(super) fn problems(fields: &DocumentFields) -> Vec<Problem> {
     let mut problems = Vec::new();
+    check_values(
+        &mut problems,
+        "maintenance",
+        &MAINTENANCE,
+        &maintenance_values(&fields.maintenance),
+    );
     for (name, environment) in &fields.environments {
         let path = check_name(&mut problems, "environments", name);
         let values = [environment.spare_instances.into()];
--- a/crates/domain/src/document/check.rs
+++ b/crates/domain/src/document/check.rs
@@ -73,6 +73,12 @@
         "no service is named",
         "add at least one",
     );
+    root.require(
+        fields.maintenance.parallel_per_pool <= fields.maintenance.parallel_instances,
+        "maintenance.parallel_per_pool",
+        "the limit of one pool is above the limit of all pools",
+        "lower it to parallel_instances or below",
+    );
     for (name, pool) in &fields.pools {
         let prefix = format!("pools.{name}.");
         check_pool(
--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -9,6 +9,10 @@
     pub struct PoolKey;
     /// Key of an upstream instance.
     pub struct InstanceKey;
+    /// Key of a rack.
+    pub struct RackKey;
+    /// Key of an availability zone.
+    pub struct ZoneKey;
     /// Key of a caller.
     pub struct CallerKey;
     /// Key of a request.
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fair_queue;
 pub mod fleet;
 pub mod key;
+pub mod maintenance;
 pub mod map;
 pub mod millis;
 pub mod name;
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -1,7 +1,8 @@
 //! The types that most modules of this package and its users need.
 
 pub use crate::key::{
-    CallerKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, PoolKey, RequestKey, ServiceKey,
+    CallerKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, PoolKey, RackKey, RequestKey,
+    ServiceKey, ZoneKey,
 };
 pub use crate::map::{FastMap, FastSet};
 pub use crate::millis::Millis;
--- a/crates/domain/tests/rollout.rs
+++ b/crates/domain/tests/rollout.rs
@@ -24,6 +24,7 @@
         environments: BTreeMap::from([("production".into(), environment)]),
         pools: BTreeMap::new(),
         services: BTreeMap::new(),
+        maintenance: Default::default(),
     };
     let parsed = Document::parsed(Arc::clone(digest), Arc::clone(digest), fields);
     Arc::new(Document {
