--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod fleet;
 pub mod health;
 pub mod key;
+pub mod maintenance;
 pub mod map;
 pub mod millis;
 pub mod name;
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -1,8 +1,8 @@
 //! The types that most modules of this package and its users need.
 
 pub use crate::key::{
-    CallerKey, ClaimKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, PoolKey, RequestKey,
-    ServiceKey, SlotKey, WaiterKey,
+    CallerKey, ClaimKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, PoolKey, RackKey,
+    RequestKey, ServiceKey, SlotKey, WaiterKey, ZoneKey,
 };
 pub use crate::map::{FastMap, FastSet};
 pub use crate::millis::Millis;
