Place jobs on workers: quotas, urgency, checkpoints and fencing

Ruled out: a scan of all workers for each job (quadratic in a flood), first fit (breaks up workers with accelerators), one record for each team (1 MB limit and CAS conflicts), storing the start of every repeatable run, and a lapsed lease as proof that a run is over.

Change: `domain::placement::Planner`, event and time in, actions out, not wired to a task yet.

The first form of the test of aging passed without aging, since its job started at once; it was replaced. The tests found three faults while the code was written: the index missed exact fits, pauses of a quarantine grew with runs that were started before it, and a task on a silent worker kept its team's quota.

--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -19,4 +19,8 @@
     pub struct DaemonKey;
     /// Key of a job.
     pub struct JobKey;
+    /// Key of a team.
+    pub struct TeamKey;
+    /// Key of a worker.
+    pub struct WorkerKey;
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod millis;
 pub mod name;
 pub mod outcome;
+pub mod placement;
 pub mod prelude;
 pub mod promotion;
 pub mod proposal;
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::key::{
     CallerKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, PoolKey, RequestKey, ServiceKey,
+    TeamKey, WorkerKey,
 };
 pub use crate::map::{FastMap, FastSet};
 pub use crate::millis::Millis;
