--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -29,4 +29,8 @@
     pub struct WaiterKey;
     /// Key of the slots of one service on one instance.
     pub struct SlotKey;
+    /// Key of a team.
+    pub struct TeamKey;
+    /// Key of a worker.
+    pub struct WorkerKey;
 }
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -2,7 +2,7 @@
 
 pub use crate::key::{
     CallerKey, ClaimKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, PoolKey, RackKey,
-    RequestKey, ServiceKey, SlotKey, WaiterKey, ZoneKey,
+    RequestKey, ServiceKey, SlotKey, TeamKey, WaiterKey, WorkerKey, ZoneKey,
 };
 pub use crate::map::{FastMap, FastSet};
 pub use crate::millis::Millis;
