Move spare instances to pools in a burst and back

Cause: pools had a fixed split, although queues burst in turns.

Change: a pure policy in the domain proposes moves from reported usage; the controller writes them while it holds the lease. Daemons report usage at most twice a second and nothing at rest.

Ruled out: refilling the spare pool from resting pools during a burst, which costs two moves for an instance instead of one; a rest window of 10 s.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::peer_service::{PeerService, PeerServiceOptions};
 use crate::rollout::{Rollout, RolloutOptions, RolloutStatus};
 use crate::router::{Router, RouterOptions};
+use crate::usage::{UsageTask, UsageTaskOptions};
 
 const CONFIG_MESSAGES: usize = 16;
 const INBOUND_CALLS: usize = 256;
@@ -104,6 +105,7 @@
     router: Option<JoinHandle<()>>,
     stop_membership: Option<oneshot::Sender<()>>,
     stop_controller: Option<oneshot::Sender<()>>,
+    stop_usage: Option<oneshot::Sender<()>>,
     joined: Vec<JoinHandle<()>>,
     signals: StopSignals,
 }
@@ -231,7 +233,7 @@
             config: config.clone(),
             status: status_receiver.clone(),
             events: events.clone(),
-            incarnation,
+            incarnation: Arc::clone(&incarnation),
             fleet: fleet.clone(),
             questions,
         });
@@ -245,13 +247,22 @@
             instances,
             assignments,
             questions: question_receiver,
-            clock,
+            clock: ClockHandle::clone(&clock),
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
         });
         let (stop_router, stopped) = oneshot::channel();
         let router_task = tokio::spawn(router.serve(stopped));
 
+        let usage = UsageTask::new(UsageTaskOptions {
+            incarnation,
+            routes: routes.clone(),
+            fleet: fleet.clone(),
+            clock,
+        });
+        let (stop_usage, stopped) = oneshot::channel();
+        joined.push(tokio::spawn(usage.serve(stopped)));
+
         let context = CallerContext {
             routes,
             readiness: ready,
@@ -285,6 +296,7 @@
             router: Some(router_task),
             stop_membership: Some(stop_membership),
             stop_controller: Some(stop_controller),
+            stop_usage: Some(stop_usage),
             joined,
             signals: StopSignals::open()?,
         };
@@ -355,6 +367,9 @@
         if let Some(router) = tasks.router.take() {
             let _ = router.await;
         }
+        if let Some(stop) = tasks.stop_usage.take() {
+            let _ = stop.send(());
+        }
         if let Some(stop) = tasks.stop_controller.take() {
             let _ = stop.send(());
         }
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -148,6 +148,9 @@
             DispatchMessage::InFlight { instance, reply } => {
                 let _ = reply.send(self.in_flight(&instance));
             }
+            DispatchMessage::Usage { reply } => {
+                let _ = reply.send(self.dispatcher.usage());
+            }
             DispatchMessage::Stop => self.stopping = true,
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod reply;
 pub mod rollout;
 pub mod router;
+pub mod usage;
 
 pub use config::Config;
 pub use daemon::Daemon;
--- a/crates/daemon/src/peer_service.rs
+++ b/crates/daemon/src/peer_service.rs
@@ -91,6 +91,13 @@
                     let _ = reply.send(PeerReply::Pools(fleet.report(true).await));
                 });
             }
+            PeerRequest::Usage(report) => {
+                let fleet = self.options.fleet.clone();
+                self.running.spawn(async move {
+                    let taken = fleet.report_usage(Some(from), report).await;
+                    let _ = reply.send(PeerReply::Usage { taken });
+                });
+            }
             PeerRequest::Timeline { limit, filter } => {
                 let events = self.options.events.clone();
                 self.running.spawn(async move {
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::request::{
     AfterFailure, ClassIndex, Dispatched, FailureEvidence, Queued, Refusal, Request,
 };
+use crate::spare::ServiceUsage;
 
 mod queueing;
 
@@ -160,6 +161,18 @@
         u32::try_from(in_flight.count()).unwrap_or(u32::MAX)
     }
 
+    /// Requests in flight and queued.
+    #[must_use]
+    pub fn usage(&self) -> ServiceUsage {
+        let queued = self.queue.len();
+        let busy = self.requests.len() - queued.min(self.requests.len());
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        ServiceUsage {
+            busy: count(busy.saturating_sub(self.displaced.len())),
+            queued: count(queued),
+        }
+    }
+
     /// Whether no request is queued or in flight.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod request;
 pub mod rollout;
 pub mod service_time;
+pub mod spare;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
--- a/crates/ports/src/dispatch.rs
+++ b/crates/ports/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use rosemaryscale_domain::outcome::{NotRun, OutcomeUnknown};
+use rosemaryscale_domain::spare::ServiceUsage;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::instance::ServiceView;
@@ -71,6 +72,11 @@
         /// Where the number goes.
         reply: oneshot::Sender<u32>,
     },
+    /// Report the requests in flight and queued.
+    Usage {
+        /// Where the usage goes.
+        reply: oneshot::Sender<ServiceUsage>,
+    },
     /// Accept nothing new, finish everything, stop.
     Stop,
 }
--- a/crates/ports/src/fleet.rs
+++ b/crates/ports/src/fleet.rs
@@ -5,6 +5,7 @@
 
 use rosemaryscale_domain::assignment::InstanceAssignment;
 use rosemaryscale_domain::fleet::StoredZone;
+use rosemaryscale_domain::spare::UsageReport;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -148,6 +149,15 @@
         /// Where the report goes.
         reply: oneshot::Sender<PoolsReport>,
     },
+    /// Tell the controller a daemon's usage.
+    Usage {
+        /// The peer that reports; none for this daemon, whose reports are forwarded.
+        from: Option<Arc<str>>,
+        /// The report.
+        report: UsageReport,
+        /// Whether the controller took it.
+        reply: oneshot::Sender<bool>,
+    },
 }
 
 /// Handle of the controller task.
@@ -187,6 +197,17 @@
         result.await.map_err(|_| stopped())?
     }
 
+    /// Tells the controller a daemon's usage; false if it was not taken.
+    pub async fn report_usage(&self, from: Option<Arc<str>>, report: UsageReport) -> bool {
+        let (reply, taken) = oneshot::channel();
+        let message = FleetMessage::Usage {
+            from,
+            report,
+            reply,
+        };
+        self.messages.send(message).await.is_ok() && taken.await.unwrap_or(false)
+    }
+
     /// Reports the pools.
     pub async fn report(&self, forwarded: bool) -> PoolsReport {
         let (reply, report) = oneshot::channel();
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rosemaryscale_domain::spare::UsageReport;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
@@ -77,6 +78,8 @@
     Operate(FleetOperation),
     /// Ask the controller for the pools.
     Pools,
+    /// Tell the controller the caller's usage.
+    Usage(UsageReport),
 }
 
 /// Reply to a call.
@@ -103,6 +106,11 @@
     Operated(Result<(), FleetError>),
     /// The pools.
     Pools(PoolsReport),
+    /// Whether the controller took the usage.
+    Usage {
+        /// False if the peer does not plan.
+        taken: bool,
+    },
     /// The peer cannot answer now.
     Refused(String),
 }
