--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -35,6 +35,7 @@
 use crate::rollout::{Rollout, RolloutOptions, RolloutStatus};
 use crate::router::{Router, RouterOptions};
 use crate::slots::{SlotTask, SlotTaskOptions};
+use crate::usage::{UsageTask, UsageTaskOptions};
 
 const CLAIM_MESSAGES: usize = 1_024;
 const CONFIG_MESSAGES: usize = 16;
@@ -117,6 +118,7 @@
     router: Option<JoinHandle<()>>,
     stop_membership: Option<oneshot::Sender<()>>,
     stop_controller: Option<oneshot::Sender<()>>,
+    stop_usage: Option<oneshot::Sender<()>>,
     joined: Vec<JoinHandle<()>>,
     signals: StopSignals,
 }
@@ -276,7 +278,7 @@
             status: status_receiver.clone(),
             events: events.clone(),
             observations,
-            incarnation,
+            incarnation: Arc::clone(&incarnation),
             fleet: fleet.clone(),
             questions,
             claims: claims.clone(),
@@ -292,7 +294,7 @@
             instances,
             assignments,
             questions: question_receiver,
-            clock,
+            clock: ClockHandle::clone(&clock),
             events: events.clone(),
             metrics: Metrics::clone(&metrics),
             slots,
@@ -302,6 +304,15 @@
         let (stop_router, stopped) = oneshot::channel();
         let router_task = tokio::spawn(router.serve(stopped));
 
+        let usage = UsageTask::new(UsageTaskOptions {
+            incarnation,
+            routes: routes.clone(),
+            fleet: fleet.clone(),
+            clock,
+        });
+        let (stop_usage, stopped) = oneshot::channel();
+        joined.push(tokio::spawn(usage.serve(stopped)));
+
         let context = CallerContext {
             routes,
             claims,
@@ -338,6 +349,7 @@
             router: Some(router_task),
             stop_membership: Some(stop_membership),
             stop_controller: Some(stop_controller),
+            stop_usage: Some(stop_usage),
             joined,
             signals: StopSignals::open()?,
         };
@@ -415,6 +427,9 @@
         if let Some(router) = tasks.router.take() {
             let _ = router.await;
         }
+        if let Some(stop) = tasks.stop_usage.take() {
+            let _ = stop.send(());
+        }
         if let Some(stop) = tasks.stop_controller.take() {
             let _ = stop.send(());
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod slot_link;
 pub mod slot_members;
 pub mod slots;
+pub mod usage;
 
 pub use config::Config;
 pub use daemon::Daemon;
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -13,6 +13,7 @@
     AfterFailure, ClassIndex, Dispatched, FailureEvidence, Queued, Refusal, Request,
 };
 use crate::retry::{Retries, Retry, RetryBudget, TryTime};
+use crate::spare::ServiceUsage;
 
 mod instances;
 mod queueing;
@@ -175,6 +176,18 @@
         self.requests.contains_key(key)
     }
 
+    /// Requests in flight and queued.
+    #[must_use]
+    pub fn usage(&self) -> ServiceUsage {
+        let queued = self.queued();
+        let busy = self.requests.len() - queued.min(self.requests.len());
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        ServiceUsage {
+            busy: count(busy.saturating_sub(self.displaced.len())),
+            queued: count(queued),
+        }
+    }
+
     /// Whether no request is queued or in flight.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod roster;
 pub mod service_time;
 pub mod slots;
+pub mod spare;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use rosemaryscale_domain::slots::{NamedList, NamedReport};
+use rosemaryscale_domain::spare::UsageReport;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
@@ -107,6 +108,8 @@
     Pools,
     /// Look up the outcome of a claimed request.
     Outcome(OutcomeCall),
+    /// Tell the controller the caller's usage.
+    Usage(UsageReport),
 }
 
 /// Reply to a call.
@@ -143,6 +146,11 @@
     OtherMembers(LiveMembers),
     /// The message arrived.
     Received,
+    /// Whether the controller took the usage.
+    Usage {
+        /// False if the peer does not plan.
+        taken: bool,
+    },
     /// The peer cannot answer now.
     Refused(String),
 }
