Split the wiring of the daemon, read the instance list only when it changed

Change: wiring.rs starts the tasks, tasks.rs ends them in order; the list is read with its entity tag; dispatcher and harness are split by job.

--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, Uri};
+use http::header::{ETAG, IF_NONE_MATCH};
+use http::{HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -43,6 +44,8 @@
     pub status: StatusCode,
     /// Body.
     pub body: Bytes,
+    /// Entity tag, if the server gave one.
+    pub etag: Option<HeaderValue>,
 }
 
 /// Client of one server.
@@ -83,9 +86,31 @@
         path: &str,
         body: Bytes,
     ) -> Result<HttpReply, HttpError> {
+        self.exchange(self.request(method, path, body)?).await
+    }
+
+    /// Reads a resource, unless it still has the entity tag: then the status is 304.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no complete reply arrives in time.
+    pub async fn read_if_changed(
+        &self,
+        path: &str,
+        etag: Option<HeaderValue>,
+    ) -> Result<HttpReply, HttpError> {
+        let mut request = self.request(Method::GET, path, Bytes::new())?;
+        if let Some(etag) = etag {
+            request.headers_mut().insert(IF_NONE_MATCH, etag);
+        }
+        self.exchange(request).await
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpReply, HttpError> {
         let exchange = async {
-            let response = self.open(method, path, body).await?;
+            let response = self.send(request).await?;
             let status = response.status();
+            let etag = response.headers().get(ETAG).cloned();
             let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES)
                 .collect()
                 .await
@@ -93,7 +118,7 @@
                     reason: error.to_string(),
                 })?
                 .to_bytes();
-            Ok(HttpReply { status, body })
+            Ok(HttpReply { status, body, etag })
         };
         tokio::time::timeout(self.timeout, exchange)
             .await
@@ -113,6 +138,15 @@
         path: &str,
         body: Bytes,
     ) -> Result<http::Response<Incoming>, HttpError> {
+        self.send(self.request(method, path, body)?).await
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, HttpError> {
         let uri: Uri = format!("http://{}{path}", self.address)
             .parse()
             .map_err(|_| HttpError::NotConnected {
@@ -121,6 +155,13 @@
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.uri_mut() = uri;
+        Ok(request)
+    }
+
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, HttpError> {
         self.client.request(request).await.map_err(|error| {
             let reason = describe(&error);
             if error.is_connect() {
--- a/crates/adapters/src/instance_poller.rs
+++ b/crates/adapters/src/instance_poller.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Method;
+use http::{HeaderValue, StatusCode};
 use rosemaryscale_domain::roster::Roster;
 use rosemaryscale_ports::instance::{InstanceList, InstanceRecord, InstanceSnapshot};
 use rosemaryscale_ports::prelude::*;
@@ -31,12 +30,13 @@
     let mut interval = tokio::time::interval(POLL_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut roster = Roster::default();
+    let mut cached = Cached::default();
     loop {
         tokio::select! {
             _ = interval.tick() => {}
             () = sender.closed() => return,
         }
-        let Some(entries) = read(&client).await else {
+        let Some(entries) = cached.read(&client).await else {
             metrics.count("platform.list_failures", 1);
             continue;
         };
@@ -66,14 +66,29 @@
     });
 }
 
-/// Reads the list. A malformed entry is left to the caller, so that it does not hide the others.
-async fn read(client: &HttpClient) -> Option<Vec<Value>> {
-    let reply = client
-        .call(Method::GET, "/v1/instances", Bytes::new())
-        .await
-        .ok()?;
-    if !reply.status.is_success() {
-        return None;
+/// The list as last read. An unchanged list is not sent again: at 970 instances, a whole list a
+/// second would take about ten times the bytes that a daemon may spend on control.
+#[derive(Default)]
+struct Cached {
+    etag: Option<HeaderValue>,
+    entries: Vec<Value>,
+}
+
+impl Cached {
+    /// Reads the list. A malformed entry is left to the caller, so that it does not hide the
+    /// others.
+    async fn read(&mut self, client: &HttpClient) -> Option<&[Value]> {
+        let etag = self.etag.clone();
+        let reply = client.read_if_changed("/v1/instances", etag).await.ok()?;
+        if reply.status == StatusCode::NOT_MODIFIED && self.etag.is_some() {
+            return Some(&self.entries);
+        }
+        if !reply.status.is_success() {
+            return None;
+        }
+        self.etag = None;
+        self.entries = serde_json::from_slice(&reply.body).ok()?;
+        self.etag = reply.etag;
+        Some(&self.entries)
     }
-    serde_json::from_slice(&reply.body).ok()
 }
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -3,27 +3,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryscale_adapters::upstream_link::{self, LinkOptions};
 use rosemaryscale_domain::Dispatcher;
 use rosemaryscale_domain::callers::Callers;
 use rosemaryscale_domain::class_share::ClassPolicy;
 use rosemaryscale_domain::dispatch::{DispatchAction, DispatchPolicy};
-use rosemaryscale_domain::health::{FaultDomain, HealthChange, Observation};
+use rosemaryscale_domain::health::Observation;
 use rosemaryscale_domain::request::{ClassIndex, FailureEvidence, Refusal, RequestInfo};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::dispatch::{DispatchMessage, Invalid, Outcome, Submission};
-use rosemaryscale_ports::instance::{InstanceRecord, ServiceView};
+use rosemaryscale_ports::instance::ServiceView;
 use rosemaryscale_ports::link::{
-    Exchange, ExchangeEnd, ExchangeResult, Link, LinkMessage, OutboundRequest,
+    Exchange, ExchangeEnd, ExchangeResult, LinkMessage, OutboundRequest,
 };
-use rosemaryscale_ports::peer::{PeerObservation, RefusingInstance};
+use rosemaryscale_ports::peer::RefusingInstance;
 use rosemaryscale_ports::prelude::*;
-use rosemaryscale_ports::slots::{SlotLimits, SlotSender};
+use rosemaryscale_ports::slots::SlotSender;
 use tokio::task::JoinSet;
 
 use crate::reply::Reply;
 use crate::slot_link::SlotLink;
 
+mod instances;
+
+use instances::Target;
+
 const MESSAGES: usize = 1_024;
 /// Deadlines of queued requests are noticed this late at most.
 const TICK: Duration = Duration::from_millis(20);
@@ -50,26 +53,6 @@
     reply: Reply,
 }
 
-/// An instance and its link.
-struct Target {
-    record: InstanceRecord,
-    link: Link,
-}
-
-impl Target {
-    /// Whether the record is of this instance; its labels may differ.
-    fn is(&self, record: &InstanceRecord) -> bool {
-        self.record.name == record.name && self.record.address == record.address
-    }
-
-    fn refusing(&self) -> RefusingInstance {
-        RefusingInstance {
-            name: Arc::clone(&self.record.name),
-            address: self.record.address,
-        }
-    }
-}
-
 /// State of a dispatcher's task.
 pub struct DispatcherTask {
     options: DispatcherOptions,
@@ -352,153 +335,6 @@
             });
         }
     }
-
-    fn apply_limits(&mut self, limits: &SlotLimits) {
-        for limit in &limits.limits {
-            let listed = &self.view.instances;
-            let target = self.targets.iter().find(|(_, target)| {
-                target.record.name == limit.instance
-                    && listed.iter().any(|record| target.is(record))
-            });
-            let Some((key, _)) = target else {
-                continue;
-            };
-            self.dispatcher
-                .set_usable_slots(key, limit.slots, limit.until);
-            if self.slots.connections_changed(limit)
-                && !self.tell(key, LinkMessage::AllowConnections(limit.connections))
-            {
-                self.slots.forget(&limit.instance);
-            }
-        }
-        self.slots.applied(limits.version);
-    }
-
-    fn tell(&self, instance: InstanceKey, message: LinkMessage) -> bool {
-        let target = self.targets.get(instance);
-        target.is_some_and(|target| target.link.messages.try_send(message).is_ok())
-    }
-
-    fn probe(&mut self, instance: InstanceKey) {
-        if !self.tell(instance, LinkMessage::Probe) {
-            let now = self.options.clock.now();
-            self.dispatcher.probed(instance, false, now);
-        }
-    }
-
-    fn report(&self, instance: InstanceKey, change: HealthChange) {
-        let Some(target) = self.targets.get(instance) else {
-            return;
-        };
-        let record = &target.record;
-        let detail = match change {
-            HealthChange::Ejected { pause_ms, refuses } => {
-                self.options.metrics.count("health.ejections", 1);
-                if refuses {
-                    let _ = self.options.refusing.try_send(target.refusing());
-                }
-                let (rack, zone) = (&record.rack, &record.zone);
-                format!("ejected, probed in {pause_ms} ms (rack {rack}, zone {zone})")
-            }
-            HealthChange::OnTrial => "on trial with one request at a time".into(),
-            HealthChange::Returned => "returned to full use".into(),
-        };
-        let name = Arc::clone(&record.name);
-        self.options
-            .events
-            .record(EventKind::Instance, name, detail);
-    }
-
-    fn peer_observed(&mut self, observation: PeerObservation) {
-        let PeerObservation { peer, refusing } = observation;
-        let mut targets = self.targets.iter();
-        let known = targets.find(|(_, target)| target.refusing() == refusing);
-        if let Some((key, _)) = known {
-            let now = self.options.clock.now();
-            self.dispatcher.peer_refused(key, peer, now);
-        }
-    }
-
-    async fn configure(&mut self, view: Arc<ServiceView>) {
-        let now = self.options.clock.now();
-        self.view = view;
-        self.dispatcher.configure(policy(&self.view));
-        let listed = &self.view.instances;
-        for (key, target) in &self.targets {
-            if !listed.iter().any(|record| target.is(record)) {
-                self.dispatcher.leave(key, now);
-            }
-        }
-        for record in self.view.instances.clone() {
-            let known = self.targets.iter().find(|(_, target)| target.is(&record));
-            let key = known.map(|(key, _)| key);
-            let key = key.unwrap_or_else(|| self.add_target(record.clone()));
-            let domain = FaultDomain {
-                rack: Arc::clone(&record.rack),
-                zone: Arc::clone(&record.zone),
-            };
-            let absent = self.view.absent.contains(&record.name);
-            self.dispatcher.join(key, domain, absent, now);
-            if let Some(target) = self.targets.get_mut(key) {
-                target.record = record;
-            }
-        }
-        self.slots.configure(&self.view, self.ends.clone()).await;
-    }
-
-    /// Requests in flight on an instance, over all keys that it has: a leaving instance keeps its
-    /// key until its last exchange has ended, and has another one if its address changed.
-    fn in_flight(&self, instance: &str) -> u32 {
-        let targets = self.targets.iter();
-        targets
-            .filter(|(_, target)| &*target.record.name == instance)
-            .map(|(key, _)| self.dispatcher.in_flight(key))
-            .sum()
-    }
-
-    fn add_target(&mut self, record: InstanceRecord) -> InstanceKey {
-        let Self {
-            options,
-            view,
-            ends,
-            links,
-            targets,
-            ..
-        } = self;
-        targets.insert_with_key(|instance| {
-            let (link, task) = upstream_link::make(LinkOptions {
-                instance,
-                address: record.address,
-                connections: view.fields.connections_per_instance,
-                clock: ClockHandle::clone(&options.clock),
-                ends: ends.clone(),
-            });
-            links.spawn(task);
-            Target { record, link }
-        })
-    }
-
-    /// Ends the links of instances that left and have no exchange in flight.
-    fn retire_idle(&mut self) {
-        for key in self.dispatcher.remove_idle() {
-            if let Some(target) = self.targets.remove(key) {
-                let _ = target.link.messages.try_send(LinkMessage::Retire);
-            }
-        }
-    }
-
-    async fn retire_all(&mut self) {
-        self.targets.clear();
-        self.messages.close();
-        while let Some(message) = self.messages.recv().await {
-            if let DispatchMessage::Submit(submission) = message {
-                // It was sent before the routes changed.
-                self.submit(submission);
-            }
-        }
-        while self.links.join_next().await.is_some() {}
-        while self.watches.join_next().await.is_some() {}
-    }
 }
 
 fn name_of(targets: &SlotMap<InstanceKey, Target>, key: InstanceKey) -> Option<Arc<str>> {
--- /dev/null
+++ b/crates/daemon/src/dispatcher/instances.rs
@@ -0,0 +1,184 @@
+//! Instances of the dispatcher: their links, limits and health.
+
+use std::sync::Arc;
+
+use rosemaryscale_adapters::upstream_link::{self, LinkOptions};
+use rosemaryscale_domain::health::{FaultDomain, HealthChange};
+use rosemaryscale_ports::clock::ClockHandle;
+use rosemaryscale_ports::dispatch::DispatchMessage;
+use rosemaryscale_ports::instance::{InstanceRecord, ServiceView};
+use rosemaryscale_ports::link::{Link, LinkMessage};
+use rosemaryscale_ports::peer::{PeerObservation, RefusingInstance};
+use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::slots::SlotLimits;
+
+use super::{DispatcherTask, policy};
+
+/// An instance and its link.
+pub(super) struct Target {
+    pub(super) record: InstanceRecord,
+    pub(super) link: Link,
+}
+
+impl Target {
+    /// Whether the record is of this instance; its labels may differ.
+    fn is(&self, record: &InstanceRecord) -> bool {
+        self.record.name == record.name && self.record.address == record.address
+    }
+
+    fn refusing(&self) -> RefusingInstance {
+        RefusingInstance {
+            name: Arc::clone(&self.record.name),
+            address: self.record.address,
+        }
+    }
+}
+
+impl DispatcherTask {
+    pub(super) fn apply_limits(&mut self, limits: &SlotLimits) {
+        for limit in &limits.limits {
+            let listed = &self.view.instances;
+            let target = self.targets.iter().find(|(_, target)| {
+                target.record.name == limit.instance
+                    && listed.iter().any(|record| target.is(record))
+            });
+            let Some((key, _)) = target else {
+                continue;
+            };
+            self.dispatcher
+                .set_usable_slots(key, limit.slots, limit.until);
+            if self.slots.connections_changed(limit)
+                && !self.tell(key, LinkMessage::AllowConnections(limit.connections))
+            {
+                self.slots.forget(&limit.instance);
+            }
+        }
+        self.slots.applied(limits.version);
+    }
+
+    pub(super) fn tell(&self, instance: InstanceKey, message: LinkMessage) -> bool {
+        let target = self.targets.get(instance);
+        target.is_some_and(|target| target.link.messages.try_send(message).is_ok())
+    }
+
+    pub(super) fn probe(&mut self, instance: InstanceKey) {
+        if !self.tell(instance, LinkMessage::Probe) {
+            let now = self.options.clock.now();
+            self.dispatcher.probed(instance, false, now);
+        }
+    }
+
+    pub(super) fn report(&self, instance: InstanceKey, change: HealthChange) {
+        let Some(target) = self.targets.get(instance) else {
+            return;
+        };
+        let record = &target.record;
+        let detail = match change {
+            HealthChange::Ejected { pause_ms, refuses } => {
+                self.options.metrics.count("health.ejections", 1);
+                if refuses {
+                    let _ = self.options.refusing.try_send(target.refusing());
+                }
+                let (rack, zone) = (&record.rack, &record.zone);
+                format!("ejected, probed in {pause_ms} ms (rack {rack}, zone {zone})")
+            }
+            HealthChange::OnTrial => "on trial with one request at a time".into(),
+            HealthChange::Returned => "returned to full use".into(),
+        };
+        let name = Arc::clone(&record.name);
+        self.options
+            .events
+            .record(EventKind::Instance, name, detail);
+    }
+
+    pub(super) fn peer_observed(&mut self, observation: PeerObservation) {
+        let PeerObservation { peer, refusing } = observation;
+        let mut targets = self.targets.iter();
+        let known = targets.find(|(_, target)| target.refusing() == refusing);
+        if let Some((key, _)) = known {
+            let now = self.options.clock.now();
+            self.dispatcher.peer_refused(key, peer, now);
+        }
+    }
+
+    pub(super) async fn configure(&mut self, view: Arc<ServiceView>) {
+        let now = self.options.clock.now();
+        self.view = view;
+        self.dispatcher.configure(policy(&self.view));
+        let listed = &self.view.instances;
+        for (key, target) in &self.targets {
+            if !listed.iter().any(|record| target.is(record)) {
+                self.dispatcher.leave(key, now);
+            }
+        }
+        for record in self.view.instances.clone() {
+            let known = self.targets.iter().find(|(_, target)| target.is(&record));
+            let key = known.map(|(key, _)| key);
+            let key = key.unwrap_or_else(|| self.add_target(record.clone()));
+            let domain = FaultDomain {
+                rack: Arc::clone(&record.rack),
+                zone: Arc::clone(&record.zone),
+            };
+            let absent = self.view.absent.contains(&record.name);
+            self.dispatcher.join(key, domain, absent, now);
+            if let Some(target) = self.targets.get_mut(key) {
+                target.record = record;
+            }
+        }
+        self.slots.configure(&self.view, self.ends.clone()).await;
+    }
+
+    /// Requests in flight on an instance, over all keys that it has: a leaving instance keeps its
+    /// key until its last exchange has ended, and has another one if its address changed.
+    pub(super) fn in_flight(&self, instance: &str) -> u32 {
+        let targets = self.targets.iter();
+        targets
+            .filter(|(_, target)| &*target.record.name == instance)
+            .map(|(key, _)| self.dispatcher.in_flight(key))
+            .sum()
+    }
+
+    pub(super) fn add_target(&mut self, record: InstanceRecord) -> InstanceKey {
+        let Self {
+            options,
+            view,
+            ends,
+            links,
+            targets,
+            ..
+        } = self;
+        targets.insert_with_key(|instance| {
+            let (link, task) = upstream_link::make(LinkOptions {
+                instance,
+                address: record.address,
+                connections: view.fields.connections_per_instance,
+                clock: ClockHandle::clone(&options.clock),
+                ends: ends.clone(),
+            });
+            links.spawn(task);
+            Target { record, link }
+        })
+    }
+
+    /// Ends the links of instances that left and have no exchange in flight.
+    pub(super) fn retire_idle(&mut self) {
+        for key in self.dispatcher.remove_idle() {
+            if let Some(target) = self.targets.remove(key) {
+                let _ = target.link.messages.try_send(LinkMessage::Retire);
+            }
+        }
+    }
+
+    pub(super) async fn retire_all(&mut self) {
+        self.targets.clear();
+        self.messages.close();
+        while let Some(message) = self.messages.recv().await {
+            if let DispatchMessage::Submit(submission) = message {
+                // It was sent before the routes changed.
+                self.submit(submission);
+            }
+        }
+        while self.links.join_next().await.is_some() {}
+        while self.watches.join_next().await.is_some() {}
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,7 +24,9 @@
 pub mod slot_link;
 pub mod slot_members;
 pub mod slots;
+mod tasks;
 pub mod usage;
+mod wiring;
 
 pub use config::Config;
 pub use daemon::Daemon;
