--- a/crates/adapters/src/caller_api.rs
+++ b/crates/adapters/src/caller_api.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 use dropshot::{
-    ApiDescription, Body, ConfigDropshot, HandlerTaskMode, HttpError, HttpServer, Path,
-    RequestContext, ServerBuilder, StreamingBody, endpoint,
+    ApiDescription, Body, HttpError, HttpServer, Path, RequestContext, StreamingBody, endpoint,
 };
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
 use http::{HeaderValue, Response, StatusCode};
@@ -17,12 +16,12 @@
 use rosemaryscale_ports::prelude::*;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use slog::{Level, LevelFilter, Logger, o};
-use snafu::{ResultExt, Snafu};
+use slog::Logger;
 use tokio::sync::watch;
 
 use crate::caller_request::{deadline_ms, text, upstream_target};
 use crate::problem::ProblemDocument;
+use crate::server::{self, ServerError};
 use crate::upstream_link::end_to_end;
 
 /// Above every body limit that a document may state.
@@ -38,27 +37,6 @@
 /// Whether the daemon accepts requests; the reason if it does not.
 pub type Readiness = Result<(), Arc<str>>;
 
-/// Why a server did not start.
-#[derive(Debug)]
-#[derive(Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub enum ServerError {
-    /// The description of the API is inconsistent.
-    #[snafu(display("the API description is inconsistent: {reason}; report this as a defect"))]
-    Describe {
-        /// What is inconsistent.
-        reason: String,
-    },
-    /// The address cannot be used.
-    #[snafu(display("cannot listen on {address}: {source}; set a free address of this instance"))]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// What failed.
-        source: dropshot::BuildError,
-    },
-}
-
 /// What handlers need.
 pub struct CallerContext {
     /// Dispatchers by service.
@@ -87,16 +65,7 @@
         context: CallerContext,
         log: &Logger,
     ) -> Result<Self, ServerError> {
-        let config = ConfigDropshot {
-            bind_address: address,
-            default_request_body_max_bytes: BODY_MAX_BYTES,
-            default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
-            ..ConfigDropshot::default()
-        };
-        let server = ServerBuilder::new(describe()?, context, quiet(log))
-            .config(config)
-            .start()
-            .context(ListenSnafu { address })?;
+        let server = server::start(describe()?, context, address, BODY_MAX_BYTES, log)?;
         Ok(Self { server })
     }
 
@@ -116,12 +85,6 @@
     }
 }
 
-/// dropshot logs each request at level info, which is too much for a busy daemon.
-pub(crate) fn quiet(log: &Logger) -> Logger {
-    let drain = slog::Fuse(LevelFilter::new(log.clone(), Level::Error));
-    Logger::root(drain, o!())
-}
-
 fn describe() -> Result<ApiDescription<CallerContext>, ServerError> {
     let mut api = ApiDescription::new();
     let registered = api
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod operator_api;
 pub mod peer_link;
 pub mod problem;
+pub mod server;
 pub mod upstream_link;
 
 pub use caller_api::CallerApi;
--- a/crates/adapters/src/operator_api.rs
+++ b/crates/adapters/src/operator_api.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 use dropshot::{
-    ApiDescription, Body, ConfigDropshot, HandlerTaskMode, HttpError, HttpServer, Query,
-    RequestContext, ServerBuilder, TypedBody, endpoint,
+    ApiDescription, Body, HttpError, HttpServer, Query, RequestContext, TypedBody, endpoint,
 };
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
@@ -21,11 +20,10 @@
 use rosemaryscale_ports::prelude::*;
 use serde::Serialize;
 use slog::Logger;
-use snafu::ResultExt;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::caller_api::{ListenSnafu, ServerError, quiet};
+use crate::server::{self, ServerError};
 
 /// A document of 900,000 bytes grows when it is escaped as JSON text.
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -89,16 +87,7 @@
         context: OperatorContext,
         log: &Logger,
     ) -> Result<Self, ServerError> {
-        let config = ConfigDropshot {
-            bind_address: address,
-            default_request_body_max_bytes: BODY_MAX_BYTES,
-            default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
-            ..ConfigDropshot::default()
-        };
-        let server = ServerBuilder::new(describe()?, context, quiet(log))
-            .config(config)
-            .start()
-            .context(ListenSnafu { address })?;
+        let server = server::start(describe()?, context, address, BODY_MAX_BYTES, log)?;
         Ok(Self { server })
     }
 
--- /dev/null
+++ b/crates/adapters/src/server.rs
@@ -0,0 +1,56 @@
+//! Start of a dropshot server.
+
+use std::net::SocketAddr;
+
+use dropshot::{
+    ApiDescription, ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder, ServerContext,
+};
+use slog::{Level, LevelFilter, Logger, o};
+use snafu::{ResultExt, Snafu};
+
+/// Why a server did not start.
+#[derive(Debug)]
+#[derive(Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ServerError {
+    /// The description of the API is inconsistent.
+    #[snafu(display("the API description is inconsistent: {reason}; report this as a defect"))]
+    Describe {
+        /// What is inconsistent.
+        reason: String,
+    },
+    /// The address cannot be used.
+    #[snafu(display("cannot listen on {address}: {source}; set a free address of this instance"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What failed.
+        source: dropshot::BuildError,
+    },
+}
+
+/// Starts a server whose handlers are dropped when their caller goes away.
+pub(crate) fn start<C: ServerContext>(
+    api: ApiDescription<C>,
+    context: C,
+    address: SocketAddr,
+    body_max_bytes: usize,
+    log: &Logger,
+) -> Result<HttpServer<C>, ServerError> {
+    let config = ConfigDropshot {
+        bind_address: address,
+        default_request_body_max_bytes: body_max_bytes,
+        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
+        ..ConfigDropshot::default()
+    };
+    ServerBuilder::new(api, context, quiet(log))
+        .config(config)
+        .start()
+        .context(ListenSnafu { address })
+}
+
+/// dropshot logs each request at level info, which is too much for a busy daemon.
+fn quiet(log: &Logger) -> Logger {
+    let drain = slog::Fuse(LevelFilter::new(log.clone(), Level::Error));
+    Logger::root(drain, o!())
+}
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -3,11 +3,12 @@
 //! Every daemon runs this task. Calls to the store and to peers run beside it, so that a slow
 //! platform never delays an assignment on its way to the router.
 
+use rosemaryscale_domain::member::MemberId;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryscale_domain::drain::{DrainReport, MemberId};
+use rosemaryscale_domain::drain::DrainReport;
 use rosemaryscale_domain::fleet::FleetController;
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config::ConfigWatch;
--- a/crates/daemon/src/controller/inputs.rs
+++ b/crates/daemon/src/controller/inputs.rs
@@ -1,9 +1,9 @@
 //! What the controller reads from its other sources.
 
+use rosemaryscale_domain::member::MemberId;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use rosemaryscale_domain::drain::MemberId;
 use rosemaryscale_domain::fleet::{FleetRequest, FleetSnapshot, ListedInstance, StoredZone};
 use rosemaryscale_ports::fleet::FleetOperation;
 use rosemaryscale_ports::prelude::*;
--- a/crates/daemon/src/controller/observe.rs
+++ b/crates/daemon/src/controller/observe.rs
@@ -1,9 +1,9 @@
 //! Follows the watch on the environment's keys.
 
+use rosemaryscale_domain::member::MemberId;
 use std::sync::Arc;
 
 use rosemaryscale_domain::assignment::ZoneAssignments;
-use rosemaryscale_domain::drain::MemberId;
 use rosemaryscale_domain::fleet::StoredZone;
 use rosemaryscale_ports::kv::{KvEntry, Update, WatchEvent};
 use rosemaryscale_ports::member::MemberRecord;
--- a/crates/daemon/src/controller/write.rs
+++ b/crates/daemon/src/controller/write.rs
@@ -1,9 +1,10 @@
 //! Carries out the controller's decisions: fenced writes and questions to members.
 
+use rosemaryscale_domain::member::MemberId;
 use std::sync::Arc;
 
 use rosemaryscale_domain::assignment::ZoneAssignments;
-use rosemaryscale_domain::drain::{DrainReport, MemberId};
+use rosemaryscale_domain::drain::DrainReport;
 use rosemaryscale_domain::fleet::FleetAction;
 use rosemaryscale_ports::fleet::FleetError;
 use rosemaryscale_ports::kv::{Change, Compare, KvError, KvResult, Transaction, TransactionResult};
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,7 +1,7 @@
 //! The daemon and its life cycle.
 
-use rosemaryscale_adapters::caller_api::ServerError;
 use rosemaryscale_adapters::peer_link::PeerLinkError;
+use rosemaryscale_adapters::server::ServerError;
 use snafu::Snafu;
 
 use crate::config::Config;
--- a/crates/daemon/src/slot_members.rs
+++ b/crates/daemon/src/slot_members.rs
@@ -1,8 +1,9 @@
 //! The members that the slot task computes homes from.
 
+use rosemaryscale_domain::member::MemberId;
 use std::sync::Arc;
 
-use rosemaryscale_domain::slots::{MemberId, ViewId, view_id};
+use rosemaryscale_domain::slots::{ViewId, view_id};
 use rosemaryscale_ports::member::MemberView;
 use rosemaryscale_ports::slots::{LiveMember, LiveMembers};
 
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -1,12 +1,13 @@
 //! The slot task: the ledgers of the instances that this daemon is home for, and its share of the
 //! slots of all others.
 
+use rosemaryscale_domain::member::MemberId;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rosemaryscale_domain::slots::{
-    Limit, MemberId, NamedList, NamedReport, ReportAnswer, ServiceUse, ShareAction, SlotAction,
-    SlotCapacity, SlotDirectory, Slots, View, home_of, preference,
+    Limit, NamedList, NamedReport, ReportAnswer, ServiceUse, ShareAction, SlotAction, SlotCapacity,
+    SlotDirectory, Slots, View, home_of, preference,
 };
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::dispatch::DispatchMessage;
--- a/crates/daemon/src/wiring.rs
+++ b/crates/daemon/src/wiring.rs
@@ -1,5 +1,6 @@
 //! Starts the tasks of a daemon and connects them.
 
+use rosemaryscale_domain::member::MemberId;
 use std::sync::Arc;
 
 use rosemaryscale_adapters::caller_api::{CallerContext, Readiness, Routes};
@@ -8,7 +9,6 @@
 use rosemaryscale_adapters::{
     CallerApi, OperatorApi, SystemClock, event_log, instance_poller, kv_client, log, metrics,
 };
-use rosemaryscale_domain::slots::MemberId;
 use rosemaryscale_ports::claim::ClaimStore;
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config::{ConfigStore, ConfigWatch};
--- a/crates/domain/src/drain.rs
+++ b/crates/domain/src/drain.rs
@@ -4,17 +4,9 @@
 //! request in flight there. A heartbeat that expired proves nothing: a frozen or partitioned member
 //! may still hold requests, so the drain waits for it.
 
+use crate::member::MemberId;
 use crate::prelude::*;
 
-/// One process of a daemon.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct MemberId {
-    /// Name of the daemon.
-    pub name: Arc<str>,
-    /// Distinguishes processes that used the same name.
-    pub incarnation: Arc<str>,
-}
-
 /// What a member says of an instance that leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DrainReport {
--- a/crates/domain/src/fleet.rs
+++ b/crates/domain/src/fleet.rs
@@ -4,10 +4,11 @@
 //! write compares the revision of the zone's key and of the controller's key, so a controller that
 //! was paused past its lease changes nothing.
 
+use crate::member::MemberId;
 use std::collections::BTreeMap;
 
 use crate::assignment::{AssignmentError, Phase, ZoneAssignments};
-use crate::drain::{DrainReport, Draining, MemberId, Move};
+use crate::drain::{DrainReport, Draining, Move};
 use crate::prelude::*;
 
 /// An instance that is missing from the platform's list for this time is gone. The list lags, and
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod key;
 pub mod maintenance;
 pub mod map;
+pub mod member;
 pub mod millis;
 pub mod name;
 pub mod outcome;
--- a/crates/domain/src/slots.rs
+++ b/crates/domain/src/slots.rs
@@ -24,9 +24,7 @@
 mod share;
 mod share_link;
 
-pub use directory::{
-    MemberId, NamedCounts, NamedList, NamedReport, NamedService, SlotDirectory, SlotId,
-};
+pub use directory::{NamedCounts, NamedList, NamedReport, NamedService, SlotDirectory, SlotId};
 pub use fair::fair_targets;
 pub use grant::{Grant, Held, Recalled, Withheld};
 pub use home::{ReportAnswer, SlotHome};
--- a/crates/domain/src/slots/directory.rs
+++ b/crates/domain/src/slots/directory.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Allowance, GrantList, Need, Report, ViewId};
+use crate::member::MemberId;
 use crate::prelude::*;
 
 /// Counts of one instance in a message.
@@ -68,15 +69,6 @@
     pub allowances: Vec<NamedService>,
 }
 
-/// A process of a member.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct MemberId {
-    /// Name of the daemon.
-    pub name: Arc<str>,
-    /// Distinguishes processes that used the same name.
-    pub incarnation: Arc<str>,
-}
-
 /// Slots of one service on one instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct SlotId {
--- a/crates/domain/src/spare/usage.rs
+++ b/crates/domain/src/spare/usage.rs
@@ -1,10 +1,10 @@
 //! Usage as daemons report it, and what may be concluded from it.
 
+use crate::member::MemberId;
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-use crate::drain::MemberId;
 use crate::prelude::*;
 
 /// A report of use that was not renewed for this time says nothing any more. It covers two renewals
--- a/crates/domain/tests/fleet.rs
+++ b/crates/domain/tests/fleet.rs
@@ -2,13 +2,14 @@
 
 #![allow(clippy::unwrap_used, reason = "test code fails loudly")]
 
+use rosemaryscale_domain::member::MemberId;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rosemaryscale_domain::Millis;
 use rosemaryscale_domain::assignment::ZoneAssignments;
-use rosemaryscale_domain::drain::{DrainReport, MemberId};
+use rosemaryscale_domain::drain::DrainReport;
 use rosemaryscale_domain::fleet::{
     FleetAction, FleetController, FleetRequest, FleetSnapshot, ListedInstance, StoredZone,
 };
--- a/crates/domain/tests/spare.rs
+++ b/crates/domain/tests/spare.rs
@@ -2,13 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "test code fails loudly")]
 
+use rosemaryscale_domain::member::MemberId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rosemaryscale_domain::Millis;
 use rosemaryscale_domain::document::PoolFields;
-use rosemaryscale_domain::drain::MemberId;
 use rosemaryscale_domain::spare::{
     PoolInstance, PoolState, ServiceUsage, SpareMove, SparePolicy, SpareSettings, SpareSnapshot,
     Usage, UsageBook, UsageReport, UsageReporter, WARM_UP_MS,
--- a/crates/domain/tests/support/cluster.rs
+++ b/crates/domain/tests/support/cluster.rs
@@ -13,10 +13,11 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use rosemaryscale_domain::member::MemberId;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::slots::{
-    GrantList, Limit, MemberId, Report, ReportAnswer, ServiceUse, ShareAction, SlotAction,
-    SlotCapacity, SlotDirectory, Slots,
+    GrantList, Limit, Report, ReportAnswer, ServiceUse, ShareAction, SlotAction, SlotCapacity,
+    SlotDirectory, Slots,
 };
 
 /// Time from a dispatcher to the slot task of the same process.
