--- a/crates/standins/examples/bench/flood.rs
+++ b/crates/standins/examples/bench/flood.rs
@@ -69,7 +69,9 @@
     open_loop(options, |_| request(class, classes, "rebuild")).await
 }
 
+/// Without classes every request has one caller too, since callers of a class take turns.
 fn request(class: &str, classes: bool, caller: &str) -> LoadRequest {
+    let caller = if classes { caller } else { "all" };
     let mut headers = vec![
         ("x-caller", caller.to_owned()),
         ("x-deadline-ms", DEADLINE_MS.to_string()),
