--- a/crates/adapters/src/clock.rs
+++ b/crates/adapters/src/clock.rs
@@ -1,14 +1,15 @@
 //! The system clock.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use rosemaryscale_domain::Millis;
 use rosemaryscale_ports::Clock;
 
 /// Clock of the operating system.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl SystemClock {
@@ -16,7 +17,7 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 }
@@ -29,7 +30,8 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        Millis::from_ms(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
+        let elapsed = since_boot().saturating_sub(self.start);
+        Millis::from_ms(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
     }
 
     fn wall(&self) -> Millis {
@@ -39,3 +41,11 @@
         Millis::from_ms(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
     }
 }
+
+/// Time since the instance started. Unlike the steady clock, it advances while the instance is
+/// suspended, so a lease that ended meanwhile is seen to have ended.
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .map(Duration::from)
+        .unwrap_or_default()
+}
--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -29,6 +29,12 @@
         /// What failed.
         reason: String,
     },
+    /// Nothing listens at the address, so nothing was sent.
+    #[snafu(display("nothing listens at the address: {reason}"))]
+    NotListening {
+        /// What failed.
+        reason: String,
+    },
     /// The call may have arrived.
     #[snafu(display("no complete reply: {reason}"))]
     NoReply {
@@ -89,6 +95,31 @@
         self.exchange(self.request(method, path, body)?).await
     }
 
+    /// Makes a call with headers of its own and a time limit of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no complete reply arrives in time.
+    pub async fn call_within(
+        &self,
+        timeout: Duration,
+        (method, path): (Method, &str),
+        headers: &[(&'static str, HeaderValue)],
+        body: Bytes,
+    ) -> Result<HttpReply, HttpError> {
+        let mut request = self.request(method, path, body)?;
+        for (name, value) in headers {
+            request.headers_mut().insert(*name, value.clone());
+        }
+        self.exchange_within(timeout, request).await
+    }
+
+    /// A client of the same server that shares no connection with this one.
+    #[must_use]
+    pub fn reconnected(&self) -> Self {
+        Self::new(self.address, self.timeout)
+    }
+
     /// Reads a resource, unless it still has the entity tag: then the status is 304.
     ///
     /// # Errors
@@ -107,6 +138,14 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpReply, HttpError> {
+        self.exchange_within(self.timeout, request).await
+    }
+
+    async fn exchange_within(
+        &self,
+        timeout: Duration,
+        request: Request<Full<Bytes>>,
+    ) -> Result<HttpReply, HttpError> {
         let exchange = async {
             let response = self.send(request).await?;
             let status = response.status();
@@ -120,10 +159,10 @@
                 .to_bytes();
             Ok(HttpReply { status, body, etag })
         };
-        tokio::time::timeout(self.timeout, exchange)
+        tokio::time::timeout(timeout, exchange)
             .await
             .map_err(|_| HttpError::NoReply {
-                reason: format!("timeout after {} ms", self.timeout.as_millis()),
+                reason: format!("timeout after {} ms", timeout.as_millis()),
             })?
     }
 
@@ -163,8 +202,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, HttpError> {
         self.client.request(request).await.map_err(|error| {
-            let reason = describe(&error);
-            if error.is_connect() {
+            let (reason, refused) = describe(&error);
+            if error.is_connect() && refused {
+                HttpError::NotListening { reason }
+            } else if error.is_connect() {
                 HttpError::NotConnected { reason }
             } else {
                 HttpError::NoReply { reason }
@@ -173,11 +214,14 @@
     }
 }
 
-/// The innermost cause, which names the failed system call.
-fn describe(error: &dyn std::error::Error) -> String {
+/// The innermost cause, which names the failed system call, and whether it was a refused connect.
+fn describe(error: &(dyn std::error::Error + 'static)) -> (String, bool) {
     let mut cause = error;
     while let Some(source) = cause.source() {
         cause = source;
     }
-    cause.to_string()
+    let refused = cause
+        .downcast_ref::<std::io::Error>()
+        .is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused);
+    (cause.to_string(), refused)
 }
--- a/crates/adapters/src/kv_client.rs
+++ b/crates/adapters/src/kv_client.rs
@@ -73,7 +73,7 @@
                 let result = self.post("/v3/lease/revoke", &wire::lease(lease)).await;
                 let _ = reply.send(result.map(|_| ()));
             }
-            KvCall::Watch { range, events } => watch::run(self, &range, events).await,
+            KvCall::Watch { range, events, .. } => watch::run(self, &range, events).await,
         }
     }
 
@@ -152,7 +152,9 @@
 
 fn kv_error(error: HttpError) -> KvError {
     match error {
-        HttpError::NotConnected { reason } => KvError::Unavailable { reason },
+        HttpError::NotConnected { reason } | HttpError::NotListening { reason } => {
+            KvError::Unavailable { reason }
+        }
         HttpError::NoReply { reason } => KvError::OutcomeUnknown { reason },
     }
 }
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -5,6 +5,9 @@
 use getopts::Options;
 use snafu::Snafu;
 
+/// Environment variable with the path of the settings file.
+const SETTINGS_VARIABLE: &str = "ROSEMARYSCALE_SETTINGS";
+
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
@@ -13,6 +16,16 @@
         /// The settings file.
         config: PathBuf,
     },
+    /// Run the job service with these settings.
+    RunJobs {
+        /// The settings file.
+        config: PathBuf,
+    },
+    /// Check the settings of the job service and stop.
+    CheckJobs {
+        /// The settings file.
+        config: PathBuf,
+    },
     /// Check the settings and stop.
     Check {
         /// The settings file.
@@ -40,6 +53,7 @@
 pub fn parse(arguments: impl IntoIterator<Item = String>) -> Result<Command, UsageError> {
     let mut options = Options::new();
     options.optopt("c", "config", "settings file, JSON with comments", "FILE");
+    options.optflag("", "job-service", "run jobs of steps on the platform's workers");
     options.optflag("", "check", "check the settings and exit");
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
@@ -47,7 +61,8 @@
         reason: error.to_string(),
     })?;
     if matches.opt_present("help") {
-        let brief = "Usage: rosemaryscaled --config FILE\n\n\
+        let brief = "Usage: rosemaryscaled [--job-service] --config FILE\n\n\
+                     Without --config, ROSEMARYSCALE_SETTINGS names the settings file.\n\n\
                      Exit codes: 0 stopped gracefully, 1 failed, 2 usage or settings.";
         return Ok(Command::Help(options.usage(brief)));
     }
@@ -57,11 +72,15 @@
     let config = matches
         .opt_str("config")
         .map(PathBuf::from)
+        .or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
         .ok_or_else(|| UsageError {
             reason: "option --config is missing".into(),
         })?;
-    if matches.opt_present("check") {
-        return Ok(Command::Check { config });
-    }
-    Ok(Command::Run { config })
+    let job_service = matches.opt_present("job-service");
+    Ok(match (job_service, matches.opt_present("check")) {
+        (false, false) => Command::Run { config },
+        (false, true) => Command::Check { config },
+        (true, false) => Command::RunJobs { config },
+        (true, true) => Command::CheckJobs { config },
+    })
 }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -9,6 +9,7 @@
 use rosemaryscale_domain::document::Problem;
 use rosemaryscale_domain::name;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 
 /// Peers that settings may list; a few reachable ones are enough for a start.
@@ -93,12 +94,7 @@
     ///
     /// Fails when the file cannot be read or has a mistake.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
-        let name = path.display().to_string();
-        let bytes = std::fs::read(path).context(ReadSnafu { path: name })?;
-        let text = String::from_utf8(bytes).map_err(|error| ConfigError::Invalid {
-            problem: document_text::not_utf8(&error),
-        })?;
-        Self::parse(&text)
+        Self::parse(&read_text(path)?)
     }
 
     /// Reads the text of a settings file.
@@ -107,8 +103,7 @@
     ///
     /// Fails when the text has a mistake.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let config: Self = document_text::parse_fields(text)
-            .map_err(|problem| ConfigError::Invalid { problem })?;
+        let config: Self = parse_fields(text)?;
         match config.mistake() {
             Some(problem) => Err(ConfigError::Invalid { problem }),
             None => Ok(config),
@@ -176,7 +171,21 @@
     }
 }
 
-fn problem(path: &str, reason: String, remedy: &str) -> Problem {
+/// Reads the text of a settings file.
+pub(crate) fn read_text(path: &Path) -> Result<String, ConfigError> {
+    let name = path.display().to_string();
+    let bytes = std::fs::read(path).context(ReadSnafu { path: name })?;
+    String::from_utf8(bytes).map_err(|error| ConfigError::Invalid {
+        problem: document_text::not_utf8(&error),
+    })
+}
+
+/// Reads the fields of settings.
+pub(crate) fn parse_fields<T: DeserializeOwned>(text: &str) -> Result<T, ConfigError> {
+    document_text::parse_fields(text).map_err(|problem| ConfigError::Invalid { problem })
+}
+
+pub(crate) fn problem(path: &str, reason: String, remedy: &str) -> Problem {
     Problem {
         path: path.into(),
         reason,
--- /dev/null
+++ b/crates/daemon/src/jobs/election.rs
@@ -0,0 +1,60 @@
+//! The election: takes the scheduler's key when nobody holds it, and schedules while it is held.
+
+use std::hash::{BuildHasher, Hash, Hasher};
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::sync::watch;
+
+use super::front::HolderSeen;
+use super::holder::{Holder, HolderEnd, HolderOptions};
+use super::lease;
+
+/// Daemons that see the key lapse try in turn within this time, so that one call mostly decides.
+const STAGGER_MS: u64 = 60;
+/// Pause after a try that failed.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// Runs until the daemon stops.
+pub(super) async fn run(
+    options: HolderOptions,
+    mut seen: watch::Receiver<HolderSeen>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let stagger = stagger(&options.own.daemon);
+    loop {
+        tokio::select! {
+            changed = seen.wait_for(|seen| *seen == HolderSeen::None) => {
+                if changed.is_err() { return }
+            }
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        tokio::time::sleep(stagger).await;
+        if *seen.borrow() != HolderSeen::None {
+            continue;
+        }
+        match lease::acquire(&options.kv, &options.clock, &options.own).await {
+            Ok(Some(held)) => {
+                info!(options.log, "scheduler key taken"; "fence" => held.fence);
+                let end = Holder::recover(options.clone(), held, stop.clone()).await;
+                match end {
+                    HolderEnd::Stopped => return,
+                    HolderEnd::Lost(reason) => {
+                        warn!(options.log, "scheduler key lost"; "reason" => reason);
+                    }
+                }
+            }
+            Ok(None) => {}
+            Err(error) => {
+                warn!(options.log, "scheduler key not taken"; "reason" => %error);
+            }
+        }
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
+fn stagger(name: &str) -> Duration {
+    let mut hasher = std::hash::BuildHasherDefault::<rustc_hash::FxHasher>::default().build_hasher();
+    name.hash(&mut hasher);
+    Duration::from_millis(hasher.finish() % STAGGER_MS)
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/front.rs
@@ -0,0 +1,406 @@
+//! The front: accepts jobs, says what state they are in, and cancels them.
+
+use std::sync::Arc;
+
+use rosemaryscale_domain::job::{JobRecord, JobSpec, JobState};
+use rosemaryscale_domain::route;
+use rosemaryscale_ports::clock::ClockHandle;
+use rosemaryscale_ports::job::{FrontCall, FrontReply, JobRequest, QueueConfig, QueueConfigWatch};
+use rosemaryscale_ports::kv::{
+    Compare, KeyValue, KvEntry, KvError, Transaction, Update, WatchEvent,
+};
+use rosemaryscale_ports::prelude::*;
+use slog::{Logger, info, warn};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::records::{self, HOLDER_KEY, StateRecord};
+
+/// The caller gets an answer this long before it stops to wait.
+const REPLY_MARGIN_MS: u64 = 400;
+/// Tries of a write whose outcome is not known.
+const WRITE_TRIES: u32 = 3;
+/// When a refused caller may come back: the time after which the load balancer leaves this daemon.
+const RETRY_AFTER_MS: u64 = 1_000;
+/// The view is up to date if the store was heard in this time.
+const VIEW_FRESH_MS: u64 = 2_500;
+
+/// Whether a daemon schedules, as the view shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HolderSeen {
+    /// Nothing is known, since the store is not heard.
+    Unknown,
+    /// Nobody does.
+    None,
+    /// A daemon does, since this revision.
+    Held(u64),
+}
+
+/// What the front is given.
+pub(super) struct FrontOptions {
+    pub(super) kv: KeyValue,
+    pub(super) clock: ClockHandle,
+    pub(super) config: QueueConfigWatch,
+    pub(super) view: mpsc::Receiver<WatchEvent>,
+    pub(super) calls: mpsc::Receiver<FrontCall>,
+    pub(super) holder: watch::Sender<HolderSeen>,
+    pub(super) ready: watch::Sender<Result<(), Arc<str>>>,
+    pub(super) stopping: watch::Receiver<bool>,
+    pub(super) log: Logger,
+}
+
+/// What a call to the store changed in the view.
+struct Done {
+    known: Option<(Arc<str>, StateRecord)>,
+}
+
+/// The task of the front.
+pub(super) struct Front {
+    options: FrontOptions,
+    states: FastMap<Arc<str>, StateRecord>,
+    heard_at: Option<Millis>,
+    calls: JoinSet<Done>,
+}
+
+impl Front {
+    pub(super) fn new(options: FrontOptions) -> Self {
+        Self {
+            options,
+            states: FastMap::default(),
+            heard_at: None,
+            calls: JoinSet::new(),
+        }
+    }
+
+    /// Serves until the callers' server has ended.
+    pub(super) async fn run(mut self) {
+        let mut check = tokio::time::interval(std::time::Duration::from_millis(500));
+        loop {
+            tokio::select! {
+                call = self.options.calls.recv() => match call {
+                    Some(call) => self.answer(call),
+                    None => break,
+                },
+                event = self.options.view.recv() => match event {
+                    Some(event) => self.apply(event),
+                    None => break,
+                },
+                Some(Ok(done)) = self.calls.join_next() => self.note(done),
+                _ = check.tick() => self.check_ready(),
+            }
+        }
+        while self.calls.join_next().await.is_some() {}
+    }
+
+    fn note(&mut self, done: Done) {
+        if let Some((id, record)) = done.known {
+            // The view may have moved on since.
+            self.states.entry(id).or_insert(record);
+        }
+    }
+
+    fn apply(&mut self, event: WatchEvent) {
+        match event {
+            WatchEvent::Snapshot { entries, .. } => {
+                self.states.clear();
+                let mut holder = HolderSeen::None;
+                for entry in entries {
+                    self.apply_entry(entry, &mut holder);
+                }
+                self.options.holder.send_replace(holder);
+                self.heard();
+            }
+            WatchEvent::Changed { updates, .. } => {
+                let before = *self.options.holder.borrow();
+                let mut holder = if before == HolderSeen::Unknown { HolderSeen::None } else { before };
+                for update in updates {
+                    match update {
+                        Update::Put(entry) => self.apply_entry(entry, &mut holder),
+                        Update::Deleted(key) if &*key == HOLDER_KEY => holder = HolderSeen::None,
+                        Update::Deleted(key) => {
+                            if let Some(id) = records::state_id(&key) {
+                                self.states.remove(id);
+                            }
+                        }
+                    }
+                }
+                if holder != before {
+                    self.options.holder.send_replace(holder);
+                }
+                self.heard();
+            }
+            WatchEvent::Disconnected { reason } => {
+                if *self.options.holder.borrow() != HolderSeen::Unknown {
+                    warn!(self.options.log, "the store is not heard"; "reason" => reason);
+                }
+                self.options.holder.send_replace(HolderSeen::Unknown);
+            }
+        }
+    }
+
+    fn heard(&mut self) {
+        self.heard_at = Some(self.options.clock.now());
+        self.check_ready();
+    }
+
+    fn apply_entry(&mut self, entry: KvEntry, holder: &mut HolderSeen) {
+        if &*entry.key == HOLDER_KEY {
+            *holder = HolderSeen::Held(entry.mod_revision);
+            return;
+        }
+        let Some(id) = records::state_id(&entry.key) else {
+            return;
+        };
+        match records::decode::<StateRecord>(&entry.value) {
+            Ok(record) => {
+                self.states.insert(id.into(), record);
+            }
+            Err(error) => {
+                warn!(self.options.log, "state skipped"; "job" => id, "reason" => %error);
+            }
+        }
+    }
+
+    fn check_ready(&mut self) {
+        let reason = self.unready_reason();
+        let was_ready = self.options.ready.borrow().is_ok();
+        match reason {
+            None if !was_ready => {
+                info!(self.options.log, "ready");
+                let _ = self.options.ready.send_replace(Ok(()));
+            }
+            Some(reason) if was_ready => {
+                warn!(self.options.log, "not ready"; "reason" => reason);
+                let _ = self.options.ready.send_replace(Err(reason.into()));
+            }
+            _ => {}
+        }
+    }
+
+    fn unready_reason(&self) -> Option<&'static str> {
+        if *self.options.stopping.borrow() {
+            return Some("the daemon is stopping");
+        }
+        if self.options.config.borrow().version == 0 {
+            return Some("no configuration is known");
+        }
+        (!self.is_fresh()).then_some("the platform's store is not heard")
+    }
+
+    fn is_fresh(&self) -> bool {
+        let now = self.options.clock.now();
+        self.heard_at.is_some_and(|at| now.ms_since(at) < VIEW_FRESH_MS)
+    }
+
+    fn answer(&mut self, call: FrontCall) {
+        let config = Arc::clone(&self.options.config.borrow());
+        if config.version == 0 {
+            let reply = unavailable("no configuration is known");
+            let _ = call.reply.send(reply);
+            return;
+        }
+        let Some((found, rest)) = route::find(&config.routes, &call.host, &call.path) else {
+            let _ = call.reply.send(FrontReply::NoSuchQueue);
+            return;
+        };
+        let queue = Arc::clone(&found.queue);
+        if rest.is_empty() && matches!(call.request, JobRequest::Read) {
+            let _ = call.reply.send(FrontReply::Waiting(self.waiting(&queue)));
+            return;
+        }
+        if !route::is_job_id(rest) {
+            let reason = "the path must end with a job's id of 16 hexadecimal digits";
+            let _ = call.reply.send(FrontReply::Malformed(reason.into()));
+            return;
+        }
+        let id: Arc<str> = rest.into();
+        let known = self.states.get(&id).map(|record| record.state);
+        match (call.request, known) {
+            (JobRequest::Submit(Ok(_)), Some(_)) => {
+                let _ = call.reply.send(FrontReply::Accepted);
+            }
+            (JobRequest::Submit(Ok(spec)), None) => {
+                let store = self.store(call.deadline_ms);
+                match Submission::new(&store.clock, &config, id, queue, spec) {
+                    Some(job) => self.spawn(call.reply, store, job),
+                    None => {
+                        let _ = call.reply.send(FrontReply::NoSuchQueue);
+                    }
+                }
+            }
+            (JobRequest::Submit(Err(reason)), _) => {
+                let _ = call.reply.send(FrontReply::Malformed(reason));
+            }
+            (JobRequest::Read, Some(state)) => {
+                let _ = call.reply.send(FrontReply::State(state));
+            }
+            (JobRequest::Read, None) => {
+                let store = self.store(call.deadline_ms);
+                self.calls.spawn(async move {
+                    let (reply, known) = store.read(id).await;
+                    let _ = call.reply.send(reply);
+                    Done { known }
+                });
+            }
+            (JobRequest::Cancel, Some(state)) if state.is_final() => {
+                let _ = call.reply.send(FrontReply::Cancelled);
+            }
+            (JobRequest::Cancel, known) => {
+                let store = self.store(call.deadline_ms);
+                let log = self.options.log.clone();
+                self.calls.spawn(async move {
+                    let reply = store.cancel(&id, known.is_some()).await;
+                    info!(log, "cancel"; "job" => &*id, "outcome" => ?reply);
+                    let _ = call.reply.send(reply);
+                    Done { known: None }
+                });
+            }
+            (JobRequest::Other, _) => {
+                let _ = call.reply.send(FrontReply::Malformed("use POST, GET or DELETE".into()));
+            }
+        }
+    }
+
+    fn spawn(&mut self, reply: oneshot::Sender<FrontReply>, store: StoreCalls, job: Submission) {
+        let log = self.options.log.clone();
+        self.calls.spawn(async move {
+            let outcome = store.submit(&job).await;
+            info!(log, "submit"; "job" => &*job.id, "queue" => &*job.record.queue, "outcome" => ?outcome);
+            let accepted = outcome == FrontReply::Accepted;
+            let _ = reply.send(outcome);
+            let state = StateRecord {
+                queue: Arc::clone(&job.record.queue),
+                state: JobState::Queued,
+            };
+            Done {
+                known: accepted.then_some((job.id, state)),
+            }
+        });
+    }
+
+    fn store(&self, deadline_ms: u64) -> StoreCalls {
+        let wait_ms = deadline_ms.saturating_sub(REPLY_MARGIN_MS);
+        StoreCalls {
+            kv: self.options.kv.clone(),
+            clock: Arc::clone(&self.options.clock),
+            deadline: self.options.clock.now().after_ms(wait_ms),
+        }
+    }
+
+    fn waiting(&self, queue: &str) -> u64 {
+        let waits = |record: &&StateRecord| {
+            record.state == JobState::Queued && &*record.queue == queue
+        };
+        self.states.values().filter(waits).count() as u64
+    }
+}
+
+/// A job on its way into the store.
+struct Submission {
+    id: Arc<str>,
+    record: JobRecord,
+}
+
+impl Submission {
+    fn new(
+        clock: &ClockHandle,
+        config: &QueueConfig,
+        id: Arc<str>,
+        queue: Arc<str>,
+        spec: JobSpec,
+    ) -> Option<Self> {
+        let policy = config.policies.get(&queue)?.clone();
+        Some(Self {
+            id,
+            record: JobRecord {
+                queue,
+                policy,
+                received_wall_ms: clock.wall().as_ms(),
+                spec,
+            },
+        })
+    }
+}
+
+/// Calls to the store for one request.
+struct StoreCalls {
+    kv: KeyValue,
+    clock: ClockHandle,
+    deadline: Millis,
+}
+
+impl StoreCalls {
+    /// Creates the job's record unless it exists.
+    async fn submit(&self, job: &Submission) -> FrontReply {
+        let transaction = Transaction {
+            compares: vec![Compare {
+                key: records::job_key(&job.id),
+                mod_revision: 0,
+            }],
+            changes: vec![
+                records::put_job(&job.id, &job.record),
+                records::put_state(&job.id, &job.record.queue, JobState::Queued),
+            ],
+        };
+        match self.write(transaction).await {
+            // The record of an earlier try of the same job is there.
+            Ok(_) => FrontReply::Accepted,
+            Err(reply) => reply,
+        }
+    }
+
+    async fn cancel(&self, id: &str, known: bool) -> FrontReply {
+        if !known {
+            match self.kv.get(&records::job_key(id)).await {
+                Ok(Some(_)) => {}
+                Ok(None) => return FrontReply::NoSuchJob,
+                Err(error) => return unavailable(&error.to_string()),
+            }
+        }
+        let transaction = Transaction {
+            compares: Vec::new(),
+            changes: vec![records::put(records::cancel_key(id), "{}".into())],
+        };
+        match self.write(transaction).await {
+            Ok(_) => FrontReply::Cancelled,
+            Err(reply) => reply,
+        }
+    }
+
+    async fn read(&self, id: Arc<str>) -> (FrontReply, Option<(Arc<str>, StateRecord)>) {
+        let entry = match self.kv.get(&records::state_key(&id)).await {
+            Ok(Some(entry)) => entry,
+            Ok(None) => return (FrontReply::NoSuchJob, None),
+            Err(error) => return (unavailable(&error.to_string()), None),
+        };
+        match records::decode::<StateRecord>(&entry.value) {
+            Ok(record) => (FrontReply::State(record.state), Some((id, record))),
+            Err(error) => (unavailable(&error.to_string()), None),
+        }
+    }
+
+    /// Runs a transaction that may safely be repeated. A refusal is true: it is given only if no try
+    /// can have taken effect, now or later.
+    async fn write(&self, transaction: Transaction) -> Result<bool, FrontReply> {
+        let mut unknown = false;
+        for _ in 0..WRITE_TRIES {
+            match self.kv.transact(transaction.clone()).await {
+                Ok(result) => return Ok(result.succeeded),
+                Err(KvError::OutcomeUnknown { .. }) => unknown = true,
+                Err(error) if !unknown => return Err(unavailable(&error.to_string())),
+                Err(_) => {}
+            }
+            if self.clock.now() >= self.deadline {
+                break;
+            }
+        }
+        Err(FrontReply::OutcomeUnknown)
+    }
+}
+
+fn unavailable(reason: &str) -> FrontReply {
+    FrontReply::Unavailable {
+        reason: reason.into(),
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/holder.rs
@@ -0,0 +1,509 @@
+//! The holder: runs the scheduler while its key is held.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryscale_domain::job::{JobProgress, JobRecord};
+use rosemaryscale_domain::schedule::order::{Action, WorkerReport};
+use rosemaryscale_domain::schedule::{Batch, ScheduleSettings, Scheduler, StoredJob};
+use rosemaryscale_ports::clock::ClockHandle;
+use rosemaryscale_ports::job::QueueConfigWatch;
+use rosemaryscale_ports::kv::{KeyRange, KeyValue, KvEntry, KvResult, Update, WatchEvent};
+use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::worker::{WorkerCall, WorkerCalls, WorkerEvent, WorkerEvents};
+use slog::{Logger, debug, info, warn};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::MissedTickBehavior;
+
+use super::batch::{Chain, LeadershipLost};
+use super::lease::{self, HOLDER_GRACE_MS, HeldLease, RENEW_MS, Renewal};
+use super::records::{
+    self, CHAIN_KEY, ChainRecord, HolderRecord, JOB_PREFIX, JobKeyKind, PROGRESS_PREFIX,
+};
+
+/// New jobs start within this time; each read of the watch is a priced call.
+const JOB_WATCH_MS: u64 = 25;
+/// Entries of workers are rewritten by every heartbeat; changes that matter are rare.
+const WORKER_WATCH_MS: u64 = 250;
+/// Time between two rounds of what is due without an event.
+const TICK: Duration = Duration::from_millis(20);
+/// Results of orders that are applied before the scheduler decides anew.
+const EVENTS_PER_ROUND: usize = 256;
+/// Longest time that a stopping holder takes to write what it knows.
+const LAST_BATCH: Duration = Duration::from_millis(600);
+/// Pause before a read at the start is tried again.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// Starts the links to workers.
+pub(super) type StartLinks = fn() -> (WorkerCalls, WorkerEvents, JoinHandle<()>);
+
+/// Reads the entry of a worker.
+pub(super) type ReadWorker = fn(&str, &[u8]) -> Result<WorkerReport, Arc<str>>;
+
+/// What the holder is given.
+#[derive(Clone)]
+pub(super) struct HolderOptions {
+    pub(super) kv: KeyValue,
+    pub(super) clock: ClockHandle,
+    pub(super) config: QueueConfigWatch,
+    pub(super) own: HolderRecord,
+    pub(super) run_lease_ms: u64,
+    pub(super) look_wait_ms: u64,
+    pub(super) status_kept_ms: u64,
+    pub(super) worker_prefix: Arc<str>,
+    pub(super) read_worker: ReadWorker,
+    pub(super) start_links: StartLinks,
+    pub(super) metrics: Metrics,
+    pub(super) log: Logger,
+}
+
+/// Why a holder ended.
+#[derive(Debug)]
+pub(super) enum HolderEnd {
+    /// The daemon stops.
+    Stopped,
+    /// Another daemon may hold the key.
+    Lost(&'static str),
+}
+
+/// What ran beside the scheduler.
+enum Background {
+    Renewed(Renewal),
+    Written(Result<Chain, LeadershipLost>, Option<Batch>),
+}
+
+/// The holder.
+pub(super) struct Holder {
+    options: HolderOptions,
+    held: HeldLease,
+    scheduler: Scheduler,
+    chain: Option<Chain>,
+    links: WorkerCalls,
+    background: JoinSet<Background>,
+    renewing: bool,
+    next_renewal: Millis,
+}
+
+impl Holder {
+    /// Recovers what the former holder knew, and schedules until the key is lost.
+    pub(super) async fn recover(
+        options: HolderOptions,
+        held: HeldLease,
+        mut stop: watch::Receiver<bool>,
+    ) -> HolderEnd {
+        let kv = options.kv.clone();
+        let (links, events, link_task) = (options.start_links)();
+        let jobs = kv.watch_every(prefix(JOB_PREFIX), JOB_WATCH_MS).await;
+        let workers = kv.watch_every(prefix(&options.worker_prefix), WORKER_WATCH_MS).await;
+        let (Ok(mut jobs), Ok(workers)) = (jobs, workers) else {
+            return HolderEnd::Stopped;
+        };
+        let started = tokio::select! {
+            started = Self::read(options, held.clone(), links, &mut jobs) => started,
+            _ = stop.wait_for(|stop| *stop) => None,
+        };
+        let end = match started {
+            Some(holder) => holder.run(jobs, workers, events, stop).await,
+            None if *stop.borrow() => HolderEnd::Stopped,
+            None => HolderEnd::Lost("the store could not be read in time"),
+        };
+        // A revoked lease lets the next holder begin at once.
+        let _ = tokio::time::timeout(LAST_BATCH, kv.revoke(held.lease)).await;
+        let _ = link_task.await;
+        end
+    }
+
+    /// Reads all records; `None` if the lease may end before that.
+    async fn read(
+        options: HolderOptions,
+        mut held: HeldLease,
+        links: WorkerCalls,
+        jobs: &mut mpsc::Receiver<WatchEvent>,
+    ) -> Option<Self> {
+        let chain = retry(&options.kv, KeyRange::Key(CHAIN_KEY.into())).await;
+        let chain = chain.into_iter().next();
+        let former: ChainRecord = chain
+            .as_ref()
+            .and_then(|entry| records::decode(&entry.value).ok())
+            .unwrap_or_default();
+        let progress = retry(&options.kv, prefix(PROGRESS_PREFIX)).await;
+        let entries = loop {
+            match jobs.recv().await? {
+                WatchEvent::Snapshot { entries, .. } => break entries,
+                WatchEvent::Changed { .. } | WatchEvent::Disconnected { .. } => {}
+            }
+        };
+        let renewal = lease::renew(options.kv.clone(), Arc::clone(&options.clock), held.lease).await;
+        if let Renewal::Proved(at) = renewal {
+            held.proved_at = at;
+        }
+        let (now, wall) = (options.clock.now(), options.clock.wall());
+        let settings = ScheduleSettings {
+            run_lease_ms: options.run_lease_ms,
+            look_wait_ms: options.look_wait_ms,
+            holder_grace_ms: HOLDER_GRACE_MS,
+            term: former.term + 1,
+        };
+        let mut scheduler = Scheduler::new(settings, former.workers, now);
+        let restored = stored_jobs(entries, progress, &options.log);
+        info!(options.log, "recovery began"; "term" => former.term + 1, "jobs" => restored.len());
+        for job in restored {
+            scheduler.restore(job, now, wall);
+        }
+        scheduler.configure(&options.config.borrow().policies);
+        let chain = Chain {
+            fence: held.fence,
+            revision: chain.map_or(0, |entry| entry.mod_revision),
+            term: former.term + 1,
+        };
+        Some(Self {
+            next_renewal: now,
+            options,
+            held,
+            scheduler,
+            chain: Some(chain),
+            links,
+            background: JoinSet::new(),
+            renewing: false,
+        })
+    }
+
+    async fn run(
+        mut self,
+        mut jobs: mpsc::Receiver<WatchEvent>,
+        mut workers: mpsc::Receiver<WatchEvent>,
+        mut events: WorkerEvents,
+        mut stop: watch::Receiver<bool>,
+    ) -> HolderEnd {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut config = self.options.config.clone();
+        let end = loop {
+            tokio::select! {
+                event = jobs.recv() => match event {
+                    Some(event) => self.apply_jobs(event),
+                    None => break HolderEnd::Stopped,
+                },
+                event = workers.recv() => match event {
+                    Some(event) => self.apply_workers(event),
+                    None => break HolderEnd::Stopped,
+                },
+                Some(event) = events.recv() => {
+                    self.apply_worker_event(event);
+                    for _ in 0..EVENTS_PER_ROUND {
+                        let Ok(event) = events.try_recv() else { break };
+                        self.apply_worker_event(event);
+                    }
+                }
+                Ok(()) = config.changed() => {
+                    let policies = &config.borrow_and_update().policies;
+                    self.scheduler.configure(policies);
+                }
+                Some(ended) = self.background.join_next() => {
+                    if let Ok(ended) = ended
+                        && let Err(reason) = self.apply_background(ended)
+                    {
+                        break HolderEnd::Lost(reason);
+                    }
+                }
+                _ = tick.tick() => {}
+                _ = stop.wait_for(|stop| *stop) => break HolderEnd::Stopped,
+            }
+            if let Err(reason) = self.round().await {
+                break HolderEnd::Lost(reason);
+            }
+        };
+        if let HolderEnd::Stopped = end {
+            self.write_last().await;
+        }
+        self.background.shutdown().await;
+        end
+    }
+
+    /// Does what is due after an event.
+    async fn round(&mut self) -> Result<(), &'static str> {
+        let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
+        if now.ms_since(self.held.proved_at) > HOLDER_GRACE_MS {
+            return Err("the lease was not renewed in time");
+        }
+        if self.scheduler.is_fenced() {
+            return Err("a worker has seen a higher fence number");
+        }
+        let recovering = self.scheduler.is_recovering();
+        let actions = self.scheduler.advance(now, wall);
+        if recovering && !self.scheduler.is_recovering() {
+            info!(self.options.log, "recovery ended");
+        }
+        for action in actions {
+            self.send(action).await?;
+        }
+        self.write_batch(now);
+        if !self.renewing && now >= self.next_renewal {
+            self.renewing = true;
+            self.next_renewal = now.after_ms(RENEW_MS);
+            let renewal = lease::renew(
+                self.options.kv.clone(),
+                Arc::clone(&self.options.clock),
+                self.held.lease,
+            );
+            self.background.spawn(async { Background::Renewed(renewal.await) });
+        }
+        Ok(())
+    }
+
+    fn write_batch(&mut self, now: Millis) {
+        if self.chain.is_none() {
+            return;
+        }
+        let Some(batch) = self.scheduler.take_batch(now) else {
+            return;
+        };
+        let Some(chain) = self.chain.take() else {
+            return;
+        };
+        for job in batch.jobs.iter().filter(|job| job.state.is_some()) {
+            info!(self.options.log, "job state"; "job" => &*job.id, "state" => ?job.progress.state);
+        }
+        let kv = self.options.kv.clone();
+        self.background.spawn(async move {
+            let chain = chain.write(&kv, &batch).await;
+            Background::Written(chain, Some(batch))
+        });
+    }
+
+    /// Writes what is known before the daemon stops.
+    async fn write_last(&mut self) {
+        let last = async {
+            while self.chain.is_none() {
+                let Some(Ok(ended)) = self.background.join_next().await else {
+                    return;
+                };
+                if self.apply_background(ended).is_err() {
+                    return;
+                }
+            }
+            if let (Some(batch), Some(chain)) =
+                (self.scheduler.take_batch(Millis::MAX), self.chain.take())
+            {
+                let _ = chain.write(&self.options.kv, &batch).await;
+            }
+        };
+        let _ = tokio::time::timeout(LAST_BATCH, last).await;
+    }
+
+    fn apply_background(&mut self, ended: Background) -> Result<(), &'static str> {
+        match ended {
+            Background::Renewed(renewal) => {
+                self.renewing = false;
+                match renewal {
+                    Renewal::Proved(at) => self.held.proved_at = self.held.proved_at.max(at),
+                    Renewal::Lost => return Err("the lease has ended"),
+                    Renewal::Unanswered => {}
+                }
+            }
+            Background::Written(Err(LeadershipLost), _) => {
+                return Err("another daemon holds the key");
+            }
+            Background::Written(Ok(chain), batch) => {
+                let now = self.options.clock.now();
+                let wall = self.options.clock.wall();
+                if let Some(batch) = batch {
+                    self.scheduler.batch_written(&batch, now);
+                }
+                self.forget_expired(chain, wall);
+            }
+        }
+        Ok(())
+    }
+
+    fn forget_expired(&mut self, chain: Chain, wall: Millis) {
+        const JOBS_FORGOTTEN_MAX: usize = 70;
+        let kept_ms = self.options.status_kept_ms;
+        let expired = self.scheduler.take_expired(wall, kept_ms, JOBS_FORGOTTEN_MAX);
+        if expired.is_empty() {
+            self.chain = Some(chain);
+            return;
+        }
+        let kv = self.options.kv.clone();
+        self.background.spawn(async move {
+            let chain = chain.forget(&kv, &expired).await;
+            Background::Written(chain, None)
+        });
+    }
+
+    fn apply_jobs(&mut self, event: WatchEvent) {
+        let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
+        let entries: Vec<KvEntry> = match event {
+            WatchEvent::Snapshot { entries, .. } => entries,
+            WatchEvent::Changed { updates, .. } => updates
+                .into_iter()
+                .filter_map(|update| match update {
+                    Update::Put(entry) => Some(entry),
+                    Update::Deleted(_) => None,
+                })
+                .collect(),
+            WatchEvent::Disconnected { reason } => {
+                debug!(self.options.log, "jobs are not heard"; "reason" => reason);
+                return;
+            }
+        };
+        for entry in entries {
+            match records::job_key_kind(&entry.key) {
+                Some(JobKeyKind::Job(id)) => match records::decode::<JobRecord>(&entry.value) {
+                    Ok(record) => self.scheduler.submit(id.into(), record, now, wall),
+                    Err(error) => {
+                        warn!(self.options.log, "job skipped"; "job" => id, "reason" => %error);
+                    }
+                },
+                Some(JobKeyKind::Cancel(id)) => self.scheduler.cancel(id, now, wall),
+                None => {}
+            }
+        }
+    }
+
+    fn apply_workers(&mut self, event: WatchEvent) {
+        match event {
+            WatchEvent::Snapshot { entries, .. } => {
+                let mut listed = FastSet::default();
+                for entry in &entries {
+                    if let Some(id) = self.apply_worker(entry) {
+                        listed.insert(id);
+                    }
+                }
+                self.scheduler.workers_listed(&listed);
+            }
+            WatchEvent::Changed { updates, .. } => {
+                for update in updates {
+                    match update {
+                        Update::Put(entry) => {
+                            self.apply_worker(&entry);
+                        }
+                        Update::Deleted(key) => {
+                            if let Some(id) = key.strip_prefix(&*self.options.worker_prefix) {
+                                info!(self.options.log, "worker unlisted"; "worker" => id);
+                                self.scheduler.worker_unlisted(id);
+                            }
+                        }
+                    }
+                }
+            }
+            WatchEvent::Disconnected { reason } => {
+                debug!(self.options.log, "workers are not heard"; "reason" => reason);
+            }
+        }
+    }
+
+    fn apply_worker(&mut self, entry: &KvEntry) -> Option<Arc<str>> {
+        let id = entry.key.strip_prefix(&*self.options.worker_prefix)?;
+        match (self.options.read_worker)(id, &entry.value) {
+            Ok(report) => {
+                let id = Arc::clone(&report.id);
+                self.scheduler.worker_listed(report, self.options.clock.now());
+                Some(id)
+            }
+            Err(reason) => {
+                debug!(self.options.log, "worker entry skipped"; "worker" => id, "reason" => &*reason);
+                None
+            }
+        }
+    }
+
+    fn apply_worker_event(&mut self, event: WorkerEvent) {
+        let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
+        match event {
+            WorkerEvent::Started { worker, run, result } => {
+                self.scheduler.started(worker, run, result, now);
+            }
+            WorkerEvent::Stopped { worker, run, result } => {
+                self.scheduler.stopped(worker, run, result, now);
+            }
+            WorkerEvent::Paced { .. } => {}
+            WorkerEvent::Looked { worker, result } => {
+                self.scheduler.looked(worker, result, now, wall);
+            }
+        }
+    }
+
+    async fn send(&mut self, action: Action) -> Result<(), &'static str> {
+        let call = match action {
+            Action::Connect(worker) => {
+                let Some(report) = self.scheduler.worker(worker) else {
+                    return Ok(());
+                };
+                WorkerCall::Open {
+                    worker,
+                    id: Arc::clone(&report.id),
+                    address: Arc::clone(&report.address),
+                    fence: self.held.fence,
+                }
+            }
+            Action::Disconnect(worker) => WorkerCall::Close(worker),
+            Action::Start(worker, order) => {
+                info!(self.options.log, "start"; "job" => &*order.task.job,
+                    "at" => ?order.task.position, "run" => order.number,
+                    "worker" => self.scheduler.worker(worker).map(|report| report.id.to_string()));
+                WorkerCall::Start(worker, order)
+            }
+            Action::Stop(worker, order) => {
+                info!(self.options.log, "stop"; "job" => &*order.task.job,
+                    "at" => ?order.task.position, "run" => order.number);
+                WorkerCall::Stop(worker, order)
+            }
+            Action::Pace(worker, order) => WorkerCall::Pace(worker, order),
+            Action::Look(worker, order) => {
+                self.options.metrics.count("looks", 1);
+                WorkerCall::Look(worker, order)
+            }
+        };
+        self.links.send(call).await.map_err(|_| "the links have ended")
+    }
+}
+
+fn prefix(text: &str) -> KeyRange {
+    KeyRange::Prefix(text.into())
+}
+
+/// Reads keys; waits as long as the store is away.
+async fn retry(kv: &KeyValue, range: KeyRange) -> Vec<KvEntry> {
+    loop {
+        let read: KvResult<Vec<KvEntry>> = kv.range(range.clone()).await;
+        match read {
+            Ok(entries) => return entries,
+            Err(_) => tokio::time::sleep(RETRY).await,
+        }
+    }
+}
+
+/// Joins the records of each job.
+fn stored_jobs(entries: Vec<KvEntry>, progress: Vec<KvEntry>, log: &Logger) -> Vec<StoredJob> {
+    let mut progress: FastMap<Arc<str>, JobProgress> = progress
+        .into_iter()
+        .filter_map(|entry| {
+            let id = entry.key.strip_prefix(PROGRESS_PREFIX)?;
+            Some((Arc::from(id), records::decode(&entry.value).ok()?))
+        })
+        .collect();
+    let mut cancelled: FastSet<Arc<str>> = FastSet::default();
+    let mut jobs = Vec::new();
+    for entry in &entries {
+        match records::job_key_kind(&entry.key) {
+            Some(JobKeyKind::Cancel(id)) => {
+                cancelled.insert(id.into());
+            }
+            Some(JobKeyKind::Job(id)) => match records::decode::<JobRecord>(&entry.value) {
+                Ok(record) => jobs.push((Arc::<str>::from(id), record)),
+                Err(error) => warn!(log, "job skipped"; "job" => id, "reason" => %error),
+            },
+            None => {}
+        }
+    }
+    jobs.into_iter()
+        .map(|(id, record)| StoredJob {
+            progress: progress.remove(&id),
+            cancelled: cancelled.contains(&id),
+            id,
+            record,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/service.rs
@@ -0,0 +1,233 @@
+//! Starts the tasks of the job service, and joins them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryscale_adapters::{SystemClock, log, metrics};
+use rosemaryscale_platform::front::{FrontError, FrontServer};
+use rosemaryscale_platform::{
+    CONFIG_KEY, WORKER_PREFIX, queue_config, store, worker_entry, worker_link,
+};
+use rosemaryscale_ports::clock::ClockHandle;
+use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
+use rosemaryscale_ports::kv::{KeyRange, KeyValue, KvError, Update, WatchEvent};
+use rosemaryscale_ports::prelude::*;
+use slog::{Level, Logger, info, warn};
+use snafu::{ResultExt, Snafu};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use uuid::Uuid;
+
+use super::config::JobServiceConfig;
+use super::front::{Front, FrontOptions, HolderSeen};
+use super::holder::HolderOptions;
+use super::records::{HolderRecord, VIEW_PREFIX};
+use super::election;
+
+const FRONT_CALLS: usize = 1_024;
+/// States of jobs are shown within this time; each read of the watch is a priced call.
+const STATE_WATCH_INTERVAL_MS: u64 = 100;
+/// Length of the lease of runs: covers a look's wait, the lapse of a holder and its replacement.
+const RUN_LEASE_MS: u64 = 5_000;
+/// Longest wait of a look for an end.
+const LOOK_WAIT_MS: u64 = 1_000;
+/// The load balancer asks each second and needs two misses before it sends callers elsewhere.
+const LEAVE: Duration = Duration::from_millis(2_500);
+
+/// Why the job service did not start or run.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub enum JobServiceError {
+    /// A server did not start.
+    #[snafu(display("{source}"))]
+    Server {
+        /// Why.
+        source: FrontError,
+    },
+    /// The platform's client has stopped.
+    #[snafu(display("{source}"))]
+    Store {
+        /// Why.
+        source: KvError,
+    },
+    /// Signals cannot be received, or no metrics socket can be opened.
+    #[snafu(display("cannot have a resource of the system: {source}; check the limits"))]
+    Resource {
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// A daemon of the job service.
+pub struct JobService {
+    log: Logger,
+    front_server: JoinHandle<()>,
+    ready_server: JoinHandle<()>,
+    front: JoinHandle<()>,
+    election: JoinHandle<()>,
+    config: JoinHandle<()>,
+    store: JoinHandle<()>,
+    leaving: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
+    end: watch::Sender<bool>,
+}
+
+impl JobService {
+    /// Starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address or a resource cannot be had.
+    pub async fn start(settings: JobServiceConfig) -> Result<Self, JobServiceError> {
+        let log = log::open_stdout(settings.log_format, Level::Info);
+        let clock: ClockHandle = Arc::new(SystemClock::new());
+        let metrics = metrics::open(None).context(ResourceSnafu)?;
+        let (kv, store) = store::start(settings.store_address, Arc::clone(&metrics));
+        let (config_sender, config_watch) = watch::channel(Arc::new(QueueConfig::default()));
+        let config_key = KeyRange::Prefix(CONFIG_KEY.into());
+        let config_events = kv.watch(config_key).await.context(StoreSnafu)?;
+        let view = KeyRange::Prefix(VIEW_PREFIX.into());
+        let view = kv.watch_every(view, STATE_WATCH_INTERVAL_MS).await.context(StoreSnafu)?;
+        let (leaving, leaving_watch) = watch::channel(false);
+        let (stop, stop_watch) = watch::channel(false);
+        let (end, end_watch) = watch::channel(false);
+        let (calls, call_receiver) = mpsc::channel(FRONT_CALLS);
+        let (holder, holder_watch) = watch::channel(HolderSeen::Unknown);
+        let (ready, ready_watch) = watch::channel(Err("starting".into()));
+        let front_server = FrontServer::jobs(settings.caller_address, calls, stop_watch.clone());
+        let front_server = front_server.await.context(ServerSnafu)?;
+        let ready_server = FrontServer::ready(settings.ready_address, ready_watch, end_watch);
+        let ready_server = ready_server.await.context(ServerSnafu)?;
+        let front = Front::new(FrontOptions {
+            kv: kv.clone(),
+            clock: Arc::clone(&clock),
+            config: config_watch.clone(),
+            view,
+            calls: call_receiver,
+            holder,
+            ready,
+            stopping: leaving_watch.clone(),
+            log: log.clone(),
+        });
+        let options = holder_options(&settings, kv, clock, config_watch, metrics, &log);
+        info!(log, "started"; "daemon" => &*settings.name, "zone" => &*settings.availability_zone);
+        Ok(Self {
+            front_server: tokio::spawn(front_server.run()),
+            ready_server: tokio::spawn(ready_server.run()),
+            front: tokio::spawn(front.run()),
+            election: tokio::spawn(election::run(options, holder_watch, leaving_watch)),
+            config: tokio::spawn(follow_config(config_events, config_sender, stop_watch, log.clone())),
+            store,
+            leaving,
+            stop,
+            end,
+            log,
+        })
+    }
+
+    /// Serves until SIGTERM, then leaves gracefully and joins all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when signals cannot be received.
+    pub async fn run(self) -> Result<(), JobServiceError> {
+        let mut terminate = open_signal(SignalKind::terminate())?;
+        let mut interrupt = open_signal(SignalKind::interrupt())?;
+        let mut reload = open_signal(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = reload.recv() => {
+                    // Addresses of a process do not change while it runs.
+                    info!(self.log, "reload: no setting of a running daemon has changed");
+                }
+            }
+        }
+        info!(self.log, "stopping");
+        self.leaving.send_replace(true);
+        let _ = self.election.await;
+        tokio::time::sleep(LEAVE).await;
+        self.stop.send_replace(true);
+        let _ = self.front_server.await;
+        let _ = self.front.await;
+        let _ = self.config.await;
+        self.end.send_replace(true);
+        let _ = self.ready_server.await;
+        let _ = self.store.await;
+        info!(self.log, "stopped");
+        Ok(())
+    }
+}
+
+fn open_signal(kind: SignalKind) -> Result<Signal, JobServiceError> {
+    signal(kind).context(ResourceSnafu)
+}
+
+fn holder_options(
+    settings: &JobServiceConfig,
+    kv: KeyValue,
+    clock: ClockHandle,
+    config: QueueConfigWatch,
+    metrics: Metrics,
+    log: &Logger,
+) -> HolderOptions {
+    HolderOptions {
+        kv,
+        clock,
+        config,
+        own: HolderRecord {
+            daemon: Arc::clone(&settings.name),
+            incarnation: Uuid::new_v4().to_string().into(),
+        },
+        run_lease_ms: RUN_LEASE_MS.min(settings.run_lease_max_ms),
+        look_wait_ms: LOOK_WAIT_MS,
+        status_kept_ms: settings.status_kept_ms,
+        worker_prefix: WORKER_PREFIX.into(),
+        read_worker: worker_entry::decode,
+        start_links: worker_link::start,
+        metrics,
+        log: log.clone(),
+    }
+}
+
+/// Keeps the newest configuration; an older one never replaces it.
+async fn follow_config(
+    mut events: mpsc::Receiver<WatchEvent>,
+    config: watch::Sender<Arc<QueueConfig>>,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+) {
+    loop {
+        let event = tokio::select! {
+            event = events.recv() => event,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        let entries = match event {
+            None => return,
+            Some(WatchEvent::Snapshot { entries, .. }) => entries,
+            Some(WatchEvent::Changed { updates, .. }) => updates
+                .into_iter()
+                .filter_map(|update| match update {
+                    Update::Put(entry) => Some(entry),
+                    Update::Deleted(_) => None,
+                })
+                .collect(),
+            Some(WatchEvent::Disconnected { reason }) => {
+                warn!(log, "the configuration is not heard"; "reason" => reason);
+                continue;
+            }
+        };
+        for entry in entries.iter().filter(|entry| &*entry.key == CONFIG_KEY) {
+            match queue_config::decode(&entry.value) {
+                Ok(newer) if newer.version > config.borrow().version => {
+                    info!(log, "configuration in force"; "version" => newer.version);
+                    config.send_replace(Arc::new(newer));
+                }
+                Ok(_) => {}
+                Err(reason) => warn!(log, "configuration skipped"; "reason" => &*reason),
+            }
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod daemon;
 pub mod dispatcher;
 pub mod fan_out;
+pub mod jobs;
 pub mod membership;
 pub mod observations;
 pub mod peer_service;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use rosemaryscale_daemon::cli::{self, Command};
+use rosemaryscale_daemon::jobs::{JobService, JobServiceConfig};
 use rosemaryscale_daemon::{Config, Daemon};
 
 const USAGE: u8 = 2;
@@ -23,10 +24,30 @@
             Ok(config) => return run(config),
             Err(error) => return fail(USAGE, &error),
         },
+        Command::CheckJobs { config } => match JobServiceConfig::read(&config) {
+            Ok(_) => println!("{}: valid", config.display()),
+            Err(error) => return fail(USAGE, &error),
+        },
+        Command::RunJobs { config } => match JobServiceConfig::read(&config) {
+            Ok(config) => return run_jobs(config),
+            Err(error) => return fail(USAGE, &error),
+        },
     }
     ExitCode::SUCCESS
 }
 
+/// One thread is enough for a share of a core, and costs less than several.
+#[tokio::main(flavor = "current_thread")]
+async fn run_jobs(config: JobServiceConfig) -> ExitCode {
+    match JobService::start(config).await {
+        Ok(service) => match service.run().await {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => fail(1, &error),
+        },
+        Err(error) => fail(1, &error),
+    }
+}
+
 #[tokio::main]
 async fn run(config: Config) -> ExitCode {
     match Daemon::start(config).await {
--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -33,4 +33,10 @@
     pub struct TeamKey;
     /// Key of a worker.
     pub struct WorkerKey;
+    /// Key of a task of a job.
+    pub struct TaskKey;
+    /// Key of a run of a task.
+    pub struct RunKey;
+    /// Key of an instance that the platform can move or maintain.
+    pub struct MachineKey;
 }
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -1,8 +1,9 @@
 //! The types that most modules of this package and its users need.
 
 pub use crate::key::{
-    CallerKey, ClaimKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, PoolKey, RackKey,
-    RequestKey, ServiceKey, SlotKey, TeamKey, WaiterKey, WorkerKey, ZoneKey,
+    CallerKey, ClaimKey, ConnectionKey, DaemonKey, InstanceKey, JobKey, MachineKey, PoolKey,
+    RackKey, RequestKey, RunKey, ServiceKey, SlotKey, TaskKey, TeamKey, WaiterKey, WorkerKey,
+    ZoneKey,
 };
 pub use crate::map::{FastMap, FastSet};
 pub use crate::millis::Millis;
--- /dev/null
+++ b/crates/domain/src/route.rs
@@ -0,0 +1,31 @@
+//! Which request belongs to which queue.
+
+use crate::prelude::*;
+
+/// A route to a queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The queue.
+    pub queue: Arc<str>,
+    /// Host that callers name.
+    pub host: Arc<str>,
+    /// Beginning of the path.
+    pub prefix: Arc<str>,
+}
+
+/// Finds the queue of a request and the rest of its path; the longest prefix decides.
+#[must_use]
+pub fn find<'a, 'p>(routes: &'a [Route], host: &str, path: &'p str) -> Option<(&'a Route, &'p str)> {
+    routes
+        .iter()
+        .filter(|route| route.host.eq_ignore_ascii_case(host))
+        .filter_map(|route| Some((route, path.strip_prefix(&*route.prefix)?)))
+        .max_by_key(|(route, _)| route.prefix.len())
+}
+
+/// Whether text is the id of a job: 16 hexadecimal digits.
+#[must_use]
+pub fn is_job_id(text: &str) -> bool {
+    const JOB_ID_DIGITS: usize = 16;
+    text.len() == JOB_ID_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
--- /dev/null
+++ b/crates/domain/src/schedule/book.rs
@@ -0,0 +1,302 @@
+//! Jobs and their tasks.
+
+use crate::job::{
+    JobProgress, JobRecord, JobState, QueuePolicy, StepSpec, TaskName, TaskPosition, TaskProgress,
+};
+use crate::prelude::*;
+
+/// What a task does now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TaskStatus {
+    /// Earlier steps are not done.
+    Blocked,
+    /// A run of a former holder may exist.
+    Unaccounted,
+    /// It can start.
+    Ready,
+    /// It has a run that is not over.
+    Placed(RunKey),
+    /// It is done, or its job is over.
+    Over,
+}
+
+/// A task.
+#[derive(Debug)]
+pub(super) struct Task {
+    pub job: JobKey,
+    pub position: TaskPosition,
+    pub status: TaskStatus,
+    /// Whether it has ended done.
+    pub done: bool,
+    /// Highest number of a run so far.
+    pub last_number: u32,
+    pub failures: u32,
+    pub checkpoint: Arc<str>,
+    /// Worker of the last failed run.
+    pub avoid: Option<WorkerKey>,
+    /// Not started before this time.
+    pub not_before: Millis,
+    /// Since when a long-running task is not at work.
+    pub away_since: Option<Millis>,
+}
+
+/// A job.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub id: Arc<str>,
+    pub record: JobRecord,
+    pub policy: QueuePolicy,
+    pub state: JobState,
+    /// State that the store has.
+    pub written_state: JobState,
+    pub ended_wall_ms: u64,
+    /// When it was received, on this process's clock; its origin if that was before its start.
+    pub received_at: Millis,
+    /// Tasks by occurrence, step and index.
+    pub occurrences: Vec<Vec<Vec<TaskKey>>>,
+    /// Tasks that are not done.
+    pub open_tasks: usize,
+    /// Whether what the store has is out of date.
+    pub dirty: bool,
+}
+
+impl Job {
+    pub(super) fn step(&self, number: u16) -> Option<&StepSpec> {
+        self.record.spec.steps.get(usize::from(number))
+    }
+
+    pub(super) fn occurrences_total(&self) -> u32 {
+        self.record.spec.repeat.map_or(1, |repeat| repeat.count)
+    }
+
+    /// Wall-clock time at which the next occurrence is due, if there is one.
+    pub(super) fn next_due_wall_ms(&self) -> Option<u64> {
+        let created = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
+        if self.state.is_final() || created >= self.occurrences_total() {
+            return None;
+        }
+        Some(self.record.spec.repeat.map_or(0, |repeat| {
+            repeat.start_wall_ms + u64::from(created) * repeat.interval_ms
+        }))
+    }
+
+    pub(super) fn task_at(&self, position: TaskPosition) -> Option<TaskKey> {
+        let steps = self.occurrences.get(position.occurrence as usize)?;
+        let tasks = steps.get(usize::from(position.step))?;
+        tasks.get(position.index as usize).copied()
+    }
+
+    pub(super) fn long_running(&self) -> bool {
+        self.record.spec.steps.iter().any(|step| step.long_running)
+    }
+}
+
+/// All jobs.
+#[derive(Debug, Default)]
+pub(super) struct Book {
+    pub jobs: SlotMap<JobKey, Job>,
+    pub tasks: SlotMap<TaskKey, Task>,
+    pub by_id: FastMap<Arc<str>, JobKey>,
+}
+
+impl Book {
+    /// Adds a job; `None` if it is known.
+    pub(super) fn add(
+        &mut self,
+        id: Arc<str>,
+        record: JobRecord,
+        received_at: Millis,
+    ) -> Option<JobKey> {
+        if self.by_id.contains_key(&id) {
+            return None;
+        }
+        let key = self.jobs.insert(Job {
+            id: Arc::clone(&id),
+            policy: record.policy.clone(),
+            record,
+            state: JobState::Queued,
+            written_state: JobState::Queued,
+            ended_wall_ms: 0,
+            received_at,
+            occurrences: Vec::new(),
+            open_tasks: 0,
+            dirty: false,
+        });
+        self.by_id.insert(id, key);
+        Some(key)
+    }
+
+    /// Creates the tasks of the next occurrence.
+    pub(super) fn open_occurrence(&mut self, key: JobKey, restored: bool) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let occurrence = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
+        let mut steps = Vec::with_capacity(job.record.spec.steps.len());
+        for (number, step) in job.record.spec.steps.iter().enumerate() {
+            let blocked = !step.after.is_empty();
+            let status = match (blocked, restored) {
+                (true, false) => TaskStatus::Blocked,
+                (false, false) => TaskStatus::Ready,
+                (_, true) => TaskStatus::Unaccounted,
+            };
+            let tasks: Vec<TaskKey> = (0..step.count)
+                .map(|index| {
+                    self.tasks.insert(Task {
+                        job: key,
+                        position: TaskPosition {
+                            occurrence,
+                            step: u16::try_from(number).unwrap_or(u16::MAX),
+                            index,
+                        },
+                        status,
+                        done: false,
+                        last_number: 0,
+                        failures: 0,
+                        checkpoint: "".into(),
+                        avoid: None,
+                        not_before: Millis::ZERO,
+                        away_since: None,
+                    })
+                })
+                .collect();
+            job.open_tasks += tasks.len();
+            steps.push(tasks);
+        }
+        job.occurrences.push(steps);
+    }
+
+    /// Applies what the store has of a job.
+    pub(super) fn restore(&mut self, key: JobKey, progress: &JobProgress) {
+        for position in &progress.done {
+            self.open_occurrences_up_to(key, position.occurrence);
+            if let Some(task) = self.task_at(key, *position) {
+                self.mark_done(task);
+            }
+        }
+        for stored in &progress.tasks {
+            self.open_occurrences_up_to(key, stored.position.occurrence);
+            if let Some(task) = self.task_at(key, stored.position).and_then(|t| self.tasks.get_mut(t)) {
+                task.failures = stored.failures;
+                task.checkpoint = Arc::clone(&stored.checkpoint);
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.state = progress.state;
+            job.written_state = progress.state;
+            job.ended_wall_ms = progress.ended_wall_ms;
+        }
+    }
+
+    /// Creates tasks up to an occurrence, which a worker or the store has named.
+    pub(super) fn open_occurrences_up_to(&mut self, key: JobKey, occurrence: u32) {
+        while let Some(job) = self.jobs.get(key) {
+            let created = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
+            if created > occurrence || created >= job.occurrences_total() {
+                return;
+            }
+            self.open_occurrence(key, true);
+        }
+    }
+
+    fn task_at(&self, key: JobKey, position: TaskPosition) -> Option<TaskKey> {
+        self.jobs.get(key)?.task_at(position)
+    }
+
+    pub(super) fn find(&self, name: &TaskName) -> Option<TaskKey> {
+        self.task_at(*self.by_id.get(&name.job)?, name.position)
+    }
+
+    pub(super) fn name(&self, key: TaskKey) -> Option<TaskName> {
+        let task = self.tasks.get(key)?;
+        Some(TaskName {
+            job: Arc::clone(&self.jobs.get(task.job)?.id),
+            position: task.position,
+        })
+    }
+
+    pub(super) fn step_of(&self, key: TaskKey) -> Option<&StepSpec> {
+        let task = self.tasks.get(key)?;
+        self.jobs.get(task.job)?.step(task.position.step)
+    }
+
+    /// Marks a task as done; returns whether it was not before.
+    pub(super) fn mark_done(&mut self, key: TaskKey) -> bool {
+        let Some(task) = self.tasks.get_mut(key) else {
+            return false;
+        };
+        if task.done {
+            return false;
+        }
+        task.done = true;
+        task.status = TaskStatus::Over;
+        if let Some(job) = self.jobs.get_mut(task.job) {
+            job.open_tasks = job.open_tasks.saturating_sub(1);
+            job.dirty = true;
+        }
+        true
+    }
+
+    /// Status of a task without a run.
+    pub(super) fn idle_status(&self, key: TaskKey) -> TaskStatus {
+        let Some(task) = self.tasks.get(key) else {
+            return TaskStatus::Over;
+        };
+        let Some(job) = self.jobs.get(task.job) else {
+            return TaskStatus::Over;
+        };
+        if task.done || job.state.is_final() {
+            return TaskStatus::Over;
+        }
+        let ready = job.step(task.position.step).is_some_and(|step| {
+            step.after
+                .iter()
+                .all(|earlier| self.step_done(job, task.position.occurrence, *earlier))
+        });
+        if ready { TaskStatus::Ready } else { TaskStatus::Blocked }
+    }
+
+    fn step_done(&self, job: &Job, occurrence: u32, step: u16) -> bool {
+        let tasks = job
+            .occurrences
+            .get(occurrence as usize)
+            .and_then(|steps| steps.get(usize::from(step)));
+        tasks.is_some_and(|tasks| tasks.iter().all(|task| self.tasks.get(*task).is_some_and(|task| task.done)))
+    }
+
+    /// What the store has to know of a job.
+    pub(super) fn progress(&self, key: JobKey) -> Option<JobProgress> {
+        let job = self.jobs.get(key)?;
+        let mut progress = JobProgress {
+            state: job.state,
+            ended_wall_ms: job.ended_wall_ms,
+            ..JobProgress::default()
+        };
+        if job.state.is_final() {
+            return Some(progress);
+        }
+        let tasks = job.occurrences.iter().flatten().flatten();
+        for task in tasks.filter_map(|task| self.tasks.get(*task)) {
+            if task.done {
+                progress.done.push(task.position);
+            } else if task.failures > 0 || !task.checkpoint.is_empty() {
+                progress.tasks.push(TaskProgress {
+                    position: task.position,
+                    failures: task.failures,
+                    checkpoint: Arc::clone(&task.checkpoint),
+                });
+            }
+        }
+        Some(progress)
+    }
+
+    /// Takes a job out that the store has forgotten.
+    pub(super) fn remove(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.remove(key) {
+            self.by_id.remove(&job.id);
+            for task in job.occurrences.into_iter().flatten().flatten() {
+                self.tasks.remove(task);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/schedule/persist.rs
@@ -0,0 +1,165 @@
+//! What must be written before ends are acknowledged and workers are used.
+
+use serde::{Deserialize, Serialize};
+
+use super::Scheduler;
+use super::order::WorkerReport;
+use crate::job::{JobProgress, JobState};
+use crate::placement::Resources;
+use crate::prelude::*;
+
+/// A worker that may run something, as a new holder needs to know it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RecordedWorker {
+    /// Name of this life of the worker.
+    pub id: Arc<str>,
+    /// Where it takes orders.
+    pub address: Arc<str>,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    pub started_wall_ms: u64,
+}
+
+impl RecordedWorker {
+    pub(super) fn into_report(self) -> WorkerReport {
+        WorkerReport {
+            id: self.id,
+            service: "".into(),
+            address: self.address,
+            availability_zone: "".into(),
+            labels: Vec::new(),
+            capacity: Resources::default(),
+            machine: "".into(),
+            started_wall_ms: self.started_wall_ms,
+            draining: false,
+        }
+    }
+}
+
+/// What is written of one job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobWrite {
+    /// The job's id.
+    pub id: Arc<str>,
+    /// Its queue.
+    pub queue: Arc<str>,
+    /// What a new holder needs.
+    pub progress: JobProgress,
+    /// The state that callers see, if it has changed.
+    pub state: Option<JobState>,
+}
+
+/// What is written together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// Its number.
+    pub sequence: u64,
+    /// The jobs.
+    pub jobs: Vec<JobWrite>,
+    /// Workers that may run something.
+    pub workers: Vec<RecordedWorker>,
+}
+
+impl Scheduler {
+    /// The next batch, if one is due and none is on its way.
+    pub fn take_batch(&mut self, now: Millis) -> Option<Batch> {
+        if self.batch_in_flight || self.batch_due.is_none_or(|due| due > now) {
+            return None;
+        }
+        self.batch_due = None;
+        self.batch_in_flight = true;
+        self.batch_sequence += 1;
+        let dirty: Vec<JobKey> = self
+            .book
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.dirty)
+            .map(|(key, _)| key)
+            .collect();
+        let jobs = dirty.into_iter().filter_map(|key| self.job_write(key)).collect();
+        let workers = self
+            .workers
+            .values()
+            .map(|worker| RecordedWorker {
+                id: Arc::clone(&worker.report.id),
+                address: Arc::clone(&worker.report.address),
+                started_wall_ms: worker.report.started_wall_ms,
+            })
+            .collect();
+        Some(Batch {
+            sequence: self.batch_sequence,
+            jobs,
+            workers,
+        })
+    }
+
+    fn job_write(&mut self, key: JobKey) -> Option<JobWrite> {
+        let progress = self.book.progress(key)?;
+        let job = self.book.jobs.get_mut(key)?;
+        job.dirty = false;
+        let state = (job.state != job.written_state).then_some(job.state);
+        job.written_state = job.state;
+        Some(JobWrite {
+            id: Arc::clone(&job.id),
+            queue: Arc::clone(&job.record.queue),
+            progress,
+            state,
+        })
+    }
+
+    /// Applies that a batch was written.
+    pub fn batch_written(&mut self, batch: &Batch, now: Millis) {
+        self.batch_in_flight = false;
+        for recorded in &batch.workers {
+            let key = self.workers_by_id.get(&recorded.id);
+            if let Some(worker) = key.and_then(|key| self.workers.get_mut(*key))
+                && worker.report.address == recorded.address
+                && !worker.recorded
+            {
+                worker.recorded = true;
+                self.place_wanted = true;
+            }
+        }
+        for worker in self.workers.values_mut() {
+            while let Some((end, written_with)) = worker.unwritten_ends.front().copied() {
+                if written_with > batch.sequence {
+                    break;
+                }
+                worker.acknowledged = end;
+                worker.unwritten_ends.pop_front();
+            }
+            if worker.unwritten_ends.is_empty() && worker.told < worker.acknowledged {
+                let pause_ms = if worker.runs.is_empty() { super::ACKNOWLEDGE_MS } else { 0 };
+                worker.next_look = worker.next_look.min(now.after_ms(pause_ms));
+                if worker.runs.is_empty() {
+                    worker.next_look = now.after_ms(pause_ms);
+                }
+            }
+        }
+    }
+
+    /// Jobs that have been over for longer than they must be known, which the store may forget.
+    pub fn take_expired(&mut self, wall: Millis, keep_ms: u64, most: usize) -> Vec<Arc<str>> {
+        let expired: Vec<JobKey> = self
+            .book
+            .jobs
+            .iter()
+            .filter(|(_, job)| {
+                job.state.is_final()
+                    && !job.dirty
+                    && job.written_state == job.state
+                    && wall.ms_since(Millis::from_ms(job.ended_wall_ms)) > keep_ms
+            })
+            .map(|(key, _)| key)
+            .take(most)
+            .collect();
+        expired
+            .into_iter()
+            .filter_map(|key| {
+                let id = Arc::clone(&self.book.jobs.get(key)?.id);
+                self.book.remove(key);
+                Some(id)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/domain/src/schedule/place.rs
@@ -0,0 +1,305 @@
+//! Which ready task starts where.
+
+use super::book::{Job, Task, TaskStatus};
+use super::order::{Action, StartOrder};
+use super::run::{Phase, PlacedRun, Run, RunFacts};
+use super::worker::Worker;
+use super::{LAZY_BATCH_MS, LEASE_MARGIN_MS, LOOK_GAP_MS, RUNS_PER_TERM, Scheduler};
+use crate::job::{JobState, StepSpec};
+use crate::placement::Resources;
+use crate::prelude::*;
+
+/// A job that is late by this factor of its objective earns nothing any more.
+const LATE_FACTOR: u64 = 3;
+
+/// Order in which ready tasks are placed; smaller first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// Runs until cancelled, and is away.
+    Lasting,
+    /// Can still meet its objective.
+    InTime,
+    /// Late, but still of use.
+    Late,
+    /// Too late to be of use; it is still owed.
+    Owed,
+}
+
+/// Rank of a job in a placement pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    urgency: Urgency,
+    deadline: Millis,
+    job: JobKey,
+}
+
+impl Scheduler {
+    pub(super) fn place(&mut self, now: Millis) {
+        let ranked = self.ranked(now);
+        let mut refused_step: Option<(JobKey, u32, u16)> = None;
+        let mut refused: FastMap<ServiceKey, Resources> = FastMap::default();
+        for (rank, key) in ranked {
+            let Some(task) = self.book.tasks.get(key) else {
+                continue;
+            };
+            let step_id = (rank.job, task.position.occurrence, task.position.step);
+            if refused_step == Some(step_id) || task.not_before > now {
+                self.place_wanted |= task.not_before > now;
+                self.ready.push(key);
+                continue;
+            }
+            if !self.place_task(key, &mut refused, now) {
+                refused_step = Some(step_id);
+                self.ready.push(key);
+            }
+        }
+    }
+
+    /// The ready tasks in the order of their urgency.
+    fn ranked(&mut self, now: Millis) -> Vec<(Rank, TaskKey)> {
+        let ready = std::mem::take(&mut self.ready);
+        let mut ranked: Vec<(Rank, TaskKey)> = ready
+            .into_iter()
+            .filter_map(|key| {
+                let task = self.book.tasks.get(key)?;
+                if task.status != TaskStatus::Ready {
+                    return None;
+                }
+                let job = self.book.jobs.get(task.job)?;
+                Some((rank(task, job, now), key))
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.dedup();
+        ranked
+    }
+
+    fn place_task(
+        &mut self,
+        key: TaskKey,
+        refused: &mut FastMap<ServiceKey, Resources>,
+        now: Millis,
+    ) -> bool {
+        let Some(step) = self.book.step_of(key) else {
+            return true;
+        };
+        let (gang, need) = (step.gang, step.need());
+        if gang {
+            return self.place_gang(key, now);
+        }
+        let job = self.book.tasks[key].job;
+        let service_name = Arc::clone(&self.book.jobs[job].policy.service);
+        let service = self.service_key(&service_name);
+        if refused.get(&service).is_some_and(|smallest| smallest.fits(need)) {
+            return false;
+        }
+        let Some(worker) = self.choose(key, service, &[], now) else {
+            let unconstrained = self
+                .book
+                .step_of(key)
+                .is_some_and(|step| step.requirement.is_none() && step.per_worker_max == 0);
+            if unconstrained {
+                refused.insert(service, need);
+            }
+            return false;
+        };
+        let number = self.next_number(key);
+        self.start(key, worker, number, now);
+        true
+    }
+
+    /// Starts all members of a gang, or none.
+    fn place_gang(&mut self, key: TaskKey, now: Millis) -> bool {
+        let task = &self.book.tasks[key];
+        let (job, position) = (task.job, task.position);
+        let members = self.book.jobs[job].occurrences[position.occurrence as usize]
+            [usize::from(position.step)]
+        .clone();
+        let all_ready = members.iter().all(|member| {
+            self.book.tasks.get(*member).is_some_and(|task| task.status == TaskStatus::Ready)
+        });
+        if !all_ready {
+            return false;
+        }
+        let service_name = Arc::clone(&self.book.jobs[job].policy.service);
+        let service = self.service_key(&service_name);
+        let mut planned: Vec<(WorkerKey, Resources)> = Vec::new();
+        for member in &members {
+            let Some(worker) = self.choose(*member, service, &planned, now) else {
+                return false;
+            };
+            let need = self.book.step_of(*member).map(StepSpec::need).unwrap_or_default();
+            planned.push((worker, need));
+        }
+        let number = members.iter().map(|member| self.next_number(*member)).max().unwrap_or(1);
+        let checkpoint = members
+            .iter()
+            .filter_map(|member| self.book.tasks.get(*member))
+            .max_by_key(|task| (task.last_number, !task.checkpoint.is_empty()))
+            .map(|task| Arc::clone(&task.checkpoint));
+        for (member, (worker, _)) in members.into_iter().zip(planned) {
+            if let (Some(task), Some(checkpoint)) = (self.book.tasks.get_mut(member), &checkpoint) {
+                task.checkpoint = Arc::clone(checkpoint);
+            }
+            self.start(member, worker, number, now);
+        }
+        true
+    }
+
+    fn next_number(&self, key: TaskKey) -> u32 {
+        let first = (self.settings.term.max(1) - 1) * RUNS_PER_TERM + 1;
+        let last = self.book.tasks.get(key).map_or(0, |task| task.last_number);
+        (last + 1).max(first)
+    }
+
+    /// The worker that the task fits best, if any.
+    fn choose(
+        &self,
+        key: TaskKey,
+        service: ServiceKey,
+        planned: &[(WorkerKey, Resources)],
+        now: Millis,
+    ) -> Option<WorkerKey> {
+        let task = self.book.tasks.get(key)?;
+        let step = self.book.step_of(key)?;
+        let need = step.need();
+        let planned_need = |worker: WorkerKey| {
+            planned
+                .iter()
+                .filter(|(key, _)| *key == worker)
+                .fold(Resources::default(), |sum, (_, need)| sum.plus(*need))
+        };
+        self.services
+            .get(service)?
+            .workers
+            .iter()
+            .filter_map(|key| Some((*key, self.workers.get(*key)?)))
+            .filter(|(key, worker)| {
+                worker.takes_work(now)
+                    && need.plus(planned_need(*key)).fits(worker.free())
+                    && step.requirement.as_ref().is_none_or(|label| worker.report.labels.contains(label))
+                    && self.beside_few(*key, task, step, planned)
+            })
+            .min_by_key(|(key, worker)| {
+                (
+                    task.avoid == Some(*key),
+                    off_rack(step, worker),
+                    room_left_ppm(step, worker),
+                    Arc::clone(&worker.report.id),
+                )
+            })
+            .map(|(key, _)| key)
+    }
+
+    /// Whether the worker has fewer tasks of the step than it may.
+    fn beside_few(
+        &self,
+        worker: WorkerKey,
+        task: &Task,
+        step: &StepSpec,
+        planned: &[(WorkerKey, Resources)],
+    ) -> bool {
+        if step.per_worker_max == 0 {
+            return true;
+        }
+        let same_step = |run: &&RunKey| {
+            self.runs
+                .get(**run)
+                .and_then(|run| self.book.tasks.get(run.facts().task))
+                .is_some_and(|other| {
+                    other.job == task.job
+                        && other.position.step == task.position.step
+                        && other.position.occurrence == task.position.occurrence
+                })
+        };
+        let running = self.workers[worker].runs.iter().filter(same_step).count();
+        let also_planned = planned.iter().filter(|(key, _)| *key == worker).count();
+        running + also_planned < step.per_worker_max as usize
+    }
+
+    fn start(&mut self, key: TaskKey, worker_key: WorkerKey, number: u32, now: Millis) {
+        let Some(name) = self.book.name(key) else {
+            return;
+        };
+        let Some(step) = self.book.step_of(key) else {
+            return;
+        };
+        let facts = RunFacts {
+            task: key,
+            number,
+            worker: worker_key,
+            need: step.need(),
+            fills: step.fills,
+            sent_at: now,
+        };
+        let checkpointing = step.checkpointing;
+        let worker = &mut self.workers[worker_key];
+        let Some(clock) = worker.clock_at(now) else {
+            return;
+        };
+        let run = self.runs.insert(PlacedRun::new(Phase::Sent(Run::new(facts))));
+        worker.runs.push(run);
+        worker.used = worker.used.plus(facts.need);
+        let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
+        worker.lease_end = worker.lease_end.max(lease_end);
+        if !worker.looking {
+            worker.next_look = worker.next_look.min(now.after_ms(LOOK_GAP_MS));
+        }
+        let task = &mut self.book.tasks[key];
+        task.status = TaskStatus::Placed(run);
+        task.last_number = number;
+        let checkpoint = if checkpointing { Arc::clone(&task.checkpoint) } else { "".into() };
+        let job_key = task.job;
+        let order = StartOrder {
+            run,
+            task: name,
+            number,
+            text: Arc::clone(&self.book.jobs[job_key].record.spec.text),
+            deadline_ms: clock + self.settings.run_lease_ms,
+            checkpoint,
+            ticket: None,
+        };
+        self.counters.starts += 1;
+        self.actions.push(Action::Start(worker_key, order));
+        let job = &mut self.book.jobs[job_key];
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+            job.dirty = true;
+            self.want_batch(now.after_ms(LAZY_BATCH_MS));
+        }
+    }
+}
+
+fn rank(task: &Task, job: &Job, now: Millis) -> Rank {
+    let chain_ms = job.record.spec.chain_ms();
+    let objective_ms = (chain_ms as f64 * job.policy.stretch) as u64 + job.policy.objective_ms;
+    let deadline = job.received_at.after_ms(objective_ms);
+    let age_ms = now.ms_since(job.received_at);
+    let urgency = if job.long_running() {
+        Urgency::Lasting
+    } else if now <= deadline {
+        Urgency::InTime
+    } else if age_ms <= objective_ms * LATE_FACTOR {
+        Urgency::Late
+    } else {
+        Urgency::Owed
+    };
+    Rank {
+        urgency,
+        deadline,
+        job: task.job,
+    }
+}
+
+/// Whether the worker is in another rack than the task's data.
+fn off_rack(step: &StepSpec, worker: &Worker) -> bool {
+    step.affinity.as_ref().is_some_and(|rack| worker.rack() != Some(rack))
+}
+
+/// Room of the worker, as the key of the choice: tasks are packed, but tasks that use only what
+/// others leave go where most is left.
+fn room_left_ppm(step: &StepSpec, worker: &Worker) -> u64 {
+    let free = worker.free().minus(step.need());
+    let share = free.dominant_share_ppm(worker.report.capacity);
+    if step.fills { 1_000_000 - share.min(1_000_000) } else { share }
+}
--- a/crates/ports/src/kv.rs
+++ b/crates/ports/src/kv.rs
@@ -183,6 +183,8 @@
     Watch {
         /// Which keys.
         range: KeyRange,
+        /// Least time between two reads, so that a busy prefix costs a bounded number of calls.
+        interval_ms: u64,
         /// Where the events go.
         events: mpsc::Sender<WatchEvent>,
     },
@@ -264,10 +266,28 @@
     ///
     /// Fails when the platform client has stopped.
     pub async fn watch(&self, range: KeyRange) -> KvResult<mpsc::Receiver<WatchEvent>> {
+        self.watch_every(range, 0).await
+    }
+
+    /// Watches keys and reads their changes at most once in `interval_ms`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform client has stopped.
+    pub async fn watch_every(
+        &self,
+        range: KeyRange,
+        interval_ms: u64,
+    ) -> KvResult<mpsc::Receiver<WatchEvent>> {
         const WATCH_EVENTS: usize = 64;
         let (events, receiver) = mpsc::channel(WATCH_EVENTS);
+        let call = KvCall::Watch {
+            range,
+            interval_ms,
+            events,
+        };
         self.calls
-            .send(KvCall::Watch { range, events })
+            .send(call)
             .await
             .map_err(|_| stopped())?;
         Ok(receiver)
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod event;
 pub mod fleet;
 pub mod instance;
+pub mod job;
 pub mod kv;
 pub mod link;
 pub mod member;
@@ -30,6 +31,7 @@
 pub mod peer;
 pub mod prelude;
 pub mod slots;
+pub mod worker;
 
 pub use clock::Clock;
 pub use dispatch::Dispatch;
