Move instances between pools and carry out maintenance waves

Change: the scheduler plans moves from and to the spare pool by the waiting work, empties instances of a wave within what steps may miss, and orders only what runs nothing.

--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rosemaryscale_domain::schedule::{Batch, JobWrite};
 use rosemaryscale_ports::kv::{Change, Compare, KeyValue, KvEntry, KvError, Transaction};
 
@@ -13,6 +14,9 @@
 /// Pause before a write is tried again.
 const RETRY: Duration = Duration::from_millis(150);
 
+/// Key and value of the state of a wave: its number, and whether all have had their turn.
+pub(super) type WaveStateFormat = fn(u64, bool) -> (Arc<str>, Bytes);
+
 /// The newest write of the chain.
 #[derive(Clone, Debug)]
 pub(super) struct Chain {
@@ -34,10 +38,12 @@
         mut self,
         kv: &KeyValue,
         batch: &Batch,
+        wave_state: WaveStateFormat,
     ) -> Result<Self, LeadershipLost> {
         let record = ChainRecord {
             term: self.term,
             workers: batch.workers.clone(),
+            waves: batch.waves.clone(),
         };
         let value = records::encode(&record);
         let chain_put = records::put(CHAIN_KEY.into(), value);
@@ -46,6 +52,13 @@
             .chunks(JOBS_PER_TRANSACTION)
             .map(|jobs| jobs.iter().flat_map(changes).collect())
             .collect();
+        for states in batch.wave_states.chunks(JOBS_PER_TRANSACTION) {
+            let puts = states.iter().map(|(number, completed)| {
+                let (key, value) = wave_state(*number, *completed);
+                records::put(key, value)
+            });
+            chunks.push(puts.collect());
+        }
         if chunks.is_empty() {
             chunks.push(Vec::new());
         }
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -1,14 +1,16 @@
 //! The holder: runs the scheduler while its key is held.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rosemaryscale_domain::job::{JobProgress, JobRecord};
-use rosemaryscale_domain::schedule::order::{Action, WorkerReport};
+use rosemaryscale_domain::schedule::order::{Action, WaveRequest, WorkerReport};
 use rosemaryscale_domain::schedule::{Batch, ScheduleSettings, Scheduler, StoredJob};
 use rosemaryscale_ports::clock::ClockHandle;
-use rosemaryscale_ports::job::QueueConfigWatch;
+use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
 use rosemaryscale_ports::kv::{KeyRange, KeyValue, KvEntry, KvResult, Update, WatchEvent};
+use rosemaryscale_ports::machine::{MachineCall, MachineCalls, MachineEvent, MachineEvents};
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::{WorkerCall, WorkerCalls, WorkerEvent, WorkerEvents};
 use slog::{Logger, debug, info, warn};
@@ -16,7 +18,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::MissedTickBehavior;
 
-use super::batch::{Chain, LeadershipLost};
+use super::batch::{Chain, LeadershipLost, WaveStateFormat};
 use super::lease::{self, HOLDER_GRACE_MS, HeldLease, RENEW_MS, Renewal};
 use super::records::{
     self, CHAIN_KEY, ChainRecord, HolderRecord, JOB_PREFIX, JobKeyKind, PROGRESS_PREFIX,
@@ -26,6 +28,8 @@
 const JOB_WATCH_MS: u64 = 25;
 /// Entries of workers are rewritten by every heartbeat; changes that matter are rare.
 const WORKER_WATCH_MS: u64 = 250;
+/// Waves come seldom.
+const WAVE_WATCH_MS: u64 = 500;
 /// Time between two rounds of what is due without an event.
 const TICK: Duration = Duration::from_millis(20);
 /// Results of orders that are applied before the scheduler decides anew.
@@ -35,11 +39,25 @@
 /// Pause before a read at the start is tried again.
 const RETRY: Duration = Duration::from_millis(150);
 
-/// Starts the links to workers.
-pub(super) type StartLinks = fn() -> (WorkerCalls, WorkerEvents, JoinHandle<()>);
-
-/// Reads the entry of a worker.
-pub(super) type ReadWorker = fn(&str, &[u8]) -> Result<WorkerReport, Arc<str>>;
+/// How the platform writes what the holder reads, and its clients.
+#[derive(Clone, Copy)]
+pub(super) struct PlatformFormats {
+    /// Prefix of the entries of workers.
+    pub(super) worker_prefix: &'static str,
+    /// Reads the entry of a worker.
+    pub(super) read_worker: fn(&str, &[u8]) -> Result<WorkerReport, Arc<str>>,
+    /// Prefix of the operators' waves.
+    pub(super) wave_prefix: &'static str,
+    /// Reads a wave.
+    pub(super) read_wave: fn(&[u8]) -> Result<WaveRequest, Arc<str>>,
+    /// Key and value of the state of a wave.
+    pub(super) wave_state: WaveStateFormat,
+    /// Starts the links to workers.
+    pub(super) start_links: fn() -> (WorkerCalls, WorkerEvents, JoinHandle<()>),
+    /// Starts the client of the list of instances.
+    pub(super) start_machines:
+        fn(SocketAddr, Arc<str>) -> (MachineCalls, MachineEvents, JoinHandle<()>),
+}
 
 /// What the holder is given.
 #[derive(Clone)]
@@ -51,9 +69,8 @@
     pub(super) run_lease_ms: u64,
     pub(super) look_wait_ms: u64,
     pub(super) status_kept_ms: u64,
-    pub(super) worker_prefix: Arc<str>,
-    pub(super) read_worker: ReadWorker,
-    pub(super) start_links: StartLinks,
+    pub(super) platform: PlatformFormats,
+    pub(super) machines_address: SocketAddr,
     pub(super) metrics: Metrics,
     pub(super) log: Logger,
 }
@@ -67,6 +84,15 @@
     Lost(&'static str),
 }
 
+/// What the holder hears.
+struct Inputs {
+    jobs: mpsc::Receiver<WatchEvent>,
+    workers: mpsc::Receiver<WatchEvent>,
+    waves: mpsc::Receiver<WatchEvent>,
+    worker_events: WorkerEvents,
+    machine_events: MachineEvents,
+}
+
 /// What ran beside the scheduler.
 enum Background {
     Renewed(Renewal),
@@ -80,6 +106,7 @@
     scheduler: Scheduler,
     chain: Option<Chain>,
     links: WorkerCalls,
+    machines: MachineCalls,
     background: JoinSet<Background>,
     renewing: bool,
     next_renewal: Millis,
@@ -93,26 +120,42 @@
         mut stop: watch::Receiver<bool>,
     ) -> HolderEnd {
         let kv = options.kv.clone();
-        let (links, events, link_task) = (options.start_links)();
-        let jobs = kv.watch_every(prefix(JOB_PREFIX), JOB_WATCH_MS).await;
-        let workers = kv
-            .watch_every(prefix(&options.worker_prefix), WORKER_WATCH_MS)
-            .await;
-        let (Ok(mut jobs), Ok(workers)) = (jobs, workers) else {
+        let platform = options.platform;
+        let (links, worker_events, link_task) = (platform.start_links)();
+        let own = Arc::clone(&options.own.daemon);
+        let (machines, machine_events, machine_task) =
+            (platform.start_machines)(options.machines_address, own);
+        let workers = prefix(platform.worker_prefix);
+        let watches = (
+            kv.watch_every(prefix(JOB_PREFIX), JOB_WATCH_MS).await,
+            kv.watch_every(workers, WORKER_WATCH_MS).await,
+            kv.watch_every(prefix(platform.wave_prefix), WAVE_WATCH_MS)
+                .await,
+        );
+        let (Ok(jobs), Ok(workers), Ok(waves)) = watches else {
             return HolderEnd::Stopped;
         };
+        let mut inputs = Inputs {
+            jobs,
+            workers,
+            waves,
+            worker_events,
+            machine_events,
+        };
+        let handles = (links, machines);
         let started = tokio::select! {
-            started = Self::read(options, held.clone(), links, &mut jobs) => started,
+            started = Self::read(options, held.clone(), handles, &mut inputs.jobs) => started,
             _ = stop.wait_for(|stop| *stop) => None,
         };
         let end = match started {
-            Some(holder) => holder.run(jobs, workers, events, stop).await,
+            Some(holder) => holder.run(inputs, stop).await,
             None if *stop.borrow() => HolderEnd::Stopped,
             None => HolderEnd::Lost("the store could not be read in time"),
         };
         // A revoked lease lets the next holder begin at once.
         let _ = tokio::time::timeout(LAST_BATCH, kv.revoke(held.lease)).await;
         let _ = link_task.await;
+        let _ = machine_task.await;
         end
     }
 
@@ -120,7 +163,7 @@
     async fn read(
         options: HolderOptions,
         mut held: HeldLease,
-        links: WorkerCalls,
+        (links, machines): (WorkerCalls, MachineCalls),
         jobs: &mut mpsc::Receiver<WatchEvent>,
     ) -> Option<Self> {
         let chain = retry(&options.kv, KeyRange::Key(CHAIN_KEY.into())).await;
@@ -154,7 +197,8 @@
         for job in restored {
             scheduler.restore(job, now, wall);
         }
-        scheduler.configure(&options.config.borrow().policies);
+        scheduler.restore_waves(former.waves);
+        configure(&mut scheduler, &options.config.borrow());
         let chain = Chain {
             fence: held.fence,
             revision: chain.map_or(0, |entry| entry.mod_revision),
@@ -167,41 +211,41 @@
             scheduler,
             chain: Some(chain),
             links,
+            machines,
             background: JoinSet::new(),
             renewing: false,
         })
     }
 
-    async fn run(
-        mut self,
-        mut jobs: mpsc::Receiver<WatchEvent>,
-        mut workers: mpsc::Receiver<WatchEvent>,
-        mut events: WorkerEvents,
-        mut stop: watch::Receiver<bool>,
-    ) -> HolderEnd {
+    async fn run(mut self, mut inputs: Inputs, mut stop: watch::Receiver<bool>) -> HolderEnd {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut config = self.options.config.clone();
         let end = loop {
             tokio::select! {
-                event = jobs.recv() => match event {
+                event = inputs.jobs.recv() => match event {
                     Some(event) => self.apply_jobs(event),
                     None => break HolderEnd::Stopped,
                 },
-                event = workers.recv() => match event {
+                event = inputs.workers.recv() => match event {
                     Some(event) => self.apply_workers(event),
                     None => break HolderEnd::Stopped,
                 },
-                Some(event) = events.recv() => {
+                event = inputs.waves.recv() => match event {
+                    Some(event) => self.apply_waves(event),
+                    None => break HolderEnd::Stopped,
+                },
+                Some(event) = inputs.machine_events.recv() => self.apply_machine_event(event),
+                Some(event) = inputs.worker_events.recv() => {
                     self.apply_worker_event(event);
                     for _ in 0..EVENTS_PER_ROUND {
-                        let Ok(event) = events.try_recv() else { break };
+                        let Ok(event) = inputs.worker_events.try_recv() else { break };
                         self.apply_worker_event(event);
                     }
                 }
                 Ok(()) = config.changed() => {
-                    let policies = &config.borrow_and_update().policies;
-                    self.scheduler.configure(policies);
+                    let newest = Arc::clone(&config.borrow_and_update());
+                    configure(&mut self.scheduler, &newest);
                 }
                 Some(ended) = self.background.join_next() => {
                     if let Ok(ended) = ended
@@ -270,8 +314,9 @@
             info!(self.options.log, "job state"; "job" => &*job.id, "state" => ?job.progress.state);
         }
         let kv = self.options.kv.clone();
+        let wave_state = self.options.platform.wave_state;
         self.background.spawn(async move {
-            let chain = chain.write(&kv, &batch).await;
+            let chain = chain.write(&kv, &batch, wave_state).await;
             Background::Written(chain, Some(batch))
         });
     }
@@ -290,7 +335,9 @@
             if let (Some(batch), Some(chain)) =
                 (self.scheduler.take_batch(Millis::MAX), self.chain.take())
             {
-                let _ = chain.write(&self.options.kv, &batch).await;
+                let _ = chain
+                    .write(&self.options.kv, &batch, self.options.platform.wave_state)
+                    .await;
             }
         };
         let _ = tokio::time::timeout(LAST_BATCH, last).await;
@@ -340,7 +387,23 @@
 
     fn apply_jobs(&mut self, event: WatchEvent) {
         let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
-        let entries: Vec<KvEntry> = match event {
+        for entry in self.written(event, "jobs") {
+            match records::job_key_kind(&entry.key) {
+                Some(JobKeyKind::Job(id)) => match records::decode::<JobRecord>(&entry.value) {
+                    Ok(record) => self.scheduler.submit(id.into(), record, now, wall),
+                    Err(error) => {
+                        warn!(self.options.log, "job skipped"; "job" => id, "reason" => %error);
+                    }
+                },
+                Some(JobKeyKind::Cancel(id)) => self.scheduler.cancel(id, now, wall),
+                None => {}
+            }
+        }
+    }
+
+    /// Entries that a watch shows as written.
+    fn written(&self, event: WatchEvent, what: &str) -> Vec<KvEntry> {
+        match event {
             WatchEvent::Snapshot { entries, .. } => entries,
             WatchEvent::Changed { updates, .. } => updates
                 .into_iter()
@@ -350,20 +413,36 @@
                 })
                 .collect(),
             WatchEvent::Disconnected { reason } => {
-                debug!(self.options.log, "jobs are not heard"; "reason" => reason);
-                return;
+                debug!(self.options.log, "a watch is not heard"; "of" => what, "reason" => reason);
+                Vec::new()
             }
-        };
-        for entry in entries {
-            match records::job_key_kind(&entry.key) {
-                Some(JobKeyKind::Job(id)) => match records::decode::<JobRecord>(&entry.value) {
-                    Ok(record) => self.scheduler.submit(id.into(), record, now, wall),
-                    Err(error) => {
-                        warn!(self.options.log, "job skipped"; "job" => id, "reason" => %error);
-                    }
-                },
-                Some(JobKeyKind::Cancel(id)) => self.scheduler.cancel(id, now, wall),
-                None => {}
+        }
+    }
+
+    fn apply_waves(&mut self, event: WatchEvent) {
+        let now = self.options.clock.now();
+        for entry in self.written(event, "waves") {
+            match (self.options.platform.read_wave)(&entry.value) {
+                Ok(wave) => {
+                    info!(self.options.log, "maintenance wave"; "wave" => wave.number,
+                        "instances" => wave.machines.len(), "at_once" => wave.down_max);
+                    self.scheduler.wave_requested(wave, now);
+                }
+                Err(reason) => {
+                    warn!(self.options.log, "wave skipped"; "key" => &*entry.key, "reason" => &*reason);
+                }
+            }
+        }
+    }
+
+    fn apply_machine_event(&mut self, event: MachineEvent) {
+        let now = self.options.clock.now();
+        match event {
+            MachineEvent::Listed(reports) => self.scheduler.machines_listed(reports, now),
+            MachineEvent::Ordered { machine, result } => {
+                info!(self.options.log, "instance ordered"; "result" => ?result,
+                    "instance" => self.scheduler.machine_name(machine).map(ToString::to_string));
+                self.scheduler.machine_ordered(machine, result, now);
             }
         }
     }
@@ -386,7 +465,8 @@
                             self.apply_worker(&entry);
                         }
                         Update::Deleted(key) => {
-                            if let Some(id) = key.strip_prefix(&*self.options.worker_prefix) {
+                            if let Some(id) = key.strip_prefix(self.options.platform.worker_prefix)
+                            {
                                 info!(self.options.log, "worker unlisted"; "worker" => id);
                                 self.scheduler.worker_unlisted(id);
                             }
@@ -401,8 +481,10 @@
     }
 
     fn apply_worker(&mut self, entry: &KvEntry) -> Option<Arc<str>> {
-        let id = entry.key.strip_prefix(&*self.options.worker_prefix)?;
-        match (self.options.read_worker)(id, &entry.value) {
+        let id = entry
+            .key
+            .strip_prefix(self.options.platform.worker_prefix)?;
+        match (self.options.platform.read_worker)(id, &entry.value) {
             Ok(report) => {
                 let id = Arc::clone(&report.id);
                 self.scheduler
@@ -470,12 +552,51 @@
                 self.options.metrics.count("looks", 1);
                 WorkerCall::Look(worker, order)
             }
+            Action::ListMachines => return self.send_machine(MachineCall::List).await,
+            Action::Move(machine, pool) => {
+                let Some(name) = self.scheduler.machine_name(machine).cloned() else {
+                    return Ok(());
+                };
+                info!(self.options.log, "move"; "instance" => &*name, "pool" => &*pool);
+                let fence = self.held.fence;
+                let call = MachineCall::Move {
+                    machine,
+                    name,
+                    pool,
+                    fence,
+                };
+                return self.send_machine(call).await;
+            }
+            Action::Maintain(machine, wave) => {
+                let Some(name) = self.scheduler.machine_name(machine).cloned() else {
+                    return Ok(());
+                };
+                info!(self.options.log, "maintain"; "instance" => &*name, "wave" => wave);
+                let fence = self.held.fence;
+                let call = MachineCall::Maintain {
+                    machine,
+                    name,
+                    wave,
+                    fence,
+                };
+                return self.send_machine(call).await;
+            }
         };
         self.links
             .send(call)
             .await
             .map_err(|_| "the links have ended")
     }
+
+    async fn send_machine(&mut self, call: MachineCall) -> Result<(), &'static str> {
+        let sent = self.machines.send(call).await;
+        sent.map_err(|_| "the client of the instances has ended")
+    }
+}
+
+fn configure(scheduler: &mut Scheduler, config: &QueueConfig) {
+    scheduler.configure(&config.policies);
+    scheduler.set_spare_services(&config.spare_services);
 }
 
 fn prefix(text: &str) -> KeyRange {
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use rosemaryscale_domain::job::{JobProgress, JobRecord, JobState};
-use rosemaryscale_domain::schedule::RecordedWorker;
+use rosemaryscale_domain::schedule::{RecordedWorker, WaveRecord};
 use rosemaryscale_ports::kv::Change;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -95,6 +95,9 @@
     pub(super) term: u32,
     /// Workers that may run something.
     pub(super) workers: Vec<RecordedWorker>,
+    /// Waves of maintenance.
+    #[serde(default)]
+    pub(super) waves: Vec<WaveRecord>,
 }
 
 /// Writes a record.
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -6,7 +6,8 @@
 use rosemaryscale_adapters::{SystemClock, log, metrics};
 use rosemaryscale_platform::front::{FrontError, FrontServer};
 use rosemaryscale_platform::{
-    CONFIG_KEY, WORKER_PREFIX, queue_config, store, worker_entry, worker_link,
+    CONFIG_KEY, WAVE_PREFIX, WORKER_PREFIX, machines, queue_config, store, wave, worker_entry,
+    worker_link,
 };
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
@@ -22,7 +23,7 @@
 use super::config::JobServiceConfig;
 use super::election;
 use super::front::{Front, FrontOptions, HolderSeen};
-use super::holder::HolderOptions;
+use super::holder::{HolderOptions, PlatformFormats};
 use super::records::{HolderRecord, VIEW_PREFIX};
 
 const FRONT_CALLS: usize = 1_024;
@@ -35,6 +36,17 @@
 /// The load balancer asks each second and needs two misses before it sends callers elsewhere.
 const LEAVE: Duration = Duration::from_millis(2_500);
 
+/// The formats and clients of the users' platform.
+const PLATFORM: PlatformFormats = PlatformFormats {
+    worker_prefix: WORKER_PREFIX,
+    read_worker: worker_entry::decode,
+    wave_prefix: WAVE_PREFIX,
+    read_wave: wave::decode,
+    wave_state: wave::state,
+    start_links: worker_link::start,
+    start_machines: machines::start,
+};
+
 /// Why the job service did not start or run.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -192,9 +204,8 @@
         run_lease_ms: RUN_LEASE_MS.min(settings.run_lease_max_ms),
         look_wait_ms: LOOK_WAIT_MS,
         status_kept_ms: settings.status_kept_ms,
-        worker_prefix: WORKER_PREFIX.into(),
-        read_worker: worker_entry::decode,
-        start_links: worker_link::start,
+        platform: PLATFORM,
+        machines_address: settings.machines_address,
         metrics,
         log: log.clone(),
     }
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -4,6 +4,7 @@
 //! starts and stops runs, and says what must be written before an end may be acknowledged.
 
 mod book;
+mod fleet;
 mod observe;
 pub mod order;
 mod persist;
@@ -14,6 +15,8 @@
 use crate::job::{JobProgress, JobRecord, JobState, QueuePolicy};
 use crate::prelude::*;
 use book::{Book, TaskStatus};
+use fleet::Fleet;
+pub use fleet::WaveRecord;
 use order::{Action, LookOrder, OrderResult, Refusal, StopOrder, WorkerReport};
 pub use persist::{Batch, JobWrite, RecordedWorker};
 use run::PlacedRun;
@@ -105,6 +108,7 @@
     workers_by_id: FastMap<Arc<str>, WorkerKey>,
     services: SlotMap<ServiceKey, Service>,
     services_by_name: FastMap<Arc<str>, ServiceKey>,
+    fleet: Fleet,
     recovery: Option<Recovery>,
     ready: Vec<TaskKey>,
     repeated: Vec<JobKey>,
@@ -129,6 +133,7 @@
             workers_by_id: FastMap::default(),
             services: SlotMap::with_key(),
             services_by_name: FastMap::default(),
+            fleet: Fleet::default(),
             recovery: None,
             ready: Vec::new(),
             repeated: Vec::new(),
@@ -417,6 +422,7 @@
             self.place_wanted = false;
             self.place(now);
         }
+        self.advance_fleet(now);
         self.look(now);
         std::mem::take(&mut self.actions)
     }
--- a/crates/domain/src/schedule/book.rs
+++ b/crates/domain/src/schedule/book.rs
@@ -5,6 +5,9 @@
 };
 use crate::prelude::*;
 
+/// A job that is late by this factor of its objective earns nothing any more.
+pub(super) const LATE_FACTOR: u64 = 3;
+
 /// What a task does now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskStatus {
@@ -88,6 +91,17 @@
         tasks.get(position.index as usize).copied()
     }
 
+    /// Latency objective.
+    pub(super) fn objective_ms(&self) -> u64 {
+        let chain_ms = self.record.spec.chain_ms();
+        (chain_ms as f64 * self.policy.stretch) as u64 + self.policy.objective_ms
+    }
+
+    /// Whether a completion now would still be of use.
+    pub(super) fn is_useful(&self, now: Millis) -> bool {
+        self.long_running() || now.ms_since(self.received_at) <= self.objective_ms() * LATE_FACTOR
+    }
+
     pub(super) fn long_running(&self) -> bool {
         self.record.spec.steps.iter().any(|step| step.long_running)
     }
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -94,6 +94,70 @@
     Pace(WorkerKey, PaceOrder),
     /// Look at a worker.
     Look(WorkerKey, LookOrder),
+    /// Read the platform's list of instances.
+    ListMachines,
+    /// Move an instance to the pool of a service.
+    Move(MachineKey, Arc<str>),
+    /// Maintain an instance, for a wave.
+    Maintain(MachineKey, u64),
+}
+
+/// State of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineState {
+    /// It serves, or is off in a spare pool.
+    Up,
+    /// It moves to another pool.
+    Moving,
+    /// It is maintained.
+    Maintenance,
+    /// It is down, or in a state that is not known.
+    Down,
+}
+
+/// An instance as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MachineReport {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Service of its pool.
+    pub pool: Arc<str>,
+    /// Its state.
+    pub state: MachineState,
+    /// What it has.
+    pub capacity: Resources,
+    /// The worker that it is now, if any.
+    pub worker: Option<Arc<str>>,
+}
+
+/// How an order to an instance ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineResult {
+    /// It is or was carried out.
+    Accepted,
+    /// The instance is not up, or leaves.
+    Busy,
+    /// The instance is not of the wave.
+    NotInWave,
+    /// The platform has seen a higher fence number.
+    Fenced,
+    /// It was certainly not carried out.
+    NotSent,
+    /// It may be carried out, now or later.
+    Unanswered,
+}
+
+/// A wave of maintenance that the operators ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaveRequest {
+    /// Its number.
+    pub number: u64,
+    /// Instances that are due.
+    pub machines: Vec<Arc<str>>,
+    /// Time in which all must have had their turn.
+    pub duration_ms: u64,
+    /// Instances that may be down at once.
+    pub down_max: u32,
 }
 
 /// How an order ended.
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Scheduler;
+use super::fleet::WaveRecord;
 use super::order::WorkerReport;
 use crate::job::{JobProgress, JobState};
 use crate::placement::Resources;
@@ -58,6 +59,10 @@
     pub jobs: Vec<JobWrite>,
     /// Workers that may run something.
     pub workers: Vec<RecordedWorker>,
+    /// The waves.
+    pub waves: Vec<WaveRecord>,
+    /// Waves whose state the operators are told: number, and whether all have had their turn.
+    pub wave_states: Vec<(u64, bool)>,
 }
 
 impl Scheduler {
@@ -93,6 +98,8 @@
             sequence: self.batch_sequence,
             jobs,
             workers,
+            waves: self.wave_records(),
+            wave_states: self.take_wave_states(),
         })
     }
 
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -9,9 +9,6 @@
 use crate::placement::Resources;
 use crate::prelude::*;
 
-/// A job that is late by this factor of its objective earns nothing any more.
-const LATE_FACTOR: u64 = 3;
-
 /// Order in which ready tasks are placed; smaller first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -208,6 +205,22 @@
             .map(|(key, _)| key)
     }
 
+    /// The worker that a task fits best beside the one that it is on.
+    pub(super) fn choose_beside(
+        &self,
+        key: TaskKey,
+        service: ServiceKey,
+        worker: WorkerKey,
+        planned: &[(WorkerKey, Resources)],
+        now: Millis,
+    ) -> Option<WorkerKey> {
+        let full = self.workers.get(worker)?.report.capacity;
+        let mut planned = planned.to_vec();
+        planned.push((worker, full));
+        self.choose(key, service, &planned, now)
+            .filter(|chosen| *chosen != worker)
+    }
+
     /// Whether the worker has fewer tasks of the step than it may.
     fn beside_few(
         &self,
@@ -294,15 +307,13 @@
 }
 
 fn rank(task: &Task, job: &Job, now: Millis) -> Rank {
-    let chain_ms = job.record.spec.chain_ms();
-    let objective_ms = (chain_ms as f64 * job.policy.stretch) as u64 + job.policy.objective_ms;
+    let objective_ms = job.objective_ms();
     let deadline = job.received_at.after_ms(objective_ms);
-    let age_ms = now.ms_since(job.received_at);
     let urgency = if job.long_running() {
         Urgency::Lasting
     } else if now <= deadline {
         Urgency::InTime
-    } else if age_ms <= objective_ms * LATE_FACTOR {
+    } else if job.is_useful(now) {
         Urgency::Late
     } else {
         Urgency::Owed
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -3,7 +3,7 @@
 mod schedule_world;
 
 use rosemaryscale_domain::job::{JobState, StepSpec};
-use rosemaryscale_domain::schedule::order::RunEndKind;
+use rosemaryscale_domain::schedule::order::{RunEndKind, WaveRequest};
 use schedule_world::{World, job, step};
 
 /// Guards against counting one failed run twice: its end is listed again to the next holder when the
@@ -127,3 +127,68 @@
     world.run_for(200);
     assert!(world.scheduler.is_fenced());
 }
+
+/// Guards against planned work that takes more tasks of a step away than it may: with one that may
+/// be missing, a wave empties the instances of a step one after the other, and each is ordered only
+/// when it runs nothing (the world checks that).
+#[test]
+fn a_wave_keeps_to_what_a_step_may_miss() {
+    let mut world = World::new(3);
+    world.add_machine("m0", "service", Some("w0"));
+    world.add_machine("m1", "service", Some("w1"));
+    world.add_machine("m2", "service", Some("w2"));
+    world.add_machine("m3", "spare", None);
+    world.scheduler.set_spare_services(&["spare".into()]);
+    let lasting = StepSpec {
+        long_running: true,
+        per_worker_max: 1,
+        may_miss: Some(1),
+        ..step(2)
+    };
+    world.submit("a", job(vec![lasting], 3));
+    world.run_for(500);
+    let wave = WaveRequest {
+        number: 1,
+        machines: vec!["m0".into(), "m1".into(), "m2".into(), "m3".into()],
+        duration_ms: 20_000,
+        down_max: 2,
+    };
+    world.scheduler.wave_requested(wave, world.now);
+    let mut away_most = 0;
+    for _ in 0..1_000 {
+        world.run_for(10);
+        away_most = away_most.max(2 - world.running().len());
+    }
+    let maintained = world
+        .machine_orders
+        .iter()
+        .filter(|(_, pool)| pool.is_none())
+        .count();
+    assert_eq!(maintained, 4);
+    assert_eq!(away_most, 1);
+    assert_eq!(world.running(), ["a.0.0.0", "a.0.0.1"]);
+}
+
+/// Guards against work that waits while spare instances are off, and against instances that stay in
+/// a pool that does not need them.
+#[test]
+fn instances_follow_the_work_and_go_back() {
+    let mut world = World::new(1);
+    world.add_machine("m0", "service", Some("w0"));
+    world.add_machine("m1", "spare", None);
+    world.scheduler.set_spare_services(&["spare".into()]);
+    world.submit("a", job(vec![step(8)], 3));
+    world.run_for(1_500);
+    assert_eq!(world.running().len(), 8);
+    world.end_all(RunEndKind::Done);
+    world.run_for(6_000);
+    let back = world
+        .machine_orders
+        .iter()
+        .filter(|(_, pool)| pool.as_deref() == Some("spare"));
+    assert!(
+        back.count() >= 1,
+        "an idle instance goes back: {:?}",
+        world.machine_orders
+    );
+}
--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -8,8 +8,8 @@
 use rosemaryscale_domain::placement::Resources;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{
-    Action, ListedEnd, ListedRun, Listing, LookOrder, LookResult, OrderResult, Refusal, RunEndKind,
-    StartOrder, StopOrder, WorkerReport,
+    Action, ListedEnd, ListedRun, Listing, LookOrder, LookResult, MachineReport, MachineResult,
+    MachineState, OrderResult, Refusal, RunEndKind, StartOrder, StopOrder, WorkerReport,
 };
 use rosemaryscale_domain::schedule::{
     Batch, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
@@ -94,6 +94,9 @@
     pub fence_refused: bool,
     pub starts: Vec<(Millis, String)>,
     pub paces: Vec<(String, u32)>,
+    pub machines: Vec<MachineReport>,
+    /// Orders to instances: name, and the pool of a move.
+    pub machine_orders: Vec<(Arc<str>, Option<Arc<str>>)>,
     /// Percent and gauge that a worker reports of a task; 100 and 0 if none is set.
     pub rows: FastMap<String, (u32, u64)>,
     pub most_at_once: FastMap<String, usize>,
@@ -113,6 +116,8 @@
             fence_refused: false,
             starts: Vec::new(),
             paces: Vec::new(),
+            machines: Vec::new(),
+            machine_orders: Vec::new(),
             rows: FastMap::default(),
             most_at_once: FastMap::default(),
         };
@@ -312,6 +317,12 @@
                 let result = self.stop(key, &order);
                 self.scheduler.stopped(key, order.run, result, self.now);
             }
+            Action::ListMachines => {
+                let reports = Some(self.machines.clone());
+                self.scheduler.machines_listed(reports, self.now);
+            }
+            Action::Move(machine, pool) => self.order_machine(machine, Some(pool)),
+            Action::Maintain(machine, _) => self.order_machine(machine, None),
             Action::Pace(_, order) => self.paces.push((text(&order.task), order.percent)),
             Action::Look(key, order) => {
                 let result = self.look(key, order);
@@ -320,6 +331,64 @@
         }
     }
 
+    /// An instance that carries out its orders at once and comes back as another worker.
+    fn order_machine(&mut self, key: MachineKey, pool: Option<Arc<str>>) {
+        let name = self
+            .scheduler
+            .machine_name(key)
+            .cloned()
+            .expect("a known instance");
+        let report = self
+            .machines
+            .iter_mut()
+            .find(|report| report.name == name)
+            .expect("listed");
+        if let Some(id) = report.worker.take() {
+            let old = self
+                .workers
+                .iter_mut()
+                .find(|worker| worker.report.id == id)
+                .expect("there");
+            assert!(
+                old.running.is_empty(),
+                "an order ends everything on the instance"
+            );
+            old.cut = true;
+            self.scheduler.worker_unlisted(&id);
+        }
+        if let Some(pool) = &pool {
+            report.pool = Arc::clone(pool);
+        }
+        let (pool_now, count) = (Arc::clone(&report.pool), self.machine_orders.len());
+        self.machine_orders.push((name, pool));
+        self.scheduler
+            .machine_ordered(key, MachineResult::Accepted, self.now);
+        if &*pool_now != "spare" {
+            let id = format!("new{count}");
+            self.add_worker(&id, &pool_now);
+            let report = self
+                .machines
+                .iter_mut()
+                .find(|report| report.name == self.machine_orders[count].0);
+            report.expect("listed").worker = Some(id.as_str().into());
+        }
+    }
+
+    /// Adds an instance; one of the spare pool has no worker.
+    pub fn add_machine(&mut self, name: &str, pool: &str, worker: Option<&str>) {
+        self.machines.push(MachineReport {
+            name: name.into(),
+            pool: pool.into(),
+            state: MachineState::Up,
+            capacity: Resources {
+                processors_milli: 4_000,
+                memory_mb: 4_000,
+                accelerators: 0,
+            },
+            worker: worker.map(Into::into),
+        });
+    }
+
     fn start(&mut self, key: WorkerKey, order: &StartOrder) -> OrderResult {
         self.starts.push((self.now, text(&order.task)));
         if self.fence_refused {
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use rosemaryscale_domain::FastMap;
 use rosemaryscale_domain::job::{JobSpec, JobState, QueuePolicy};
 use rosemaryscale_domain::route::Route;
-use rosemaryscale_domain::{FastMap, Millis};
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// What a caller asks.
@@ -86,18 +86,3 @@
 
 /// Whether the daemon takes callers, or why not.
 pub type ReadyWatch = watch::Receiver<Result<(), Arc<str>>>;
-
-/// A wave of maintenance that the operators ask for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WaveRequest {
-    /// Its number.
-    pub number: u64,
-    /// Instances that are due.
-    pub machines: Vec<Arc<str>>,
-    /// Time in which all must have had their turn.
-    pub duration_ms: u64,
-    /// Instances that may be down at once.
-    pub down_max: u32,
-    /// When it was first seen.
-    pub seen_at: Millis,
-}
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod job;
 pub mod kv;
 pub mod link;
+pub mod machine;
 pub mod member;
 pub mod metric;
 pub mod operator;
