--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -112,16 +112,23 @@
     /// Declared time of the longest chain of steps.
     #[must_use]
     pub fn chain_ms(&self) -> u64 {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let start = step
-                .after
-                .iter()
-                .filter_map(|s| ends.get(usize::from(*s)))
-                .max();
-            ends.push(start.copied().unwrap_or(0) + step.estimate_ms);
+        self.tails_ms().into_iter().max().unwrap_or(0)
+    }
+
+    /// Declared time from the start of each step to the end of the job.
+    #[must_use]
+    pub fn tails_ms(&self) -> Vec<u64> {
+        let mut tails: Vec<u64> = self.steps.iter().map(|step| step.estimate_ms).collect();
+        for later in (0..self.steps.len()).rev() {
+            for earlier in &self.steps[later].after {
+                let earlier = usize::from(*earlier);
+                if earlier < later {
+                    tails[earlier] =
+                        tails[earlier].max(self.steps[earlier].estimate_ms + tails[later]);
+                }
+            }
         }
-        ends.into_iter().max().unwrap_or(0)
+        tails
     }
 }
 
--- a/crates/domain/src/schedule/book.rs
+++ b/crates/domain/src/schedule/book.rs
@@ -3,11 +3,15 @@
 use crate::job::{
     JobProgress, JobRecord, JobState, QueuePolicy, StepSpec, TaskName, TaskPosition, TaskProgress,
 };
+use crate::placement::Resources;
 use crate::prelude::*;
 
 /// A job that is late by this factor of its objective earns nothing any more.
 pub(super) const LATE_FACTOR: u64 = 3;
 
+/// Declared run times of 0 still cost a start and an end.
+const ESTIMATE_MIN_MS: u64 = 50;
+
 /// What a task does now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskStatus {
@@ -57,6 +61,10 @@
     pub ended_wall_ms: u64,
     /// When it was received, on this process's clock; its origin if that was before its start.
     pub received_at: Millis,
+    /// Latency objective.
+    pub objective_ms: u64,
+    /// Declared time from the start of each step to the end of the job.
+    pub tails_ms: Vec<u64>,
     /// Tasks by occurrence, step and index.
     pub occurrences: Vec<Vec<Vec<TaskKey>>>,
     /// Tasks that are not done.
@@ -91,15 +99,9 @@
         tasks.get(position.index as usize).copied()
     }
 
-    /// Latency objective.
-    pub(super) fn objective_ms(&self) -> u64 {
-        let chain_ms = self.record.spec.chain_ms();
-        (chain_ms as f64 * self.policy.stretch) as u64 + self.policy.objective_ms
-    }
-
     /// Whether a completion now would still be of use.
     pub(super) fn is_useful(&self, now: Millis) -> bool {
-        self.long_running() || now.ms_since(self.received_at) <= self.objective_ms() * LATE_FACTOR
+        self.long_running() || now.ms_since(self.received_at) <= self.objective_ms * LATE_FACTOR
     }
 
     pub(super) fn long_running(&self) -> bool {
@@ -129,6 +131,8 @@
         let key = self.jobs.insert(Job {
             id: Arc::clone(&id),
             policy: record.policy.clone(),
+            objective_ms: objective_ms(&record),
+            tails_ms: record.spec.tails_ms(),
             record,
             state: JobState::Queued,
             written_state: JobState::Queued,
@@ -320,6 +324,24 @@
         Some(progress)
     }
 
+    /// Work that a job still needs, in milliseconds of a whole worker.
+    pub(super) fn remaining_work(&self, key: JobKey, capacity: Resources) -> u64 {
+        let Some(job) = self.jobs.get(key) else {
+            return 0;
+        };
+        let tasks = job.occurrences.iter().flatten().flatten();
+        let open = tasks
+            .filter_map(|task| self.tasks.get(*task))
+            .filter(|task| !task.done);
+        let work_ppm = open
+            .filter_map(|task| job.step(task.position.step))
+            .map(|step| {
+                step.need().dominant_share_ppm(capacity) * step.estimate_ms.max(ESTIMATE_MIN_MS)
+            })
+            .sum::<u64>();
+        work_ppm / 1_000_000
+    }
+
     /// Takes a job out that the store has forgotten.
     pub(super) fn remove(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.remove(key) {
@@ -330,3 +352,8 @@
         }
     }
 }
+
+fn objective_ms(record: &JobRecord) -> u64 {
+    let chain_ms = record.spec.chain_ms() as f64;
+    (chain_ms * record.policy.stretch) as u64 + record.policy.objective_ms
+}
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -1,6 +1,6 @@
 //! Which ready task starts where.
 
-use super::book::{Job, Task, TaskStatus};
+use super::book::{Job, LATE_FACTOR, Task, TaskStatus};
 use super::order::{Action, StartOrder};
 use super::run::{Phase, PlacedRun, Run, RunFacts};
 use super::worker::Worker;
@@ -22,11 +22,13 @@
     Owed,
 }
 
-/// Rank of a job in a placement pass.
+/// Rank of a task in a placement pass. Among jobs that can still be of use, the one with the least
+/// work left comes first: under overload that serves the most jobs, and ends what has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     urgency: Urgency,
-    deadline: Millis,
+    work_left: u64,
+    received_at: Millis,
     job: JobKey,
 }
 
@@ -55,6 +57,8 @@
     /// The ready tasks in the order of their urgency.
     fn ranked(&mut self, now: Millis) -> Vec<(Rank, TaskKey)> {
         let ready = std::mem::take(&mut self.ready);
+        let capacity = self.largest_capacity();
+        let mut work_left: FastMap<JobKey, u64> = FastMap::default();
         let mut ranked: Vec<(Rank, TaskKey)> = ready
             .into_iter()
             .filter_map(|key| {
@@ -63,7 +67,16 @@
                     return None;
                 }
                 let job = self.book.jobs.get(task.job)?;
-                Some((rank(task, job, now), key))
+                let work_left = *work_left
+                    .entry(task.job)
+                    .or_insert_with(|| self.book.remaining_work(task.job, capacity));
+                let rank = Rank {
+                    urgency: urgency(task, job, now),
+                    work_left,
+                    received_at: job.received_at,
+                    job: task.job,
+                };
+                Some((rank, key))
             })
             .collect();
         ranked.sort_unstable();
@@ -71,6 +84,13 @@
         ranked
     }
 
+    fn largest_capacity(&self) -> Resources {
+        self.workers
+            .values()
+            .map(|worker| worker.report.capacity)
+            .fold(Resources::default(), Resources::max)
+    }
+
     fn place_task(
         &mut self,
         key: TaskKey,
@@ -306,22 +326,24 @@
     }
 }
 
-fn rank(task: &Task, job: &Job, now: Millis) -> Rank {
-    let objective_ms = job.objective_ms();
-    let deadline = job.received_at.after_ms(objective_ms);
-    let urgency = if job.long_running() {
-        Urgency::Lasting
-    } else if now <= deadline {
+/// How urgent a task is. One that cannot meet its job's objective any more, by the declared times,
+/// yields to those that can.
+fn urgency(task: &Task, job: &Job, now: Millis) -> Urgency {
+    if job.long_running() {
+        return Urgency::Lasting;
+    }
+    let tail_ms = job
+        .tails_ms
+        .get(usize::from(task.position.step))
+        .copied()
+        .unwrap_or(0);
+    let end_ms = now.after_ms(tail_ms).ms_since(job.received_at);
+    if end_ms <= job.objective_ms {
         Urgency::InTime
-    } else if job.is_useful(now) {
+    } else if end_ms <= job.objective_ms * LATE_FACTOR {
         Urgency::Late
     } else {
         Urgency::Owed
-    };
-    Rank {
-        urgency,
-        deadline,
-        job: task.job,
     }
 }
 
