--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -199,7 +199,8 @@
             self.repeated.push(key);
             return;
         }
-        self.book.open_occurrence(key, false);
+        // A former holder hears of the job too, and may start it until its workers are fenced.
+        self.book.open_occurrence(key, self.recovery.is_some());
         self.queue_ready(key);
     }
 
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -534,9 +534,14 @@
         else {
             return false;
         };
-        self.runs
-            .get(run)
-            .is_some_and(|run| run.confirmed_since().is_some() && run.reported.percent >= 100)
+        let Some(run) = self.runs.get(run) else {
+            return false;
+        };
+        let heard = self
+            .workers
+            .get(run.facts().worker)
+            .is_some_and(|worker| worker.known && !worker.silent);
+        heard && run.confirmed_since().is_some() && run.reported.percent >= 100
     }
 
     fn order_machine(&mut self, key: MachineKey, purpose: Purpose, now: Millis) {
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -192,3 +192,55 @@
         world.machine_orders
     );
 }
+
+/// Guards against two runs of a job that arrives while the holder changes: the former holder hears of
+/// it too and may start it (karam-logs scale-2 broke TWICE).
+#[test]
+fn work_that_arrives_during_recovery_waits_for_its_end() {
+    let mut world = World::new(2);
+    world.submit("a", job(vec![step(1)], 3));
+    world.run_for(100);
+    let worker = world.worker_of("a.0.0.0").expect("it runs");
+    world.cut(worker);
+    world.change_holder();
+    world.submit("b", job(vec![step(1)], 3));
+    world.run_for(4_000);
+    assert_eq!(world.starts_of("b.0.0.0"), 0);
+    world.run_for(12_000);
+    assert_eq!(world.starts_of("b.0.0.0"), 1);
+}
+
+/// Guards against planned work that ends a task while another one of its step is on a worker that
+/// has gone silent (kds-windhoek trouble-3 broke AVAIL).
+#[test]
+fn a_task_on_a_silent_worker_counts_as_away() {
+    let mut world = World::new(3);
+    world.add_machine("m0", "service", Some("w0"));
+    world.add_machine("m1", "service", Some("w1"));
+    world.add_machine("m2", "service", Some("w2"));
+    let lasting = StepSpec {
+        long_running: true,
+        per_worker_max: 1,
+        may_miss: Some(1),
+        ..step(2)
+    };
+    world.submit("a", job(vec![lasting], 3));
+    world.run_for(1_000);
+    let silent = world.worker_of("a.0.0.0").expect("it runs");
+    let other = world.worker_of("a.0.0.1").expect("it runs");
+    world.cut(silent);
+    world.run_for(1_000);
+    let wave = WaveRequest {
+        number: 1,
+        machines: vec![format!("m{other}").into()],
+        duration_ms: 20_000,
+        down_max: 2,
+    };
+    world.scheduler.wave_requested(wave, world.now);
+    world.run_for(3_000);
+    assert_eq!(
+        world.worker_of("a.0.0.1"),
+        Some(other),
+        "the last task at work stays"
+    );
+}
