--- a/crates/daemon/src/jobs/election.rs
+++ b/crates/daemon/src/jobs/election.rs
@@ -1,8 +1,9 @@
 //! The election: takes the scheduler's key when nobody holds it, and schedules while it is held.
 
-use std::hash::{BuildHasher, Hash, Hasher};
+use std::hash::{BuildHasher, BuildHasherDefault};
 use std::time::Duration;
 
+use rustc_hash::FxHasher;
 use slog::{info, warn};
 use tokio::sync::watch;
 
@@ -54,8 +55,6 @@
 }
 
 fn stagger(name: &str) -> Duration {
-    let mut hasher =
-        std::hash::BuildHasherDefault::<rustc_hash::FxHasher>::default().build_hasher();
-    name.hash(&mut hasher);
-    Duration::from_millis(hasher.finish() % STAGGER_MS)
+    let hash = BuildHasherDefault::<FxHasher>::default().hash_one(name);
+    Duration::from_millis(hash % STAGGER_MS)
 }
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -41,6 +41,9 @@
 /// Pause before a read at the start is tried again.
 const RETRY: Duration = Duration::from_millis(150);
 
+/// Both ends of the machine port, and the task behind them.
+type MachinePort = (MachineCalls, MachineEvents, JoinHandle<()>);
+
 /// How the platform writes what the holder reads, and its clients.
 #[derive(Clone, Copy)]
 pub(super) struct PlatformFormats {
@@ -57,8 +60,7 @@
     /// Starts the links to workers.
     pub(super) start_links: fn() -> (WorkerCalls, WorkerEvents, JoinHandle<()>),
     /// Starts the client of the list of instances.
-    pub(super) start_machines:
-        fn(SocketAddr, Arc<str>) -> (MachineCalls, MachineEvents, JoinHandle<()>),
+    pub(super) start_machines: fn(SocketAddr, Arc<str>) -> MachinePort,
 }
 
 /// What the holder is given.
@@ -533,7 +535,13 @@
             } => {
                 self.scheduler.stopped(worker, run, result, now);
             }
-            WorkerEvent::Paced { .. } => {}
+            WorkerEvent::Paced {
+                worker,
+                order,
+                result,
+            } => self
+                .scheduler
+                .paced(worker, &order.task, order.number, result),
             WorkerEvent::Looked { worker, result } => {
                 self.scheduler.looked(worker, result, now, wall);
             }
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -8,6 +8,7 @@
 mod load;
 mod observe;
 pub mod order;
+mod pace;
 mod persist;
 mod place;
 mod run;
@@ -27,6 +28,9 @@
 
 /// Runs of one task in the term of one holder: far more than a task of a day ever has.
 const RUNS_PER_TERM: u32 = 1_000;
+/// A stop that the former holder ordered is done and listed within this time after its workers are
+/// fenced; planned stops of this one must not come on top.
+const FORMER_STOPS_MS: u64 = 2_000;
 /// A worker's clock may be 2% slow; the rest covers the age of the last reading of its clock.
 const LEASE_MARGIN_MS: u64 = 500;
 /// Pause before a worker that gave no answer is looked at again.
@@ -129,6 +133,8 @@
     services_by_name: FastMap<Arc<str>, ServiceKey>,
     fleet: Fleet,
     recovery: Option<Recovery>,
+    /// Planned work ends no run before this time.
+    planned_from: Millis,
     ready: Vec<TaskKey>,
     repeated: Vec<JobKey>,
     place_wanted: bool,
@@ -154,6 +160,7 @@
             services_by_name: FastMap::default(),
             fleet: Fleet::default(),
             recovery: None,
+            planned_from: Millis::ZERO,
             ready: Vec::new(),
             repeated: Vec::new(),
             place_wanted: true,
@@ -488,6 +495,7 @@
             return;
         }
         self.recovery = None;
+        self.planned_from = now.after_ms(FORMER_STOPS_MS);
         self.release_unaccounted();
     }
 
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -76,7 +76,6 @@
 #[derive(Debug)]
 struct Wave {
     request: WaveRequest,
-    deadline: Millis,
     /// Instances whose maintenance has begun.
     begun: FastSet<Arc<str>>,
     completed: bool,
@@ -154,7 +153,6 @@
             .iter()
             .find(|wave| wave.number == request.number);
         self.fleet.waves.push(Wave {
-            deadline: now.after_ms(request.duration_ms),
             begun: former
                 .map(|wave| wave.begun.iter().cloned().collect())
                 .unwrap_or_default(),
@@ -547,6 +545,9 @@
                 self.order_machine(key, purpose, now);
                 continue;
             }
+            if now < self.planned_from {
+                continue;
+            }
             for run in self.lasting_runs(key) {
                 if self.may_stop(run) {
                     self.stop_run(run, now);
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -70,6 +70,7 @@
         }
         let listed = self.apply_running(key, &listing.running, now);
         self.drop_unlisted(key, &listed, sent_at, now);
+        self.pace_worker(key, now);
         let worker = &mut self.workers[key];
         worker.next_look = if worker.acknowledged < worker.last_end {
             now.after_ms(UNWRITTEN_LOOK_MS)
@@ -165,7 +166,7 @@
         self.book.find(&row.task)
     }
 
-    fn run_at(&self, worker: WorkerKey, task: TaskKey, number: u32) -> Option<RunKey> {
+    pub(super) fn run_at(&self, worker: WorkerKey, task: TaskKey, number: u32) -> Option<RunKey> {
         let runs = &self.workers.get(worker)?.runs;
         runs.iter().copied().find(|run| {
             self.runs
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -78,8 +78,6 @@
     pub moved_at: Millis,
     /// Tail latency in milliseconds, or processors in use.
     pub gauge: u64,
-    /// Since when a serving task is over its target without a break.
-    pub over_since: Option<Millis>,
 }
 
 /// A run in whichever phase it is.
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -55,6 +55,10 @@
     pub silent: bool,
     /// No starts before this time.
     pub paused_until: Millis,
+    /// Share at which its filling tasks work.
+    pub fill_percent: u32,
+    /// When that share changed.
+    pub paced_at: Millis,
     /// Whether it takes no new work because it is to be emptied.
     pub cordoned: bool,
     failures_in_row: u32,
@@ -83,6 +87,8 @@
             next_look: Millis::ZERO,
             silent: false,
             paused_until: Millis::ZERO,
+            fill_percent: 100,
+            paced_at: Millis::ZERO,
             cordoned: false,
             failures_in_row: 0,
             quarantines: 0,
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -321,3 +321,60 @@
         .count();
     assert_eq!(maintained, 1);
 }
+
+/// Guards against planned work of a new holder on top of a stop that the former one has ordered
+/// (hunt-082f-7 on kds-windhoek broke AVAIL).
+#[test]
+fn a_new_holder_waits_for_stops_of_the_former_one() {
+    let mut world = World::new(3);
+    for index in 0..3 {
+        world.add_machine(&format!("m{index}"), "service", Some(&format!("w{index}")));
+    }
+    let lasting = StepSpec {
+        long_running: true,
+        per_worker_max: 1,
+        may_miss: Some(1),
+        ..step(2)
+    };
+    world.submit("a", job(vec![lasting], 3));
+    world.run_for(1_000);
+    let first = world.worker_of("a.0.0.0").expect("it runs");
+    let second = world.worker_of("a.0.0.1").expect("it runs");
+    let wave = WaveRequest {
+        number: 1,
+        machines: vec![format!("m{first}").into()],
+        duration_ms: 20_000,
+        down_max: 2,
+    };
+    world.change_holder();
+    world.scheduler.wave_requested(wave, world.now);
+    world.run_for(300);
+    // The worker carries out the former holder's stop now.
+    world.end_on(second, RunEndKind::Stopped);
+    world.run_for(300);
+    assert_eq!(world.worker_of("a.0.0.0"), Some(first));
+}
+
+/// Guards against filling tasks that harm a serving task beside them for longer than it may last,
+/// and against tasks that stay slowed down.
+#[test]
+fn filling_tasks_yield_to_a_serving_task_over_its_target() {
+    let mut world = World::new(1);
+    let serving = StepSpec {
+        long_running: true,
+        target_ms: 100,
+        ..step(1)
+    };
+    let filling = StepSpec {
+        fills: true,
+        ..step(1)
+    };
+    world.submit("a", job(vec![serving], 3));
+    world.submit("b", job(vec![filling], 3));
+    world.rows.insert("a.0.0.0".into(), (100, 150));
+    world.run_for(3_000);
+    assert_eq!(world.paces.last(), Some(&("b.0.0.0".into(), 0)));
+    world.rows.insert("a.0.0.0".into(), (100, 20));
+    world.run_for(12_000);
+    assert_eq!(world.paces.last(), Some(&("b.0.0.0".into(), 100)));
+}
--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -20,7 +20,7 @@
 const HOLDER_GRACE_MS: u64 = 9_000;
 
 /// A step of tasks that take a quarter of a worker each.
-pub fn step(count: u32) -> StepSpec {
+pub(crate) fn step(count: u32) -> StepSpec {
     StepSpec {
         count,
         processors_milli: 1_000,
@@ -31,7 +31,7 @@
 }
 
 /// A job of the service that all workers have.
-pub fn job(steps: Vec<StepSpec>, attempts_max: u32) -> JobRecord {
+pub(crate) fn job(steps: Vec<StepSpec>, attempts_max: u32) -> JobRecord {
     JobRecord {
         queue: "queue".into(),
         policy: QueuePolicy {
@@ -53,15 +53,15 @@
 
 /// What the store has.
 #[derive(Default)]
-pub struct Store {
-    pub jobs: Vec<(Arc<str>, JobRecord)>,
-    pub cancelled: FastSet<Arc<str>>,
-    pub progress: FastMap<Arc<str>, JobProgress>,
-    pub workers: Vec<RecordedWorker>,
+pub(crate) struct Store {
+    pub(crate) jobs: Vec<(Arc<str>, JobRecord)>,
+    pub(crate) cancelled: FastSet<Arc<str>>,
+    pub(crate) progress: FastMap<Arc<str>, JobProgress>,
+    pub(crate) workers: Vec<RecordedWorker>,
 }
 
 impl Store {
-    pub fn failures(&self, id: &str) -> usize {
+    pub(crate) fn failures(&self, id: &str) -> usize {
         self.progress.get(id).map_or(0, |progress| {
             progress
                 .tasks
@@ -73,41 +73,41 @@
 }
 
 /// A worker process.
-pub struct WorkerProcess {
-    pub report: WorkerReport,
-    pub running: Vec<(TaskName, u32)>,
-    pub ended: Vec<ListedEnd>,
-    pub all_ends: Vec<ListedEnd>,
-    pub sequence: u64,
-    pub lease_end_ms: u64,
-    pub cut: bool,
+pub(crate) struct WorkerProcess {
+    pub(crate) report: WorkerReport,
+    pub(crate) running: Vec<(TaskName, u32)>,
+    pub(crate) ended: Vec<ListedEnd>,
+    pub(crate) all_ends: Vec<ListedEnd>,
+    pub(crate) sequence: u64,
+    pub(crate) lease_end_ms: u64,
+    pub(crate) cut: bool,
     /// Highest run that was stopped or has ended, by task.
-    pub closed: FastMap<String, u32>,
+    pub(crate) closed: FastMap<String, u32>,
 }
 
 /// The scheduler, the store and the workers.
-pub struct World {
-    pub now: Millis,
-    pub scheduler: Scheduler,
-    pub store: Store,
-    pub workers: Vec<WorkerProcess>,
-    pub keys: FastMap<WorkerKey, usize>,
-    pub term: u32,
-    pub hold_stops: bool,
-    pub lose_starts: bool,
-    pub fence_refused: bool,
-    pub starts: Vec<(Millis, String)>,
-    pub paces: Vec<(String, u32)>,
-    pub machines: Vec<MachineReport>,
+pub(crate) struct World {
+    pub(crate) now: Millis,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) store: Store,
+    pub(crate) workers: Vec<WorkerProcess>,
+    pub(crate) keys: FastMap<WorkerKey, usize>,
+    pub(crate) term: u32,
+    pub(crate) hold_stops: bool,
+    pub(crate) lose_starts: bool,
+    pub(crate) fence_refused: bool,
+    pub(crate) starts: Vec<(Millis, String)>,
+    pub(crate) paces: Vec<(String, u32)>,
+    pub(crate) machines: Vec<MachineReport>,
     /// Orders to instances: name, and the pool of a move.
-    pub machine_orders: Vec<(Arc<str>, Option<Arc<str>>)>,
+    pub(crate) machine_orders: Vec<(Arc<str>, Option<Arc<str>>)>,
     /// Percent and gauge that a worker reports of a task; 100 and 0 if none is set.
-    pub rows: FastMap<String, (u32, u64)>,
-    pub most_at_once: FastMap<String, usize>,
+    pub(crate) rows: FastMap<String, (u32, u64)>,
+    pub(crate) most_at_once: FastMap<String, usize>,
 }
 
 impl World {
-    pub fn new(workers: usize) -> Self {
+    pub(crate) fn new(workers: usize) -> Self {
         let mut world = Self {
             now: Millis::from_ms(100_000),
             scheduler: Scheduler::new(settings(1), Vec::new(), Millis::from_ms(100_000)),
@@ -132,7 +132,7 @@
         world
     }
 
-    pub fn add_worker(&mut self, id: &str, service: &str) {
+    pub(crate) fn add_worker(&mut self, id: &str, service: &str) {
         let report = WorkerReport {
             id: id.into(),
             service: service.into(),
@@ -161,23 +161,23 @@
         });
     }
 
-    pub fn submit(&mut self, id: &str, mut record: JobRecord) {
+    pub(crate) fn submit(&mut self, id: &str, mut record: JobRecord) {
         record.received_wall_ms = self.now.as_ms();
         self.store.jobs.push((id.into(), record.clone()));
         self.scheduler.submit(id.into(), record, self.now, self.now);
     }
 
-    pub fn cancel(&mut self, id: &str) {
+    pub(crate) fn cancel(&mut self, id: &str) {
         self.store.cancelled.insert(id.into());
         self.scheduler.cancel(id, self.now, self.now);
     }
 
-    pub fn cut(&mut self, worker: usize) {
+    pub(crate) fn cut(&mut self, worker: usize) {
         self.workers[worker].cut = true;
     }
 
     /// Another daemon takes over, from what the store has.
-    pub fn change_holder(&mut self) {
+    pub(crate) fn change_holder(&mut self) {
         self.term += 1;
         self.keys.clear();
         let recorded = self.store.workers.clone();
@@ -198,19 +198,19 @@
     }
 
     /// Submits a job that the holder has not heard of yet.
-    pub fn store_only(&mut self, id: &str, mut record: JobRecord) {
+    pub(crate) fn store_only(&mut self, id: &str, mut record: JobRecord) {
         record.received_wall_ms = self.now.as_ms();
         self.store.jobs.push((id.into(), record));
     }
 
     /// Lists all ends again, as if no acknowledgement had arrived.
-    pub fn forget_acknowledgements(&mut self) {
+    pub(crate) fn forget_acknowledgements(&mut self) {
         for worker in &mut self.workers {
             worker.ended = worker.all_ends.clone();
         }
     }
 
-    pub fn state(&self, id: &str) -> JobState {
+    pub(crate) fn state(&self, id: &str) -> JobState {
         self.store
             .progress
             .get(id)
@@ -218,7 +218,7 @@
             .unwrap_or_default()
     }
 
-    pub fn running(&self) -> Vec<String> {
+    pub(crate) fn running(&self) -> Vec<String> {
         let mut names: Vec<String> = self
             .workers
             .iter()
@@ -228,34 +228,39 @@
         names
     }
 
-    pub fn worker_of(&self, task: &str) -> Option<usize> {
+    pub(crate) fn worker_of(&self, task: &str) -> Option<usize> {
         self.workers
             .iter()
             .position(|worker| worker.running.iter().any(|(name, _)| text(name) == task))
     }
 
-    pub fn starts_of(&self, task: &str) -> usize {
+    pub(crate) fn starts_of(&self, task: &str) -> usize {
         self.starts.iter().filter(|(_, name)| name == task).count()
     }
 
-    pub fn runs_at_once_max(&self, task: &str) -> usize {
+    pub(crate) fn runs_at_once_max(&self, task: &str) -> usize {
         self.most_at_once.get(task).copied().unwrap_or(0)
     }
 
-    pub fn end_all(&mut self, kind: RunEndKind) {
+    pub(crate) fn end_all(&mut self, kind: RunEndKind) {
         for task in self.running() {
             self.end_one(&task, kind);
         }
     }
 
-    pub fn end_one(&mut self, task: &str, kind: RunEndKind) {
+    /// Ends everything on one worker.
+    pub(crate) fn end_on(&mut self, worker: usize, kind: RunEndKind) {
+        self.workers[worker].end(|_, _| true, kind);
+    }
+
+    pub(crate) fn end_one(&mut self, task: &str, kind: RunEndKind) {
         for worker in &mut self.workers {
             worker.end(|name, _| text(name) == task, kind);
         }
     }
 
     /// Runs the world in steps of 10 ms.
-    pub fn run_for(&mut self, ms: u64) {
+    pub(crate) fn run_for(&mut self, ms: u64) {
         for _ in 0..ms / STEP_MS {
             self.now = self.now.after_ms(STEP_MS);
             for worker in &mut self.workers {
@@ -343,49 +348,47 @@
 
     /// An instance that carries out its orders at once and comes back as another worker.
     fn order_machine(&mut self, key: MachineKey, pool: Option<Arc<str>>) {
-        let name = self
-            .scheduler
-            .machine_name(key)
-            .cloned()
-            .expect("a known instance");
-        let report = self
+        let name = self.scheduler.machine_name(key).cloned();
+        let Some(index) = self
             .machines
-            .iter_mut()
-            .find(|report| report.name == name)
-            .expect("listed");
-        if let Some(id) = report.worker.take() {
-            let old = self
+            .iter()
+            .position(|report| Some(&report.name) == name.as_ref())
+        else {
+            return;
+        };
+        if let Some(id) = self.machines[index].worker.take() {
+            for worker in self
                 .workers
                 .iter_mut()
-                .find(|worker| worker.report.id == id)
-                .expect("there");
-            assert!(
-                old.running.is_empty(),
-                "an order ends everything on the instance"
-            );
-            old.cut = true;
+                .filter(|worker| worker.report.id == id)
+            {
+                assert!(
+                    worker.running.is_empty(),
+                    "an order ends everything on the instance"
+                );
+                worker.cut = true;
+            }
             self.scheduler.worker_unlisted(&id);
         }
         if let Some(pool) = &pool {
-            report.pool = Arc::clone(pool);
+            self.machines[index].pool = Arc::clone(pool);
+        }
+        let id: Arc<str> = format!("new{}", self.machine_orders.len()).into();
+        let report = &mut self.machines[index];
+        self.machine_orders.push((Arc::clone(&report.name), pool));
+        let pool_now = Arc::clone(&report.pool);
+        if &*pool_now != "spare" {
+            report.worker = Some(Arc::clone(&id));
         }
-        let (pool_now, count) = (Arc::clone(&report.pool), self.machine_orders.len());
-        self.machine_orders.push((name, pool));
         self.scheduler
             .machine_ordered(key, MachineResult::Accepted, self.now);
         if &*pool_now != "spare" {
-            let id = format!("new{count}");
             self.add_worker(&id, &pool_now);
-            let report = self
-                .machines
-                .iter_mut()
-                .find(|report| report.name == self.machine_orders[count].0);
-            report.expect("listed").worker = Some(id.as_str().into());
         }
     }
 
     /// Adds an instance; one of the spare pool has no worker.
-    pub fn add_machine(&mut self, name: &str, pool: &str, worker: Option<&str>) {
+    pub(crate) fn add_machine(&mut self, name: &str, pool: &str, worker: Option<&str>) {
         self.machines.push(MachineReport {
             name: name.into(),
             pool: pool.into(),
