--- a/crates/daemon/src/jobs/config.rs
+++ b/crates/daemon/src/jobs/config.rs
@@ -32,6 +32,9 @@
     /// The advisor about steps; none if it is missing.
     #[serde(default)]
     pub advisor_address: Option<SocketAddr>,
+    /// Where the metrics are read; nowhere if it is missing.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
     /// Longest lease that a worker gives to a run.
     pub run_lease_max_ms: u64,
     /// Time that a worker takes to stop a run.
--- a/crates/daemon/src/jobs/front.rs
+++ b/crates/daemon/src/jobs/front.rs
@@ -46,6 +46,7 @@
     pub(super) holder: watch::Sender<HolderSeen>,
     pub(super) ready: watch::Sender<Result<(), Arc<str>>>,
     pub(super) stopping: watch::Receiver<bool>,
+    pub(super) metrics: Metrics,
     pub(super) log: Logger,
 }
 
@@ -270,8 +271,12 @@
 
     fn spawn(&mut self, reply: oneshot::Sender<FrontReply>, store: StoreCalls, job: Submission) {
         let log = self.options.log.clone();
+        let metrics = Arc::clone(&self.options.metrics);
         self.calls.spawn(async move {
+            let began = store.clock.now();
             let outcome = store.submit(&job).await;
+            metrics.time_ms("submit.ms", store.clock.now().ms_since(began));
+            metrics.count(submit_counter(&outcome), 1);
             info!(log, "submit"; "job" => &*job.id, "queue" => &*job.record.queue, "outcome" => ?outcome);
             let accepted = outcome == FrontReply::Accepted;
             let _ = reply.send(outcome);
@@ -404,6 +409,14 @@
     }
 }
 
+fn submit_counter(outcome: &FrontReply) -> &'static str {
+    match outcome {
+        FrontReply::Accepted => "submit.accepted",
+        FrontReply::OutcomeUnknown => "submit.outcome_unknown",
+        _ => "submit.refused",
+    }
+}
+
 fn unavailable(reason: &str) -> FrontReply {
     FrontReply::Unavailable {
         reason: reason.into(),
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryscale_domain::job::{JobProgress, JobRecord};
-use rosemaryscale_domain::schedule::order::{Action, WaveRequest, WorkerReport};
+use rosemaryscale_domain::job::{JobProgress, JobRecord, TaskPosition};
+use rosemaryscale_domain::schedule::order::{Action, Note, RunEndKind, WaveRequest, WorkerReport};
 use rosemaryscale_domain::schedule::{Batch, ScheduleSettings, Scheduler, StoredJob};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
@@ -289,6 +289,7 @@
         }
         let recovering = self.scheduler.is_recovering();
         let actions = self.scheduler.advance(now, wall);
+        self.log_notes();
         if recovering && !self.scheduler.is_recovering() {
             info!(self.options.log, "recovery ended");
         }
@@ -310,6 +311,34 @@
         Ok(())
     }
 
+    fn log_notes(&mut self) {
+        for note in self.scheduler.take_notes() {
+            match note {
+                Note::RunEnded {
+                    task,
+                    number,
+                    worker,
+                    kind,
+                    failed_runs,
+                } => {
+                    self.options.metrics.count(end_counter(kind), 1);
+                    info!(self.options.log, "run ended"; "job" => &*task.job,
+                        "at" => %position(task.position), "run" => number, "worker" => &*worker,
+                        "how" => ?kind, "failed_runs" => failed_runs);
+                }
+                Note::WorkerLost {
+                    worker,
+                    runs,
+                    silent,
+                } => {
+                    self.options.metrics.count("workers.lost", 1);
+                    warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
+                        "silent" => silent);
+                }
+            }
+        }
+    }
+
     fn report(&self) {
         for pool in self.scheduler.pool_uses().filter(|pool| pool.workers > 0) {
             info!(self.options.log, "pool"; "service" => &*pool.service, "workers" => pool.workers,
@@ -563,14 +592,15 @@
             }
             Action::Disconnect(worker) => WorkerCall::Close(worker),
             Action::Start(worker, order) => {
+                self.options.metrics.count("runs.started", 1);
                 info!(self.options.log, "start"; "job" => &*order.task.job,
-                    "at" => ?order.task.position, "run" => order.number,
+                    "at" => %position(order.task.position), "run" => order.number,
                     "worker" => self.scheduler.worker(worker).map(|report| report.id.to_string()));
                 WorkerCall::Start(worker, order)
             }
             Action::Stop(worker, order) => {
                 info!(self.options.log, "stop"; "job" => &*order.task.job,
-                    "at" => ?order.task.position, "run" => order.number);
+                    "at" => %position(order.task.position), "run" => order.number);
                 WorkerCall::Stop(worker, order)
             }
             Action::Pace(worker, order) => WorkerCall::Pace(worker, order),
@@ -620,6 +650,21 @@
     }
 }
 
+/// Occurrence, step and index of a task.
+fn position(at: TaskPosition) -> String {
+    format!("{}.{}.{}", at.occurrence, at.step, at.index)
+}
+
+fn end_counter(kind: RunEndKind) -> &'static str {
+    match kind {
+        RunEndKind::Done => "runs.done",
+        RunEndKind::Failed => "runs.failed",
+        RunEndKind::Stopped => "runs.stopped",
+        RunEndKind::Lapsed => "runs.lapsed",
+        RunEndKind::Broken | RunEndKind::Alone => "runs.gang_broken",
+    }
+}
+
 fn configure(scheduler: &mut Scheduler, config: &QueueConfig) {
     scheduler.configure(&config.policies);
     scheduler.set_spare_services(&config.spare_services);
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryscale_adapters::{SystemClock, log, metrics};
+use rosemaryscale_adapters::{SystemClock, log, metrics_board};
 use rosemaryscale_platform::front::{FrontError, FrontServer};
 use rosemaryscale_platform::{
     CONFIG_KEY, WAVE_PREFIX, WORKER_PREFIX, machines, queue_config, store, wave, worker_entry,
@@ -63,7 +63,7 @@
         /// Why.
         source: KvError,
     },
-    /// Signals cannot be received, or no metrics socket can be opened.
+    /// Signals cannot be received.
     #[snafu(display("cannot have a resource of the system: {source}; check the limits"))]
     Resource {
         /// Why.
@@ -80,6 +80,8 @@
     election: JoinHandle<()>,
     config: JoinHandle<()>,
     store: JoinHandle<()>,
+    metrics_server: Option<JoinHandle<()>>,
+    metrics: JoinHandle<()>,
     leaving: watch::Sender<bool>,
     stop: watch::Sender<bool>,
     end: watch::Sender<bool>,
@@ -94,7 +96,7 @@
     pub async fn start(settings: JobServiceConfig) -> Result<Self, JobServiceError> {
         let log = log::open_stdout(settings.log_format, Level::Info);
         let clock: ClockHandle = Arc::new(SystemClock::new());
-        let metrics = metrics::open(None).context(ResourceSnafu)?;
+        let (metrics, metrics_reader, metrics_task) = metrics_board::start();
         let (kv, store) = store::start(settings.store_address, Arc::clone(&metrics));
         let (config_sender, config_watch) = watch::channel(Arc::new(QueueConfig::default()));
         let config_key = KeyRange::Prefix(CONFIG_KEY.into());
@@ -114,6 +116,13 @@
         let front_server = front_server.await.context(ServerSnafu)?;
         let ready_server = FrontServer::ready(settings.ready_address, ready_watch, end_watch);
         let ready_server = ready_server.await.context(ServerSnafu)?;
+        let metrics_server = match settings.metrics_address {
+            Some(address) => {
+                let server = FrontServer::metrics(address, metrics_reader, end.subscribe());
+                Some(tokio::spawn(server.await.context(ServerSnafu)?.run()))
+            }
+            None => None,
+        };
         let front = Front::new(FrontOptions {
             kv: kv.clone(),
             clock: Arc::clone(&clock),
@@ -123,6 +132,7 @@
             holder,
             ready,
             stopping: leaving_watch.clone(),
+            metrics: Arc::clone(&metrics),
             log: log.clone(),
         });
         let options = holder_options(&settings, kv, clock, config_watch, metrics, &log);
@@ -139,6 +149,8 @@
                 log.clone(),
             )),
             store,
+            metrics_server,
+            metrics: metrics_task,
             leaving,
             stop,
             end,
@@ -175,7 +187,11 @@
         let _ = self.config.await;
         self.end.send_replace(true);
         let _ = self.ready_server.await;
+        if let Some(server) = self.metrics_server {
+            let _ = server.await;
+        }
         let _ = self.store.await;
+        let _ = self.metrics.await;
         info!(self.log, "stopped");
         Ok(())
     }
@@ -218,6 +234,7 @@
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) {
+    let mut heard = false;
     loop {
         let event = tokio::select! {
             event = events.recv() => event,
@@ -234,10 +251,17 @@
                 })
                 .collect(),
             Some(WatchEvent::Disconnected { reason }) => {
-                warn!(log, "the configuration is not heard"; "reason" => reason);
+                if heard {
+                    warn!(log, "the configuration is not heard"; "reason" => reason);
+                }
+                heard = false;
                 continue;
             }
         };
+        if !heard {
+            info!(log, "the configuration is heard");
+            heard = true;
+        }
         for entry in entries.iter().filter(|entry| &*entry.key == CONFIG_KEY) {
             match queue_config::decode(&entry.value) {
                 Ok(newer) if newer.version > config.borrow().version => {
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -21,7 +21,7 @@
 use fleet::Fleet;
 pub use fleet::WaveRecord;
 use load::LoadMeter;
-use order::{Action, LookOrder, OrderResult, Refusal, StopOrder, WorkerReport};
+use order::{Action, LookOrder, Note, OrderResult, Refusal, StopOrder, WorkerReport};
 pub use persist::{Batch, JobWrite, RecordedWorker};
 use run::PlacedRun;
 use worker::Worker;
@@ -139,6 +139,7 @@
     repeated: Vec<JobKey>,
     place_wanted: bool,
     actions: Vec<Action>,
+    notes: Vec<Note>,
     batch_sequence: u64,
     batch_in_flight: bool,
     batch_due: Option<Millis>,
@@ -165,6 +166,7 @@
             repeated: Vec::new(),
             place_wanted: true,
             actions: Vec::new(),
+            notes: Vec::new(),
             batch_sequence: 0,
             batch_in_flight: false,
             batch_due: Some(now),
@@ -383,6 +385,11 @@
         self.fenced
     }
 
+    /// What the scheduler has come to believe since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Counters since the start.
     #[must_use]
     pub const fn counters(&self) -> Counters {
@@ -735,6 +742,13 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        if worker.known {
+            self.notes.push(Note::WorkerLost {
+                worker: Arc::clone(&worker.report.id),
+                runs: worker.runs.len(),
+                silent: worker.silent,
+            });
+        }
         worker.known = false;
         worker.lease_end = now;
         worker.unknown_runs.clear();
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -2,7 +2,7 @@
 
 use super::book::TaskStatus;
 use super::order::{
-    Action, ListedEnd, ListedRun, Listing, LookResult, Refusal, RunEndKind, StopOrder,
+    Action, ListedEnd, ListedRun, Listing, LookResult, Note, Refusal, RunEndKind, StopOrder,
 };
 use super::run::{Phase, PlacedRun, Run, RunFacts};
 use super::{
@@ -276,6 +276,13 @@
         if let Some(run) = self.run_at(key, task, end.number) {
             self.drop_run(run, now);
         }
+        self.notes.push(Note::RunEnded {
+            task: end.task.clone(),
+            number: end.number,
+            worker: Arc::clone(&self.workers[key].report.id),
+            kind: end.kind,
+            failed_runs: self.book.tasks[task].failed_runs.len(),
+        });
     }
 
     fn note_end(&mut self, key: WorkerKey, task: TaskKey, end: &ListedEnd) {
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -291,3 +291,30 @@
     /// Workers to ask about.
     pub workers: Vec<Arc<str>>,
 }
+
+/// What the scheduler has come to believe, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A run has ended.
+    RunEnded {
+        /// The task.
+        task: TaskName,
+        /// Number of the run.
+        number: u32,
+        /// The worker.
+        worker: Arc<str>,
+        /// How it ended.
+        kind: RunEndKind,
+        /// Failed runs of the task so far.
+        failed_runs: usize,
+    },
+    /// All runs of a worker are over: it crashed, or was silent until its lease ended.
+    WorkerLost {
+        /// The worker.
+        worker: Arc<str>,
+        /// Runs that are over.
+        runs: usize,
+        /// Whether it was silent.
+        silent: bool,
+    },
+}
