--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -14,6 +14,10 @@
 /// A job is heard of within a few watch intervals of its acceptance; this is well above them.
 const UNKNOWN_RUN_MS: u64 = 3_000;
 
+/// Progress is reported in percent with every look, at least each second; work that is six times as
+/// slow as declared still moves within this time.
+const STUCK_MS: u64 = 2_500;
+
 impl Scheduler {
     /// Applies how a look ended.
     pub fn looked(&mut self, key: WorkerKey, result: LookResult, now: Millis, wall: Millis) {
@@ -71,6 +75,7 @@
         let listed = self.apply_running(key, &listing.running, now);
         self.drop_unlisted(key, &listed, sent_at, now);
         self.pace_worker(key, now);
+        self.stop_stuck(key, now);
         let worker = &mut self.workers[key];
         worker.next_look = if worker.acknowledged < worker.last_end {
             now.after_ms(UNWRITTEN_LOOK_MS)
@@ -186,9 +191,9 @@
             fills: step.is_some_and(|step| step.fills),
             sent_at: now,
         };
-        let run = self
-            .runs
-            .insert(PlacedRun::new(Phase::Confirmed(Run::adopted(facts, now))));
+        let mut run = PlacedRun::new(Phase::Confirmed(Run::adopted(facts, now)));
+        run.reported.moved_at = now;
+        let run = self.runs.insert(run);
         let worker = &mut self.workers[worker];
         worker.runs.push(run);
         worker.used = worker.used.plus(facts.need);
@@ -235,6 +240,35 @@
         }
     }
 
+    /// Stops runs whose progress stands still, so that their tasks start on another worker.
+    fn stop_stuck(&mut self, key: WorkerKey, now: Millis) {
+        let stuck: Vec<RunKey> = self.workers[key]
+            .runs
+            .iter()
+            .copied()
+            .filter(|run| {
+                self.runs.get(*run).is_some_and(|run| {
+                    run.confirmed_since().is_some()
+                        && run.reported.percent < 100
+                        && run.pace_percent == 100
+                        && now.ms_since(run.reported.moved_at) >= STUCK_MS
+                })
+            })
+            .collect();
+        for run in stuck {
+            let task = self.runs[run].facts().task;
+            let step = self.book.step_of(task);
+            if step.is_none_or(|step| step.gang) {
+                continue;
+            }
+            if let Some(task) = self.book.tasks.get_mut(task) {
+                task.avoid = Some(key);
+            }
+            self.workers[key].count_failure(now);
+            self.stop_run(run, now);
+        }
+    }
+
     /// Drops runs that the worker had confirmed, or whose stop it had accepted, before the look was
     /// sent and that it no longer lists.
     fn drop_unlisted(
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -378,3 +378,17 @@
     world.run_for(12_000);
     assert_eq!(world.paces.last(), Some(&("b.0.0.0".into(), 100)));
 }
+
+/// Guards against a task that stands still on its worker for ever.
+#[test]
+fn a_task_that_stands_still_starts_on_another_worker() {
+    let mut world = World::new(2);
+    world.submit("a", job(vec![step(1)], 3));
+    world.rows.insert("a.0.0.0".into(), (40, 0));
+    world.run_for(1_000);
+    let first = world.worker_of("a.0.0.0");
+    world.run_for(3_000);
+    assert!(world.worker_of("a.0.0.0").is_some());
+    assert_ne!(world.worker_of("a.0.0.0"), first);
+    assert_eq!(world.runs_at_once_max("a.0.0.0"), 1);
+}
