--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -716,7 +716,38 @@
         let share_ppm = sum.dominant_share_ppm(self.largest_capacity());
         let filled =
             usize::try_from((share_ppm * 100 / FILL_PERCENT).div_ceil(1_000_000)).unwrap_or(0);
-        filled.max(self.machines_to_empty_one(service))
+        filled
+            .max(self.machines_to_empty_one(service))
+            .max(self.machines_to_spread(service, now))
+    }
+
+    /// Instances that waiting tasks need which may not run beside each other.
+    fn machines_to_spread(&self, service: ServiceKey, now: Millis) -> usize {
+        let mut waiting: FastMap<(JobKey, u16), u32> = FastMap::default();
+        for key in &self.ready {
+            let Some(task) = self.book.tasks.get(*key) else {
+                continue;
+            };
+            let spread = self
+                .book
+                .step_of(*key)
+                .is_some_and(|step| step.per_worker_max > 0);
+            if spread && self.service_of(*key) == Some(service) && self.is_worth_room(*key, now) {
+                *waiting.entry((task.job, task.position.step)).or_default() += 1;
+            }
+        }
+        let more = waiting.into_iter().filter_map(|((job, step), count)| {
+            let step = self.book.jobs.get(job)?.step(step)?;
+            Some(count.div_ceil(step.per_worker_max))
+        });
+        let Some(more) = more.max() else {
+            return 0;
+        };
+        let workers = self.services[service]
+            .workers
+            .iter()
+            .filter_map(|key| self.workers.get(*key));
+        workers.filter(|worker| worker.takes_work(now)).count() + more as usize
     }
 
     /// Instances that a pool needs while some of them wait to be maintained: one more than those that
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -392,3 +392,22 @@
     assert_ne!(world.worker_of("a.0.0.0"), first);
     assert_eq!(world.runs_at_once_max("a.0.0.0"), 1);
 }
+
+/// Guards against tasks that wait although instances are spare: they may not run beside each other,
+/// so that the room of the pool says nothing about them (karam-logs quiet-1: up to 10 s).
+#[test]
+fn tasks_that_must_be_apart_get_instances_of_their_own() {
+    let mut world = World::new(1);
+    world.add_machine("m0", "service", Some("w0"));
+    world.add_machine("m1", "spare", None);
+    world.add_machine("m2", "spare", None);
+    world.scheduler.set_spare_services(&["spare".into()]);
+    let apart = StepSpec {
+        long_running: true,
+        per_worker_max: 1,
+        ..step(3)
+    };
+    world.submit("a", job(vec![apart], 3));
+    world.run_for(2_000);
+    assert_eq!(world.running().len(), 3);
+}
