--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -1,19 +1,22 @@
 //! The holder: runs the scheduler while its key is held.
 
+mod actions;
+mod events;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryscale_domain::job::{JobProgress, JobRecord, TaskPosition};
-use rosemaryscale_domain::schedule::order::{Action, Note, RunEndKind, WaveRequest, WorkerReport};
+use rosemaryscale_domain::job::{JobProgress, JobRecord};
+use rosemaryscale_domain::schedule::order::{WaveRequest, WorkerReport};
 use rosemaryscale_domain::schedule::{Batch, ScheduleSettings, Scheduler, StoredJob};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
-use rosemaryscale_ports::kv::{KeyRange, KeyValue, KvEntry, KvResult, Update, WatchEvent};
-use rosemaryscale_ports::machine::{MachineCall, MachineCalls, MachineEvent, MachineEvents};
+use rosemaryscale_ports::kv::{KeyRange, KeyValue, KvEntry, KvResult, WatchEvent};
+use rosemaryscale_ports::machine::{MachineCalls, MachineEvents};
 use rosemaryscale_ports::prelude::*;
-use rosemaryscale_ports::worker::{WorkerCall, WorkerCalls, WorkerEvent, WorkerEvents};
-use slog::{Logger, debug, info, warn};
+use rosemaryscale_ports::worker::{WorkerCalls, WorkerEvents};
+use slog::{Logger, info, warn};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::MissedTickBehavior;
@@ -311,44 +314,6 @@
         Ok(())
     }
 
-    fn log_notes(&mut self) {
-        for note in self.scheduler.take_notes() {
-            match note {
-                Note::RunEnded {
-                    task,
-                    number,
-                    worker,
-                    kind,
-                    failed_runs,
-                } => {
-                    self.options.metrics.count(end_counter(kind), 1);
-                    info!(self.options.log, "run ended"; "job" => &*task.job,
-                        "at" => %position(task.position), "run" => number, "worker" => &*worker,
-                        "how" => ?kind, "failed_runs" => failed_runs);
-                }
-                Note::WorkerLost {
-                    worker,
-                    runs,
-                    silent,
-                } => {
-                    self.options.metrics.count("workers.lost", 1);
-                    warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
-                        "silent" => silent);
-                }
-            }
-        }
-    }
-
-    fn report(&self) {
-        for pool in self.scheduler.pool_uses().filter(|pool| pool.workers > 0) {
-            info!(self.options.log, "pool"; "service" => &*pool.service, "workers" => pool.workers,
-                "processors_used_milli" => pool.used.processors_milli,
-                "processors_milli" => pool.capacity.processors_milli,
-                "memory_used_mb" => pool.used.memory_mb, "memory_mb" => pool.capacity.memory_mb,
-                "tasks_waiting" => pool.tasks_waiting);
-        }
-    }
-
     fn write_batch(&mut self, now: Millis) {
         if self.chain.is_none() {
             return;
@@ -433,236 +398,6 @@
             Background::Written(chain, None)
         });
     }
-
-    fn apply_jobs(&mut self, event: WatchEvent) {
-        let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
-        for entry in self.written(event, "jobs") {
-            match records::job_key_kind(&entry.key) {
-                Some(JobKeyKind::Job(id)) => match records::decode::<JobRecord>(&entry.value) {
-                    Ok(record) => self.scheduler.submit(id.into(), record, now, wall),
-                    Err(error) => {
-                        warn!(self.options.log, "job skipped"; "job" => id, "reason" => %error);
-                    }
-                },
-                Some(JobKeyKind::Cancel(id)) => self.scheduler.cancel(id, now, wall),
-                None => {}
-            }
-        }
-    }
-
-    /// Entries that a watch shows as written.
-    fn written(&self, event: WatchEvent, what: &str) -> Vec<KvEntry> {
-        match event {
-            WatchEvent::Snapshot { entries, .. } => entries,
-            WatchEvent::Changed { updates, .. } => updates
-                .into_iter()
-                .filter_map(|update| match update {
-                    Update::Put(entry) => Some(entry),
-                    Update::Deleted(_) => None,
-                })
-                .collect(),
-            WatchEvent::Disconnected { reason } => {
-                debug!(self.options.log, "a watch is not heard"; "of" => what, "reason" => reason);
-                Vec::new()
-            }
-        }
-    }
-
-    fn apply_waves(&mut self, event: WatchEvent) {
-        let now = self.options.clock.now();
-        for entry in self.written(event, "waves") {
-            match (self.options.platform.read_wave)(&entry.value) {
-                Ok(wave) => {
-                    info!(self.options.log, "maintenance wave"; "wave" => wave.number,
-                        "instances" => wave.machines.len(), "at_once" => wave.down_max);
-                    self.scheduler.wave_requested(wave, now);
-                }
-                Err(reason) => {
-                    warn!(self.options.log, "wave skipped"; "key" => &*entry.key, "reason" => &*reason);
-                }
-            }
-        }
-    }
-
-    fn apply_machine_event(&mut self, event: MachineEvent) {
-        let now = self.options.clock.now();
-        match event {
-            MachineEvent::Listed(reports) => self.scheduler.machines_listed(reports, now),
-            MachineEvent::Ordered { machine, result } => {
-                info!(self.options.log, "instance ordered"; "result" => ?result,
-                    "instance" => self.scheduler.machine_name(machine).map(ToString::to_string));
-                self.scheduler.machine_ordered(machine, result, now);
-            }
-        }
-    }
-
-    fn apply_workers(&mut self, event: WatchEvent) {
-        match event {
-            WatchEvent::Snapshot { entries, .. } => {
-                let mut listed = FastSet::default();
-                for entry in &entries {
-                    if let Some(id) = self.apply_worker(entry) {
-                        listed.insert(id);
-                    }
-                }
-                self.scheduler.workers_listed(&listed);
-            }
-            WatchEvent::Changed { updates, .. } => {
-                for update in updates {
-                    match update {
-                        Update::Put(entry) => {
-                            self.apply_worker(&entry);
-                        }
-                        Update::Deleted(key) => {
-                            if let Some(id) = key.strip_prefix(self.options.platform.worker_prefix)
-                            {
-                                info!(self.options.log, "worker unlisted"; "worker" => id);
-                                self.scheduler.worker_unlisted(id);
-                            }
-                        }
-                    }
-                }
-            }
-            WatchEvent::Disconnected { reason } => {
-                debug!(self.options.log, "workers are not heard"; "reason" => reason);
-            }
-        }
-    }
-
-    fn apply_worker(&mut self, entry: &KvEntry) -> Option<Arc<str>> {
-        let id = entry
-            .key
-            .strip_prefix(self.options.platform.worker_prefix)?;
-        match (self.options.platform.read_worker)(id, &entry.value) {
-            Ok(report) => {
-                let id = Arc::clone(&report.id);
-                self.scheduler
-                    .worker_listed(report, self.options.clock.now());
-                Some(id)
-            }
-            Err(reason) => {
-                debug!(self.options.log, "worker entry skipped"; "worker" => id, "reason" => &*reason);
-                None
-            }
-        }
-    }
-
-    fn apply_worker_event(&mut self, event: WorkerEvent) {
-        let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
-        match event {
-            WorkerEvent::Started {
-                worker,
-                run,
-                result,
-            } => {
-                self.scheduler.started(worker, run, result, now);
-            }
-            WorkerEvent::Stopped {
-                worker,
-                run,
-                result,
-            } => {
-                self.scheduler.stopped(worker, run, result, now);
-            }
-            WorkerEvent::Paced {
-                worker,
-                order,
-                result,
-            } => self
-                .scheduler
-                .paced(worker, &order.task, order.number, result),
-            WorkerEvent::Looked { worker, result } => {
-                self.scheduler.looked(worker, result, now, wall);
-            }
-        }
-    }
-
-    async fn send(&mut self, action: Action) -> Result<(), &'static str> {
-        let call = match action {
-            Action::Connect(worker) => {
-                let Some(report) = self.scheduler.worker(worker) else {
-                    return Ok(());
-                };
-                WorkerCall::Open {
-                    worker,
-                    id: Arc::clone(&report.id),
-                    address: Arc::clone(&report.address),
-                    fence: self.held.fence,
-                }
-            }
-            Action::Disconnect(worker) => WorkerCall::Close(worker),
-            Action::Start(worker, order) => {
-                self.options.metrics.count("runs.started", 1);
-                info!(self.options.log, "start"; "job" => &*order.task.job,
-                    "at" => %position(order.task.position), "run" => order.number,
-                    "worker" => self.scheduler.worker(worker).map(|report| report.id.to_string()));
-                WorkerCall::Start(worker, order)
-            }
-            Action::Stop(worker, order) => {
-                info!(self.options.log, "stop"; "job" => &*order.task.job,
-                    "at" => %position(order.task.position), "run" => order.number);
-                WorkerCall::Stop(worker, order)
-            }
-            Action::Pace(worker, order) => WorkerCall::Pace(worker, order),
-            Action::Look(worker, order) => {
-                self.options.metrics.count("looks", 1);
-                WorkerCall::Look(worker, order)
-            }
-            Action::ListMachines => return self.send_machine(MachineCall::List).await,
-            Action::Move(machine, pool) => {
-                let Some(name) = self.scheduler.machine_name(machine).cloned() else {
-                    return Ok(());
-                };
-                info!(self.options.log, "move"; "instance" => &*name, "pool" => &*pool);
-                let fence = self.held.fence;
-                let call = MachineCall::Move {
-                    machine,
-                    name,
-                    pool,
-                    fence,
-                };
-                return self.send_machine(call).await;
-            }
-            Action::Maintain(machine, wave) => {
-                let Some(name) = self.scheduler.machine_name(machine).cloned() else {
-                    return Ok(());
-                };
-                info!(self.options.log, "maintain"; "instance" => &*name, "wave" => wave);
-                let fence = self.held.fence;
-                let call = MachineCall::Maintain {
-                    machine,
-                    name,
-                    wave,
-                    fence,
-                };
-                return self.send_machine(call).await;
-            }
-        };
-        self.links
-            .send(call)
-            .await
-            .map_err(|_| "the links have ended")
-    }
-
-    async fn send_machine(&mut self, call: MachineCall) -> Result<(), &'static str> {
-        let sent = self.machines.send(call).await;
-        sent.map_err(|_| "the client of the instances has ended")
-    }
-}
-
-/// Occurrence, step and index of a task.
-fn position(at: TaskPosition) -> String {
-    format!("{}.{}.{}", at.occurrence, at.step, at.index)
-}
-
-fn end_counter(kind: RunEndKind) -> &'static str {
-    match kind {
-        RunEndKind::Done => "runs.done",
-        RunEndKind::Failed => "runs.failed",
-        RunEndKind::Stopped => "runs.stopped",
-        RunEndKind::Lapsed => "runs.lapsed",
-        RunEndKind::Broken | RunEndKind::Alone => "runs.gang_broken",
-    }
 }
 
 fn configure(scheduler: &mut Scheduler, config: &QueueConfig) {
--- /dev/null
+++ b/crates/daemon/src/jobs/holder/actions.rs
@@ -0,0 +1,138 @@
+//! What the scheduler decides, on its way to workers, instances and the log.
+
+use std::sync::Arc;
+
+use rosemaryscale_domain::job::TaskPosition;
+use rosemaryscale_domain::schedule::order::{Action, Note, RunEndKind};
+use rosemaryscale_ports::machine::MachineCall;
+use rosemaryscale_ports::worker::WorkerCall;
+use slog::{info, warn};
+
+use super::Holder;
+
+impl Holder {
+    pub(super) fn log_notes(&mut self) {
+        for note in self.scheduler.take_notes() {
+            match note {
+                Note::RunEnded {
+                    task,
+                    number,
+                    worker,
+                    kind,
+                    failed_runs,
+                } => {
+                    self.options.metrics.count(end_counter(kind), 1);
+                    info!(self.options.log, "run ended"; "job" => &*task.job,
+                        "at" => %position(task.position), "run" => number, "worker" => &*worker,
+                        "how" => ?kind, "failed_runs" => failed_runs);
+                }
+                Note::WorkerLost {
+                    worker,
+                    runs,
+                    silent,
+                } => {
+                    self.options.metrics.count("workers.lost", 1);
+                    warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
+                        "silent" => silent);
+                }
+            }
+        }
+    }
+
+    pub(super) fn report(&self) {
+        for pool in self.scheduler.pool_uses().filter(|pool| pool.workers > 0) {
+            info!(self.options.log, "pool"; "service" => &*pool.service, "workers" => pool.workers,
+                "processors_used_milli" => pool.used.processors_milli,
+                "processors_milli" => pool.capacity.processors_milli,
+                "memory_used_mb" => pool.used.memory_mb, "memory_mb" => pool.capacity.memory_mb,
+                "tasks_waiting" => pool.tasks_waiting);
+        }
+    }
+
+    pub(super) async fn send(&mut self, action: Action) -> Result<(), &'static str> {
+        let call = match action {
+            Action::Connect(worker) => {
+                let Some(report) = self.scheduler.worker(worker) else {
+                    return Ok(());
+                };
+                WorkerCall::Open {
+                    worker,
+                    id: Arc::clone(&report.id),
+                    address: Arc::clone(&report.address),
+                    fence: self.held.fence,
+                }
+            }
+            Action::Disconnect(worker) => WorkerCall::Close(worker),
+            Action::Start(worker, order) => {
+                self.options.metrics.count("runs.started", 1);
+                info!(self.options.log, "start"; "job" => &*order.task.job,
+                    "at" => %position(order.task.position), "run" => order.number,
+                    "worker" => self.scheduler.worker(worker).map(|report| report.id.to_string()));
+                WorkerCall::Start(worker, order)
+            }
+            Action::Stop(worker, order) => {
+                info!(self.options.log, "stop"; "job" => &*order.task.job,
+                    "at" => %position(order.task.position), "run" => order.number);
+                WorkerCall::Stop(worker, order)
+            }
+            Action::Pace(worker, order) => WorkerCall::Pace(worker, order),
+            Action::Look(worker, order) => {
+                self.options.metrics.count("looks", 1);
+                WorkerCall::Look(worker, order)
+            }
+            Action::ListMachines => return self.send_machine(MachineCall::List).await,
+            Action::Move(machine, pool) => {
+                let Some(name) = self.scheduler.machine_name(machine).cloned() else {
+                    return Ok(());
+                };
+                info!(self.options.log, "move"; "instance" => &*name, "pool" => &*pool);
+                let fence = self.held.fence;
+                let call = MachineCall::Move {
+                    machine,
+                    name,
+                    pool,
+                    fence,
+                };
+                return self.send_machine(call).await;
+            }
+            Action::Maintain(machine, wave) => {
+                let Some(name) = self.scheduler.machine_name(machine).cloned() else {
+                    return Ok(());
+                };
+                info!(self.options.log, "maintain"; "instance" => &*name, "wave" => wave);
+                let fence = self.held.fence;
+                let call = MachineCall::Maintain {
+                    machine,
+                    name,
+                    wave,
+                    fence,
+                };
+                return self.send_machine(call).await;
+            }
+        };
+        self.links
+            .send(call)
+            .await
+            .map_err(|_| "the links have ended")
+    }
+
+    pub(super) async fn send_machine(&mut self, call: MachineCall) -> Result<(), &'static str> {
+        let sent = self.machines.send(call).await;
+        sent.map_err(|_| "the client of the instances has ended")
+    }
+}
+
+/// Occurrence, step and index of a task.
+fn position(at: TaskPosition) -> String {
+    format!("{}.{}.{}", at.occurrence, at.step, at.index)
+}
+
+fn end_counter(kind: RunEndKind) -> &'static str {
+    match kind {
+        RunEndKind::Done => "runs.done",
+        RunEndKind::Failed => "runs.failed",
+        RunEndKind::Stopped => "runs.stopped",
+        RunEndKind::Lapsed => "runs.lapsed",
+        RunEndKind::Broken | RunEndKind::Alone => "runs.gang_broken",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/holder/events.rs
@@ -0,0 +1,158 @@
+//! What the holder hears, on its way to the scheduler.
+
+use std::sync::Arc;
+
+use rosemaryscale_domain::job::JobRecord;
+use rosemaryscale_ports::kv::{KvEntry, Update, WatchEvent};
+use rosemaryscale_ports::machine::MachineEvent;
+use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::worker::WorkerEvent;
+use slog::{debug, info, warn};
+
+use super::Holder;
+use crate::jobs::records::{self, JobKeyKind};
+
+impl Holder {
+    pub(super) fn apply_jobs(&mut self, event: WatchEvent) {
+        let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
+        for entry in self.written(event, "jobs") {
+            match records::job_key_kind(&entry.key) {
+                Some(JobKeyKind::Job(id)) => match records::decode::<JobRecord>(&entry.value) {
+                    Ok(record) => self.scheduler.submit(id.into(), record, now, wall),
+                    Err(error) => {
+                        warn!(self.options.log, "job skipped"; "job" => id, "reason" => %error);
+                    }
+                },
+                Some(JobKeyKind::Cancel(id)) => self.scheduler.cancel(id, now, wall),
+                None => {}
+            }
+        }
+    }
+
+    /// Entries that a watch shows as written.
+    pub(super) fn written(&self, event: WatchEvent, what: &str) -> Vec<KvEntry> {
+        match event {
+            WatchEvent::Snapshot { entries, .. } => entries,
+            WatchEvent::Changed { updates, .. } => updates
+                .into_iter()
+                .filter_map(|update| match update {
+                    Update::Put(entry) => Some(entry),
+                    Update::Deleted(_) => None,
+                })
+                .collect(),
+            WatchEvent::Disconnected { reason } => {
+                debug!(self.options.log, "a watch is not heard"; "of" => what, "reason" => reason);
+                Vec::new()
+            }
+        }
+    }
+
+    pub(super) fn apply_waves(&mut self, event: WatchEvent) {
+        let now = self.options.clock.now();
+        for entry in self.written(event, "waves") {
+            match (self.options.platform.read_wave)(&entry.value) {
+                Ok(wave) => {
+                    info!(self.options.log, "maintenance wave"; "wave" => wave.number,
+                        "instances" => wave.machines.len(), "at_once" => wave.down_max);
+                    self.scheduler.wave_requested(wave, now);
+                }
+                Err(reason) => {
+                    warn!(self.options.log, "wave skipped"; "key" => &*entry.key, "reason" => &*reason);
+                }
+            }
+        }
+    }
+
+    pub(super) fn apply_machine_event(&mut self, event: MachineEvent) {
+        let now = self.options.clock.now();
+        match event {
+            MachineEvent::Listed(reports) => self.scheduler.machines_listed(reports, now),
+            MachineEvent::Ordered { machine, result } => {
+                info!(self.options.log, "instance ordered"; "result" => ?result,
+                    "instance" => self.scheduler.machine_name(machine).map(ToString::to_string));
+                self.scheduler.machine_ordered(machine, result, now);
+            }
+        }
+    }
+
+    pub(super) fn apply_workers(&mut self, event: WatchEvent) {
+        match event {
+            WatchEvent::Snapshot { entries, .. } => {
+                let mut listed = FastSet::default();
+                for entry in &entries {
+                    if let Some(id) = self.apply_worker(entry) {
+                        listed.insert(id);
+                    }
+                }
+                self.scheduler.workers_listed(&listed);
+            }
+            WatchEvent::Changed { updates, .. } => {
+                for update in updates {
+                    match update {
+                        Update::Put(entry) => {
+                            self.apply_worker(&entry);
+                        }
+                        Update::Deleted(key) => {
+                            if let Some(id) = key.strip_prefix(self.options.platform.worker_prefix)
+                            {
+                                info!(self.options.log, "worker unlisted"; "worker" => id);
+                                self.scheduler.worker_unlisted(id);
+                            }
+                        }
+                    }
+                }
+            }
+            WatchEvent::Disconnected { reason } => {
+                debug!(self.options.log, "workers are not heard"; "reason" => reason);
+            }
+        }
+    }
+
+    pub(super) fn apply_worker(&mut self, entry: &KvEntry) -> Option<Arc<str>> {
+        let id = entry
+            .key
+            .strip_prefix(self.options.platform.worker_prefix)?;
+        match (self.options.platform.read_worker)(id, &entry.value) {
+            Ok(report) => {
+                let id = Arc::clone(&report.id);
+                self.scheduler
+                    .worker_listed(report, self.options.clock.now());
+                Some(id)
+            }
+            Err(reason) => {
+                debug!(self.options.log, "worker entry skipped"; "worker" => id, "reason" => &*reason);
+                None
+            }
+        }
+    }
+
+    pub(super) fn apply_worker_event(&mut self, event: WorkerEvent) {
+        let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
+        match event {
+            WorkerEvent::Started {
+                worker,
+                run,
+                result,
+            } => {
+                self.scheduler.started(worker, run, result, now);
+            }
+            WorkerEvent::Stopped {
+                worker,
+                run,
+                result,
+            } => {
+                self.scheduler.stopped(worker, run, result, now);
+            }
+            WorkerEvent::Paced {
+                worker,
+                order,
+                result,
+            } => self
+                .scheduler
+                .paced(worker, &order.task, order.number, result),
+            WorkerEvent::Looked { worker, result } => {
+                self.scheduler.looked(worker, result, now, wall);
+            }
+        }
+    }
+}
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -11,7 +11,9 @@
 mod pace;
 mod persist;
 mod place;
+mod roster;
 mod run;
+mod runs;
 mod worker;
 
 use crate::job::{JobProgress, JobRecord, JobState, QueuePolicy};
@@ -21,7 +23,7 @@
 use fleet::Fleet;
 pub use fleet::WaveRecord;
 use load::LoadMeter;
-use order::{Action, LookOrder, Note, OrderResult, Refusal, StopOrder, WorkerReport};
+use order::{Action, Note};
 pub use persist::{Batch, JobWrite, RecordedWorker};
 use run::PlacedRun;
 use worker::Worker;
@@ -276,109 +278,6 @@
         self.place_wanted = true;
     }
 
-    /// Takes a worker from the platform's list.
-    pub fn worker_listed(&mut self, report: WorkerReport, now: Millis) {
-        let Some(key) = self.workers_by_id.get(&report.id).copied() else {
-            let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
-            self.insert_worker(report, lease_end);
-            self.want_batch(now);
-            return;
-        };
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        worker.listed = true;
-        let before = worker.report.started_wall_ms;
-        let other_life =
-            before != 0 && report.started_wall_ms != 0 && before != report.started_wall_ms;
-        // An entry that is older than what the worker has said of itself changes nothing.
-        if other_life && report.started_wall_ms < before {
-            return;
-        }
-        let moved = worker.report.service != report.service;
-        let readdressed = worker.report.address != report.address;
-        let report = WorkerReport {
-            started_wall_ms: report.started_wall_ms.max(before),
-            ..report
-        };
-        worker.report = report.clone();
-        if other_life {
-            self.end_life(key, now);
-            if let Some(worker) = self.workers.get_mut(key) {
-                worker.begin_life(report);
-            }
-        }
-        if moved {
-            self.join_service(key);
-        }
-        if readdressed || other_life {
-            self.actions.push(Action::Disconnect(key));
-            self.actions.push(Action::Connect(key));
-        }
-        self.place_wanted = true;
-    }
-
-    /// Takes a worker off that the platform no longer lists.
-    pub fn worker_unlisted(&mut self, id: &str) {
-        if let Some(worker) = self
-            .workers_by_id
-            .get(id)
-            .and_then(|key| self.workers.get_mut(*key))
-        {
-            worker.listed = false;
-        }
-    }
-
-    /// Takes workers off that a whole listing lacks.
-    pub fn workers_listed(&mut self, listed: &FastSet<Arc<str>>) {
-        for worker in self.workers.values_mut() {
-            worker.listed &= listed.contains(&worker.report.id);
-        }
-    }
-
-    fn insert_worker(&mut self, report: WorkerReport, lease_end: Millis) -> WorkerKey {
-        let id = Arc::clone(&report.id);
-        let key = self.workers.insert(Worker::new(report, lease_end));
-        self.workers_by_id.insert(id, key);
-        self.join_service(key);
-        self.actions.push(Action::Connect(key));
-        key
-    }
-
-    fn join_service(&mut self, key: WorkerKey) {
-        for service in self.services.values_mut() {
-            service.workers.retain(|worker| *worker != key);
-        }
-        let Some(name) = self
-            .workers
-            .get(key)
-            .map(|worker| Arc::clone(&worker.report.service))
-        else {
-            return;
-        };
-        let service = self.service_key(&name);
-        self.services[service].workers.push(key);
-    }
-
-    fn service_key(&mut self, name: &Arc<str>) -> ServiceKey {
-        if let Some(key) = self.services_by_name.get(name) {
-            return *key;
-        }
-        let key = self.services.insert(Service {
-            name: Arc::clone(name),
-            workers: Vec::new(),
-            load: LoadMeter::default(),
-        });
-        self.services_by_name.insert(Arc::clone(name), key);
-        key
-    }
-
-    /// What a worker's link needs to know.
-    #[must_use]
-    pub fn worker(&self, key: WorkerKey) -> Option<&WorkerReport> {
-        self.workers.get(key).map(|worker| &worker.report)
-    }
-
     /// Whether a worker has refused this holder because of a higher fence number.
     #[must_use]
     pub const fn is_fenced(&self) -> bool {
@@ -402,78 +301,6 @@
         self.recovery.is_some()
     }
 
-    /// Applies how a start ended.
-    pub fn started(&mut self, worker: WorkerKey, run: RunKey, result: OrderResult, now: Millis) {
-        if !self.runs.contains_key(run) {
-            return;
-        }
-        match result {
-            OrderResult::Accepted { clock_ms } => {
-                if let Some(worker) = self.workers.get_mut(worker) {
-                    worker.saw_clock(clock_ms, now);
-                }
-                if let Some(run) = self.runs.get_mut(run) {
-                    run.confirm(now);
-                }
-            }
-            OrderResult::Refused(Refusal::OtherLife) | OrderResult::NotListening => {
-                self.end_life(worker, now);
-            }
-            OrderResult::Refused(refusal) => {
-                self.fenced |= refusal == Refusal::Fenced;
-                self.pause_worker(worker, refusal, now);
-                self.drop_run(run, now);
-            }
-            OrderResult::NotSent => self.drop_run(run, now),
-            OrderResult::Unanswered => {
-                if let Some(worker) = self.workers.get_mut(worker) {
-                    worker.pause(now);
-                }
-                self.stop_run(run, now);
-            }
-        }
-    }
-
-    /// Applies how a stop ended.
-    pub fn stopped(
-        &mut self,
-        worker: WorkerKey,
-        run: Option<RunKey>,
-        result: OrderResult,
-        now: Millis,
-    ) {
-        if let OrderResult::Refused(Refusal::OtherLife) | OrderResult::NotListening = result {
-            self.end_life(worker, now);
-            return;
-        }
-        self.fenced |= result == OrderResult::Refused(Refusal::Fenced);
-        let Some(run) = run.and_then(|run| self.runs.get_mut(run)) else {
-            return;
-        };
-        run.stop_in_flight = false;
-        match result {
-            OrderResult::Accepted { .. } => {
-                run.stop_accepted_at = Some(now);
-                run.stop_again_at = Millis::MAX;
-                if let Some(worker) = self.workers.get_mut(worker) {
-                    worker.next_look = worker.next_look.min(now);
-                }
-            }
-            _ => run.stop_again_at = now.after_ms(STOP_AGAIN_MS),
-        }
-    }
-
-    fn pause_worker(&mut self, key: WorkerKey, refusal: Refusal, now: Millis) {
-        if let Some(worker) = self.workers.get_mut(key)
-            && matches!(
-                refusal,
-                Refusal::Unhealthy | Refusal::NoRoom | Refusal::Malformed
-            )
-        {
-            worker.pause(now);
-        }
-    }
-
     /// Does what is due, and returns what the task around the scheduler must do.
     pub fn advance(&mut self, now: Millis, wall: Millis) -> Vec<Action> {
         self.check_recovery(now);
@@ -541,89 +368,7 @@
         self.repeated = repeated;
     }
 
-    /// Frees the runs of silent workers whose lease has ended, and forgets workers that are gone.
-    fn check_workers(&mut self, now: Millis) {
-        let lapsed: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.silent && worker.lease_end < now && worker.known)
-            .map(|(key, _)| key)
-            .collect();
-        for key in lapsed {
-            self.counters.lapses += self.workers[key].runs.len() as u64;
-            self.end_life(key, now);
-        }
-        let gone: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                !worker.listed && worker.runs.is_empty() && (worker.known || worker.lease_end < now)
-            })
-            .map(|(key, _)| key)
-            .collect();
-        for key in gone {
-            self.forget_worker(key, now);
-        }
-    }
-
-    fn forget_worker(&mut self, key: WorkerKey, now: Millis) {
-        for service in self.services.values_mut() {
-            service.workers.retain(|worker| *worker != key);
-        }
-        if let Some(worker) = self.workers.remove(key) {
-            self.workers_by_id.remove(&worker.report.id);
-        }
-        self.actions.push(Action::Disconnect(key));
-        self.want_batch(now.after_ms(LAZY_BATCH_MS));
-    }
-
-    fn repeat_stops(&mut self, now: Millis) {
-        let due: Vec<RunKey> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.is_stopping() && !run.stop_in_flight && run.stop_again_at <= now)
-            .map(|(key, _)| key)
-            .collect();
-        for key in due {
-            self.send_stop(key);
-        }
-    }
-
-    fn look(&mut self, now: Millis) {
-        let keys: Vec<WorkerKey> = self.workers.keys().collect();
-        for key in keys {
-            let worker = &mut self.workers[key];
-            let idle = worker.runs.is_empty() && worker.unknown_runs.is_empty();
-            let untold = worker.told < worker.acknowledged;
-            let wanted = !worker.known || !idle || untold;
-            if worker.looking || !wanted || worker.next_look > now {
-                continue;
-            }
-            let waits = worker.known && !worker.silent && !idle;
-            let deadline_ms = match worker.clock_at(now) {
-                Some(clock) if worker.known && !worker.silent => {
-                    let end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
-                    worker.lease_end = worker.lease_end.max(end);
-                    Some(clock + self.settings.run_lease_ms)
-                }
-                _ => None,
-            };
-            worker.looking = true;
-            worker.look_sent_at = now;
-            worker.told = worker.acknowledged;
-            self.counters.looks += 1;
-            self.actions.push(Action::Look(
-                key,
-                LookOrder {
-                    deadline_ms,
-                    acknowledged: worker.acknowledged,
-                    wait_ms: if waits { self.settings.look_wait_ms } else { 0 },
-                },
-            ));
-        }
-    }
-
-    fn queue_ready(&mut self, key: JobKey) {
+    pub(super) fn queue_ready(&mut self, key: JobKey) {
         let Some(job) = self.book.jobs.get(key) else {
             return;
         };
@@ -639,7 +384,7 @@
     }
 
     /// Gives a task without a run its status, and queues it if it can start.
-    fn release_task(&mut self, key: TaskKey) {
+    pub(super) fn release_task(&mut self, key: TaskKey) {
         let status = self.book.idle_status(key);
         if let Some(task) = self.book.tasks.get_mut(key) {
             task.status = status;
@@ -681,125 +426,9 @@
         self.want_batch(now.after_ms(FINAL_BATCH_MS));
     }
 
-    fn stop_run(&mut self, key: RunKey, now: Millis) {
-        let Some(run) = self.runs.get_mut(key) else {
-            return;
-        };
-        if run.is_stopping() {
-            return;
-        }
-        run.stop(now);
-        self.send_stop(key);
-    }
-
-    fn send_stop(&mut self, key: RunKey) {
-        let Some(run) = self.runs.get_mut(key) else {
-            return;
-        };
-        let Some(task) = self.book.name(run.facts().task) else {
-            return;
-        };
-        run.stop_in_flight = true;
-        self.counters.stops += 1;
-        let order = StopOrder {
-            run: Some(key),
-            task,
-            number: run.facts().number,
-        };
-        self.actions.push(Action::Stop(run.facts().worker, order));
-    }
-
-    /// Takes a run out that is certainly over, and releases its task.
-    fn drop_run(&mut self, key: RunKey, now: Millis) {
-        let Some(run) = self.runs.remove(key) else {
-            return;
-        };
-        let facts = *run.facts();
-        if let Some(worker) = self.workers.get_mut(facts.worker) {
-            worker.runs.retain(|run| *run != key);
-            worker.used = worker.used.minus(facts.need);
-        }
-        self.place_wanted = true;
-        let long_running = self
-            .book
-            .step_of(facts.task)
-            .is_some_and(|step| step.long_running);
-        let Some(task) = self.book.tasks.get_mut(facts.task) else {
-            return;
-        };
-        if task.status != TaskStatus::Placed(key) {
-            return;
-        }
-        if long_running {
-            task.not_before = now.after_ms(RESTART_MS);
-            task.away_since = task.away_since.or(Some(now));
-        }
-        self.release_task(facts.task);
-    }
-
-    /// Ends everything that a life of a worker ran.
-    fn end_life(&mut self, key: WorkerKey, now: Millis) {
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        if worker.known {
-            self.notes.push(Note::WorkerLost {
-                worker: Arc::clone(&worker.report.id),
-                runs: worker.runs.len(),
-                silent: worker.silent,
-            });
-        }
-        worker.known = false;
-        worker.lease_end = now;
-        worker.unknown_runs.clear();
-        worker.unknown_since = None;
-        worker.next_look = now.after_ms(SILENT_LOOK_MS);
-        for run in worker.runs.clone() {
-            self.drop_run(run, now);
-        }
-        if let Some(recovery) = &mut self.recovery {
-            recovery.awaited.remove(&key);
-        }
-    }
-
-    fn want_batch(&mut self, at: Millis) {
+    pub(super) fn want_batch(&mut self, at: Millis) {
         self.batch_due = Some(self.batch_due.map_or(at, |due| due.min(at)));
     }
-
-    /// Use of each pool, for reports.
-    pub fn pool_uses(&self) -> impl Iterator<Item = PoolUse> {
-        self.services.iter().map(|(key, service)| {
-            let workers = service
-                .workers
-                .iter()
-                .filter_map(|key| self.workers.get(*key));
-            let known: Vec<&Worker> = workers
-                .filter(|worker| worker.listed && worker.known)
-                .collect();
-            let sum = |part: fn(&Worker) -> Resources| {
-                known
-                    .iter()
-                    .map(|worker| part(worker))
-                    .fold(Resources::default(), Resources::plus)
-            };
-            let waiting = self
-                .ready
-                .iter()
-                .filter(|task| self.service_of(**task) == Some(key));
-            PoolUse {
-                service: Arc::clone(&service.name),
-                workers: known.len(),
-                capacity: sum(|worker| worker.report.capacity),
-                used: sum(|worker| worker.used),
-                tasks_waiting: waiting.count(),
-            }
-        })
-    }
-
-    fn service_of(&self, task: TaskKey) -> Option<ServiceKey> {
-        let job = self.book.jobs.get(self.book.tasks.get(task)?.job)?;
-        self.services_by_name.get(&job.policy.service).copied()
-    }
 }
 
 /// When a job was received, on this process's clock.
--- /dev/null
+++ b/crates/domain/src/schedule/roster.rs
@@ -0,0 +1,243 @@
+//! Workers and services: who is listed, who is looked at, and whose runs are over.
+
+use super::load::LoadMeter;
+use super::order::{Action, LookOrder, Note, WorkerReport};
+use super::worker::Worker;
+use super::{LAZY_BATCH_MS, LEASE_MARGIN_MS, PoolUse, SILENT_LOOK_MS, Scheduler, Service};
+use crate::placement::Resources;
+use crate::prelude::*;
+
+impl Scheduler {
+    /// Takes a worker from the platform's list.
+    pub fn worker_listed(&mut self, report: WorkerReport, now: Millis) {
+        let Some(key) = self.workers_by_id.get(&report.id).copied() else {
+            let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
+            self.insert_worker(report, lease_end);
+            self.want_batch(now);
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        worker.listed = true;
+        let before = worker.report.started_wall_ms;
+        let other_life =
+            before != 0 && report.started_wall_ms != 0 && before != report.started_wall_ms;
+        // An entry that is older than what the worker has said of itself changes nothing.
+        if other_life && report.started_wall_ms < before {
+            return;
+        }
+        let moved = worker.report.service != report.service;
+        let readdressed = worker.report.address != report.address;
+        let report = WorkerReport {
+            started_wall_ms: report.started_wall_ms.max(before),
+            ..report
+        };
+        worker.report = report.clone();
+        if other_life {
+            self.end_life(key, now);
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.begin_life(report);
+            }
+        }
+        if moved {
+            self.join_service(key);
+        }
+        if readdressed || other_life {
+            self.actions.push(Action::Disconnect(key));
+            self.actions.push(Action::Connect(key));
+        }
+        self.place_wanted = true;
+    }
+
+    /// Takes a worker off that the platform no longer lists.
+    pub fn worker_unlisted(&mut self, id: &str) {
+        if let Some(worker) = self
+            .workers_by_id
+            .get(id)
+            .and_then(|key| self.workers.get_mut(*key))
+        {
+            worker.listed = false;
+        }
+    }
+
+    /// Takes workers off that a whole listing lacks.
+    pub fn workers_listed(&mut self, listed: &FastSet<Arc<str>>) {
+        for worker in self.workers.values_mut() {
+            worker.listed &= listed.contains(&worker.report.id);
+        }
+    }
+
+    pub(super) fn insert_worker(&mut self, report: WorkerReport, lease_end: Millis) -> WorkerKey {
+        let id = Arc::clone(&report.id);
+        let key = self.workers.insert(Worker::new(report, lease_end));
+        self.workers_by_id.insert(id, key);
+        self.join_service(key);
+        self.actions.push(Action::Connect(key));
+        key
+    }
+
+    pub(super) fn join_service(&mut self, key: WorkerKey) {
+        for service in self.services.values_mut() {
+            service.workers.retain(|worker| *worker != key);
+        }
+        let Some(name) = self
+            .workers
+            .get(key)
+            .map(|worker| Arc::clone(&worker.report.service))
+        else {
+            return;
+        };
+        let service = self.service_key(&name);
+        self.services[service].workers.push(key);
+    }
+
+    pub(super) fn service_key(&mut self, name: &Arc<str>) -> ServiceKey {
+        if let Some(key) = self.services_by_name.get(name) {
+            return *key;
+        }
+        let key = self.services.insert(Service {
+            name: Arc::clone(name),
+            workers: Vec::new(),
+            load: LoadMeter::default(),
+        });
+        self.services_by_name.insert(Arc::clone(name), key);
+        key
+    }
+
+    /// What a worker's link needs to know.
+    #[must_use]
+    pub fn worker(&self, key: WorkerKey) -> Option<&WorkerReport> {
+        self.workers.get(key).map(|worker| &worker.report)
+    }
+
+    /// Frees the runs of silent workers whose lease has ended, and forgets workers that are gone.
+    pub(super) fn check_workers(&mut self, now: Millis) {
+        let lapsed: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.silent && worker.lease_end < now && worker.known)
+            .map(|(key, _)| key)
+            .collect();
+        for key in lapsed {
+            self.counters.lapses += self.workers[key].runs.len() as u64;
+            self.end_life(key, now);
+        }
+        let gone: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                !worker.listed && worker.runs.is_empty() && (worker.known || worker.lease_end < now)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.forget_worker(key, now);
+        }
+    }
+
+    pub(super) fn forget_worker(&mut self, key: WorkerKey, now: Millis) {
+        for service in self.services.values_mut() {
+            service.workers.retain(|worker| *worker != key);
+        }
+        if let Some(worker) = self.workers.remove(key) {
+            self.workers_by_id.remove(&worker.report.id);
+        }
+        self.actions.push(Action::Disconnect(key));
+        self.want_batch(now.after_ms(LAZY_BATCH_MS));
+    }
+
+    pub(super) fn look(&mut self, now: Millis) {
+        let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        for key in keys {
+            let worker = &mut self.workers[key];
+            let idle = worker.runs.is_empty() && worker.unknown_runs.is_empty();
+            let untold = worker.told < worker.acknowledged;
+            let wanted = !worker.known || !idle || untold;
+            if worker.looking || !wanted || worker.next_look > now {
+                continue;
+            }
+            let waits = worker.known && !worker.silent && !idle;
+            let deadline_ms = match worker.clock_at(now) {
+                Some(clock) if worker.known && !worker.silent => {
+                    let end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
+                    worker.lease_end = worker.lease_end.max(end);
+                    Some(clock + self.settings.run_lease_ms)
+                }
+                _ => None,
+            };
+            worker.looking = true;
+            worker.look_sent_at = now;
+            worker.told = worker.acknowledged;
+            self.counters.looks += 1;
+            self.actions.push(Action::Look(
+                key,
+                LookOrder {
+                    deadline_ms,
+                    acknowledged: worker.acknowledged,
+                    wait_ms: if waits { self.settings.look_wait_ms } else { 0 },
+                },
+            ));
+        }
+    }
+
+    /// Ends everything that a life of a worker ran.
+    pub(super) fn end_life(&mut self, key: WorkerKey, now: Millis) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.known {
+            self.notes.push(Note::WorkerLost {
+                worker: Arc::clone(&worker.report.id),
+                runs: worker.runs.len(),
+                silent: worker.silent,
+            });
+        }
+        worker.known = false;
+        worker.lease_end = now;
+        worker.unknown_runs.clear();
+        worker.unknown_since = None;
+        worker.next_look = now.after_ms(SILENT_LOOK_MS);
+        for run in worker.runs.clone() {
+            self.drop_run(run, now);
+        }
+        if let Some(recovery) = &mut self.recovery {
+            recovery.awaited.remove(&key);
+        }
+    }
+
+    /// Use of each pool, for reports.
+    pub fn pool_uses(&self) -> impl Iterator<Item = PoolUse> {
+        self.services.iter().map(|(key, service)| {
+            let workers = service
+                .workers
+                .iter()
+                .filter_map(|key| self.workers.get(*key));
+            let known: Vec<&Worker> = workers
+                .filter(|worker| worker.listed && worker.known)
+                .collect();
+            let sum = |part: fn(&Worker) -> Resources| {
+                known
+                    .iter()
+                    .map(|worker| part(worker))
+                    .fold(Resources::default(), Resources::plus)
+            };
+            let waiting = self
+                .ready
+                .iter()
+                .filter(|task| self.service_of(**task) == Some(key));
+            PoolUse {
+                service: Arc::clone(&service.name),
+                workers: known.len(),
+                capacity: sum(|worker| worker.report.capacity),
+                used: sum(|worker| worker.used),
+                tasks_waiting: waiting.count(),
+            }
+        })
+    }
+
+    pub(super) fn service_of(&self, task: TaskKey) -> Option<ServiceKey> {
+        let job = self.book.jobs.get(self.book.tasks.get(task)?.job)?;
+        self.services_by_name.get(&job.policy.service).copied()
+    }
+}
--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod process;
+
 use rosemaryscale_domain::job::{
     JobProgress, JobRecord, JobSpec, JobState, QueuePolicy, StepSpec, TaskName,
 };
@@ -15,6 +17,8 @@
     Batch, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
 
+use process::{WorkerProcess, text};
+
 const STEP_MS: u64 = 10;
 const RUN_LEASE_MS: u64 = 5_000;
 const HOLDER_GRACE_MS: u64 = 9_000;
@@ -72,19 +76,6 @@
     }
 }
 
-/// A worker process.
-pub(crate) struct WorkerProcess {
-    pub(crate) report: WorkerReport,
-    pub(crate) running: Vec<(TaskName, u32)>,
-    pub(crate) ended: Vec<ListedEnd>,
-    pub(crate) all_ends: Vec<ListedEnd>,
-    pub(crate) sequence: u64,
-    pub(crate) lease_end_ms: u64,
-    pub(crate) cut: bool,
-    /// Highest run that was stopped or has ended, by task.
-    pub(crate) closed: FastMap<String, u32>,
-}
-
 /// The scheduler, the store and the workers.
 pub(crate) struct World {
     pub(crate) now: Millis,
@@ -482,34 +473,6 @@
     }
 }
 
-impl WorkerProcess {
-    fn close(&mut self, task: &str, number: u32) {
-        let closed = self.closed.entry(task.into()).or_default();
-        *closed = (*closed).max(number);
-    }
-
-    fn end(&mut self, which: impl Fn(&TaskName, u32) -> bool, kind: RunEndKind) {
-        let (ended, running): (Vec<_>, Vec<_>) = self
-            .running
-            .drain(..)
-            .partition(|(task, number)| which(task, *number));
-        self.running = running;
-        for (task, number) in ended {
-            self.close(&text(&task), number);
-            self.sequence += 1;
-            let end = ListedEnd {
-                sequence: self.sequence,
-                task,
-                number,
-                kind,
-                checkpoint: "".into(),
-            };
-            self.ended.push(end.clone());
-            self.all_ends.push(end);
-        }
-    }
-}
-
 fn settings(term: u32) -> ScheduleSettings {
     ScheduleSettings {
         run_lease_ms: RUN_LEASE_MS,
@@ -518,8 +481,3 @@
         term,
     }
 }
-
-fn text(task: &TaskName) -> String {
-    let at = task.position;
-    format!("{}.{}.{}.{}", task.job, at.occurrence, at.step, at.index)
-}
