--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -4,14 +4,12 @@
 
 mod process;
 
-use rosemaryscale_domain::job::{
-    JobProgress, JobRecord, JobSpec, JobState, QueuePolicy, StepSpec, TaskName,
-};
+use rosemaryscale_domain::job::{JobProgress, JobRecord, JobSpec, JobState, QueuePolicy, StepSpec};
 use rosemaryscale_domain::placement::Resources;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{
-    Action, ListedEnd, ListedRun, Listing, LookOrder, LookResult, MachineReport, MachineResult,
-    MachineState, OrderResult, Refusal, RunEndKind, StartOrder, StopOrder, WorkerReport,
+    Action, ListedRun, Listing, LookOrder, LookResult, MachineReport, MachineResult, MachineState,
+    OrderResult, Refusal, RunEndKind, StartOrder, StopOrder, WorkerReport,
 };
 use rosemaryscale_domain::schedule::{
     Batch, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
