--- a/crates/daemon/src/jobs/front.rs
+++ b/crates/daemon/src/jobs/front.rs
@@ -225,6 +225,12 @@
             (JobRequest::Submit(Ok(_)), Some(_)) => {
                 let _ = call.reply.send(FrontReply::Accepted);
             }
+            (JobRequest::Submit(Ok(_)), None) if is_advised(&config, &queue) => {
+                let reply = unavailable("the queue's tasks need tickets, which are not supported");
+                info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
+                    "outcome" => ?reply);
+                let _ = call.reply.send(reply);
+            }
             (JobRequest::Submit(Ok(spec)), None) => {
                 let store = self.store(call.deadline_ms);
                 match Submission::new(&store.clock, &config, id, queue, spec) {
@@ -409,6 +415,14 @@
     }
 }
 
+/// Whether workers refuse the queue's tasks unless an advisor has given a ticket.
+fn is_advised(config: &QueueConfig, queue: &str) -> bool {
+    config
+        .policies
+        .get(queue)
+        .is_some_and(|policy| policy.advised)
+}
+
 fn submit_counter(outcome: &FrontReply) -> &'static str {
     match outcome {
         FrontReply::Accepted => "submit.accepted",
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -75,6 +75,7 @@
     pub(super) own: HolderRecord,
     pub(super) run_lease_ms: u64,
     pub(super) look_wait_ms: u64,
+    pub(super) stop_grace_ms: u64,
     pub(super) status_kept_ms: u64,
     pub(super) platform: PlatformFormats,
     pub(super) machines_address: SocketAddr,
@@ -174,13 +175,16 @@
         (links, machines): (WorkerCalls, MachineCalls),
         jobs: &mut mpsc::Receiver<WatchEvent>,
     ) -> Option<Self> {
-        let chain = retry(&options.kv, KeyRange::Key(CHAIN_KEY.into())).await;
+        // Read at once: each call of a slow store takes hundreds of milliseconds.
+        let (chain, progress) = tokio::join!(
+            retry(&options.kv, KeyRange::Key(CHAIN_KEY.into())),
+            retry(&options.kv, prefix(PROGRESS_PREFIX)),
+        );
         let chain = chain.into_iter().next();
         let former: ChainRecord = chain
             .as_ref()
             .and_then(|entry| records::decode(&entry.value).ok())
             .unwrap_or_default();
-        let progress = retry(&options.kv, prefix(PROGRESS_PREFIX)).await;
         let entries = loop {
             match jobs.recv().await? {
                 WatchEvent::Snapshot { entries, .. } => break entries,
@@ -197,6 +201,7 @@
             run_lease_ms: options.run_lease_ms,
             look_wait_ms: options.look_wait_ms,
             holder_grace_ms: HOLDER_GRACE_MS,
+            stop_grace_ms: options.stop_grace_ms,
             term: former.term + 1,
         };
         let mut scheduler = Scheduler::new(settings, former.workers, now);
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -85,6 +85,8 @@
     leaving: watch::Sender<bool>,
     stop: watch::Sender<bool>,
     end: watch::Sender<bool>,
+    /// How long callers are served after the daemon has said that it leaves.
+    leave: Duration,
 }
 
 impl JobService {
@@ -154,6 +156,8 @@
             leaving,
             stop,
             end,
+            // The other half is for exchanges that are under way.
+            leave: LEAVE.min(Duration::from_millis(settings.stop_ms / 2)),
             log,
         })
     }
@@ -180,7 +184,7 @@
         info!(self.log, "stopping");
         self.leaving.send_replace(true);
         let _ = self.election.await;
-        tokio::time::sleep(LEAVE).await;
+        tokio::time::sleep(self.leave).await;
         self.stop.send_replace(true);
         let _ = self.front_server.await;
         let _ = self.front.await;
@@ -219,6 +223,7 @@
         },
         run_lease_ms: RUN_LEASE_MS.min(settings.run_lease_max_ms),
         look_wait_ms: LOOK_WAIT_MS,
+        stop_grace_ms: settings.stop_grace_ms,
         status_kept_ms: settings.status_kept_ms,
         platform: PLATFORM,
         machines_address: settings.machines_address,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -30,9 +30,9 @@
 
 /// Runs of one task in the term of one holder: far more than a task of a day ever has.
 const RUNS_PER_TERM: u32 = 1_000;
-/// A stop that the former holder ordered is done and listed within this time after its workers are
-/// fenced; planned stops of this one must not come on top.
-const FORMER_STOPS_MS: u64 = 2_000;
+/// A stop that the former holder ordered is done within the workers' stop time, and then listed by
+/// the next look; planned stops of the new holder must not come on top.
+const FORMER_STOPS_LISTED_MS: u64 = 1_100;
 /// A worker's clock may be 2% slow; the rest covers the age of the last reading of its clock.
 const LEASE_MARGIN_MS: u64 = 500;
 /// Pause before a worker that gave no answer is looked at again.
@@ -63,6 +63,8 @@
     pub look_wait_ms: u64,
     /// Time for which a former holder may still give orders.
     pub holder_grace_ms: u64,
+    /// Time that a worker takes to stop a run.
+    pub stop_grace_ms: u64,
     /// Number of this holder's term, from 1.
     pub term: u32,
 }
@@ -329,7 +331,7 @@
             return;
         }
         self.recovery = None;
-        self.planned_from = now.after_ms(FORMER_STOPS_MS);
+        self.planned_from = now.after_ms(self.settings.stop_grace_ms + FORMER_STOPS_LISTED_MS);
         self.release_unaccounted();
     }
 
--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -20,6 +20,7 @@
 const STEP_MS: u64 = 10;
 const RUN_LEASE_MS: u64 = 5_000;
 const HOLDER_GRACE_MS: u64 = 9_000;
+const STOP_GRACE_MS: u64 = 900;
 
 /// A step of tasks that take a quarter of a worker each.
 pub(crate) fn step(count: u32) -> StepSpec {
@@ -476,6 +477,7 @@
         run_lease_ms: RUN_LEASE_MS,
         look_wait_ms: 0,
         holder_grace_ms: HOLDER_GRACE_MS,
+        stop_grace_ms: STOP_GRACE_MS,
         term,
     }
 }
