Keep an instance free for its order when it has become another worker

Change: an instance is kept free from the order on, whichever worker it is. The test fails without it.

--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -391,6 +391,8 @@
             })
             .collect();
         for (key, purpose) in emptying {
+            // The instance may be another worker by now, if a former holder's order came late.
+            self.set_cordon(key, true);
             if self.is_empty(key) {
                 self.order_machine(key, purpose, now);
                 continue;
@@ -416,6 +418,7 @@
                 Action::Move(key, Arc::clone(&service.name))
             }
         };
+        self.set_cordon(key, true);
         let machine = &mut self.fleet.machines[key];
         machine.duty = Duty::Ordered {
             purpose,
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -41,7 +41,6 @@
                 let Some(key) = self.free_machine(&can_give, now) else {
                     break;
                 };
-                self.set_cordon(key, true);
                 self.order_machine(key, Purpose::Move(*pool), now);
             }
         }
@@ -248,7 +247,6 @@
             .take(most)
             .collect();
         for key in idle {
-            self.set_cordon(key, true);
             self.order_machine(key, Purpose::Move(spare), now);
         }
     }
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -411,3 +411,35 @@
     world.run_for(2_000);
     assert_eq!(world.running().len(), 3);
 }
+
+/// Guards against work that starts on an instance while an order to it is under way: an order of the
+/// former holder had made it another worker, which was not kept free (kds-windhoek trouble-3, seed
+/// 964891533397, broke TWICE).
+#[test]
+fn an_instance_that_becomes_another_worker_stays_free_for_its_order() {
+    let mut world = World::new(1);
+    world.add_machine("m0", "service", Some("w0"));
+    world.submit("a", job(vec![step(4)], 3));
+    world.run_for(1_500);
+    let wave = WaveRequest {
+        number: 1,
+        machines: vec!["m0".into()],
+        duration_ms: 20_000,
+        down_max: 1,
+    };
+    world.scheduler.wave_requested(wave, world.now);
+    world.run_for(200);
+    assert!(world.machine_orders.is_empty(), "it still runs tasks");
+    world.end_all(RunEndKind::Done);
+    world.cut(0);
+    world.scheduler.worker_unlisted("w0");
+    world.machines[0].worker = Some("w1".into());
+    world.answer_orders = false;
+    world.run_for(1_500);
+    world.add_worker("w1", "service");
+    world.run_for(500);
+    world.submit("b", job(vec![step(1)], 3));
+    world.run_for(500);
+    assert_eq!(world.machine_orders.len(), 1, "an order is under way");
+    assert_eq!(world.starts_of("b.0.0.0"), 0);
+}
--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -89,6 +89,8 @@
     pub(crate) starts: Vec<(Millis, String)>,
     pub(crate) paces: Vec<(String, u32)>,
     pub(crate) machines: Vec<MachineReport>,
+    /// Whether orders to instances are carried out; otherwise they stay under way.
+    pub(crate) answer_orders: bool,
     /// Orders to instances: name, and the pool of a move.
     pub(crate) machine_orders: Vec<(Arc<str>, Option<Arc<str>>)>,
     /// Percent and gauge that a worker reports of a task; 100 and 0 if none is set.
@@ -111,6 +113,7 @@
             starts: Vec::new(),
             paces: Vec::new(),
             machines: Vec::new(),
+            answer_orders: true,
             machine_orders: Vec::new(),
             rows: FastMap::default(),
             most_at_once: FastMap::default(),
@@ -346,6 +349,11 @@
         else {
             return;
         };
+        if !self.answer_orders {
+            let name = Arc::clone(&self.machines[index].name);
+            self.machine_orders.push((name, pool));
+            return;
+        }
         if let Some(id) = self.machines[index].worker.take() {
             for worker in self
                 .workers
