--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -89,19 +89,6 @@
     until: Millis,
 }
 
-/// Counters for metrics.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Counters {
-    /// Starts sent.
-    pub starts: u64,
-    /// Stops sent.
-    pub stops: u64,
-    /// Looks sent.
-    pub looks: u64,
-    /// Runs whose lease ended at a silent worker.
-    pub lapses: u64,
-}
-
 /// Use of a pool.
 #[derive(Clone, Debug)]
 pub struct PoolUse {
@@ -147,7 +134,6 @@
     batch_sequence: u64,
     batch_in_flight: bool,
     batch_due: Option<Millis>,
-    counters: Counters,
     fenced: bool,
     released: bool,
 }
@@ -175,7 +161,6 @@
             batch_sequence: 0,
             batch_in_flight: false,
             batch_due: Some(now),
-            counters: Counters::default(),
             fenced: false,
             released: false,
         };
@@ -293,12 +278,6 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// Counters since the start.
-    #[must_use]
-    pub const fn counters(&self) -> Counters {
-        self.counters
-    }
-
     /// Whether a new holder still waits for workers of the former one.
     #[must_use]
     pub const fn is_recovering(&self) -> bool {
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -355,19 +355,15 @@
                 continue;
             }
             if let TaskStatus::Placed(run) = placed {
-                self.stop_unless_ended(run, member == key, now);
+                // The run that has ended is dropped by its end.
+                if member != key {
+                    self.stop_run(run, now);
+                }
             }
         }
         self.after_done(job, position.occurrence, now, wall);
     }
 
-    /// Stops another run of a task that is done; the run that has ended is dropped by its end.
-    fn stop_unless_ended(&mut self, run: RunKey, ended: bool, now: Millis) {
-        if !ended {
-            self.stop_run(run, now);
-        }
-    }
-
     fn tasks_of_step(&self, job: JobKey, occurrence: u32, step: u16) -> Vec<TaskKey> {
         let steps = self
             .book
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -1,6 +1,6 @@
 //! Orders to workers, and what workers answer.
 
-use crate::job::{TaskName, TaskPosition};
+use crate::job::TaskName;
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -272,26 +272,6 @@
     Unanswered,
 }
 
-/// Ticket of an advisor for one step on one worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Ticket {
-    /// The worker.
-    pub worker: Arc<str>,
-    /// The ticket.
-    pub ticket: Arc<str>,
-}
-
-/// A step that needs advice.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct AdviceQuestion {
-    /// The job's id.
-    pub job: Arc<str>,
-    /// The step; its index is 0.
-    pub step: TaskPosition,
-    /// Workers to ask about.
-    pub workers: Vec<Arc<str>>,
-}
-
 /// What the scheduler has come to believe, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Note {
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -316,7 +316,6 @@
             checkpoint,
             ticket: None,
         };
-        self.counters.starts += 1;
         self.actions.push(Action::Start(worker_key, order));
         let job = &mut self.book.jobs[job_key];
         if job.state == JobState::Queued {
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -120,7 +120,6 @@
             .map(|(key, _)| key)
             .collect();
         for key in lapsed {
-            self.counters.lapses += self.workers[key].runs.len() as u64;
             self.end_life(key, now);
         }
         let gone: Vec<WorkerKey> = self
@@ -169,7 +168,6 @@
             worker.looking = true;
             worker.look_sent_at = now;
             worker.told = worker.acknowledged;
-            self.counters.looks += 1;
             self.actions.push(Action::Look(
                 key,
                 LookOrder {
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -109,7 +109,6 @@
             return;
         };
         run.stop_in_flight = true;
-        self.counters.stops += 1;
         let order = StopOrder {
             run: Some(key),
             task,
--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -195,12 +195,6 @@
         }
     }
 
-    /// Submits a job that the holder has not heard of yet.
-    pub(crate) fn store_only(&mut self, id: &str, mut record: JobRecord) {
-        record.received_wall_ms = self.now.as_ms();
-        self.store.jobs.push((id.into(), record));
-    }
-
     /// Lists all ends again, as if no acknowledgement had arrived.
     pub(crate) fn forget_acknowledgements(&mut self) {
         for worker in &mut self.workers {
