--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -76,7 +76,7 @@
         kv: &KeyValue,
         ids: &[Arc<str>],
     ) -> Result<Self, LeadershipLost> {
-        let Some(chain) = self.read(kv).await? else {
+        let Some(chain) = self.read_key(kv, CHAIN_KEY).await else {
             return Ok(self);
         };
         const KEYS_PER_JOB: usize = 4;
@@ -150,10 +150,6 @@
         Ok(moved)
     }
 
-    async fn read(&self, kv: &KeyValue) -> Result<Option<KvEntry>, LeadershipLost> {
-        Ok(self.read_key(kv, CHAIN_KEY).await)
-    }
-
     /// Reads a key; waits as long as the store is away.
     async fn read_key(&self, kv: &KeyValue, key: &str) -> Option<KvEntry> {
         let key: Arc<str> = key.into();
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -149,15 +149,11 @@
                 worker.unwritten_ends.pop_front();
             }
             if worker.unwritten_ends.is_empty() && worker.told < worker.acknowledged {
-                let pause_ms = if worker.runs.is_empty() {
-                    super::ACKNOWLEDGE_MS
+                worker.next_look = if worker.runs.is_empty() {
+                    now.after_ms(super::ACKNOWLEDGE_MS)
                 } else {
-                    0
+                    worker.next_look.min(now)
                 };
-                worker.next_look = worker.next_look.min(now.after_ms(pause_ms));
-                if worker.runs.is_empty() {
-                    worker.next_look = now.after_ms(pause_ms);
-                }
             }
         }
     }
