--- a/crates/daemon/src/jobs/holder/events.rs
+++ b/crates/daemon/src/jobs/holder/events.rs
@@ -41,7 +41,7 @@
     }
 
     fn has_lost_mark(&self, event: &WatchEvent) -> bool {
-        let is_own = |entry: &KvEntry| entry.mod_revision == self.held.fence;
+        let is_own = |entry: &KvEntry| entry.lease == self.held.lease;
         match event {
             WatchEvent::Snapshot { entries, .. } => {
                 let mark = entries.iter().find(|entry| &*entry.key == HOLDER_MARK_KEY);
--- a/crates/daemon/src/jobs/lease.rs
+++ b/crates/daemon/src/jobs/lease.rs
@@ -46,7 +46,8 @@
     let proved_at = clock.now();
     let lease = kv.grant(HOLDER_TTL_MS).await?;
     let key: Arc<str> = HOLDER_KEY.into();
-    let keys = [Arc::clone(&key), HOLDER_MARK_KEY.into()];
+    // The holder's key comes last, so that its revision is that of the transaction.
+    let keys = [HOLDER_MARK_KEY.into(), Arc::clone(&key)];
     let absent = |key: &Arc<str>| Compare {
         key: Arc::clone(key),
         mod_revision: 0,
