Start work of queues with an advisor, with its tickets

Cause: jobs of queues whose policy needs tickets were refused as not accepted; deployments of the kinds described may have them. Change: domain::schedule::advice asks one step at a time for the workers that have room, keeps tickets and refusals by step and worker, and places tasks only with a ticket; ports::advice, platform::advisor, setting advisor_address.

--- a/crates/daemon/src/jobs/config.rs
+++ b/crates/daemon/src/jobs/config.rs
@@ -29,6 +29,9 @@
     pub store_address: SocketAddr,
     /// The platform's list of instances, and where moves and maintenance are ordered.
     pub machines_address: SocketAddr,
+    /// The advisor of queues whose tasks need tickets; such queues are refused if it is missing.
+    #[serde(default)]
+    pub advisor_address: Option<SocketAddr>,
     /// Where the metrics are read; nowhere if it is missing.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
--- a/crates/daemon/src/jobs/front.rs
+++ b/crates/daemon/src/jobs/front.rs
@@ -41,6 +41,8 @@
     pub(super) kv: KeyValue,
     pub(super) clock: ClockHandle,
     pub(super) config: QueueConfigWatch,
+    /// Whether the settings name an advisor.
+    pub(super) has_advisor: bool,
     pub(super) view: mpsc::Receiver<WatchEvent>,
     pub(super) calls: mpsc::Receiver<FrontCall>,
     pub(super) holder: watch::Sender<HolderSeen>,
@@ -225,8 +227,10 @@
             (JobRequest::Submit(Ok(_)), Some(_)) => {
                 let _ = call.reply.send(FrontReply::Accepted);
             }
-            (JobRequest::Submit(Ok(_)), None) if is_advised(&config, &queue) => {
-                let reply = unavailable("the queue's tasks need tickets, which are not supported");
+            (JobRequest::Submit(Ok(_)), None)
+                if !self.options.has_advisor && is_advised(&config, &queue) =>
+            {
+                let reply = unavailable("the queue's tasks need tickets; set advisor_address");
                 info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
                     "outcome" => ?reply);
                 let _ = call.reply.send(reply);
@@ -420,7 +424,7 @@
     config
         .policies
         .get(queue)
-        .is_some_and(|policy| policy.advised)
+        .is_some_and(|policy| policy.advice.is_some())
 }
 
 fn submit_counter(outcome: &FrontReply) -> &'static str {
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -10,6 +10,7 @@
 use rosemaryscale_domain::job::{JobProgress, JobRecord};
 use rosemaryscale_domain::schedule::order::{WaveRequest, WorkerReport};
 use rosemaryscale_domain::schedule::{Batch, FormerTerm, ScheduleSettings, Scheduler, StoredJob};
+use rosemaryscale_ports::advice::{AdviceCalls, AdviceEvents};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
 use rosemaryscale_ports::kv::{KeyRange, KeyValue, KvEntry, KvResult, WatchEvent};
@@ -47,6 +48,9 @@
 /// Both ends of the machine port, and the task behind them.
 type MachinePort = (MachineCalls, MachineEvents, JoinHandle<()>);
 
+/// Both ends of the advice port, and the task behind them.
+type AdvicePort = (AdviceCalls, AdviceEvents, JoinHandle<()>);
+
 /// How the platform writes what the holder reads, and its clients.
 #[derive(Clone, Copy)]
 pub(super) struct PlatformFormats {
@@ -64,6 +68,8 @@
     pub(super) start_links: fn() -> (WorkerCalls, WorkerEvents, JoinHandle<()>),
     /// Starts the client of the list of instances.
     pub(super) start_machines: fn(SocketAddr, Arc<str>) -> MachinePort,
+    /// Starts the client of the advisor.
+    pub(super) start_advisor: fn(SocketAddr, Logger) -> AdvicePort,
 }
 
 /// What the holder is given.
@@ -79,6 +85,8 @@
     pub(super) status_kept_ms: u64,
     pub(super) platform: PlatformFormats,
     pub(super) machines_address: SocketAddr,
+    /// The advisor, if the settings name one.
+    pub(super) advisor_address: Option<SocketAddr>,
     pub(super) metrics: Metrics,
     pub(super) log: Logger,
 }
@@ -99,6 +107,14 @@
     waves: mpsc::Receiver<WatchEvent>,
     worker_events: WorkerEvents,
     machine_events: MachineEvents,
+    advice_events: AdviceEvents,
+}
+
+/// Ends of the ports that the holder calls.
+struct Calls {
+    links: WorkerCalls,
+    machines: MachineCalls,
+    advisor: Option<AdviceCalls>,
 }
 
 /// What ran beside the scheduler.
@@ -113,8 +129,7 @@
     held: HeldLease,
     scheduler: Scheduler,
     chain: Option<Chain>,
-    links: WorkerCalls,
-    machines: MachineCalls,
+    calls: Calls,
     background: JoinSet<Background>,
     renewing: bool,
     next_renewal: Millis,
@@ -134,6 +149,7 @@
         let own = Arc::clone(&options.own.daemon);
         let (machines, machine_events, machine_task) =
             (platform.start_machines)(options.machines_address, own);
+        let (advisor, advice_events, advisor_task) = start_advisor(&options);
         let workers = prefix(platform.worker_prefix);
         let watches = (
             kv.watch_every(prefix(JOB_PREFIX), JOB_WATCH_MS).await,
@@ -150,10 +166,15 @@
             waves,
             worker_events,
             machine_events,
+            advice_events,
+        };
+        let calls = Calls {
+            links,
+            machines,
+            advisor,
         };
-        let handles = (links, machines);
         let started = tokio::select! {
-            started = Self::read(options, held.clone(), handles, &mut inputs.jobs) => started,
+            started = Self::read(options, held.clone(), calls, &mut inputs.jobs) => started,
             _ = stop.wait_for(|stop| *stop) => None,
         };
         let end = match started {
@@ -165,6 +186,9 @@
         let _ = tokio::time::timeout(LAST_BATCH, kv.revoke(held.lease)).await;
         let _ = link_task.await;
         let _ = machine_task.await;
+        if let Some(task) = advisor_task {
+            let _ = task.await;
+        }
         end
     }
 
@@ -172,7 +196,7 @@
     async fn read(
         options: HolderOptions,
         mut held: HeldLease,
-        (links, machines): (WorkerCalls, MachineCalls),
+        calls: Calls,
         jobs: &mut mpsc::Receiver<WatchEvent>,
     ) -> Option<Self> {
         // Read at once: each call of a slow store takes hundreds of milliseconds.
@@ -229,8 +253,7 @@
             held,
             scheduler,
             chain: Some(chain),
-            links,
-            machines,
+            calls,
             background: JoinSet::new(),
             renewing: false,
         })
@@ -259,6 +282,7 @@
                     None => break HolderEnd::Stopped,
                 },
                 Some(event) = inputs.machine_events.recv() => self.apply_machine_event(event),
+                Some(result) = inputs.advice_events.recv() => self.apply_advice(result),
                 Some(event) = inputs.worker_events.recv() => {
                     self.apply_worker_event(event);
                     for _ in 0..EVENTS_PER_ROUND {
@@ -415,6 +439,20 @@
     }
 }
 
+/// Starts the client of the advisor, if the settings name one.
+fn start_advisor(
+    options: &HolderOptions,
+) -> (Option<AdviceCalls>, AdviceEvents, Option<JoinHandle<()>>) {
+    match options.advisor_address {
+        Some(address) => {
+            let (calls, events, task) =
+                (options.platform.start_advisor)(address, options.log.clone());
+            (Some(calls), events, Some(task))
+        }
+        None => (None, mpsc::channel(1).1, None),
+    }
+}
+
 fn configure(scheduler: &mut Scheduler, config: &QueueConfig) {
     scheduler.configure(&config.policies);
     scheduler.set_spare_services(&config.spare_services);
--- a/crates/daemon/src/jobs/holder/actions.rs
+++ b/crates/daemon/src/jobs/holder/actions.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use rosemaryscale_domain::job::TaskPosition;
-use rosemaryscale_domain::schedule::order::{Action, Note, RunEndKind};
+use rosemaryscale_domain::schedule::order::{Action, AdviceOrder, AdviceResult, Note, RunEndKind};
 use rosemaryscale_ports::machine::MachineCall;
 use rosemaryscale_ports::worker::WorkerCall;
 use slog::{info, warn};
@@ -94,6 +94,7 @@
                 self.options.metrics.count("looks", 1);
                 WorkerCall::Look(worker, order)
             }
+            Action::Advise(order) => return self.send_advice_call(order).await,
             Action::ListMachines => return self.send_machine(MachineCall::List).await,
             Action::Move(machine, pool) => {
                 let Some(name) = self.scheduler.machine_name(machine).cloned() else {
@@ -124,14 +125,29 @@
                 return self.send_machine(call).await;
             }
         };
-        self.links
+        self.calls
+            .links
             .send(call)
             .await
             .map_err(|_| "the links have ended")
     }
 
+    async fn send_advice_call(&mut self, order: AdviceOrder) -> Result<(), &'static str> {
+        let Some(advisor) = &self.calls.advisor else {
+            warn!(self.options.log, "no advice"; "job" => &*order.job,
+                "reason" => "no advisor is known; set advisor_address");
+            self.scheduler
+                .advised(AdviceResult::Unanswered, self.options.clock.now());
+            return Ok(());
+        };
+        info!(self.options.log, "ask the advisor"; "job" => &*order.job, "step" => order.step.step,
+            "occurrence" => order.step.occurrence, "workers" => order.workers.len());
+        let sent = advisor.send(order).await;
+        sent.map_err(|_| "the client of the advisor has ended")
+    }
+
     pub(super) async fn send_machine(&mut self, call: MachineCall) -> Result<(), &'static str> {
-        let sent = self.machines.send(call).await;
+        let sent = self.calls.machines.send(call).await;
         sent.map_err(|_| "the client of the instances has ended")
     }
 }
--- a/crates/daemon/src/jobs/holder/events.rs
+++ b/crates/daemon/src/jobs/holder/events.rs
@@ -4,6 +4,7 @@
 
 use rosemaryscale_domain::job::JobRecord;
 use rosemaryscale_domain::schedule::Acceptance;
+use rosemaryscale_domain::schedule::order::AdviceResult;
 use rosemaryscale_ports::kv::{KvEntry, Update, WatchEvent};
 use rosemaryscale_ports::machine::MachineEvent;
 use rosemaryscale_ports::prelude::*;
@@ -101,6 +102,13 @@
         }
     }
 
+    pub(super) fn apply_advice(&mut self, result: AdviceResult) {
+        if let AdviceResult::Answered { allowed, valid_ms } = &result {
+            info!(self.options.log, "advice"; "allowed" => allowed.len(), "valid_ms" => valid_ms);
+        }
+        self.scheduler.advised(result, self.options.clock.now());
+    }
+
     pub(super) fn apply_workers(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Snapshot { entries, .. } => {
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -6,8 +6,8 @@
 use rosemaryscale_adapters::{SystemClock, log, metrics_board};
 use rosemaryscale_platform::front::{FrontError, FrontServer};
 use rosemaryscale_platform::{
-    CONFIG_KEY, WAVE_PREFIX, WORKER_PREFIX, machines, queue_config, store, wave, worker_entry,
-    worker_link,
+    CONFIG_KEY, WAVE_PREFIX, WORKER_PREFIX, advisor, machines, queue_config, store, wave,
+    worker_entry, worker_link,
 };
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
@@ -45,6 +45,7 @@
     wave_state: wave::state,
     start_links: worker_link::start,
     start_machines: machines::start,
+    start_advisor: advisor::start,
 };
 
 /// Why the job service did not start or run.
@@ -129,6 +130,7 @@
             kv: kv.clone(),
             clock: Arc::clone(&clock),
             config: config_watch.clone(),
+            has_advisor: settings.advisor_address.is_some(),
             view,
             calls: call_receiver,
             holder,
@@ -227,6 +229,7 @@
         status_kept_ms: settings.status_kept_ms,
         platform: PLATFORM,
         machines_address: settings.machines_address,
+        advisor_address: settings.advisor_address,
         metrics,
         log: log.clone(),
     }
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -149,8 +149,21 @@
     pub stretch: f64,
     /// Constant part of the latency objective.
     pub objective_ms: u64,
-    /// Whether an advisor names the workers that may run a step.
-    pub advised: bool,
+    /// How the advisor is asked, if it names the workers that may run a step.
+    #[serde(default)]
+    pub advice: Option<AdvicePolicy>,
+}
+
+/// How long the advisor of a queue takes, and how long its tickets hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AdvicePolicy {
+    /// Time for any answer.
+    pub decision_ms: u64,
+    /// Further time for each worker that a call names.
+    pub per_worker_us: u64,
+    /// Time for which a ticket is valid.
+    pub valid_ms: u64,
 }
 
 /// A job as it is stored at its acceptance.
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -3,6 +3,7 @@
 //! The scheduler runs at one daemon, the holder. It applies what workers list, keeps their leases,
 //! starts and stops runs, and says what must be written before an end may be acknowledged.
 
+mod advice;
 mod book;
 mod fleet;
 mod load;
@@ -20,6 +21,7 @@
 use crate::job::{JobProgress, JobRecord, JobState, QueuePolicy};
 use crate::placement::Resources;
 use crate::prelude::*;
+use advice::Advice;
 use book::{Book, TaskStatus};
 use fleet::Fleet;
 pub use fleet::WaveRecord;
@@ -135,6 +137,7 @@
     services: SlotMap<ServiceKey, Service>,
     services_by_name: FastMap<Arc<str>, ServiceKey>,
     fleet: Fleet,
+    advice: Advice,
     recovery: Option<Recovery>,
     rerouted: FastSet<Arc<str>>,
     /// Planned work ends no run before this time.
@@ -164,6 +167,7 @@
             services: SlotMap::with_key(),
             services_by_name: FastMap::default(),
             fleet: Fleet::default(),
+            advice: Advice::default(),
             recovery: None,
             rerouted: former.rerouted.into_iter().collect(),
             planned_from: Millis::ZERO,
@@ -378,6 +382,7 @@
                 task.status = TaskStatus::Over;
             }
         }
+        self.advice.forget_job(key);
         self.want_batch(now.after_ms(FINAL_BATCH_MS));
     }
 
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -79,6 +79,44 @@
     pub wait_ms: u64,
 }
 
+/// A step of one occurrence of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobKey,
+    /// The occurrence; 0 for jobs that are not repeated.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u16,
+}
+
+/// Asks the advisor which workers may run a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdviceOrder {
+    /// The step.
+    pub step: StepKey,
+    /// The job's id.
+    pub job: Arc<str>,
+    /// The workers' ids.
+    pub workers: Vec<Arc<str>>,
+    /// Time that the answer takes.
+    pub answer_ms: u64,
+}
+
+/// What the advisor answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdviceResult {
+    /// Ids and tickets of the workers that may run the step.
+    Answered {
+        /// Id and ticket of each.
+        allowed: Vec<(Arc<str>, Arc<str>)>,
+        /// Time for which the tickets are valid.
+        valid_ms: u64,
+    },
+    /// Too many calls wait, or no answer arrived in time.
+    Unanswered,
+}
+
 /// What the task around the scheduler must do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -94,6 +132,8 @@
     Pace(WorkerKey, PaceOrder),
     /// Look at a worker.
     Look(WorkerKey, LookOrder),
+    /// Ask the advisor.
+    Advise(AdviceOrder),
     /// Read the platform's list of instances.
     ListMachines,
     /// Move an instance to the pool of a service.
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -52,6 +52,7 @@
                 self.ready.push(key);
             }
         }
+        self.ask_advisor(now);
     }
 
     /// The ready tasks in the order of their urgency.
@@ -115,10 +116,11 @@
             return false;
         }
         let Some(worker) = self.choose(key, service, &[], now) else {
-            let unconstrained = self
-                .book
-                .step_of(key)
-                .is_some_and(|step| step.requirement.is_none() && step.per_worker_max == 0);
+            let unconstrained = self.advice_of(key).is_none()
+                && self
+                    .book
+                    .step_of(key)
+                    .is_some_and(|step| step.requirement.is_none() && step.per_worker_max == 0);
             if unconstrained {
                 refused.insert(service, need);
             }
@@ -194,36 +196,53 @@
     ) -> Option<WorkerKey> {
         let task = self.book.tasks.get(key)?;
         let step = self.book.step_of(key)?;
-        let need = step.need();
-        let planned_need = |worker: WorkerKey| {
+        let step_key = self.step_key(key)?;
+        let advised = self.advice_of(key).is_some();
+        self.fitting_workers(key, service, planned, now)
+            .filter(|worker| !advised || self.advice.ticket(step_key, *worker, now).is_some())
+            .min_by_key(|key| {
+                let worker = &self.workers[*key];
+                (
+                    task.avoid == Some(*key),
+                    off_rack(step, worker),
+                    room_left_ppm(step, worker),
+                    Arc::clone(&worker.report.id),
+                )
+            })
+    }
+
+    /// Workers that have room for a task and that its step does not rule out.
+    pub(super) fn fitting_workers(
+        &self,
+        key: TaskKey,
+        service: ServiceKey,
+        planned: &[(WorkerKey, Resources)],
+        now: Millis,
+    ) -> impl Iterator<Item = WorkerKey> {
+        let task = self.book.tasks.get(key).zip(self.book.step_of(key));
+        let workers = self.services.get(service).map(|service| &service.workers);
+        let planned_need = move |worker: WorkerKey| {
             planned
                 .iter()
                 .filter(|(key, _)| *key == worker)
                 .fold(Resources::default(), |sum, (_, need)| sum.plus(*need))
         };
-        self.services
-            .get(service)?
-            .workers
-            .iter()
-            .filter_map(|key| Some((*key, self.workers.get(*key)?)))
-            .filter(|(key, worker)| {
+        task.into_iter()
+            .zip(workers)
+            .flat_map(|(task, workers)| workers.iter().map(move |worker| (task, *worker)))
+            .filter(move |((task, step), key)| {
+                let Some(worker) = self.workers.get(*key) else {
+                    return false;
+                };
                 worker.takes_work(now)
-                    && need.plus(planned_need(*key)).fits(worker.free())
+                    && step.need().plus(planned_need(*key)).fits(worker.free())
                     && step
                         .requirement
                         .as_ref()
                         .is_none_or(|label| worker.report.labels.contains(label))
                     && self.beside_few(*key, task, step, planned)
             })
-            .min_by_key(|(key, worker)| {
-                (
-                    task.avoid == Some(*key),
-                    off_rack(step, worker),
-                    room_left_ppm(step, worker),
-                    Arc::clone(&worker.report.id),
-                )
-            })
-            .map(|(key, _)| key)
+            .map(|(_, key)| key)
     }
 
     /// The worker that a task fits best beside the one that it is on.
@@ -307,6 +326,10 @@
             "".into()
         };
         let job_key = task.job;
+        let ticket = self
+            .step_key(key)
+            .and_then(|step| self.advice.ticket(step, worker_key, now))
+            .cloned();
         let order = StartOrder {
             run,
             task: name,
@@ -314,7 +337,7 @@
             text: Arc::clone(&self.book.jobs[job_key].record.spec.text),
             deadline_ms: clock + self.settings.run_lease_ms,
             checkpoint,
-            ticket: None,
+            ticket,
         };
         self.actions.push(Action::Start(worker_key, order));
         let job = &mut self.book.jobs[job_key];
@@ -348,7 +371,7 @@
 }
 
 /// Whether the worker is in another rack than the task's data.
-fn off_rack(step: &StepSpec, worker: &Worker) -> bool {
+pub(super) fn off_rack(step: &StepSpec, worker: &Worker) -> bool {
     step.affinity
         .as_ref()
         .is_some_and(|rack| worker.rack() != Some(rack))
@@ -356,7 +379,7 @@
 
 /// Room of the worker, as the key of the choice: tasks are packed, but tasks that use only what
 /// others leave go where most is left.
-fn room_left_ppm(step: &StepSpec, worker: &Worker) -> u64 {
+pub(super) fn room_left_ppm(step: &StepSpec, worker: &Worker) -> u64 {
     let free = worker.free().minus(step.need());
     let share = free.dominant_share_ppm(worker.report.capacity);
     if step.fills {
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -203,6 +203,7 @@
             self.drop_run(run, now);
         }
         self.stop_awaiting(key);
+        self.advice.forget_worker(key);
     }
 
     /// Use of each pool, for reports.
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -26,6 +26,12 @@
             OrderResult::Refused(refusal) => {
                 self.fenced |= refusal == Refusal::Fenced;
                 self.pause_worker(worker, refusal, now);
+                let task = self.runs.get(run).map(|run| run.facts().task);
+                if let (Refusal::Ticket, Some(step)) =
+                    (refusal, task.and_then(|task| self.step_key(task)))
+                {
+                    self.advice.expire_ticket(step, worker);
+                }
                 self.drop_run(run, now);
             }
             OrderResult::NotSent => self.drop_run(run, now),
--- a/crates/domain/tests/common/checked.rs
+++ b/crates/domain/tests/common/checked.rs
@@ -94,13 +94,13 @@
         self.mistake(!self.stopped, "drain after the stop");
         let limit = self.fields.parallel_instances as usize;
         self.mistake(all < limit, "more than the parallel limit");
-        let mates: Vec<_> = others
+        let pool_members: Vec<_> = others
             .iter()
             .filter(|other| other.pool == instance.pool)
             .collect();
-        let left = mates
+        let left = pool_members
             .iter()
-            .filter(|mate| !down(mate.phase) && mate.healthy);
+            .filter(|member| !down(member.phase) && member.healthy);
         let left: Vec<_> = left.collect();
         let needed = pool.min_instances.max(pool.demand_instances) as usize;
         self.mistake(
@@ -109,19 +109,22 @@
         );
         let over = pool.failed_ppm > 0 && pool.failed_ppm * 2 >= pool.budget_ppm;
         self.mistake(!over, "failures have used the budget");
-        let maintained: Vec<_> = mates.iter().filter(|mate| down(mate.phase)).collect();
+        let maintained: Vec<_> = pool_members
+            .iter()
+            .filter(|member| down(member.phase))
+            .collect();
         let limit = self.fields.parallel_per_pool as usize;
         self.mistake(maintained.len() < limit, "more than the limit of the pool");
-        let mut zones: Vec<ZoneKey> = maintained.iter().map(|mate| mate.zone).collect();
+        let mut zones: Vec<ZoneKey> = maintained.iter().map(|member| member.zone).collect();
         zones.push(instance.zone);
         zones.sort();
         zones.dedup();
         self.mistake(zones.len() <= 2, "a third zone of the pool");
         let first = self.planner.state().instances[&instance.name].running;
         let is_new = first == Some((Stage::Draining, now));
-        if is_new && maintained.iter().any(|mate| mate.rack != instance.rack) {
-            let of_rack = |rack| left.iter().filter(|mate| mate.rack == rack).count();
-            let largest = left.iter().map(|mate| of_rack(mate.rack)).max();
+        if is_new && maintained.iter().any(|member| member.rack != instance.rack) {
+            let of_rack = |rack| left.iter().filter(|member| member.rack == rack).count();
+            let largest = left.iter().map(|member| of_rack(member.rack)).max();
             let bearable = left.len() >= needed + largest.unwrap_or(0);
             self.mistake(bearable, "a second rack without reserve");
         }
--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod advisor;
 mod process;
 
 use rosemaryscale_domain::job::{JobProgress, JobRecord, JobSpec, JobState, QueuePolicy, StepSpec};
@@ -15,6 +16,7 @@
     Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
 
+pub(crate) use advisor::Advisor;
 use process::{WorkerProcess, text};
 
 const STEP_MS: u64 = 10;
@@ -43,7 +45,7 @@
             attempts_max,
             stretch: 1.6,
             objective_ms: 600,
-            advised: false,
+            advice: None,
         },
         received_wall_ms: 0,
         spec: JobSpec {
@@ -97,6 +99,7 @@
     /// Percent and gauge that a worker reports of a task; 100 and 0 if none is set.
     pub(crate) rows: FastMap<String, (u32, u64)>,
     pub(crate) most_at_once: FastMap<String, usize>,
+    pub(crate) advisor: Advisor,
 }
 
 impl World {
@@ -118,6 +121,7 @@
             machine_orders: Vec::new(),
             rows: FastMap::default(),
             most_at_once: FastMap::default(),
+            advisor: Advisor::default(),
         };
         for index in 0..workers {
             world.add_worker(&format!("w{index}"), "service");
@@ -343,6 +347,10 @@
                 let result = self.stop(key, &order);
                 self.scheduler.stopped(key, order.run, result, self.now);
             }
+            Action::Advise(order) => {
+                let result = self.advisor.answer(&order, self.now);
+                self.scheduler.advised(result, self.now);
+            }
             Action::ListMachines => {
                 let reports = Some(self.machines.clone());
                 self.scheduler.machines_listed(reports, self.now);
@@ -430,6 +438,9 @@
             return OrderResult::Unanswered;
         }
         let worker = &mut self.workers[index];
+        if !self.advisor.accepts(order, &worker.report.id, self.now) {
+            return OrderResult::Refused(Refusal::Ticket);
+        }
         if worker
             .closed
             .get(&text(&order.task))
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -15,6 +15,7 @@
 //! # drop((handle, server));
 //! ```
 
+pub mod advice;
 pub mod claim;
 pub mod clock;
 pub mod config;
--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -18,7 +18,7 @@
 
 pub use signal::ProcessSignal;
 use wait::CONDITION_POLL;
-pub use wait::{PATIENCE, eventually, join_all};
+pub use wait::{CONDITION_TIMEOUT, eventually, join_all};
 
 use crate::platform::Platform;
 use crate::upstream::{Upstream, UpstreamOptions};
@@ -318,6 +318,19 @@
         }
     }
 
+    /// What a failed test has to show of a daemon: the state of its threads, and the end of its log.
+    fn daemon_summary(&self, index: usize) -> String {
+        const LOG_LINES: usize = 15;
+        let name = &self.daemons[index].name;
+        let threads = self
+            .process_id(index)
+            .map_or_else(|| "no process".to_owned(), thread_states);
+        let log = self.log(index);
+        let lines: Vec<&str> = log.lines().collect();
+        let end = lines[lines.len().saturating_sub(LOG_LINES)..].join("\n");
+        format!("{name}: {threads}\n{end}")
+    }
+
     /// Waits for the end of a daemon's process.
     ///
     /// # Panics
@@ -335,7 +348,7 @@
                 return status;
             }
             assert!(
-                started.elapsed() < PATIENCE,
+                started.elapsed() < CONDITION_TIMEOUT,
                 "{} does not end",
                 self.daemons[index].name
             );
@@ -371,8 +384,30 @@
     }
 }
 
+/// State letter and waiting place of each thread of a process, as the kernel shows them.
+fn thread_states(process: u32) -> String {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{process}/task")) else {
+        return format!("process {process} is gone");
+    };
+    let states: Vec<String> = threads
+        .flatten()
+        .map(|thread| {
+            let read = |file| std::fs::read_to_string(thread.path().join(file)).unwrap_or_default();
+            let stat = read("stat");
+            let state = stat.rsplit(')').next().unwrap_or_default().trim();
+            format!("{} {}", state.chars().next().unwrap_or('?'), read("wchan"))
+        })
+        .collect();
+    format!("process {process}, threads: {}", states.join(", "))
+}
+
 impl Drop for Harness {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            for index in 0..self.daemons.len() {
+                eprintln!("{}", self.daemon_summary(index));
+            }
+        }
         for daemon in &mut self.daemons {
             if let Some(mut child) = daemon.child.take() {
                 let _ = child.kill();
--- a/crates/standins/src/harness/calls.rs
+++ b/crates/standins/src/harness/calls.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use serde_json::{Value, json};
 
-use super::{DaemonReply, Harness, PATIENCE, UpstreamSpec, eventually};
+use super::{CONDITION_TIMEOUT, DaemonReply, Harness, UpstreamSpec, eventually};
 
 impl Harness {
     pub(super) async fn wait_for_operator_api(&self, index: usize) {
@@ -146,7 +146,7 @@
                 body,
             })
         };
-        tokio::time::timeout(PATIENCE, exchange)
+        tokio::time::timeout(CONDITION_TIMEOUT, exchange)
             .await
             .ok()
             .flatten()
