Refuse new jobs at once while the store is not heard, and answer before the caller's deadline

Cause: a submission was tried three times for 1 s each, whatever the caller's deadline was, also when the watches had already lost the store. A recovery logs one line a second instead of one for each worker; ends of empty instances that were ordered have no line.

--- a/crates/daemon/src/jobs/front.rs
+++ b/crates/daemon/src/jobs/front.rs
@@ -62,6 +62,8 @@
     options: FrontOptions,
     states: FastMap<Arc<str>, StateRecord>,
     heard_at: Option<Millis>,
+    /// Whether the newest read of the store was answered. Writes are not tried while it is not.
+    store_heard: watch::Sender<bool>,
     calls: JoinSet<Done>,
 }
 
@@ -71,6 +73,7 @@
             options,
             states: FastMap::default(),
             heard_at: None,
+            store_heard: watch::Sender::new(false),
             calls: JoinSet::new(),
         }
     }
@@ -137,6 +140,7 @@
                 self.heard();
             }
             WatchEvent::Disconnected { reason } => {
+                self.store_heard.send_replace(false);
                 if *self.options.holder.borrow() != HolderSeen::Unknown {
                     warn!(self.options.log, "the store is not heard"; "reason" => reason);
                 }
@@ -147,6 +151,7 @@
 
     fn heard(&mut self) {
         self.heard_at = Some(self.options.clock.now());
+        self.store_heard.send_replace(true);
         self.check_ready();
     }
 
@@ -235,6 +240,13 @@
                     "outcome" => ?reply);
                 let _ = call.reply.send(reply);
             }
+            (JobRequest::Submit(Ok(_)), None) if !*self.store_heard.borrow() => {
+                let reply = unavailable("the platform's store is not heard");
+                info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
+                    "outcome" => ?reply);
+                self.options.metrics.count(submit_counter(&reply), 1);
+                let _ = call.reply.send(reply);
+            }
             (JobRequest::Submit(Ok(spec)), None) => {
                 let store = self.store(call.deadline_ms);
                 match Submission::new(&store.clock, &config, id, queue, spec) {
@@ -306,6 +318,7 @@
             kv: self.options.kv.clone(),
             clock: Arc::clone(&self.options.clock),
             deadline: self.options.clock.now().after_ms(wait_ms),
+            store_heard: self.store_heard.subscribe(),
         }
     }
 
@@ -348,6 +361,7 @@
     kv: KeyValue,
     clock: ClockHandle,
     deadline: Millis,
+    store_heard: watch::Receiver<bool>,
 }
 
 impl StoreCalls {
@@ -400,9 +414,20 @@
         }
     }
 
-    /// Runs a transaction that may safely be repeated. A refusal is true: it is given only if no try
-    /// can have taken effect, now or later.
+    /// Runs a transaction that may safely be repeated, until the caller has to have an answer.
     async fn write(&self, transaction: Transaction) -> Result<bool, FrontReply> {
+        let left_ms = self.deadline.ms_since(self.clock.now());
+        let limit = std::time::Duration::from_millis(left_ms);
+        match tokio::time::timeout(limit, self.try_write(transaction)).await {
+            Ok(result) => result,
+            // A try is under way.
+            Err(_) => Err(FrontReply::OutcomeUnknown),
+        }
+    }
+
+    /// Tries a transaction. A refusal is true: it is given only if no try can have taken effect, now
+    /// or later.
+    async fn try_write(&self, transaction: Transaction) -> Result<bool, FrontReply> {
         let mut unknown = false;
         for _ in 0..WRITE_TRIES {
             match self.kv.transact(transaction.clone()).await {
@@ -411,7 +436,7 @@
                 Err(error) if !unknown => return Err(unavailable(&error.to_string())),
                 Err(_) => {}
             }
-            if self.clock.now() >= self.deadline {
+            if !*self.store_heard.borrow() {
                 break;
             }
         }
--- a/crates/daemon/src/jobs/holder/actions.rs
+++ b/crates/daemon/src/jobs/holder/actions.rs
@@ -10,6 +10,9 @@
 
 use super::Holder;
 
+/// Workers that one line about a recovery names.
+const AWAITED_SHOWN: usize = 5;
+
 impl Holder {
     pub(super) fn log_notes(&mut self) {
         for note in self.scheduler.take_notes() {
@@ -51,8 +54,11 @@
     }
 
     pub(super) fn report(&self) {
-        for worker in self.scheduler.awaited_workers() {
-            info!(self.options.log, "recovery waits"; "worker" => &**worker);
+        let awaited: Vec<&str> = self.scheduler.awaited_workers().map(|id| &**id).collect();
+        if !awaited.is_empty() {
+            let first = &awaited[..awaited.len().min(AWAITED_SHOWN)];
+            info!(self.options.log, "recovery waits"; "workers" => awaited.len(),
+                "first" => first.join(" "));
         }
         for pool in self.scheduler.pool_uses().filter(|pool| pool.workers > 0) {
             info!(self.options.log, "pool"; "service" => &*pool.service, "workers" => pool.workers,
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -187,7 +187,8 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if worker.known {
+        // The order that ends an empty instance has a line of its own.
+        if worker.known && !(worker.cordoned && worker.runs.is_empty()) {
             self.notes.push(Note::WorkerLost {
                 worker: Arc::clone(&worker.report.id),
                 runs: worker.runs.len(),
