Ask callers to come back later the longer an outage of the store lasts

Cause: callers try five times, and with 1 s between the tries all of them end inside an outage of 4.5 s. Change: the time to come back follows the age of the outage, from 1 s to 3 s.

--- a/crates/daemon/src/jobs/front.rs
+++ b/crates/daemon/src/jobs/front.rs
@@ -20,8 +20,12 @@
 const REPLY_MARGIN_MS: u64 = 400;
 /// Tries of a write whose outcome is not known.
 const WRITE_TRIES: u32 = 3;
-/// When a refused caller may come back: the time after which the load balancer leaves this daemon.
+/// When a refused caller may come back, at the earliest: the time after which the load balancer leaves
+/// this daemon.
 const RETRY_AFTER_MS: u64 = 1_000;
+/// When a refused caller may come back, at the latest. Callers try five times, and outages of the store
+/// last 4 to 9 s.
+const RETRY_AFTER_MAX_MS: u64 = 3_000;
 /// The view is up to date if the store was heard in this time.
 const VIEW_FRESH_MS: u64 = 2_500;
 
@@ -64,6 +68,8 @@
     heard_at: Option<Millis>,
     /// Whether the newest read of the store was answered. Writes are not tried while it is not.
     store_heard: watch::Sender<bool>,
+    /// Since when reads of the store are not answered.
+    unheard_since: Option<Millis>,
     calls: JoinSet<Done>,
 }
 
@@ -74,6 +80,7 @@
             states: FastMap::default(),
             heard_at: None,
             store_heard: watch::Sender::new(false),
+            unheard_since: None,
             calls: JoinSet::new(),
         }
     }
@@ -141,6 +148,8 @@
             }
             WatchEvent::Disconnected { reason } => {
                 self.store_heard.send_replace(false);
+                let now = self.options.clock.now();
+                self.unheard_since = self.unheard_since.or(Some(now));
                 if *self.options.holder.borrow() != HolderSeen::Unknown {
                     warn!(self.options.log, "the store is not heard"; "reason" => reason);
                 }
@@ -152,6 +161,7 @@
     fn heard(&mut self) {
         self.heard_at = Some(self.options.clock.now());
         self.store_heard.send_replace(true);
+        self.unheard_since = None;
         self.check_ready();
     }
 
@@ -241,7 +251,7 @@
                 let _ = call.reply.send(reply);
             }
             (JobRequest::Submit(Ok(_)), None) if !*self.store_heard.borrow() => {
-                let reply = unavailable("the platform's store is not heard");
+                let reply = self.refuse_unheard();
                 info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
                     "outcome" => ?reply);
                 self.options.metrics.count(submit_counter(&reply), 1);
@@ -322,6 +332,17 @@
         }
     }
 
+    /// A refusal while the store is away. Callers wait as long as the outage has lasted, so that their
+    /// tries outlast it, and one that ends soon delays them little.
+    fn refuse_unheard(&self) -> FrontReply {
+        let now = self.options.clock.now();
+        let away_ms = self.unheard_since.map_or(0, |since| now.ms_since(since));
+        FrontReply::Unavailable {
+            reason: "the platform's store is not heard".into(),
+            retry_after_ms: away_ms.clamp(RETRY_AFTER_MS, RETRY_AFTER_MAX_MS),
+        }
+    }
+
     fn waiting(&self, queue: &str) -> u64 {
         let waits =
             |record: &&StateRecord| record.state == JobState::Queued && &*record.queue == queue;
