Send starts and orders to instances again when their answer is lost

Cause: a start without an answer was stopped and its task started elsewhere, an instance with a lost order was out of use for 12.5 s, and one lost look took a worker out of use; each of these orders has no further effect when it is repeated.

--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -140,6 +140,8 @@
     advice: Advice,
     recovery: Option<Recovery>,
     rerouted: FastSet<Arc<str>>,
+    /// Until when looks are shorter, since answers were lost.
+    lossy_until: Millis,
     /// Planned work ends no run before this time.
     planned_from: Millis,
     ready: Vec<TaskKey>,
@@ -170,6 +172,7 @@
             advice: Advice::default(),
             recovery: None,
             rerouted: former.rerouted.into_iter().collect(),
+            lossy_until: Millis::ZERO,
             planned_from: Millis::ZERO,
             ready: Vec::new(),
             repeated: Vec::new(),
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -21,6 +21,8 @@
 const PLAN_MS: u64 = 100;
 /// Pause before an order that was refused is given again.
 const REFUSED_MS: u64 = 1_000;
+/// Pause before an order that got no answer is sent again.
+const ORDER_AGAIN_MS: u64 = 300;
 /// An order without an answer may be carried out this much later.
 const LATE_ORDER_MS: u64 = 12_500;
 /// An instance that runs nothing for this long goes back to the spare pool. A move costs about as
@@ -57,6 +59,8 @@
         accepted_at: Option<Millis>,
         /// When an order without an answer is given up.
         until: Millis,
+        /// When an order without an answer is sent again.
+        again_at: Option<Millis>,
     },
 }
 
@@ -67,6 +71,8 @@
     duty: Duty,
     /// No order before this time.
     not_before: Millis,
+    /// Until this time an order that got no answer may be carried out; no other one is given.
+    late_until: Millis,
     /// Since when it runs nothing.
     idle_since: Option<Millis>,
     /// Until when its worker is expected to appear.
@@ -211,6 +217,7 @@
                     report,
                     duty: Duty::Free,
                     not_before: Millis::ZERO,
+                    late_until: Millis::ZERO,
                     idle_since: None,
                     arrives_until: Millis::ZERO,
                 });
@@ -259,6 +266,7 @@
             worker,
             accepted_at,
             until,
+            ..
         } = &machine.duty
         else {
             return;
@@ -275,7 +283,7 @@
         if done {
             self.release_machine(key, now);
             let machine = &mut self.fleet.machines[key];
-            machine.not_before = now;
+            machine.not_before = machine.late_until.max(now);
             machine.arrives_until = now.after_ms(ARRIVAL_MS);
         } else if accepted_at.is_none() && *until < now {
             self.release_machine(key, now);
@@ -291,12 +299,14 @@
             purpose,
             worker,
             accepted_at,
+            again_at,
             ..
         } = &mut machine.duty
         else {
             return;
         };
         let purpose = *purpose;
+        let was_lost = machine.late_until > now;
         match result {
             MachineResult::Accepted => {
                 *accepted_at = Some(now);
@@ -310,9 +320,11 @@
                 }
                 self.fleet.next_list = self.fleet.next_list.min(now.after_ms(SETTLE_MS + 50));
             }
-            MachineResult::Busy => {
-                self.release_machine(key, now);
+            // An earlier order without an answer may be the reason.
+            MachineResult::Busy | MachineResult::NotSent if was_lost => {
+                *again_at = Some(now.after_ms(ORDER_AGAIN_MS));
             }
+            MachineResult::Busy | MachineResult::NotSent => self.release_machine(key, now),
             MachineResult::NotInWave => {
                 let name = Arc::clone(&machine.report.name);
                 self.release_machine(key, now);
@@ -321,9 +333,10 @@
                 }
             }
             MachineResult::Fenced => self.fenced = true,
-            // It may be carried out late; until then the instance gets no work.
-            MachineResult::Unanswered => {}
-            MachineResult::NotSent => self.release_machine(key, now),
+            MachineResult::Unanswered => {
+                *again_at = Some(now.after_ms(ORDER_AGAIN_MS));
+                machine.late_until = now.after_ms(LATE_ORDER_MS);
+            }
         }
     }
 
@@ -342,7 +355,7 @@
     fn release_machine(&mut self, key: MachineKey, now: Millis) {
         let machine = &mut self.fleet.machines[key];
         machine.duty = Duty::Free;
-        machine.not_before = now.after_ms(REFUSED_MS);
+        machine.not_before = machine.late_until.max(now.after_ms(REFUSED_MS));
         machine.idle_since = None;
         self.set_cordon(key, false);
     }
@@ -389,6 +402,7 @@
             return;
         }
         self.fleet.next_plan = now.after_ms(PLAN_MS);
+        self.repeat_orders(now);
         self.note_idle(now);
         self.plan_waves(now);
         self.plan_moves(now);
@@ -446,16 +460,45 @@
         }
     }
 
-    fn order_machine(&mut self, key: MachineKey, purpose: Purpose, now: Millis) {
+    /// Sends orders without an answer again: one that was carried out has no further effect.
+    fn repeat_orders(&mut self, now: Millis) {
+        let due: Vec<(MachineKey, Purpose)> = self
+            .fleet
+            .machines
+            .iter_mut()
+            .filter_map(|(key, machine)| match &mut machine.duty {
+                Duty::Ordered {
+                    purpose, again_at, ..
+                } => {
+                    again_at.take_if(|at| *at <= now)?;
+                    Some((key, *purpose))
+                }
+                _ => None,
+            })
+            .collect();
+        for (key, purpose) in due {
+            self.send_machine_order(key, purpose);
+        }
+    }
+
+    fn send_machine_order(&mut self, key: MachineKey, purpose: Purpose) -> bool {
         let action = match purpose {
             Purpose::Maintain(wave) => Action::Maintain(key, wave),
             Purpose::Move(service) => {
                 let Some(service) = self.services.get(service) else {
-                    return;
+                    return false;
                 };
                 Action::Move(key, Arc::clone(&service.name))
             }
         };
+        self.actions.push(action);
+        true
+    }
+
+    fn order_machine(&mut self, key: MachineKey, purpose: Purpose, now: Millis) {
+        if !self.send_machine_order(key, purpose) {
+            return;
+        }
         self.set_cordon(key, true);
         let machine = &mut self.fleet.machines[key];
         machine.duty = Duty::Ordered {
@@ -463,9 +506,9 @@
             worker: machine.report.worker.clone(),
             accepted_at: None,
             until: now.after_ms(LATE_ORDER_MS),
+            again_at: None,
         };
         self.fleet.next_list = self.fleet.next_list.min(now.after_ms(LIST_MS));
-        self.actions.push(action);
     }
 
     /// Name of an instance.
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -14,6 +14,10 @@
 /// A job is heard of within a few watch intervals of its acceptance; this is well above them.
 const UNKNOWN_RUN_MS: u64 = 3_000;
 
+/// For this long after a look was lost at a worker that answers, looks are shorter: an end that a lost
+/// answer has listed is heard with the next one.
+const LOSSY_MS: u64 = 5_000;
+
 /// Progress is reported in percent with every look, at least each second; work that is six times as
 /// slow as declared still moves within this time.
 const STUCK_MS: u64 = 2_500;
@@ -37,10 +41,13 @@
             }
             LookResult::Unanswered => {
                 worker.told = 0;
-                let was_silent = worker.silent;
-                worker.fall_silent(now);
-                worker.next_look = now.after_ms(SILENT_LOOK_MS);
-                if !was_silent {
+                let fell_silent = worker.count_lost_look(now);
+                worker.next_look = if worker.silent {
+                    now.after_ms(SILENT_LOOK_MS)
+                } else {
+                    now
+                };
+                if fell_silent {
                     self.read_machines_soon(now);
                 }
             }
@@ -67,8 +74,12 @@
             worker.report.started_wall_ms = started;
         }
         let was_usable = worker.known && !worker.silent;
+        if worker.known && worker.lost_looks > 0 {
+            self.lossy_until = now.after_ms(LOSSY_MS);
+        }
         worker.known = true;
         worker.silent = false;
+        worker.lost_looks = 0;
         worker.saw_clock(listing.clock_ms, now);
         self.place_wanted |= !was_usable;
         if !worker.recorded {
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -288,9 +288,6 @@
     }
 
     fn start(&mut self, key: TaskKey, worker_key: WorkerKey, number: u32, now: Millis) {
-        let Some(name) = self.book.name(key) else {
-            return;
-        };
         let Some(step) = self.book.step_of(key) else {
             return;
         };
@@ -302,11 +299,10 @@
             fills: step.fills,
             sent_at: now,
         };
-        let checkpointing = step.checkpointing;
         let worker = &mut self.workers[worker_key];
-        let Some(clock) = worker.clock_at(now) else {
+        if worker.clock.is_none() {
             return;
-        };
+        }
         let run = self
             .runs
             .insert(PlacedRun::new(Phase::Sent(Run::new(facts))));
@@ -320,26 +316,8 @@
         let task = &mut self.book.tasks[key];
         task.status = TaskStatus::Placed(run);
         task.last_number = number;
-        let checkpoint = if checkpointing {
-            Arc::clone(&task.checkpoint)
-        } else {
-            "".into()
-        };
         let job_key = task.job;
-        let ticket = self
-            .step_key(key)
-            .and_then(|step| self.advice.ticket(step, worker_key, now))
-            .cloned();
-        let order = StartOrder {
-            run,
-            task: name,
-            number,
-            text: Arc::clone(&self.book.jobs[job_key].record.spec.text),
-            deadline_ms: clock + self.settings.run_lease_ms,
-            checkpoint,
-            ticket,
-        };
-        self.actions.push(Action::Start(worker_key, order));
+        self.send_start(run, now);
         let job = &mut self.book.jobs[job_key];
         if job.state == JobState::Queued {
             job.state = JobState::Running;
@@ -349,6 +327,49 @@
     }
 }
 
+impl Scheduler {
+    /// Sends the start of a run, which may be repeated: a worker starts a run once.
+    pub(super) fn send_start(&mut self, key: RunKey, now: Millis) -> bool {
+        let Some(order) = self.start_order(key, now) else {
+            return false;
+        };
+        let Some(run) = self.runs.get_mut(key) else {
+            return false;
+        };
+        run.start_tries += 1;
+        self.actions.push(Action::Start(run.facts().worker, order));
+        true
+    }
+
+    fn start_order(&self, key: RunKey, now: Millis) -> Option<StartOrder> {
+        let facts = *self.runs.get(key)?.facts();
+        let task = self.book.tasks.get(facts.task)?;
+        let job = self.book.jobs.get(task.job)?;
+        let step = self.book.step_of(facts.task)?;
+        let worker = self.workers.get(facts.worker)?;
+        let ticket = self
+            .step_key(facts.task)
+            .and_then(|step| self.advice.ticket(step, facts.worker, now))
+            .cloned();
+        if ticket.is_none() && job.policy.advice.is_some() {
+            return None;
+        }
+        Some(StartOrder {
+            run: key,
+            task: self.book.name(facts.task)?,
+            number: facts.number,
+            text: Arc::clone(&job.record.spec.text),
+            deadline_ms: worker.clock_at(now)? + self.settings.run_lease_ms,
+            checkpoint: if step.checkpointing {
+                Arc::clone(&task.checkpoint)
+            } else {
+                "".into()
+            },
+            ticket,
+        })
+    }
+}
+
 /// How urgent a task is. One that cannot meet its job's objective any more, by the declared times,
 /// yields to those that can.
 fn urgency(task: &Task, job: &Job, now: Millis) -> Urgency {
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -7,6 +7,9 @@
 use crate::placement::Resources;
 use crate::prelude::*;
 
+/// Longest wait of a look while answers are lost: each look is priced, so the usual wait is longer.
+const LOSSY_WAIT_MS: u64 = 150;
+
 impl Scheduler {
     /// Takes a worker from the platform's list.
     pub fn worker_listed(&mut self, report: WorkerReport, now: Millis) {
@@ -150,6 +153,11 @@
     }
 
     pub(super) fn look(&mut self, now: Millis) {
+        let wait_ms = if now < self.lossy_until {
+            self.settings.look_wait_ms.min(LOSSY_WAIT_MS)
+        } else {
+            self.settings.look_wait_ms
+        };
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
             let worker = &mut self.workers[key];
@@ -159,7 +167,7 @@
             if worker.looking || !wanted || worker.next_look > now {
                 continue;
             }
-            let waits = worker.known && !worker.silent && !idle;
+            let waits = worker.known && worker.lost_looks == 0 && !idle;
             let deadline_ms = match worker.clock_at(now) {
                 Some(clock) if worker.known && !worker.silent => {
                     let end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
@@ -176,7 +184,7 @@
                 LookOrder {
                     deadline_ms,
                     acknowledged: worker.acknowledged,
-                    wait_ms: if waits { self.settings.look_wait_ms } else { 0 },
+                    wait_ms: if waits { wait_ms } else { 0 },
                 },
             ));
         }
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -95,6 +95,8 @@
     pub reported: Reported,
     /// Share at which a filling task may work.
     pub pace_percent: u32,
+    /// How often its start was sent.
+    pub start_tries: u32,
     /// Whether a stop is on its way.
     pub stop_in_flight: bool,
     /// When the worker accepted the stop.
@@ -109,6 +111,7 @@
             phase,
             reported: Reported::default(),
             pace_percent: 100,
+            start_tries: 0,
             stop_in_flight: false,
             stop_accepted_at: None,
             stop_again_at: Millis::ZERO,
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -5,6 +5,9 @@
 use super::{RESTART_MS, STOP_AGAIN_MS, Scheduler};
 use crate::prelude::*;
 
+/// A start without an answer is sent once more; after that the run is stopped.
+const START_TRIES: u32 = 2;
+
 impl Scheduler {
     /// Applies how a start ended.
     pub fn started(&mut self, worker: WorkerKey, run: RunKey, result: OrderResult, now: Millis) {
@@ -26,6 +29,10 @@
             OrderResult::Refused(refusal) => {
                 self.fenced |= refusal == Refusal::Fenced;
                 self.pause_worker(worker, refusal, now);
+                if self.was_start_lost(run) {
+                    self.stop_run(run, now);
+                    return;
+                }
                 let task = self.runs.get(run).map(|run| run.facts().task);
                 if let (Refusal::Ticket, Some(step)) =
                     (refusal, task.and_then(|task| self.step_key(task)))
@@ -34,7 +41,9 @@
                 }
                 self.drop_run(run, now);
             }
+            OrderResult::NotSent if self.was_start_lost(run) => self.stop_run(run, now),
             OrderResult::NotSent => self.drop_run(run, now),
+            OrderResult::Unanswered if self.repeat_start(worker, run, now) => {}
             OrderResult::Unanswered => {
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.pause(now);
@@ -44,6 +53,23 @@
         }
     }
 
+    /// Whether an earlier start of the run got no answer, so that it may still be carried out.
+    fn was_start_lost(&self, run: RunKey) -> bool {
+        self.runs.get(run).is_some_and(|run| run.start_tries > 1)
+    }
+
+    fn repeat_start(&mut self, worker: WorkerKey, run: RunKey, now: Millis) -> bool {
+        let answers = self
+            .workers
+            .get(worker)
+            .is_some_and(|worker| !worker.silent);
+        let may_repeat = self
+            .runs
+            .get(run)
+            .is_some_and(|run| !run.is_stopping() && run.start_tries < START_TRIES);
+        answers && may_repeat && self.send_start(run, now)
+    }
+
     /// Applies how a stop ended.
     pub fn stopped(
         &mut self,
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -12,6 +12,8 @@
 const QUARANTINE_MS: u64 = 4_000;
 /// Longest quarantine: a day of work lasts well over ten of them.
 const QUARANTINE_MAX_MS: u64 = 30_000;
+/// Looks in a row without an answer that make a worker silent: one answer may be lost.
+const LOST_LOOKS_MAX: u32 = 2;
 /// Pause after a worker refused or did not answer an order.
 const UNHEALTHY_PAUSE_MS: u64 = 500;
 
@@ -51,7 +53,9 @@
     pub look_sent_at: Millis,
     /// When the next look is due.
     pub next_look: Millis,
-    /// Whether the newest look got no answer.
+    /// Looks in a row that got no answer.
+    pub lost_looks: u32,
+    /// Whether it does not answer looks.
     pub silent: bool,
     /// Since when looks get no answer.
     pub silent_since: Millis,
@@ -89,6 +93,7 @@
             looking: false,
             look_sent_at: Millis::ZERO,
             next_look: Millis::ZERO,
+            lost_looks: 0,
             silent: false,
             silent_since: Millis::ZERO,
             lacked_since: None,
@@ -130,11 +135,15 @@
         }
     }
 
-    pub(super) fn fall_silent(&mut self, now: Millis) {
-        if !self.silent {
-            self.silent = true;
-            self.silent_since = now;
+    /// Counts a look without an answer. Returns whether the worker has fallen silent by that.
+    pub(super) fn count_lost_look(&mut self, now: Millis) -> bool {
+        self.lost_looks += 1;
+        if self.silent || (self.known && self.lost_looks < LOST_LOOKS_MAX) {
+            return false;
         }
+        self.silent = true;
+        self.silent_since = now;
+        true
     }
 
     pub(super) fn pause(&mut self, now: Millis) {
