Take over at once from an earlier process of the same daemon; shorten the holder's lease

Cause: work waited 1.3 to 2 s for the lease of a holder whose process had ended and was already replaced, and up to 9 s more for orders that it could not give any more. Change: a daemon that sees the key of its own earlier process ends that lease and takes the key; the record names the holder's daemon, so that such a recovery waits for leases of silent workers only.

--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -26,6 +26,8 @@
     pub(super) revision: u64,
     /// Number of the holder's term.
     pub(super) term: u32,
+    /// Name of the holder's daemon.
+    pub(super) daemon: Arc<str>,
 }
 
 /// The holder's key belongs to another daemon, or to none.
@@ -45,6 +47,7 @@
             workers: batch.workers.clone(),
             rerouted: batch.rerouted.clone(),
             waves: batch.waves.clone(),
+            daemon: Arc::clone(&self.daemon),
             released: batch.released,
         };
         let value = records::encode(&record);
--- a/crates/daemon/src/jobs/election.rs
+++ b/crates/daemon/src/jobs/election.rs
@@ -25,14 +25,25 @@
     let stagger = stagger(&options.own.daemon);
     loop {
         tokio::select! {
-            changed = seen.wait_for(|seen| *seen == HolderSeen::None) => {
+            changed = seen.wait_for(|seen| {
+                matches!(seen, HolderSeen::None | HolderSeen::FormerProcess(_))
+            }) => {
                 if changed.is_err() { return }
             }
             _ = stop.wait_for(|stop| *stop) => return,
         }
-        tokio::time::sleep(stagger).await;
-        if *seen.borrow() != HolderSeen::None {
-            continue;
+        let found = *seen.borrow();
+        if let HolderSeen::FormerProcess(lease) = found {
+            // Nobody has to wait until the lease of a process that has ended lapses.
+            info!(options.log, "scheduler key of an earlier process of this daemon"; "lease" => lease);
+            if let Err(error) = options.kv.revoke(lease).await {
+                warn!(options.log, "lease not ended"; "lease" => lease, "reason" => %error);
+            }
+        } else {
+            tokio::time::sleep(stagger).await;
+            if *seen.borrow() != HolderSeen::None {
+                continue;
+            }
         }
         match lease::acquire(&options.kv, &options.clock, &options.own).await {
             Ok(Some(held)) => {
--- a/crates/daemon/src/jobs/front.rs
+++ b/crates/daemon/src/jobs/front.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use super::records::{self, HOLDER_KEY, StateRecord};
+use super::records::{self, HOLDER_KEY, HolderRecord, StateRecord};
 
 /// The caller gets an answer this long before it stops to wait.
 const REPLY_MARGIN_MS: u64 = 400;
@@ -38,6 +38,8 @@
     None,
     /// A daemon does, since this revision.
     Held(u64),
+    /// An earlier process of this daemon did, which has ended: its lease.
+    FormerProcess(u64),
 }
 
 /// What the front is given.
@@ -45,6 +47,8 @@
     pub(super) kv: KeyValue,
     pub(super) clock: ClockHandle,
     pub(super) config: QueueConfigWatch,
+    /// This process, as it is recorded when it schedules.
+    pub(super) own: HolderRecord,
     /// Whether the settings name an advisor.
     pub(super) has_advisor: bool,
     pub(super) view: mpsc::Receiver<WatchEvent>,
@@ -167,7 +171,7 @@
 
     fn apply_entry(&mut self, entry: KvEntry, holder: &mut HolderSeen) {
         if &*entry.key == HOLDER_KEY {
-            *holder = HolderSeen::Held(entry.mod_revision);
+            *holder = self.holder_seen(&entry);
             return;
         }
         let Some(id) = records::state_id(&entry.key) else {
@@ -183,6 +187,16 @@
         }
     }
 
+    fn holder_seen(&self, entry: &KvEntry) -> HolderSeen {
+        let own = &self.options.own;
+        match records::decode::<HolderRecord>(&entry.value) {
+            Ok(record) if record.daemon == own.daemon && record.incarnation != own.incarnation => {
+                HolderSeen::FormerProcess(entry.lease)
+            }
+            _ => HolderSeen::Held(entry.mod_revision),
+        }
+    }
+
     fn check_ready(&mut self) {
         let reason = self.unready_reason();
         let was_ready = self.options.ready.borrow().is_ok();
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -221,10 +221,12 @@
             held.proved_at = at;
         }
         let (now, wall) = (options.clock.now(), options.clock.wall());
+        // An earlier process or term of this daemon gives no orders either.
+        let over = former.released || former.daemon == options.own.daemon;
         let settings = ScheduleSettings {
             run_lease_ms: options.run_lease_ms,
             look_wait_ms: options.look_wait_ms,
-            holder_grace_ms: if former.released { 0 } else { HOLDER_GRACE_MS },
+            holder_grace_ms: if over { 0 } else { HOLDER_GRACE_MS },
             stop_grace_ms: options.stop_grace_ms,
             term: former.term + 1,
         };
@@ -235,7 +237,7 @@
         let mut scheduler = Scheduler::new(settings, term, now);
         let restored = stored_jobs(entries, progress, held.fence, &options.log);
         info!(options.log, "recovery began"; "term" => former.term + 1, "jobs" => restored.len(),
-            "released" => former.released);
+            "former_over" => over);
         for job in restored {
             scheduler.restore(job, now, wall);
         }
@@ -245,6 +247,7 @@
             fence: held.fence,
             revision: chain.map_or(0, |entry| entry.mod_revision),
             term: former.term + 1,
+            daemon: Arc::clone(&options.own.daemon),
         };
         Some(Self {
             next_renewal: now,
--- a/crates/daemon/src/jobs/lease.rs
+++ b/crates/daemon/src/jobs/lease.rs
@@ -8,10 +8,11 @@
 
 use super::records::{self, HOLDER_KEY, HOLDER_MARK_KEY, HolderRecord};
 
-/// Time to live of the holder's key; a lost holder is replaced after it.
-pub(super) const HOLDER_TTL_MS: u64 = 2_000;
-/// Time between two renewals: three may fail before the key is lost.
-pub(super) const RENEW_MS: u64 = 500;
+/// Time to live of the holder's key; a lost holder is replaced after it. Quick work has about 2 s from
+/// its submission to its objective.
+pub(super) const HOLDER_TTL_MS: u64 = 1_500;
+/// Time between two renewals: two answers may be lost before the key is.
+pub(super) const RENEW_MS: u64 = 350;
 /// Time for which a holder goes on without the store. Outages of 4 to 9 s are usual.
 pub(super) const HOLDER_GRACE_MS: u64 = 9_000;
 
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -110,6 +110,9 @@
     /// Waves of maintenance.
     #[serde(default)]
     pub(super) waves: Vec<WaveRecord>,
+    /// Name of the holder's daemon.
+    #[serde(default)]
+    pub(super) daemon: Arc<str>,
     /// Whether the holder gives no more orders.
     #[serde(default)]
     pub(super) released: bool,
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -10,8 +10,8 @@
     worker_entry, worker_link,
 };
 use rosemaryscale_ports::clock::ClockHandle;
-use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
-use rosemaryscale_ports::kv::{KeyRange, KeyValue, KvError, Update, WatchEvent};
+use rosemaryscale_ports::job::QueueConfig;
+use rosemaryscale_ports::kv::{KeyRange, KvError, Update, WatchEvent};
 use rosemaryscale_ports::prelude::*;
 use slog::{Level, Logger, info, warn};
 use snafu::{ResultExt, Snafu};
@@ -126,10 +126,15 @@
             }
             None => None,
         };
+        let own = HolderRecord {
+            daemon: Arc::clone(&settings.name),
+            incarnation: Uuid::new_v4().to_string().into(),
+        };
         let front = Front::new(FrontOptions {
             kv: kv.clone(),
             clock: Arc::clone(&clock),
             config: config_watch.clone(),
+            own: own.clone(),
             has_advisor: settings.advisor_address.is_some(),
             view,
             calls: call_receiver,
@@ -139,7 +144,21 @@
             metrics: Arc::clone(&metrics),
             log: log.clone(),
         });
-        let options = holder_options(&settings, kv, clock, config_watch, metrics, &log);
+        let options = HolderOptions {
+            kv,
+            clock,
+            config: config_watch,
+            own,
+            run_lease_ms: RUN_LEASE_MS.min(settings.run_lease_max_ms),
+            look_wait_ms: LOOK_WAIT_MS,
+            stop_grace_ms: settings.stop_grace_ms,
+            status_kept_ms: settings.status_kept_ms,
+            platform: PLATFORM,
+            machines_address: settings.machines_address,
+            advisor_address: settings.advisor_address,
+            metrics,
+            log: log.clone(),
+        };
         info!(log, "started"; "daemon" => &*settings.name, "zone" => &*settings.availability_zone);
         Ok(Self {
             front_server: tokio::spawn(front_server.run()),
@@ -207,34 +226,6 @@
     signal(kind).context(ResourceSnafu)
 }
 
-fn holder_options(
-    settings: &JobServiceConfig,
-    kv: KeyValue,
-    clock: ClockHandle,
-    config: QueueConfigWatch,
-    metrics: Metrics,
-    log: &Logger,
-) -> HolderOptions {
-    HolderOptions {
-        kv,
-        clock,
-        config,
-        own: HolderRecord {
-            daemon: Arc::clone(&settings.name),
-            incarnation: Uuid::new_v4().to_string().into(),
-        },
-        run_lease_ms: RUN_LEASE_MS.min(settings.run_lease_max_ms),
-        look_wait_ms: LOOK_WAIT_MS,
-        stop_grace_ms: settings.stop_grace_ms,
-        status_kept_ms: settings.status_kept_ms,
-        platform: PLATFORM,
-        machines_address: settings.machines_address,
-        advisor_address: settings.advisor_address,
-        metrics,
-        log: log.clone(),
-    }
-}
-
 /// Keeps the newest configuration; an older one never replaces it.
 async fn follow_config(
     mut events: mpsc::Receiver<WatchEvent>,
