--- a/crates/adapters/src/log.rs
+++ b/crates/adapters/src/log.rs
@@ -1,10 +1,15 @@
 //! Logs by slog.
 
+use std::io::Write;
 use std::sync::Mutex;
 
 use serde::Deserialize;
 use slog::{Drain, Level, LevelFilter, Logger, o};
 
+/// Lines that wait for the writer. A scheduling round of a burst starts several hundred tasks, each with
+/// a line of about 300 bytes.
+pub const QUEUED_LINES: usize = 1_024;
+
 /// Format of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize)]
@@ -20,12 +25,7 @@
 /// Opens the log on standard error.
 pub fn open(format: LogFormat, level: Level) -> Logger {
     match format {
-        LogFormat::Json => {
-            let json = slog_json::Json::new(std::io::stderr())
-                .add_default_keys()
-                .build();
-            root(Mutex::new(json).fuse(), level)
-        }
+        LogFormat::Json => open_json(std::io::stderr(), level),
         LogFormat::Text => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
             root(
@@ -40,12 +40,7 @@
 /// full, lines are counted and dropped, so that a reader that does not read blocks nothing.
 pub fn open_stdout(format: LogFormat, level: Level) -> Logger {
     match format {
-        LogFormat::Json => {
-            let json = slog_json::Json::new(std::io::stdout())
-                .add_default_keys()
-                .build();
-            root(Mutex::new(json).fuse(), level)
-        }
+        LogFormat::Json => open_json(std::io::stdout(), level),
         LogFormat::Text => {
             let decorator = slog_term::TermDecorator::new().stdout().build();
             root(
@@ -56,10 +51,18 @@
     }
 }
 
+/// Opens a log of JSON lines on a writer, which may block.
+pub fn open_json(writer: impl Write + Send + 'static, level: Level) -> Logger {
+    let json = slog_json::Json::new(writer).add_default_keys().build();
+    root(Mutex::new(json).fuse(), level)
+}
+
 fn root<D>(drain: D, level: Level) -> Logger
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let drain = slog_async::Async::new(drain).build();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUED_LINES)
+        .build();
     Logger::root(LevelFilter::new(drain, level).fuse(), o!())
 }
