--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -192,7 +192,10 @@
     /// Adds a job that the store has.
     pub fn restore(&mut self, stored: StoredJob, now: Millis, wall: Millis) {
         let received = received_at(&stored.record, now, wall);
-        let Some(key) = self.book.add(stored.id, stored.record, received) else {
+        let Some(key) = self
+            .book
+            .add(stored.id, stored.record, received, stored.acceptance)
+        else {
             return;
         };
         let restored = stored.acceptance == Acceptance::BeforeTerm;
@@ -223,7 +226,7 @@
     ) {
         let received = received_at(&record, now, wall);
         let repeated = record.spec.repeat.is_some();
-        let Some(key) = self.book.add(Arc::clone(&id), record, received) else {
+        let Some(key) = self.book.add(Arc::clone(&id), record, received, acceptance) else {
             return;
         };
         if repeated {
@@ -347,7 +350,10 @@
 
     /// Gives a task without a run its status, and queues it if it can start.
     pub(super) fn release_task(&mut self, key: TaskKey) {
-        let status = self.book.idle_status(key);
+        let mut status = self.book.idle_status(key);
+        if status == TaskStatus::Ready && self.may_former_start(key) {
+            status = TaskStatus::Unaccounted;
+        }
         if let Some(task) = self.book.tasks.get_mut(key) {
             task.status = status;
         }
--- a/crates/domain/src/schedule/book.rs
+++ b/crates/domain/src/schedule/book.rs
@@ -1,5 +1,6 @@
 //! Jobs and their tasks.
 
+use super::Acceptance;
 use crate::job::{
     JobProgress, JobRecord, JobState, QueuePolicy, StepSpec, TaskName, TaskPosition, TaskProgress,
 };
@@ -58,6 +59,8 @@
     /// State that the store has.
     pub written_state: JobState,
     pub ended_wall_ms: u64,
+    /// Whether a former holder may know of it.
+    pub before_term: bool,
     /// When it was received, on this process's clock; its origin if that was before its start.
     pub received_at: Millis,
     /// Latency objective.
@@ -123,6 +126,7 @@
         id: Arc<str>,
         record: JobRecord,
         received_at: Millis,
+        acceptance: Acceptance,
     ) -> Option<JobKey> {
         if self.by_id.contains_key(&id) {
             return None;
@@ -136,6 +140,7 @@
             state: JobState::Queued,
             written_state: JobState::Queued,
             ended_wall_ms: 0,
+            before_term: acceptance == Acceptance::BeforeTerm,
             received_at,
             occurrences: Vec::new(),
             open_tasks: 0,
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -157,6 +157,7 @@
             let key = self.workers_by_id.get(&recorded.id);
             if let Some(worker) = key.and_then(|key| self.workers.get_mut(*key))
                 && worker.report.address == recorded.address
+                && worker.report.started_wall_ms == recorded.started_wall_ms
                 && !worker.recorded
             {
                 worker.recorded = true;
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -139,6 +139,16 @@
         }
     }
 
+    /// Whether the former holder may know of the task, and start it on a worker that is still awaited.
+    pub(super) fn may_former_start(&self, key: TaskKey) -> bool {
+        if self.recovery.is_none() {
+            return false;
+        }
+        let task = self.book.tasks.get(key);
+        let job = task.and_then(|task| self.book.jobs.get(task.job));
+        job.is_some_and(|job| job.before_term && self.may_run_on(job, &self.awaited_services()))
+    }
+
     /// Services of the workers that are still awaited.
     fn awaited_services(&self) -> FastSet<Arc<str>> {
         let awaited = self.recovery.iter().flat_map(|recovery| &recovery.awaited);
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -170,10 +170,8 @@
     /// Forgets what only held for an earlier life.
     pub(super) fn begin_life(&mut self, report: WorkerReport) {
         let listed = self.listed;
-        let recorded = self.recorded;
         *self = Self {
             listed,
-            recorded,
             looking: self.looking,
             look_sent_at: self.look_sent_at,
             cordoned: self.cordoned,
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -649,3 +649,45 @@
     world.run_for(6_000);
     assert_eq!(orders(&world), 3, "it goes back to the spare pool");
 }
+
+/// Guards against two runs of a task whose run the new holder has found and lost again while a worker is
+/// still awaited: the former holder may start it there (schedule of seed 329).
+#[test]
+fn a_run_lost_during_the_recovery_waits_for_its_end() {
+    let mut world = World::new(3);
+    for worker in ["w0", "w1", "w2"] {
+        world.add_machine(&format!("machine-{worker}"), "service", Some(worker));
+    }
+    world.run_for(1_500);
+    world.submit("a", job(vec![step(1)], 3));
+    world.run_for(100);
+    let lost = world.worker_of("a.0.0.0").expect("it runs");
+    world.cut((lost + 1) % 3);
+    world.change_holder();
+    world.run_for(300);
+    assert!(world.scheduler.is_recovering());
+    world.crash(lost);
+    world.machines[lost].state = MachineState::Down;
+    world.machines[lost].worker = None;
+    world.run_for(3_000);
+    assert_eq!(
+        world.starts_of("a.0.0.0"),
+        1,
+        "the former holder may have started it"
+    );
+    world.run_for(14_000);
+    assert_eq!(world.starts_of("a.0.0.0"), 2);
+}
+
+/// Guards against work on a life of a worker that no batch names: the next holder would take the recorded
+/// life as over, and start the same work elsewhere (schedule of seed 348).
+#[test]
+fn a_restarted_worker_gets_no_work_before_its_life_is_recorded() {
+    let mut world = World::new(1);
+    world.run_for(500);
+    world.hold_writes = true;
+    world.restart(0);
+    world.submit("a", job(vec![step(1)], 3));
+    world.run_for(2_000);
+    assert_eq!(world.starts_of("a.0.0.0"), 0);
+}
--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -87,6 +87,8 @@
     pub(crate) keys: FastMap<WorkerKey, usize>,
     pub(crate) term: u32,
     pub(crate) hold_stops: bool,
+    /// Whether batches stay under way.
+    pub(crate) hold_writes: bool,
     pub(crate) lose_starts: bool,
     pub(crate) fence_refused: bool,
     /// Starts that get no answer and are not carried out.
@@ -119,6 +121,7 @@
             keys: FastMap::default(),
             term: 1,
             hold_stops: false,
+            hold_writes: false,
             lose_starts: false,
             fence_refused: false,
             lose_next_starts: 0,
@@ -200,6 +203,19 @@
         self.workers[worker].running.clear();
     }
 
+    /// Starts a worker again under its id.
+    pub(crate) fn restart(&mut self, worker: usize) {
+        let process = &mut self.workers[worker];
+        process.cut = false;
+        process.running.clear();
+        process.ended.clear();
+        process.closed.clear();
+        process.sequence = 0;
+        process.report.started_wall_ms += 1;
+        self.scheduler
+            .worker_listed(process.report.clone(), self.now);
+    }
+
     /// Another daemon takes over, from what the store has.
     pub(crate) fn change_holder(&mut self) {
         self.term += 1;
@@ -306,7 +322,9 @@
             for action in self.scheduler.advance(self.now, self.now) {
                 self.carry_out(action);
             }
-            if let Some(batch) = self.scheduler.take_batch(self.now) {
+            if let Some(batch) = self.scheduler.take_batch(self.now)
+                && !self.hold_writes
+            {
                 self.write(&batch);
             }
             self.count_runs();
