Let a holder that may have been replaced start only what no other one can have started

Changes: while its key may be gone, a holder looks at all workers, starts work only on those that answered in the last 400 ms, and nothing whose last run was lost with its worker; by these looks it also hears of the next holder's fence. A start on its way outlives the life of its worker until its result is known. The next life of a recorded worker is awaited.

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -23,7 +23,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::batch::{Chain, LeadershipLost, WaveStateFormat};
-use super::lease::{self, HOLDER_GRACE_MS, HeldLease, RENEW_MS, Renewal};
+use super::lease::{self, HOLDER_GRACE_MS, HOLDER_TTL_MS, HeldLease, RENEW_MS, Renewal};
 use super::records::{
     self, CHAIN_KEY, ChainRecord, HolderRecord, JOB_PREFIX, JobKeyKind, PROGRESS_PREFIX,
 };
@@ -327,6 +327,8 @@
         if self.scheduler.is_fenced() {
             return Err("a worker has seen a higher fence number");
         }
+        let unproved = now.ms_since(self.held.proved_at) > HOLDER_TTL_MS;
+        self.scheduler.set_unproved(unproved);
         if now >= self.next_report {
             self.next_report = now.after_ms(REPORT_MS);
             self.report();
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -142,6 +142,8 @@
     rerouted: FastSet<Arc<str>>,
     /// Until when looks are shorter, since answers were lost.
     lossy_until: Millis,
+    /// Whether another daemon may be the holder by now.
+    unproved: bool,
     /// Planned work ends no run before this time.
     planned_from: Millis,
     ready: Vec<TaskKey>,
@@ -173,6 +175,7 @@
             recovery: None,
             rerouted: former.rerouted.into_iter().collect(),
             lossy_until: Millis::ZERO,
+            unproved: false,
             planned_from: Millis::ZERO,
             ready: Vec::new(),
             repeated: Vec::new(),
@@ -286,6 +289,12 @@
         self.place_wanted = true;
     }
 
+    /// Says whether the holder's key may have gone to another daemon, as far as this one knows.
+    pub fn set_unproved(&mut self, unproved: bool) {
+        self.place_wanted |= self.unproved && !unproved;
+        self.unproved = unproved;
+    }
+
     /// Whether a worker has refused this holder because of a higher fence number.
     #[must_use]
     pub const fn is_fenced(&self) -> bool {
--- a/crates/domain/src/schedule/book.rs
+++ b/crates/domain/src/schedule/book.rs
@@ -45,6 +45,8 @@
     pub avoid: Option<WorkerKey>,
     /// Not started before this time.
     pub not_before: Millis,
+    /// Whether its last run was lost with its worker: how it ended was not heard.
+    pub lost_run: bool,
     /// Since when a long-running task is not at work.
     pub away_since: Option<Millis>,
 }
@@ -180,6 +182,7 @@
                         checkpoint: "".into(),
                         avoid: None,
                         not_before: Millis::ZERO,
+                        lost_run: false,
                         away_since: None,
                     })
                 })
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -80,8 +80,9 @@
         worker.known = true;
         worker.silent = false;
         worker.lost_looks = 0;
+        worker.heard_at = now;
         worker.saw_clock(listing.clock_ms, now);
-        self.place_wanted |= !was_usable;
+        self.place_wanted |= !was_usable || self.unproved;
         if !worker.recorded {
             self.want_batch(now);
         }
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -9,6 +9,10 @@
 use crate::placement::Resources;
 use crate::prelude::*;
 
+/// A holder that may have been replaced starts work only on workers that have answered this lately: a
+/// look waits 150 ms. A worker that starts again has forgotten the fence of the next holder.
+const UNPROVED_HEARD_MS: u64 = 400;
+
 /// Order in which ready tasks are placed; smaller first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -41,6 +45,11 @@
             let Some(task) = self.book.tasks.get(key) else {
                 continue;
             };
+            // The next holder may have heard of the end of the run that was lost.
+            if self.unproved && task.lost_run {
+                self.ready.push(key);
+                continue;
+            }
             let step_id = (rank.job, task.position.occurrence, task.position.step);
             if refused_step == Some(step_id) || task.not_before > now {
                 self.place_wanted |= task.not_before > now;
@@ -235,6 +244,7 @@
                     return false;
                 };
                 worker.takes_work(now)
+                    && (!self.unproved || now.ms_since(worker.heard_at) <= UNPROVED_HEARD_MS)
                     && step.need().plus(planned_need(*key)).fits(worker.free())
                     && step
                         .requirement
@@ -316,6 +326,7 @@
         let task = &mut self.book.tasks[key];
         task.status = TaskStatus::Placed(run);
         task.last_number = number;
+        task.lost_run = false;
         let job_key = task.job;
         self.send_start(run, now);
         let job = &mut self.book.jobs[job_key];
@@ -337,6 +348,7 @@
             return false;
         };
         run.start_tries += 1;
+        run.start_in_flight = true;
         self.actions.push(Action::Start(run.facts().worker, order));
         true
     }
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -17,6 +17,8 @@
 pub(super) struct Recovery {
     /// Workers that may run something of the former holder.
     awaited: FastSet<WorkerKey>,
+    /// All workers that the former holder recorded.
+    recorded: FastSet<WorkerKey>,
     /// When no lease of such a run can be alive any more.
     until: Millis,
     /// Whether tasks may have become free to start since the last check.
@@ -38,6 +40,7 @@
             awaited.insert(key);
         }
         self.recovery = Some(Recovery {
+            recorded: awaited.clone(),
             awaited,
             until: lease_end,
             changed: true,
@@ -69,6 +72,16 @@
         }
     }
 
+    /// Awaits the next life of a recorded worker: a start of the former holder may have reached it before
+    /// anybody heard of it, and it has seen no fence.
+    pub(super) fn await_next_life(&mut self, key: WorkerKey) {
+        if let Some(recovery) = &mut self.recovery
+            && recovery.recorded.contains(&key)
+        {
+            recovery.awaited.insert(key);
+        }
+    }
+
     pub(super) fn recheck_recovery(&mut self) {
         if let Some(recovery) = &mut self.recovery {
             recovery.changed = true;
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -7,7 +7,8 @@
 use crate::placement::Resources;
 use crate::prelude::*;
 
-/// Longest wait of a look while answers are lost: each look is priced, so the usual wait is longer.
+/// Longest wait of a look while answers are lost, or another holder may have fenced the worker: each
+/// look is priced, so the usual wait is longer.
 const LOSSY_WAIT_MS: u64 = 150;
 
 impl Scheduler {
@@ -42,6 +43,7 @@
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.begin_life(report);
             }
+            self.await_next_life(key);
         }
         if moved {
             self.join_service(key);
@@ -153,7 +155,7 @@
     }
 
     pub(super) fn look(&mut self, now: Millis) {
-        let wait_ms = if now < self.lossy_until {
+        let wait_ms = if now < self.lossy_until || self.unproved {
             self.settings.look_wait_ms.min(LOSSY_WAIT_MS)
         } else {
             self.settings.look_wait_ms
@@ -163,11 +165,11 @@
             let worker = &mut self.workers[key];
             let idle = worker.runs.is_empty() && worker.unknown_runs.is_empty();
             let untold = worker.told < worker.acknowledged;
-            let wanted = !worker.known || !idle || untold;
+            let wanted = !worker.known || !idle || untold || self.unproved;
             if worker.looking || !wanted || worker.next_look > now {
                 continue;
             }
-            let waits = worker.known && worker.lost_looks == 0 && !idle;
+            let waits = worker.known && worker.lost_looks == 0 && (!idle || self.unproved);
             let deadline_ms = match worker.clock_at(now) {
                 Some(clock) if worker.known && !worker.silent => {
                     let end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
@@ -209,7 +211,15 @@
         worker.unknown_since = None;
         worker.next_look = now.after_ms(SILENT_LOOK_MS);
         for run in worker.runs.clone() {
+            // A start that is on its way may reach the next life; its result will say so.
+            let Some(placed) = self.runs.get(run).filter(|run| !run.start_in_flight) else {
+                continue;
+            };
+            let task = placed.facts().task;
             self.drop_run(run, now);
+            if let Some(task) = self.book.tasks.get_mut(task) {
+                task.lost_run = true;
+            }
         }
         self.stop_awaiting(key);
         self.advice.forget_worker(key);
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -97,6 +97,8 @@
     pub pace_percent: u32,
     /// How often its start was sent.
     pub start_tries: u32,
+    /// Whether a start is on its way.
+    pub start_in_flight: bool,
     /// Whether a stop is on its way.
     pub stop_in_flight: bool,
     /// When the worker accepted the stop.
@@ -112,6 +114,7 @@
             reported: Reported::default(),
             pace_percent: 100,
             start_tries: 0,
+            start_in_flight: false,
             stop_in_flight: false,
             stop_accepted_at: None,
             stop_again_at: Millis::ZERO,
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -11,8 +11,9 @@
 impl Scheduler {
     /// Applies how a start ended.
     pub fn started(&mut self, worker: WorkerKey, run: RunKey, result: OrderResult, now: Millis) {
-        if !self.runs.contains_key(run) {
-            return;
+        match self.runs.get_mut(run) {
+            Some(run) => run.start_in_flight = false,
+            None => return,
         }
         match result {
             OrderResult::Accepted { clock_ms } => {
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -53,6 +53,8 @@
     pub look_sent_at: Millis,
     /// When the next look is due.
     pub next_look: Millis,
+    /// When it last answered a look.
+    pub heard_at: Millis,
     /// Looks in a row that got no answer.
     pub lost_looks: u32,
     /// Whether it does not answer looks.
@@ -93,6 +95,7 @@
             looking: false,
             look_sent_at: Millis::ZERO,
             next_look: Millis::ZERO,
+            heard_at: Millis::ZERO,
             lost_looks: 0,
             silent: false,
             silent_since: Millis::ZERO,
@@ -172,6 +175,9 @@
         let listed = self.listed;
         *self = Self {
             listed,
+            // Runs whose start is on its way.
+            runs: std::mem::take(&mut self.runs),
+            used: self.used,
             looking: self.looking,
             look_sent_at: self.look_sent_at,
             cordoned: self.cordoned,
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -691,3 +691,51 @@
     world.run_for(2_000);
     assert_eq!(world.starts_of("a.0.0.0"), 0);
 }
+
+/// Guards against a recovery that takes a restarted worker as over before it has answered: a start of the
+/// former holder may have reached its new life (schedule of seed 4955).
+#[test]
+fn a_recorded_worker_that_was_restarted_is_awaited() {
+    let mut world = World::new(2);
+    world.submit("a", job(vec![step(1)], 3));
+    world.run_for(100);
+    let worker = world.worker_of("a.0.0.0").expect("it runs");
+    world.cut(worker);
+    world.workers[worker].report.started_wall_ms += 1;
+    world.change_holder();
+    world.run_for(3_000);
+    assert_eq!(world.starts_of("a.0.0.0"), 1);
+    world.workers[worker].cut = false;
+    world.run_for(500);
+    assert_eq!(world.running(), ["a.0.0.0"]);
+    assert_eq!(world.starts_of("a.0.0.0"), 1, "its run is taken over");
+}
+
+/// Guards against a former holder that starts work again whose run it has lost: the next holder may have
+/// heard how that run ended (schedules of seeds 748 and 4016).
+#[test]
+fn an_unproved_holder_starts_no_task_whose_run_was_lost() {
+    let mut world = World::new(2);
+    world.add_machine("machine-w0", "service", Some("w0"));
+    world.add_machine("machine-w1", "service", Some("w1"));
+    world.run_for(1_500);
+    world.submit("a", job(vec![step(1)], 3));
+    world.run_for(100);
+    world.scheduler.set_unproved(true);
+    let worker = world.worker_of("a.0.0.0").expect("it runs");
+    world.crash(worker);
+    world.machines[worker].state = MachineState::Down;
+    world.machines[worker].worker = None;
+    world.run_for(1_500);
+    world.submit("b", job(vec![step(1)], 3));
+    world.run_for(1_500);
+    assert_eq!(world.starts_of("a.0.0.0"), 1);
+    assert_eq!(
+        world.starts_of("b.0.0.0"),
+        1,
+        "work that was never started goes on"
+    );
+    world.scheduler.set_unproved(false);
+    world.run_for(300);
+    assert_eq!(world.starts_of("a.0.0.0"), 2);
+}
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -308,6 +308,8 @@
             holder.runs = false;
             return;
         }
+        let unproved = !holder.reaches_store && gone_on > HOLDER_TTL_MS;
+        holder.scheduler.set_unproved(unproved);
         if holder.reaches_store {
             for worker in &self.workers {
                 if worker.up {
