Write the record of workers only when it changes

Change: the record has a key of its own, written in the chain's transaction of a batch whose workers differ.

--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -7,7 +7,7 @@
 use rosemaryscale_domain::schedule::{Batch, JobWrite};
 use rosemaryscale_ports::kv::{Change, Compare, KeyValue, KvEntry, KvError, Transaction};
 
-use super::records::{self, CHAIN_KEY, ChainRecord, HOLDER_KEY};
+use super::records::{self, CHAIN_KEY, ChainRecord, HOLDER_KEY, WORKERS_KEY};
 
 /// The store takes 32 entries in a transaction: two conditions, the chain, and two for each job.
 const JOBS_PER_TRANSACTION: usize = 14;
@@ -44,7 +44,6 @@
     ) -> Result<Self, LeadershipLost> {
         let record = ChainRecord {
             term: self.term,
-            workers: batch.workers.clone(),
             rerouted: batch.rerouted.clone(),
             waves: batch.waves.clone(),
             daemon: Arc::clone(&self.daemon),
@@ -52,6 +51,11 @@
         };
         let value = records::encode(&record);
         let chain_put = records::put(CHAIN_KEY.into(), value);
+        if let Some(workers) = &batch.workers {
+            let workers = records::put(WORKERS_KEY.into(), records::encode(workers));
+            self.write_chunk(kv, vec![workers, chain_put.clone()])
+                .await?;
+        }
         let mut chunks: Vec<Vec<Change>> = batch
             .jobs
             .chunks(JOBS_PER_TRANSACTION)
@@ -64,7 +68,7 @@
             });
             chunks.push(puts.collect());
         }
-        if chunks.is_empty() {
+        if chunks.is_empty() && batch.workers.is_none() {
             chunks.push(Vec::new());
         }
         for mut changes in chunks {
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -9,7 +9,9 @@
 
 use rosemaryscale_domain::job::{JobProgress, JobRecord};
 use rosemaryscale_domain::schedule::order::{WaveRequest, WorkerReport};
-use rosemaryscale_domain::schedule::{Batch, FormerTerm, ScheduleSettings, Scheduler, StoredJob};
+use rosemaryscale_domain::schedule::{
+    Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
+};
 use rosemaryscale_ports::advice::{AdviceCalls, AdviceEvents};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
@@ -17,7 +19,7 @@
 use rosemaryscale_ports::machine::{MachineCalls, MachineEvents};
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::{WorkerCalls, WorkerEvents};
-use slog::{Logger, info, warn};
+use slog::{Logger, error, info, warn};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::MissedTickBehavior;
@@ -26,6 +28,7 @@
 use super::lease::{self, HOLDER_GRACE_MS, HOLDER_TTL_MS, HeldLease, RENEW_MS, Renewal};
 use super::records::{
     self, CHAIN_KEY, ChainRecord, HolderRecord, JOB_PREFIX, JobKeyKind, PROGRESS_PREFIX,
+    WORKERS_KEY,
 };
 
 /// New jobs start within this time; each read of the watch is a priced call.
@@ -200,8 +203,9 @@
         jobs: &mut mpsc::Receiver<WatchEvent>,
     ) -> Option<Self> {
         // Read at once: each call of a slow store takes hundreds of milliseconds.
-        let (chain, progress) = tokio::join!(
+        let (chain, workers, progress) = tokio::join!(
             retry(&options.kv, KeyRange::Key(CHAIN_KEY.into())),
+            retry(&options.kv, KeyRange::Key(WORKERS_KEY.into())),
             retry(&options.kv, prefix(PROGRESS_PREFIX)),
         );
         let chain = chain.into_iter().next();
@@ -231,7 +235,7 @@
             term: former.term + 1,
         };
         let term = FormerTerm {
-            workers: former.workers,
+            workers: recorded_workers(workers, &options.log)?,
             rerouted: former.rerouted,
         };
         let mut scheduler = Scheduler::new(settings, term, now);
@@ -478,6 +482,21 @@
     }
 }
 
+/// Workers that the former holder recorded; `None` if the record cannot be read, since work may run on
+/// any of them.
+fn recorded_workers(entries: Vec<KvEntry>, log: &Logger) -> Option<Vec<RecordedWorker>> {
+    let Some(entry) = entries.into_iter().next() else {
+        return Some(Vec::new());
+    };
+    match records::decode(&entry.value) {
+        Ok(workers) => Some(workers),
+        Err(error) => {
+            error!(log, "workers of the former holder not read"; "reason" => %error);
+            None
+        }
+    }
+}
+
 /// Joins the records of each job.
 fn stored_jobs(
     entries: Vec<KvEntry>,
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use rosemaryscale_domain::job::{JobProgress, JobRecord, JobState};
-use rosemaryscale_domain::schedule::{RecordedWorker, WaveRecord};
+use rosemaryscale_domain::schedule::WaveRecord;
 use rosemaryscale_ports::kv::Change;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -23,6 +23,8 @@
 /// hears that a holder has lost its key before any job that was accepted later. It sorts after all
 /// ids, so that a listing in pages reads it last.
 pub(super) const HOLDER_MARK_KEY: &str = "rosemaryscale/job/holder";
+/// Key of the workers that may run something, written when they change.
+pub(super) const WORKERS_KEY: &str = "rosemaryscale/scheduler-workers";
 const STATE_PREFIX: &str = "rosemaryscale/view/state/";
 const CANCEL_SUFFIX: &str = "/cancel";
 
@@ -102,8 +104,6 @@
 pub(super) struct ChainRecord {
     /// Number of the holder's term.
     pub(super) term: u32,
-    /// Workers that may run something.
-    pub(super) workers: Vec<RecordedWorker>,
     /// Queues whose work has gone to more than one service.
     #[serde(default)]
     pub(super) rerouted: Vec<Arc<str>>,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -151,6 +151,8 @@
     place_wanted: bool,
     actions: Vec<Action>,
     notes: Vec<Note>,
+    /// Workers that the newest batch has recorded.
+    written_workers: Option<Vec<RecordedWorker>>,
     batch_sequence: u64,
     batch_in_flight: bool,
     batch_due: Option<Millis>,
@@ -182,6 +184,7 @@
             place_wanted: true,
             actions: Vec::new(),
             notes: Vec::new(),
+            written_workers: None,
             batch_sequence: 0,
             batch_in_flight: false,
             batch_due: Some(now),
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -63,8 +63,8 @@
     pub sequence: u64,
     /// The jobs.
     pub jobs: Vec<JobWrite>,
-    /// Workers that may run something.
-    pub workers: Vec<RecordedWorker>,
+    /// Workers that may run something, if they are others than in the batch before.
+    pub workers: Option<Vec<RecordedWorker>>,
     /// Queues whose work has gone to more than one service.
     pub rerouted: Vec<Arc<str>>,
     /// The waves.
@@ -105,7 +105,7 @@
         Some(Batch {
             sequence: self.batch_sequence,
             jobs,
-            workers: self.record_workers(),
+            workers: self.changed_workers(),
             rerouted: self.rerouted_queues(),
             waves: self.wave_records(),
             wave_states: self.take_wave_states(),
@@ -113,6 +113,15 @@
         })
     }
 
+    fn changed_workers(&mut self) -> Option<Vec<RecordedWorker>> {
+        let workers = self.record_workers();
+        if self.written_workers.as_ref() == Some(&workers) {
+            return None;
+        }
+        self.written_workers = Some(workers.clone());
+        Some(workers)
+    }
+
     /// Workers that may run something before the next batch is written. A silent worker without runs
     /// gets no start until it has answered and is recorded again.
     fn record_workers(&mut self) -> Vec<RecordedWorker> {
@@ -153,7 +162,7 @@
     /// Applies that a batch was written.
     pub fn batch_written(&mut self, batch: &Batch, now: Millis) {
         self.batch_in_flight = false;
-        for recorded in &batch.workers {
+        for recorded in batch.workers.iter().flatten() {
             let key = self.workers_by_id.get(&recorded.id);
             if let Some(worker) = key.and_then(|key| self.workers.get_mut(*key))
                 && worker.report.address == recorded.address
--- a/crates/domain/tests/schedule_world/mod.rs
+++ b/crates/domain/tests/schedule_world/mod.rs
@@ -337,7 +337,9 @@
                 .progress
                 .insert(Arc::clone(&job.id), job.progress.clone());
         }
-        self.store.workers = batch.workers.clone();
+        if let Some(workers) = &batch.workers {
+            self.store.workers.clone_from(workers);
+        }
         self.store.released = batch.released;
         self.scheduler.batch_written(batch, self.now);
     }
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -522,7 +522,9 @@
             let progress = job.progress.clone();
             self.store.progress.insert(Arc::clone(&job.id), progress);
         }
-        self.store.workers = batch.workers.clone();
+        if let Some(workers) = &batch.workers {
+            self.store.workers.clone_from(workers);
+        }
         holder.scheduler.batch_written(batch, self.now);
     }
 }
