--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -338,6 +338,7 @@
                 }
                 let restored = self.recovery.is_some();
                 self.book.open_occurrence(*key, restored);
+                self.recheck_recovery();
                 self.queue_ready(*key);
             }
             false
@@ -346,16 +347,7 @@
     }
 
     pub(super) fn queue_ready(&mut self, key: JobKey) {
-        let Some(job) = self.book.jobs.get(key) else {
-            return;
-        };
-        let tasks = job.occurrences.iter().flatten().flatten().copied();
-        let ready = tasks.filter(|task| {
-            self.book
-                .tasks
-                .get(*task)
-                .is_some_and(|task| task.status == TaskStatus::Ready)
-        });
+        let ready = self.book.tasks_with(key, TaskStatus::Ready);
         self.ready.extend(ready);
         self.place_wanted = true;
     }
--- a/crates/domain/src/schedule/book.rs
+++ b/crates/domain/src/schedule/book.rs
@@ -250,6 +250,20 @@
         self.jobs.get(task.job)?.step(task.position.step)
     }
 
+    /// Tasks of a job that have a status.
+    pub(super) fn tasks_with(&self, key: JobKey, status: TaskStatus) -> Vec<TaskKey> {
+        let occurrences = self.jobs.get(key).map(|job| &job.occurrences);
+        let tasks = occurrences.into_iter().flatten().flatten().flatten();
+        tasks
+            .copied()
+            .filter(|task| {
+                self.tasks
+                    .get(*task)
+                    .is_some_and(|task| task.status == status)
+            })
+            .collect()
+    }
+
     /// Marks a task as done; returns whether it was not before.
     pub(super) fn mark_done(&mut self, key: TaskKey) -> bool {
         let Some(task) = self.tasks.get_mut(key) else {
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -131,23 +131,7 @@
 
     /// Lets the tasks of a job start of which no run was found.
     pub(super) fn release_job(&mut self, key: JobKey) {
-        let Some(job) = self.book.jobs.get(key) else {
-            return;
-        };
-        let tasks: Vec<TaskKey> = job
-            .occurrences
-            .iter()
-            .flatten()
-            .flatten()
-            .copied()
-            .filter(|task| {
-                self.book
-                    .tasks
-                    .get(*task)
-                    .is_some_and(|task| task.status == TaskStatus::Unaccounted)
-            })
-            .collect();
-        for task in tasks {
+        for task in self.book.tasks_with(key, TaskStatus::Unaccounted) {
             self.release_task(task);
         }
     }
--- /dev/null
+++ b/crates/domain/tests/takeover_model/faults.rs
@@ -0,0 +1,100 @@
+//! What callers do, and what breaks.
+
+use rand::Rng;
+use rosemaryscale_domain::job::{JobRecord, JobSpec, QueuePolicy, StepSpec};
+use rosemaryscale_domain::prelude::*;
+use rosemaryscale_domain::schedule::Acceptance;
+
+use super::{ATTEMPTS_MAX, HOLDER_TTL_MS, Model, WORKERS};
+
+impl Model {
+    pub(super) fn submit_and_cancel(&mut self) {
+        if self.chance(12) {
+            let id: Arc<str> = format!("j{}", self.store.jobs.len()).into();
+            let record = self.draw_job();
+            self.store.jobs.push((Arc::clone(&id), record.clone()));
+            if let Some(holder) = self.current() {
+                let (now, scheduler) = (self.now, &mut self.holders[holder].scheduler);
+                scheduler.submit(id, record, Acceptance::InTerm, now, now);
+            }
+        }
+        if self.chance(2) && !self.store.jobs.is_empty() {
+            let index = self.rng.random_range(0..self.store.jobs.len());
+            let id = Arc::clone(&self.store.jobs[index].0);
+            self.store.cancelled.insert(Arc::clone(&id));
+            if let Some(holder) = self.current() {
+                let now = self.now;
+                self.holders[holder].scheduler.cancel(&id, now, now);
+            }
+        }
+    }
+
+    fn draw_job(&mut self) -> JobRecord {
+        let step = |count, after: Vec<u16>| StepSpec {
+            count,
+            processors_milli: 1_000,
+            memory_mb: 100,
+            estimate_ms: 500,
+            after,
+            ..StepSpec::default()
+        };
+        let mut steps = vec![step(self.rng.random_range(1..4), Vec::new())];
+        if self.chance(400) {
+            steps.push(step(self.rng.random_range(1..3), vec![0]));
+        }
+        JobRecord {
+            queue: "queue".into(),
+            policy: QueuePolicy {
+                service: "service".into(),
+                priority: 0,
+                attempts_max: ATTEMPTS_MAX,
+                stretch: 1.6,
+                objective_ms: 600,
+                advice: None,
+            },
+            received_wall_ms: self.now.as_ms(),
+            spec: JobSpec {
+                text: "text".into(),
+                steps,
+                repeat: None,
+            },
+        }
+    }
+
+    pub(super) fn cause_faults(&mut self) {
+        let worker = self.rng.random_range(0..WORKERS);
+        if self.chance(1) {
+            self.workers[worker].crash();
+        }
+        if self.chance(8) && !self.workers[worker].up {
+            self.workers[worker].begin_life();
+        }
+        let Some(last) = self.holders.len().checked_sub(1) else {
+            return;
+        };
+        if self.chance(2) {
+            self.holders[last].cut_from.insert(worker);
+        }
+        if self.chance(6) {
+            self.holders[last].cut_from.remove(&worker);
+        }
+        if self.current().is_some() && self.chance(3) {
+            let killed = self.chance(400);
+            let holder = &mut self.holders[last];
+            holder.runs = !killed;
+            holder.reaches_store = false;
+            holder.lost_store_at = self.now;
+            self.takeover_at = Some(self.now.after_ms(HOLDER_TTL_MS));
+        }
+    }
+
+    pub(super) fn heal(&mut self) {
+        self.loss_percent = 0;
+        for worker in self.workers.iter_mut().filter(|worker| !worker.up) {
+            worker.begin_life();
+        }
+        for holder in &mut self.holders {
+            holder.cut_from.clear();
+        }
+    }
+}
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -4,22 +4,21 @@
 //! come back, and are cut off. A holder may be killed, or lose the store and go on.
 
 mod checks;
+mod faults;
+mod messages;
 mod runner;
 
 use checks::Checks;
+use messages::{Answer, Event, Fate, Order, Pending};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use rosemaryscale_domain::job::{JobProgress, JobRecord, JobSpec, QueuePolicy, StepSpec};
-use rosemaryscale_domain::placement::Resources;
+use rosemaryscale_domain::job::{JobProgress, JobRecord};
 use rosemaryscale_domain::prelude::*;
-use rosemaryscale_domain::schedule::order::{
-    Action, LookOrder, LookResult, MachineReport, MachineState, OrderResult, RunEndKind,
-    StartOrder, StopOrder, WorkerReport,
-};
+use rosemaryscale_domain::schedule::order::{Action, LookResult, OrderResult, RunEndKind};
 use rosemaryscale_domain::schedule::{
     Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
-use runner::{ROOM, Runner};
+use runner::{Runner, machine, report};
 
 const STEP_MS: u64 = 10;
 const WORKERS: usize = 4;
@@ -32,50 +31,6 @@
 const ORDER_TIMEOUT_MS: u64 = 200;
 pub(crate) const ATTEMPTS_MAX: u32 = 3;
 
-#[derive(Clone, Debug)]
-enum Order {
-    Start(StartOrder),
-    Stop(StopOrder),
-    Look(LookOrder),
-}
-
-#[derive(Debug)]
-enum Answer {
-    Order(OrderResult),
-    Look(LookResult),
-}
-
-/// What happens to an order on its way.
-#[derive(Clone, Copy, Debug)]
-enum Fate {
-    Answered,
-    Lost,
-    AnswerLost,
-    Late,
-}
-
-#[derive(Debug)]
-enum Event {
-    /// An order reaches its worker, if that still lives the life that it is meant for.
-    Arrives {
-        life: u64,
-        order: Order,
-        answers: bool,
-    },
-    /// A holder hears of an order.
-    Answered { order: Order, answer: Answer },
-    /// A batch was written.
-    Written(Box<Batch>),
-}
-
-#[derive(Debug)]
-struct Pending {
-    due: Millis,
-    holder: usize,
-    worker: (WorkerKey, usize),
-    event: Event,
-}
-
 struct Holder {
     scheduler: Scheduler,
     fence: u64,
@@ -176,96 +131,6 @@
         (holder.runs && holder.reaches_store).then_some(last)
     }
 
-    fn submit_and_cancel(&mut self) {
-        if self.chance(12) {
-            let id: Arc<str> = format!("j{}", self.store.jobs.len()).into();
-            let record = self.draw_job();
-            self.store.jobs.push((Arc::clone(&id), record.clone()));
-            if let Some(holder) = self.current() {
-                let (now, scheduler) = (self.now, &mut self.holders[holder].scheduler);
-                scheduler.submit(id, record, Acceptance::InTerm, now, now);
-            }
-        }
-        if self.chance(2) && !self.store.jobs.is_empty() {
-            let index = self.rng.random_range(0..self.store.jobs.len());
-            let id = Arc::clone(&self.store.jobs[index].0);
-            self.store.cancelled.insert(Arc::clone(&id));
-            if let Some(holder) = self.current() {
-                let now = self.now;
-                self.holders[holder].scheduler.cancel(&id, now, now);
-            }
-        }
-    }
-
-    fn draw_job(&mut self) -> JobRecord {
-        let step = |count, after: Vec<u16>| StepSpec {
-            count,
-            processors_milli: 1_000,
-            memory_mb: 100,
-            estimate_ms: 500,
-            after,
-            ..StepSpec::default()
-        };
-        let mut steps = vec![step(self.rng.random_range(1..4), Vec::new())];
-        if self.chance(400) {
-            steps.push(step(self.rng.random_range(1..3), vec![0]));
-        }
-        JobRecord {
-            queue: "queue".into(),
-            policy: QueuePolicy {
-                service: "service".into(),
-                priority: 0,
-                attempts_max: ATTEMPTS_MAX,
-                stretch: 1.6,
-                objective_ms: 600,
-                advice: None,
-            },
-            received_wall_ms: self.now.as_ms(),
-            spec: JobSpec {
-                text: "text".into(),
-                steps,
-                repeat: None,
-            },
-        }
-    }
-
-    fn cause_faults(&mut self) {
-        let worker = self.rng.random_range(0..WORKERS);
-        if self.chance(1) {
-            self.workers[worker].crash();
-        }
-        if self.chance(8) && !self.workers[worker].up {
-            self.workers[worker].begin_life();
-        }
-        let Some(last) = self.holders.len().checked_sub(1) else {
-            return;
-        };
-        if self.chance(2) {
-            self.holders[last].cut_from.insert(worker);
-        }
-        if self.chance(6) {
-            self.holders[last].cut_from.remove(&worker);
-        }
-        if self.current().is_some() && self.chance(3) {
-            let killed = self.chance(400);
-            let holder = &mut self.holders[last];
-            holder.runs = !killed;
-            holder.reaches_store = false;
-            holder.lost_store_at = self.now;
-            self.takeover_at = Some(self.now.after_ms(HOLDER_TTL_MS));
-        }
-    }
-
-    fn heal(&mut self) {
-        self.loss_percent = 0;
-        for worker in self.workers.iter_mut().filter(|worker| !worker.up) {
-            worker.begin_life();
-        }
-        for holder in &mut self.holders {
-            holder.cut_from.clear();
-        }
-    }
-
     /// The next holder reads the store; a former one may go on without it.
     fn take_over(&mut self) {
         let term = u32::try_from(self.holders.len()).unwrap_or(u32::MAX) + 1;
@@ -528,39 +393,3 @@
         holder.scheduler.batch_written(batch, self.now);
     }
 }
-
-fn capacity() -> Resources {
-    Resources {
-        processors_milli: 1_000 * ROOM as u64,
-        memory_mb: 4_000,
-        accelerators: 0,
-    }
-}
-
-fn report(worker: &Runner) -> WorkerReport {
-    WorkerReport {
-        id: Arc::clone(&worker.id),
-        service: "service".into(),
-        address: Arc::clone(&worker.id),
-        availability_zone: "zone".into(),
-        labels: Vec::new(),
-        capacity: capacity(),
-        machine: format!("machine-{}", worker.id).into(),
-        started_wall_ms: worker.born,
-        draining: false,
-    }
-}
-
-fn machine(worker: &Runner) -> MachineReport {
-    MachineReport {
-        name: format!("machine-{}", worker.id).into(),
-        pool: "service".into(),
-        state: if worker.up {
-            MachineState::Up
-        } else {
-            MachineState::Down
-        },
-        capacity: capacity(),
-        worker: worker.up.then(|| Arc::clone(&worker.id)),
-    }
-}
--- a/crates/domain/tests/takeover_model/runner.rs
+++ b/crates/domain/tests/takeover_model/runner.rs
@@ -1,10 +1,11 @@
 //! A worker process that keeps the rules of fences, runs and leases, and reports what breaks them.
 
 use rosemaryscale_domain::job::TaskName;
+use rosemaryscale_domain::placement::Resources;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{
-    ListedEnd, ListedRun, Listing, LookOrder, LookResult, OrderResult, Refusal, RunEndKind,
-    StartOrder, StopOrder,
+    ListedEnd, ListedRun, Listing, LookOrder, LookResult, MachineReport, MachineState, OrderResult,
+    Refusal, RunEndKind, StartOrder, StopOrder, WorkerReport,
 };
 
 /// Tasks that a worker has room for.
@@ -214,3 +215,39 @@
         (LookResult::Listed(listing), noted)
     }
 }
+
+fn capacity() -> Resources {
+    Resources {
+        processors_milli: 1_000 * ROOM as u64,
+        memory_mb: 4_000,
+        accelerators: 0,
+    }
+}
+
+pub(super) fn report(worker: &Runner) -> WorkerReport {
+    WorkerReport {
+        id: Arc::clone(&worker.id),
+        service: "service".into(),
+        address: Arc::clone(&worker.id),
+        availability_zone: "zone".into(),
+        labels: Vec::new(),
+        capacity: capacity(),
+        machine: format!("machine-{}", worker.id).into(),
+        started_wall_ms: worker.born,
+        draining: false,
+    }
+}
+
+pub(super) fn machine(worker: &Runner) -> MachineReport {
+    MachineReport {
+        name: format!("machine-{}", worker.id).into(),
+        pool: "service".into(),
+        state: if worker.up {
+            MachineState::Up
+        } else {
+            MachineState::Down
+        },
+        capacity: capacity(),
+        worker: worker.up.then(|| Arc::clone(&worker.id)),
+    }
+}
