--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod problem;
 pub mod server;
 pub mod upstream_link;
+pub mod worker_gateway;
 
 pub use caller_api::CallerApi;
 pub use clock::SystemClock;
--- /dev/null
+++ b/crates/adapters/tests/worker_gateway.rs
@@ -0,0 +1,336 @@
+//! Gateways over sockets: routing, loss, age of orders, replacement of the leader, and stop.
+
+#![allow(clippy::expect_used, clippy::panic, reason = "tests panic on failure")]
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use rosemaryscale_adapters::metrics_registry;
+use rosemaryscale_adapters::worker_gateway::{
+    GatewayOptions, GatewayServer, ORDER_AGE_MAX_MS, Router, RouterOptions,
+};
+use rosemaryscale_domain::job::{TaskName, TaskPosition};
+use rosemaryscale_domain::schedule::order::{
+    Listing, OrderResult, PollOrder, PollResult, StartOrder,
+};
+use rosemaryscale_domain::worker_route::GatewayOffer;
+use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::worker::{StartLinks, WorkerCall, WorkerCalls, WorkerEvent, WorkerEvents};
+use slog::{Discard, Logger, o};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// Clock readings in the answers of the scripted links, which tell who made a request.
+const LOCAL: u64 = 1;
+const GATEWAY: u64 = 2;
+
+/// Links that answer every start and poll at once with this reading of the worker's clock.
+fn scripted_links<const CLOCK_MS: u64>() -> (WorkerCalls, WorkerEvents, JoinHandle<()>) {
+    let (calls, mut receiver) = mpsc::channel(64);
+    let (events, results) = mpsc::unbounded_channel();
+    let task = tokio::spawn(async move {
+        while let Some(call) = receiver.recv().await {
+            let event = match call {
+                WorkerCall::Start(worker, order) => WorkerEvent::Started {
+                    worker,
+                    run: order.run,
+                    result: OrderResult::Accepted { clock_ms: CLOCK_MS },
+                },
+                WorkerCall::Poll(worker, _) => WorkerEvent::Polled {
+                    worker,
+                    result: PollResult::Listed(Listing {
+                        clock_ms: CLOCK_MS,
+                        ..Listing::default()
+                    }),
+                },
+                _ => continue,
+            };
+            let _ = events.send(event);
+        }
+    });
+    (calls, results, task)
+}
+
+/// Links that never answer.
+fn silent_links() -> (WorkerCalls, WorkerEvents, JoinHandle<()>) {
+    let (calls, mut receiver) = mpsc::channel(64);
+    let (events, results) = mpsc::unbounded_channel();
+    let task = tokio::spawn(async move {
+        while receiver.recv().await.is_some() {}
+        drop(events);
+    });
+    (calls, results, task)
+}
+
+/// A clock that tests move.
+#[derive(Default)]
+struct ManualClock(AtomicU64);
+
+impl Clock for ManualClock {
+    fn now(&self) -> Millis {
+        Millis::from_ms(self.0.load(Ordering::Relaxed))
+    }
+
+    fn wall(&self) -> Millis {
+        self.now()
+    }
+}
+
+struct Gateway {
+    clock: Arc<ManualClock>,
+    offer: GatewayOffer,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+async fn start_gateway(start_links: StartLinks) -> Gateway {
+    let clock = Arc::new(ManualClock(AtomicU64::new(1_000_000)));
+    let options = GatewayOptions {
+        start_links,
+        clock: Arc::clone(&clock) as _,
+        metrics: metrics_registry::start().0,
+        log: Logger::root(Discard, o!()),
+    };
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let server = GatewayServer::bind(address, options)
+        .await
+        .expect("a free port");
+    let address = server.local_address().expect("bound").to_string();
+    let (stop, stopping) = watch::channel(false);
+    Gateway {
+        clock,
+        offer: GatewayOffer {
+            name: format!("gateway {address}").into(),
+            address: address.into(),
+            availability_zone: "a".into(),
+            processor_milli: 500,
+        },
+        stop,
+        task: tokio::spawn(server.run(stopping)),
+    }
+}
+
+struct Leader {
+    router: Router,
+    worker: WorkerKey,
+    runs: SlotMap<RunKey, ()>,
+}
+
+impl Leader {
+    async fn start(fencing_token: u64) -> Self {
+        let router = Router::start(RouterOptions {
+            start_links: scripted_links::<LOCAL>,
+            leader: "leader".into(),
+            fencing_token,
+            metrics: metrics_registry::start().0,
+            log: Logger::root(Discard, o!()),
+        });
+        let worker = SlotMap::<WorkerKey, ()>::with_key().insert(());
+        let leader = Self {
+            router,
+            worker,
+            runs: SlotMap::with_key(),
+        };
+        let open = WorkerCall::Open {
+            worker,
+            id: "w".into(),
+            address: "127.0.0.1:1".into(),
+            availability_zone: "a".into(),
+            fencing_token,
+        };
+        leader.call(open).await;
+        leader
+    }
+
+    async fn call(&self, call: WorkerCall) {
+        self.router.calls.send(call).await.expect("the router runs");
+    }
+
+    async fn event(&mut self) -> WorkerEvent {
+        let event = tokio::time::timeout(TIMEOUT, self.router.events.recv()).await;
+        event.expect("a result in time").expect("the router runs")
+    }
+
+    async fn send_start(&mut self) -> RunKey {
+        let run = self.runs.insert(());
+        let order = StartOrder {
+            run,
+            task: TaskName {
+                job: "5c0e7a21d94b36f8".into(),
+                position: TaskPosition {
+                    occurrence: 0,
+                    step: 0,
+                    index: 0,
+                },
+            },
+            number: 1,
+            text: "text".into(),
+            deadline_ms: 5_000,
+            checkpoint: "".into(),
+            ticket: None,
+        };
+        self.call(WorkerCall::Start(self.worker, order)).await;
+        run
+    }
+
+    /// Starts a run and returns the result.
+    async fn start_run(&mut self) -> OrderResult {
+        let sent = self.send_start().await;
+        match self.event().await {
+            WorkerEvent::Started { run, result, .. } => {
+                assert_eq!(run, sent, "a result names the run of its order");
+                result
+            }
+            other => panic!("expected the result of a start, not {other:?}"),
+        }
+    }
+
+    async fn send_poll(&self) {
+        let order = PollOrder {
+            deadline_ms: Some(5_000),
+            acknowledged: 0,
+            wait_ms: 0,
+        };
+        self.call(WorkerCall::Poll(self.worker, order)).await;
+    }
+
+    async fn poll(&mut self) -> PollResult {
+        self.send_poll().await;
+        match self.event().await {
+            WorkerEvent::Polled { result, .. } => result,
+            other => panic!("expected the result of a poll, not {other:?}"),
+        }
+    }
+
+    /// Polls until the answer comes by the expected way.
+    async fn poll_until(&mut self, clock_ms: u64) {
+        for _ in 0..500 {
+            if matches!(self.poll().await, PollResult::Listed(listing) if listing.clock_ms == clock_ms)
+            {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("no poll was answered with the clock reading {clock_ms}");
+    }
+}
+
+/// Guards against orders that a gateway loses or answers for another run, and against a leader that never
+/// uses a gateway.
+#[tokio::test]
+async fn a_worker_moves_to_a_gateway_when_it_is_idle() {
+    let gateway = start_gateway(scripted_links::<GATEWAY>).await;
+    let mut leader = Leader::start(5).await;
+    let local = OrderResult::Accepted { clock_ms: LOCAL };
+    assert_eq!(leader.start_run().await, local);
+    leader
+        .router
+        .offers
+        .send_replace(vec![gateway.offer.clone()]);
+    leader.poll_until(GATEWAY).await;
+    let remote = OrderResult::Accepted { clock_ms: GATEWAY };
+    for _ in 0..100 {
+        assert_eq!(leader.start_run().await, remote);
+    }
+}
+
+/// Guards against runs and polls that wait for ever for the result of a lost gateway, and against a worker
+/// that counts as unresponsive because of it.
+#[tokio::test]
+async fn the_calls_of_a_lost_gateway_end() {
+    let silent = start_gateway(silent_links).await;
+    let mut leader = Leader::start(5).await;
+    leader
+        .router
+        .offers
+        .send_replace(vec![silent.offer.clone()]);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // The poll moves the idle worker to the gateway, which answers nothing.
+    leader.send_poll().await;
+    let run = leader.send_start().await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(leader.router.events.is_empty(), "no call has a result yet");
+    silent.task.abort();
+    let mut results = (None, None);
+    while results.0.is_none() || results.1.is_none() {
+        match leader.event().await {
+            WorkerEvent::Started {
+                run: ended, result, ..
+            } if ended == run => results.0 = Some(result),
+            WorkerEvent::Polled { result, .. } => results.1 = Some(result),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+    let lost = (Some(OrderResult::Unanswered), Some(PollResult::LinkClosed));
+    assert_eq!(results, lost);
+    leader.poll_until(LOCAL).await;
+}
+
+/// Guards against orders that a gateway carries out after it was frozen: a new leader may have started the
+/// same task elsewhere by then.
+#[tokio::test]
+async fn a_gateway_carries_out_no_old_orders() {
+    let gateway = start_gateway(scripted_links::<GATEWAY>).await;
+    let mut leader = Leader::start(5).await;
+    leader
+        .router
+        .offers
+        .send_replace(vec![gateway.offer.clone()]);
+    leader.poll_until(GATEWAY).await;
+    gateway
+        .clock
+        .0
+        .fetch_add(ORDER_AGE_MAX_MS + 1, Ordering::Relaxed);
+    let first = leader.start_run().await;
+    assert_eq!(
+        first,
+        OrderResult::NotSent,
+        "the order is older than the jump"
+    );
+    leader.poll_until(GATEWAY).await;
+    let remote = OrderResult::Accepted { clock_ms: GATEWAY };
+    assert_eq!(leader.start_run().await, remote);
+}
+
+/// Guards against a former leader whose orders a gateway carries out after a new leader has connected.
+#[tokio::test]
+async fn a_newer_leader_ends_the_connection_of_the_former_one() {
+    let gateway = start_gateway(scripted_links::<GATEWAY>).await;
+    let mut former = Leader::start(5).await;
+    former
+        .router
+        .offers
+        .send_replace(vec![gateway.offer.clone()]);
+    former.poll_until(GATEWAY).await;
+    let mut newer = Leader::start(6).await;
+    newer
+        .router
+        .offers
+        .send_replace(vec![gateway.offer.clone()]);
+    newer.poll_until(GATEWAY).await;
+    former.poll_until(LOCAL).await;
+}
+
+/// Guards against a planned stop of a gateway that cuts calls in flight or leaves the worker without a link.
+#[tokio::test]
+async fn a_stopping_gateway_hands_over_its_workers() {
+    let gateway = start_gateway(scripted_links::<GATEWAY>).await;
+    let mut leader = Leader::start(5).await;
+    leader
+        .router
+        .offers
+        .send_replace(vec![gateway.offer.clone()]);
+    leader.poll_until(GATEWAY).await;
+    gateway.stop.send_replace(true);
+    for _ in 0..500 {
+        match leader.poll().await {
+            PollResult::Listed(listing) if listing.clock_ms == LOCAL => break,
+            PollResult::Listed(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            other => panic!("a planned stop cut a poll: {other:?}"),
+        }
+    }
+    let ended = tokio::time::timeout(TIMEOUT, gateway.task).await;
+    ended.expect("the gateway ends").expect("without a failure");
+}
--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -7,6 +7,7 @@
 pub mod config;
 mod election;
 mod frontend;
+mod gateway;
 mod leader;
 mod lease;
 mod records;
--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -29,6 +29,8 @@
     pub(super) term: u32,
     /// Name of this daemon.
     pub(super) daemon: Arc<str>,
+    /// Time after which a gateway no longer carries out an order; 0 while no gateway is used.
+    pub(super) order_age_max_ms: u64,
 }
 
 /// The leader key belongs to another daemon, or no daemon holds it.
@@ -49,6 +51,7 @@
             waves: batch.waves.clone(),
             daemon: Arc::clone(&self.daemon),
             released: batch.released,
+            order_age_max_ms: self.order_age_max_ms,
         };
         let value = records::encode(&record);
         let record_put = records::put(SCHEDULER_RECORD_KEY.into(), value);
--- a/crates/daemon/src/jobs/config.rs
+++ b/crates/daemon/src/jobs/config.rs
@@ -36,6 +36,16 @@
     /// Listen address of the metrics endpoint; disabled if missing.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
+    /// Listen address for the leader, which lets this daemon hold links to workers in a large fleet.
+    /// Without it, this daemon is no gateway.
+    #[serde(default)]
+    pub gateway_address: Option<SocketAddr>,
+    /// Share of a processor that this daemon may use.
+    #[serde(default = "default_processor_share")]
+    pub processor_share: f64,
+    /// Bandwidth of the instance's network link, in megabits a second.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// Maximum lease that a worker grants to a run.
     pub run_lease_max_ms: u64,
     /// Time within which a worker stops a run.
@@ -49,6 +59,14 @@
     pub log_format: LogFormat,
 }
 
+const fn default_processor_share() -> f64 {
+    1.0
+}
+
+const fn default_link_mbps() -> f64 {
+    1_000.0
+}
+
 impl JobServiceConfig {
     /// Reads the settings.
     ///
@@ -74,6 +92,16 @@
             let problem = problem("run_lease_max_ms", reason, "set a lease of 3000 ms or more");
             return Err(ConfigError::Invalid { problem });
         }
+        for (field, value) in [
+            ("processor_share", config.processor_share),
+            ("link_mbps", config.link_mbps),
+        ] {
+            if !(value.is_finite() && value > 0.0) {
+                let reason = format!("{value} is no amount that a daemon can work with");
+                let problem = problem(field, reason, "set a number above 0");
+                return Err(ConfigError::Invalid { problem });
+            }
+        }
         Ok(config)
     }
 }
--- a/crates/daemon/src/jobs/election.rs
+++ b/crates/daemon/src/jobs/election.rs
@@ -14,6 +14,9 @@
 /// Daemons that see the key expire attempt to acquire it at staggered times up to this bound, so that
 /// usually a single call decides the election.
 const MAX_ACQUIRE_DELAY_MS: u64 = 60;
+/// Additional delay of a daemon with a small share of a processor or a slow link, so that one with ample
+/// resources becomes the leader if there is any. All daemons start within 300 ms of each other.
+const SMALL_INSTANCE_DELAY: Duration = Duration::from_millis(400);
 /// Delay after a failed attempt or the end of a term.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -23,7 +26,10 @@
     mut status: watch::Receiver<LeaderStatus>,
     mut stop: watch::Receiver<bool>,
 ) {
-    let acquire_delay = acquire_delay(&options.identity.daemon);
+    let mut acquire_delay = acquire_delay(&options.identity.daemon);
+    if !options.has_ample_resources {
+        acquire_delay += SMALL_INSTANCE_DELAY;
+    }
     loop {
         tokio::select! {
             changed = status.wait_for(|status| {
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -8,20 +8,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemaryscale_adapters::worker_gateway::ORDER_AGE_MAX_MS;
 use rosemaryscale_domain::schedule::order::{WaveRequest, WorkerReport};
 use rosemaryscale_domain::schedule::{Batch, Scheduler};
+use rosemaryscale_domain::worker_route::{GatewayOffer, LOCAL_WORKERS_MAX};
 use rosemaryscale_ports::advice::{AdviceCalls, AdviceEvents};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::instance_order::{InstanceOrderCalls, InstanceOrderEvents};
 use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
 use rosemaryscale_ports::kv::{KeyValue, WatchEvent};
 use rosemaryscale_ports::prelude::*;
-use rosemaryscale_ports::worker::{WorkerCalls, WorkerEvents};
+use rosemaryscale_ports::worker::{StartLinks, WorkerCalls, WorkerEvents};
 use slog::{Logger, info};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::MissedTickBehavior;
 
+use self::actions::StartedRuns;
 use super::batch::{BatchWriter, LeadershipLost, WaveStateFormat};
 use super::lease::{self, LEADER_GRACE_MS, LEADER_TTL_MS, LeaderLease, RENEW_INTERVAL_MS, Renewal};
 use super::records::LeaderRecord;
@@ -55,7 +58,7 @@
     /// Encodes the state of a maintenance wave as key and value.
     pub(super) wave_state: WaveStateFormat,
     /// Starts the client of the workers.
-    pub(super) start_links: fn() -> (WorkerCalls, WorkerEvents, JoinHandle<()>),
+    pub(super) start_links: StartLinks,
     /// Starts the client of the instance list.
     pub(super) start_instance_orders: fn(SocketAddr, Arc<str>) -> InstanceOrderPort,
     /// Starts the client of the advisor.
@@ -75,6 +78,8 @@
     pub(super) stop_grace_ms: u64,
     pub(super) status_kept_ms: u64,
     pub(super) platform: PlatformAdapters,
+    /// Whether the instance has the processor share and bandwidth to lead a large fleet.
+    pub(super) has_ample_resources: bool,
     pub(super) machines_address: SocketAddr,
     /// Address of the advisor, if one is configured.
     pub(super) advisor_address: Option<SocketAddr>,
@@ -96,6 +101,7 @@
     jobs: mpsc::Receiver<WatchEvent>,
     workers: mpsc::Receiver<WatchEvent>,
     waves: mpsc::Receiver<WatchEvent>,
+    gateways: mpsc::Receiver<WatchEvent>,
     worker_events: WorkerEvents,
     instance_events: InstanceOrderEvents,
     advice_events: AdviceEvents,
@@ -104,10 +110,29 @@
 /// Handles of the ports that the leader calls.
 struct PortHandles {
     links: WorkerCalls,
+    gateways: GatewayOffers,
     instances: InstanceOrderCalls,
     advisor: Option<AdviceCalls>,
 }
 
+/// Daemons that offer to hold links to workers. They are used for a large fleet, and only after the store
+/// says so: the next leader then waits for orders that a gateway still holds.
+struct GatewayOffers {
+    offers: FastMap<Arc<str>, GatewayOffer>,
+    router: watch::Sender<Vec<GatewayOffer>>,
+    /// Whether the stored record allows gateways.
+    allowed: bool,
+}
+
+impl GatewayOffers {
+    fn publish(&self) {
+        if self.allowed {
+            self.router
+                .send_replace(self.offers.values().cloned().collect());
+        }
+    }
+}
+
 /// Result of a task that ran in the background of the scheduler.
 enum BackgroundResult {
     Renewed(Renewal),
@@ -154,6 +179,10 @@
                     Some(event) => self.apply_wave_changes(event),
                     None => break LeaderEnd::Stopped,
                 },
+                event = sources.gateways.recv() => match event {
+                    Some(event) => self.apply_gateway_changes(event),
+                    None => break LeaderEnd::Stopped,
+                },
                 Some(event) = sources.instance_events.recv() => self.apply_instance_event(event),
                 Some(result) = sources.advice_events.recv() => self.apply_advice(result),
                 Some(event) = sources.worker_events.recv() => {
@@ -173,6 +202,7 @@
                     {
                         break LeaderEnd::Lost(reason);
                     }
+                    self.allow_gateways();
                 }
                 _ = tick.tick() => {}
                 _ = stop.wait_for(|stop| *stop) => break LeaderEnd::Stopped,
@@ -209,9 +239,11 @@
         if recovering && !self.scheduler.is_recovering() {
             info!(self.options.log, "recovery ended");
         }
+        let mut started = StartedRuns::default();
         for action in actions {
-            self.send(action).await?;
+            self.send(action, &mut started).await?;
         }
+        started.flush(&self.options);
         self.write_batch(now);
         if !self.is_renewing && now >= self.next_renewal_at {
             self.is_renewing = true;
@@ -234,9 +266,12 @@
         let Some(batch) = self.scheduler.take_batch(now) else {
             return;
         };
-        let Some(writer) = self.writer.take() else {
+        let Some(mut writer) = self.writer.take() else {
             return;
         };
+        if self.scheduler.worker_count() > LOCAL_WORKERS_MAX {
+            writer.order_age_max_ms = ORDER_AGE_MAX_MS;
+        }
         for job in batch.jobs.iter().filter(|job| job.state.is_some()) {
             info!(self.options.log, "job state"; "job" => &*job.id, "state" => ?job.progress.state);
         }
@@ -298,6 +333,18 @@
         Ok(())
     }
 
+    /// Uses gateways once a written record allows them.
+    fn allow_gateways(&mut self) {
+        let is_written = self
+            .writer
+            .as_ref()
+            .is_some_and(|writer| writer.order_age_max_ms > 0);
+        if is_written && !self.calls.gateways.allowed {
+            self.calls.gateways.allowed = true;
+            self.calls.gateways.publish();
+        }
+    }
+
     fn delete_expired_jobs(&mut self, writer: BatchWriter, wall: Millis) {
         const MAX_JOBS_DELETED: usize = 70;
         let kept_ms = self.options.status_kept_ms;
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -1,24 +1,77 @@
 //! Sends the scheduler's actions to workers, instances and the advisor, and logs its events.
 
+use std::fmt::Write;
 use std::sync::Arc;
 
 use rosemaryscale_domain::job::TaskPosition;
 use rosemaryscale_domain::schedule::order::{
-    Action, AdviceOrder, AdviceResult, RunEndKind, SchedulerEvent,
+    Action, AdviceOrder, AdviceResult, RunEndKind, SchedulerEvent, StartOrder,
 };
 use rosemaryscale_ports::instance_order::InstanceOrderCall;
+use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::WorkerCall;
 use slog::{info, warn};
 
-use super::Leader;
+use super::{Leader, LeaderOptions};
 
 /// Maximum number of awaited workers that a log line names.
 const MAX_AWAITED_NAMES: usize = 5;
 
+/// Runs of one job that were started in one cycle, for the log. A line for each run would take a tenth of
+/// the leader's processor time while thousands of tasks start a second.
+#[derive(Default)]
+pub(super) struct StartedRuns {
+    job: Option<Arc<str>>,
+    runs: String,
+    count: i64,
+}
+
+impl StartedRuns {
+    fn add(&mut self, leader: &Leader, worker: WorkerKey, order: &StartOrder) {
+        if self.job.as_ref() != Some(&order.task.job) {
+            self.flush(&leader.options);
+            self.job = Some(Arc::clone(&order.task.job));
+        }
+        let worker = leader.scheduler.worker(worker);
+        append_run(
+            &mut self.runs,
+            order.task.position,
+            order.number,
+            worker.map_or("", |report| &report.id),
+        );
+        self.count += 1;
+    }
+
+    pub(super) fn flush(&mut self, options: &LeaderOptions) {
+        if let Some(job) = self.job.take() {
+            options.metrics.count("runs.started", self.count);
+            info!(options.log, "start"; "job" => &*job, "runs" => &self.runs);
+        }
+        self.runs.clear();
+        self.count = 0;
+    }
+}
+
 impl Leader {
     pub(super) fn log_scheduler_events(&mut self) {
+        let (mut done, mut done_count) = (String::new(), 0);
         for event in self.scheduler.take_events() {
             match event {
+                SchedulerEvent::RunEnded {
+                    task,
+                    number,
+                    worker,
+                    kind: RunEndKind::Done,
+                    ..
+                } => {
+                    if !done.is_empty() {
+                        done.push(' ');
+                    }
+                    done.push_str(&task.job);
+                    done.push('.');
+                    append_run(&mut done, task.position, number, &worker);
+                    done_count += 1;
+                }
                 SchedulerEvent::RunEnded {
                     task,
                     number,
@@ -53,6 +106,11 @@
                 }
             }
         }
+        if done_count > 0 {
+            let metric = run_end_metric(RunEndKind::Done);
+            self.options.metrics.count(metric, done_count);
+            info!(self.options.log, "runs done"; "runs" => done);
+        }
     }
 
     pub(super) fn log_status(&self) {
@@ -71,7 +129,11 @@
         }
     }
 
-    pub(super) async fn send(&mut self, action: Action) -> Result<(), &'static str> {
+    pub(super) async fn send(
+        &mut self,
+        action: Action,
+        started: &mut StartedRuns,
+    ) -> Result<(), &'static str> {
         let call = match action {
             Action::Connect(worker) => {
                 let Some(report) = self.scheduler.worker(worker) else {
@@ -81,15 +143,13 @@
                     worker,
                     id: Arc::clone(&report.id),
                     address: Arc::clone(&report.address),
+                    availability_zone: Arc::clone(&report.availability_zone),
                     fencing_token: self.lease.fencing_token,
                 }
             }
             Action::Disconnect(worker) => WorkerCall::Close(worker),
             Action::Start(worker, order) => {
-                self.options.metrics.count("runs.started", 1);
-                info!(self.options.log, "start"; "job" => &*order.task.job,
-                    "at" => %position(order.task.position), "run" => order.number,
-                    "worker" => self.scheduler.worker(worker).map(|report| report.id.to_string()));
+                started.add(self, worker, &order);
                 WorkerCall::Start(worker, order)
             }
             Action::Stop(worker, order) => {
@@ -163,6 +223,19 @@
     }
 }
 
+/// Appends a run as `occurrence.step.index#run@worker`.
+fn append_run(runs: &mut String, at: TaskPosition, number: u32, worker: &str) {
+    if !runs.is_empty() && !runs.ends_with('.') {
+        runs.push(' ');
+    }
+    // Writing to a string cannot fail.
+    let _ = write!(
+        runs,
+        "{}.{}.{}#{number}@{worker}",
+        at.occurrence, at.step, at.index
+    );
+}
+
 /// Formats a task's position as `occurrence.step.index`.
 fn position(at: TaskPosition) -> String {
     format!("{}.{}.{}", at.occurrence, at.step, at.index)
--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -12,7 +12,7 @@
 use slog::{debug, info, warn};
 
 use super::Leader;
-use crate::jobs::records::{self, JobKeyKind, LEADER_MARKER_KEY};
+use crate::jobs::records::{self, GATEWAY_PREFIX, GatewayRecord, JobKeyKind, LEADER_MARKER_KEY};
 
 impl Leader {
     /// Applies accepted and cancelled jobs. A leader that has lost its key applies no job accepted
@@ -92,6 +92,43 @@
         }
     }
 
+    /// Applies changed offers of gateways. A connected gateway is kept even if its offer has expired.
+    pub(super) fn apply_gateway_changes(&mut self, event: WatchEvent) {
+        let offers = &mut self.calls.gateways.offers;
+        match event {
+            WatchEvent::Snapshot { entries, .. } => {
+                offers.clear();
+                let read = |entry: &KvEntry| GatewayRecord::read(&entry.key, &entry.value);
+                for offer in entries.iter().filter_map(read) {
+                    offers.insert(Arc::clone(&offer.name), offer);
+                }
+            }
+            WatchEvent::Changed { updates, .. } if updates.is_empty() => return,
+            WatchEvent::Changed { updates, .. } => {
+                for update in updates {
+                    match update {
+                        Update::Put(entry) => {
+                            if let Some(offer) = GatewayRecord::read(&entry.key, &entry.value) {
+                                offers.insert(Arc::clone(&offer.name), offer);
+                            }
+                        }
+                        Update::Deleted(key) => {
+                            if let Some(name) = key.strip_prefix(GATEWAY_PREFIX) {
+                                offers.remove(name);
+                            }
+                        }
+                    }
+                }
+            }
+            WatchEvent::Disconnected { reason } => {
+                debug!(self.options.log, "a watch does not answer"; "of" => "gateways",
+                    "reason" => reason);
+                return;
+            }
+        }
+        self.calls.gateways.publish();
+    }
+
     pub(super) fn apply_instance_event(&mut self, event: InstanceOrderEvent) {
         let now = self.options.clock.now();
         match event {
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemaryscale_adapters::worker_gateway::{Router, RouterOptions};
 use rosemaryscale_domain::job::{JobProgress, JobRecord};
 use rosemaryscale_domain::schedule::{
     FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
@@ -15,14 +16,14 @@
 use tokio::task::{JoinHandle, JoinSet};
 
 use super::{
-    EventSources, FINAL_WRITE_TIMEOUT, Leader, LeaderEnd, LeaderOptions, PortHandles, apply_config,
-    events,
+    EventSources, FINAL_WRITE_TIMEOUT, GatewayOffers, Leader, LeaderEnd, LeaderOptions,
+    PortHandles, apply_config, events,
 };
 use crate::jobs::batch::BatchWriter;
 use crate::jobs::lease::{self, LEADER_GRACE_MS, LeaderLease, Renewal};
 use crate::jobs::records::{
-    self, JOB_PREFIX, JobKeyKind, PROGRESS_PREFIX, SCHEDULER_RECORD_KEY, SchedulerRecord,
-    WORKERS_KEY,
+    self, GATEWAY_PREFIX, GatewayRecord, JOB_PREFIX, JobKeyKind, PROGRESS_PREFIX,
+    SCHEDULER_RECORD_KEY, SchedulerRecord, WORKERS_KEY,
 };
 
 /// Bounds the delay before a new job starts. The platform charges for each read of the watch.
@@ -31,6 +32,8 @@
 const WORKER_WATCH_INTERVAL_MS: u64 = 250;
 /// Maintenance waves are rare.
 const WAVE_WATCH_INTERVAL_MS: u64 = 500;
+/// Gateways come and go with their daemons.
+const GATEWAY_WATCH_INTERVAL_MS: u64 = 1_000;
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -44,7 +47,13 @@
     ) -> LeaderEnd {
         let kv = options.kv.clone();
         let platform = options.platform;
-        let (links, worker_events, link_task) = (platform.start_links)();
+        let router = Router::start(RouterOptions {
+            start_links: platform.start_links,
+            leader: Arc::clone(&options.identity.daemon),
+            fencing_token: lease.fencing_token,
+            metrics: Arc::clone(&options.metrics),
+            log: options.log.clone(),
+        });
         let daemon = Arc::clone(&options.identity.daemon);
         let (instances, instance_events, instance_task) =
             (platform.start_instance_orders)(options.machines_address, daemon);
@@ -56,20 +65,28 @@
             kv.watch_every(workers, WORKER_WATCH_INTERVAL_MS).await,
             kv.watch_every(prefix_range(platform.wave_prefix), WAVE_WATCH_INTERVAL_MS)
                 .await,
+            kv.watch_every(prefix_range(GATEWAY_PREFIX), GATEWAY_WATCH_INTERVAL_MS)
+                .await,
         );
-        let (Ok(jobs), Ok(workers), Ok(waves)) = watches else {
+        let (Ok(jobs), Ok(workers), Ok(waves), Ok(gateways)) = watches else {
             return LeaderEnd::Stopped;
         };
         let mut sources = EventSources {
             jobs,
             workers,
             waves,
-            worker_events,
+            gateways,
+            worker_events: router.events,
             instance_events,
             advice_events,
         };
         let calls = PortHandles {
-            links,
+            links: router.calls,
+            gateways: GatewayOffers {
+                offers: FastMap::default(),
+                router: router.offers,
+                allowed: false,
+            },
             instances,
             advisor,
         };
@@ -84,7 +101,7 @@
         };
         // Revoking the lease lets the next leader start at once.
         let _ = tokio::time::timeout(FINAL_WRITE_TIMEOUT, kv.revoke(lease.id)).await;
-        let _ = link_task.await;
+        let _ = router.task.await;
         let _ = instance_task.await;
         if let Some(task) = advisor_task {
             let _ = task.await;
@@ -96,20 +113,16 @@
     async fn load(
         options: LeaderOptions,
         mut lease: LeaderLease,
-        calls: PortHandles,
+        mut calls: PortHandles,
         jobs: &mut mpsc::Receiver<WatchEvent>,
     ) -> Option<Self> {
         // Concurrent reads: a single call to a slow store takes hundreds of milliseconds.
-        let (record_entry, workers, progress) = tokio::join!(
-            read_with_retries(&options.kv, KeyRange::Key(SCHEDULER_RECORD_KEY.into())),
+        let (former, workers, progress) = tokio::join!(
+            read_former_record(&options.kv, &mut calls.gateways),
             read_with_retries(&options.kv, KeyRange::Key(WORKERS_KEY.into())),
             read_with_retries(&options.kv, prefix_range(PROGRESS_PREFIX)),
         );
-        let record_entry = record_entry.into_iter().next();
-        let former_record: SchedulerRecord = record_entry
-            .as_ref()
-            .and_then(|entry| records::decode(&entry.value).ok())
-            .unwrap_or_default();
+        let (former_record, record_revision) = former;
         let entries = loop {
             match jobs.recv().await? {
                 WatchEvent::Snapshot { entries, .. } => break entries,
@@ -127,11 +140,12 @@
         let settings = ScheduleSettings {
             run_lease_ms: options.run_lease_ms,
             poll_wait_ms: options.poll_wait_ms,
-            leader_grace_ms: if former_term_ended {
-                0
-            } else {
-                LEADER_GRACE_MS
-            },
+            leader_grace_ms: former_record.order_age_max_ms
+                + if former_term_ended {
+                    0
+                } else {
+                    LEADER_GRACE_MS
+                },
             stop_grace_ms: options.stop_grace_ms,
             term: former_record.term + 1,
         };
@@ -150,9 +164,12 @@
         apply_config(&mut scheduler, &options.config.borrow());
         let writer = BatchWriter {
             fencing_token: lease.fencing_token,
-            revision: record_entry.map_or(0, |entry| entry.mod_revision),
+            revision: record_revision,
             term: former_record.term + 1,
             daemon: Arc::clone(&options.identity.daemon),
+            // Gateways may hold orders of the former term until its runs are accounted for, and of this
+            // one as soon as they are used.
+            order_age_max_ms: former_record.order_age_max_ms,
         };
         Some(Self {
             next_renewal_at: now,
@@ -168,6 +185,28 @@
     }
 }
 
+/// Reads the record of the former term and its revision. If that term used gateways, this one connects to
+/// them at once, so that its first polls go through them.
+async fn read_former_record(kv: &KeyValue, gateways: &mut GatewayOffers) -> (SchedulerRecord, u64) {
+    let entries = read_with_retries(kv, KeyRange::Key(SCHEDULER_RECORD_KEY.into())).await;
+    let Some(entry) = entries.into_iter().next() else {
+        return (SchedulerRecord::default(), 0);
+    };
+    let record: SchedulerRecord = records::decode(&entry.value).unwrap_or_default();
+    if record.order_age_max_ms > 0 {
+        let entries = read_with_retries(kv, prefix_range(GATEWAY_PREFIX)).await;
+        let offers = entries
+            .iter()
+            .filter_map(|entry| GatewayRecord::read(&entry.key, &entry.value));
+        gateways.offers = offers
+            .map(|offer| (Arc::clone(&offer.name), offer))
+            .collect();
+        gateways.allowed = true;
+        gateways.publish();
+    }
+    (record, entry.mod_revision)
+}
+
 /// Starts the client of the advisor, if one is configured.
 fn start_advisor(
     options: &LeaderOptions,
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use rosemaryscale_domain::job::{JobProgress, JobRecord, JobState};
 use rosemaryscale_domain::schedule::WaveRecord;
+use rosemaryscale_domain::worker_route::GatewayOffer;
 use rosemaryscale_ports::kv::Change;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,8 @@
 pub(super) const LEADER_MARKER_KEY: &str = "rosemaryscale/job/holder";
 /// Key of the list of workers that may have runs, written when the list changes.
 pub(super) const WORKERS_KEY: &str = "rosemaryscale/scheduler-workers";
+/// Prefix of the daemons that offer to hold links to workers, each under a lease.
+pub(super) const GATEWAY_PREFIX: &str = "rosemaryscale/gateway/";
 const STATE_PREFIX: &str = "rosemaryscale/view/state/";
 const CANCEL_SUFFIX: &str = "/cancel";
 
@@ -116,6 +119,36 @@
     /// Whether the leader has released its term and gives no more orders.
     #[serde(default)]
     pub(super) released: bool,
+    /// Time after which a gateway no longer carries out an order of the term; 0 while the leader uses
+    /// no gateways.
+    #[serde(default)]
+    pub(super) order_age_max_ms: u64,
+}
+
+/// Offer of a daemon to hold links to workers for the leader. Its key names the daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct GatewayRecord {
+    /// Address for the leader.
+    pub(super) address: Arc<str>,
+    /// Availability zone of the daemon.
+    pub(super) zone: Arc<str>,
+    /// Its share of a processor, in thousandths.
+    pub(super) processor_milli: u64,
+}
+
+impl GatewayRecord {
+    /// Decodes the offer of a key and value; `None` if it is not an offer.
+    pub(super) fn read(key: &str, value: &[u8]) -> Option<GatewayOffer> {
+        let name = key.strip_prefix(GATEWAY_PREFIX)?;
+        let record: Self = decode(value).ok()?;
+        Some(GatewayOffer {
+            name: name.into(),
+            address: record.address,
+            availability_zone: record.zone,
+            processor_milli: record.processor_milli,
+        })
+    }
 }
 
 /// Encodes a record as JSON.
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -1,8 +1,10 @@
 //! Starts and joins the tasks of the job service.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemaryscale_adapters::worker_gateway::{GatewayOptions, GatewayServer};
 use rosemaryscale_adapters::{SystemClock, log, metrics_registry};
 use rosemaryscale_platform::frontend::{FrontendError, FrontendServer};
 use rosemaryscale_platform::{
@@ -23,8 +25,9 @@
 use super::config::JobServiceConfig;
 use super::election;
 use super::frontend::{JobFrontend, JobFrontendOptions, LeaderStatus};
+use super::gateway;
 use super::leader::{LeaderOptions, PlatformAdapters};
-use super::records::{LeaderRecord, VIEW_PREFIX};
+use super::records::{GatewayRecord, LeaderRecord, VIEW_PREFIX};
 
 const FRONTEND_CALL_CAPACITY: usize = 1_024;
 /// Bounds the delay before a job's state is visible. The platform charges for each read of the watch.
@@ -37,6 +40,12 @@
 /// takes a daemon out of rotation after two failures.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(2_500);
 
+/// Processor share of a daemon that takes the scheduler key without delay: a burst in a pool of 50
+/// workers takes a tenth of a processor.
+const AMPLE_PROCESSOR_SHARE: f64 = 0.25;
+/// Bandwidth of a daemon that takes the scheduler key without delay, in megabits a second.
+const AMPLE_LINK_MBPS: f64 = 100.0;
+
 /// Formats and clients of the users' platform.
 const PLATFORM: PlatformAdapters = PlatformAdapters {
     worker_prefix: WORKER_PREFIX,
@@ -59,6 +68,16 @@
         /// The underlying error.
         source: FrontendError,
     },
+    /// The server for the leader did not start.
+    #[snafu(display(
+        "cannot listen on {address}: {source}; set gateway_address to a free address of this instance"
+    ))]
+    Gateway {
+        /// The address.
+        address: SocketAddr,
+        /// The underlying error.
+        source: std::io::Error,
+    },
     /// The client of the platform's store has stopped.
     #[snafu(display("{source}"))]
     Store {
@@ -81,6 +100,8 @@
     frontend: JoinHandle<()>,
     election: JoinHandle<()>,
     config: JoinHandle<()>,
+    /// Server for the leader and task that offers it, if this daemon is a gateway.
+    gateway: Option<(JoinHandle<()>, JoinHandle<()>)>,
     store: JoinHandle<()>,
     metrics_server: Option<JoinHandle<()>>,
     metrics: JoinHandle<()>,
@@ -130,6 +151,35 @@
             }
             None => None,
         };
+        let gateway = match settings.gateway_address {
+            Some(address) => {
+                let options = GatewayOptions {
+                    start_links: PLATFORM.start_links,
+                    clock: Arc::clone(&clock),
+                    metrics: Arc::clone(&metrics),
+                    log: log.clone(),
+                };
+                let server = GatewayServer::bind(address, options);
+                let server = server.await.context(GatewaySnafu { address })?;
+                let record = GatewayRecord {
+                    address: address.to_string().into(),
+                    zone: Arc::clone(&settings.availability_zone),
+                    processor_milli: (settings.processor_share * 1_000.0) as u64,
+                };
+                let offer = gateway::offer(
+                    kv.clone(),
+                    Arc::clone(&settings.name),
+                    record,
+                    draining_watch.clone(),
+                    log.clone(),
+                );
+                Some((
+                    tokio::spawn(server.run(draining_watch.clone())),
+                    tokio::spawn(offer),
+                ))
+            }
+            None => None,
+        };
         let identity = LeaderRecord {
             daemon: Arc::clone(&settings.name),
             incarnation: Uuid::new_v4().to_string().into(),
@@ -158,6 +208,8 @@
             stop_grace_ms: settings.stop_grace_ms,
             status_kept_ms: settings.status_kept_ms,
             platform: PLATFORM,
+            has_ample_resources: settings.processor_share >= AMPLE_PROCESSOR_SHARE
+                && settings.link_mbps >= AMPLE_LINK_MBPS,
             machines_address: settings.machines_address,
             advisor_address: settings.advisor_address,
             metrics,
@@ -175,6 +227,7 @@
                 stop_frontend_watch,
                 log.clone(),
             )),
+            gateway,
             store,
             metrics_server,
             metrics: metrics_task,
@@ -214,6 +267,10 @@
         let _ = self.frontend_server.await;
         let _ = self.frontend.await;
         let _ = self.config.await;
+        if let Some((server, offer)) = self.gateway {
+            let _ = server.await;
+            let _ = offer.await;
+        }
         self.stop_probes.send_replace(true);
         let _ = self.ready_server.await;
         if let Some(server) = self.metrics_server {
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -222,6 +222,7 @@
 
 /// Identity of a task in messages between processes.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskName {
     /// Id of the job.
     pub job: Arc<str>,
--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -34,6 +34,8 @@
     pub struct TeamKey;
     /// Key of a worker.
     pub struct WorkerKey;
+    /// Key of a gateway, a daemon that holds links to workers for the leader.
+    pub struct GatewayKey;
     /// Key of a task of a job.
     pub struct TaskKey;
     /// Key of a run of a task.
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod service_time;
 pub mod slots;
 pub mod spare;
+pub mod worker_route;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -1,9 +1,9 @@
 //! Types that most modules of this package and its dependents use.
 
 pub use crate::key::{
-    CallerKey, ClaimKey, ConnectionKey, DaemonKey, FleetInstanceKey, InstanceKey, JobKey, PoolKey,
-    RackKey, RequestKey, RunKey, ServiceKey, SlotKey, TaskKey, TeamKey, WaiterKey, WorkerKey,
-    ZoneKey,
+    CallerKey, ClaimKey, ConnectionKey, DaemonKey, FleetInstanceKey, GatewayKey, InstanceKey,
+    JobKey, PoolKey, RackKey, RequestKey, RunKey, ServiceKey, SlotKey, TaskKey, TeamKey, WaiterKey,
+    WorkerKey, ZoneKey,
 };
 pub use crate::map::{FastMap, FastSet};
 pub use crate::millis::Millis;
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -10,6 +10,7 @@
 use crate::schedule::job_table::TaskStatus;
 use crate::schedule::load::multiply;
 use crate::schedule::order::{InstanceState, StepKey};
+use crate::schedule::worker::Worker;
 
 impl Scheduler {
     pub(super) fn is_spare(&self, instance: &TrackedInstance) -> bool {
@@ -116,6 +117,42 @@
         for_capacity
             .max(self.instances_for_evacuation(service))
             .max(self.instances_for_spread(service, now))
+            .max(self.instances_for_long_running(service, now))
+    }
+
+    /// Number of instances needed for waiting long-running tasks that fit on no worker. Their needs are
+    /// large, so the sum of the pool's free resources does not tell whether one of them fits anywhere.
+    fn instances_for_long_running(&self, service: ServiceKey, now: Millis) -> usize {
+        let workers: Vec<Resources> = self.services[service]
+            .workers
+            .iter()
+            .filter_map(|key| self.workers.get(*key))
+            .filter(|worker| worker.takes_work(now))
+            .map(Worker::free)
+            .collect();
+        let capacity = self.largest_capacity();
+        let mut additional: Vec<Resources> = Vec::new();
+        for (step, tasks) in self.services[service].ready.steps() {
+            let job = self.job_table.jobs.get(step.job);
+            let Some(spec) = job.and_then(|job| job.step(step.step)) else {
+                continue;
+            };
+            let need = spec.need();
+            let fits_nowhere = need.fits(capacity) && !workers.iter().any(|free| need.fits(*free));
+            if !spec.long_running || !fits_nowhere {
+                continue;
+            }
+            for _ in 0..self.ready_count(tasks) {
+                match additional.iter_mut().find(|free| need.fits(**free)) {
+                    Some(free) => *free = free.minus(need),
+                    None => additional.push(capacity.minus(need)),
+                }
+            }
+        }
+        if additional.is_empty() {
+            return 0;
+        }
+        workers.len() + additional.len()
     }
 
     /// Number of instances needed for waiting tasks whose step limits the tasks per worker.
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -43,6 +43,10 @@
                 worker.next_poll_at = now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS);
                 self.fenced |= refusal == Refusal::Fenced;
             }
+            PollResult::LinkClosed => {
+                worker.ack_sent = 0;
+                worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
+            }
             PollResult::Unanswered => {
                 worker.ack_sent = 0;
                 let became_unresponsive = worker.count_failed_poll(now);
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -1,5 +1,7 @@
 //! Orders to workers, instances and the advisor, and their results.
 
+use serde::{Deserialize, Serialize};
+
 use crate::job::TaskName;
 use crate::placement::Resources;
 use crate::prelude::*;
@@ -59,6 +61,7 @@
 
 /// Sets the CPU share of a backfill task.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PaceOrder {
     /// The task.
     pub task: TaskName,
@@ -70,6 +73,7 @@
 
 /// Polls a worker: renews its lease and reads which runs are active and which have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PollOrder {
     /// New end of the lease, on the worker's clock; `None` leaves the lease as it is.
     pub deadline_ms: Option<u64>,
@@ -202,6 +206,7 @@
 
 /// Result of an order to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum OrderResult {
     /// The order was carried out, now or earlier.
     Accepted {
@@ -220,6 +225,7 @@
 
 /// Why a worker refused an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Refusal {
     /// The worker has seen a higher fencing token.
     Fenced,
@@ -241,6 +247,7 @@
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RunEndKind {
     /// The work is complete.
     Done,
@@ -258,6 +265,7 @@
 
 /// An active run in a worker's answer to a poll.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedRun {
     /// The task.
     pub task: TaskName,
@@ -273,6 +281,7 @@
 
 /// An ended run in a worker's answer to a poll.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedEnd {
     /// Sequence number of the end, counted by this process of the worker.
     pub sequence: u64,
@@ -288,6 +297,7 @@
 
 /// A worker's answer to a poll.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Listing {
     /// The worker's clock.
     pub clock_ms: u64,
@@ -301,6 +311,7 @@
 
 /// Result of a poll.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum PollResult {
     /// The worker answered.
     Listed(Listing),
@@ -310,6 +321,8 @@
     NotListening,
     /// No answer arrived in time.
     Unanswered,
+    /// The link was closed before an answer arrived, which says nothing about the worker.
+    LinkClosed,
 }
 
 /// An event for the log.
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -152,6 +152,12 @@
         key
     }
 
+    /// Number of workers that this leader polls.
+    #[must_use]
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
     /// The listed data of a worker, for its connection.
     #[must_use]
     pub fn worker(&self, key: WorkerKey) -> Option<&WorkerReport> {
--- /dev/null
+++ b/crates/domain/src/worker_route.rs
@@ -0,0 +1,262 @@
+//! Chooses which daemon holds the link to each worker.
+//!
+//! The leader alone decides which task runs where. While it has few workers it also holds the links to
+//! them. In a large fleet the requests to workers cost more processor time than the decisions, so the
+//! links are spread over other daemons, the gateways.
+
+use crate::prelude::*;
+
+/// Number of workers up to which the leader holds all links itself.
+pub const LOCAL_WORKERS_MAX: usize = 150;
+/// Maximum number of gateways of a leader: each one costs it a connection and wake-ups.
+const GATEWAYS_MAX: usize = 24;
+/// Processor time, in thousandths of a processor, that a gateway needs for one worker. A busy worker
+/// starts four tasks a second, and each start, end and poll takes a tenth of a millisecond.
+const PROCESSOR_MILLI_PER_WORKER: u64 = 3;
+/// Factor, in percent, by which the load of a gateway in another availability zone counts more, since
+/// traffic between zones is charged.
+const OTHER_ZONE_LOAD_PERCENT: u64 = 150;
+/// Workers above twice the load of the least loaded gateway after which a gateway hands some over.
+const IMBALANCE_WORKERS: usize = 16;
+
+/// A daemon that offers to hold links.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewayOffer {
+    /// Name of the daemon.
+    pub name: Arc<str>,
+    /// Address for the leader.
+    pub address: Arc<str>,
+    /// Its availability zone.
+    pub availability_zone: Arc<str>,
+    /// Its share of a processor, in thousandths.
+    pub processor_milli: u64,
+}
+
+/// Where the link to a worker is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// By the leader itself.
+    Local,
+    /// By a gateway.
+    Gateway(GatewayKey),
+}
+
+/// Connection state of a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GatewayState {
+    /// Not connected.
+    Disconnected,
+    /// Connected, and takes workers.
+    Connected,
+    /// Connected, but about to stop.
+    Leaving,
+}
+
+#[derive(Debug)]
+struct Gateway {
+    offer: GatewayOffer,
+    state: GatewayState,
+    workers: usize,
+}
+
+impl Gateway {
+    fn workers_max(&self) -> usize {
+        let workers = self.offer.processor_milli / PROCESSOR_MILLI_PER_WORKER;
+        usize::try_from(workers).unwrap_or(usize::MAX).max(1)
+    }
+
+    fn takes_workers(&self) -> bool {
+        self.state == GatewayState::Connected && self.workers < self.workers_max()
+    }
+
+    /// Load by number of workers, in millionths of what the gateway can hold.
+    fn load_ppm(&self) -> u64 {
+        self.workers as u64 * 1_000_000 / self.workers_max() as u64
+    }
+}
+
+/// Gateways to connect to and to leave after a new list of offers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatewayChanges {
+    /// New gateways.
+    pub added: Vec<GatewayKey>,
+    /// Gateways that are no longer offered and are not connected.
+    pub removed: Vec<GatewayKey>,
+}
+
+#[derive(Debug)]
+struct RoutedWorker {
+    route: Route,
+    availability_zone: Arc<str>,
+}
+
+/// Routes of all workers of a leader.
+#[derive(Debug, Default)]
+pub struct RoutePlan {
+    gateways: SlotMap<GatewayKey, Gateway>,
+    by_name: FastMap<Arc<str>, GatewayKey>,
+    workers: FastMap<WorkerKey, RoutedWorker>,
+}
+
+impl RoutePlan {
+    /// Applies the current offers. The gateways with the most processor time are used; those with less
+    /// than half of the largest offer are left to their callers.
+    pub fn offered(&mut self, mut offers: Vec<GatewayOffer>) -> GatewayChanges {
+        let mut changes = GatewayChanges::default();
+        let listed: FastSet<Arc<str>> = offers.iter().map(|o| Arc::clone(&o.name)).collect();
+        self.gateways.retain(|key, gateway| {
+            let keep =
+                gateway.state != GatewayState::Disconnected || listed.contains(&gateway.offer.name);
+            if !keep {
+                changes.removed.push(key);
+            }
+            keep
+        });
+        let gateways = &self.gateways;
+        self.by_name.retain(|_, key| gateways.contains_key(*key));
+        offers.sort_by(|a, b| {
+            let by_processor = b.processor_milli.cmp(&a.processor_milli);
+            by_processor.then_with(|| a.name.cmp(&b.name))
+        });
+        let largest = offers.first().map_or(0, |offer| offer.processor_milli);
+        for offer in offers {
+            if self.gateways.len() >= GATEWAYS_MAX || offer.processor_milli * 2 < largest {
+                break;
+            }
+            if self.by_name.contains_key(&offer.name) {
+                continue;
+            }
+            let name = Arc::clone(&offer.name);
+            let key = self.gateways.insert(Gateway {
+                offer,
+                state: GatewayState::Disconnected,
+                workers: 0,
+            });
+            self.by_name.insert(name, key);
+            changes.added.push(key);
+        }
+        changes
+    }
+
+    /// The offer of a gateway.
+    #[must_use]
+    pub fn offer(&self, key: GatewayKey) -> Option<&GatewayOffer> {
+        self.gateways.get(key).map(|gateway| &gateway.offer)
+    }
+
+    /// Marks a gateway as connected.
+    pub fn connected(&mut self, key: GatewayKey) {
+        if let Some(gateway) = self.gateways.get_mut(key) {
+            gateway.state = GatewayState::Connected;
+        }
+    }
+
+    /// Marks a gateway that is about to stop, so that its workers are handed over.
+    pub fn leaving(&mut self, key: GatewayKey) {
+        if let Some(gateway) = self.gateways.get_mut(key)
+            && gateway.state == GatewayState::Connected
+        {
+            gateway.state = GatewayState::Leaving;
+        }
+    }
+
+    /// Marks a gateway as lost, and returns the new routes of its workers.
+    pub fn lost(&mut self, key: GatewayKey) -> Vec<(WorkerKey, Route)> {
+        if let Some(gateway) = self.gateways.get_mut(key) {
+            gateway.state = GatewayState::Disconnected;
+        }
+        let workers: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.route == Route::Gateway(key))
+            .map(|(worker, _)| *worker)
+            .collect();
+        workers
+            .into_iter()
+            .filter_map(|worker| Some((worker, self.reroute(worker)?)))
+            .collect()
+    }
+
+    /// Chooses the route of a new worker.
+    pub fn open(&mut self, worker: WorkerKey, availability_zone: Arc<str>) -> Route {
+        self.close(worker);
+        let route = self.best_route(&availability_zone);
+        self.count(route, 1);
+        let routed = RoutedWorker {
+            route,
+            availability_zone,
+        };
+        self.workers.insert(worker, routed);
+        route
+    }
+
+    /// Forgets a worker.
+    pub fn close(&mut self, worker: WorkerKey) {
+        if let Some(worker) = self.workers.remove(&worker) {
+            self.count(worker.route, -1);
+        }
+    }
+
+    /// The route of a worker.
+    #[must_use]
+    pub fn route(&self, worker: WorkerKey) -> Option<Route> {
+        self.workers.get(&worker).map(|worker| worker.route)
+    }
+
+    /// Whether the worker's link should be held by another daemon.
+    #[must_use]
+    pub fn should_reroute(&self, worker: WorkerKey) -> bool {
+        let Some(routed) = self.workers.get(&worker) else {
+            return false;
+        };
+        let mut available = self.gateways.values().filter(|g| g.takes_workers());
+        match routed.route {
+            Route::Local => available.next().is_some(),
+            Route::Gateway(key) => self.gateways.get(key).is_none_or(|gateway| {
+                gateway.state != GatewayState::Connected
+                    || available
+                        .map(|other| other.workers)
+                        .min()
+                        .is_some_and(|least| gateway.workers > 2 * least + IMBALANCE_WORKERS)
+            }),
+        }
+    }
+
+    /// Chooses a new route for a worker and returns it.
+    pub fn reroute(&mut self, worker: WorkerKey) -> Option<Route> {
+        let zone = Arc::clone(&self.workers.get(&worker)?.availability_zone);
+        Some(self.open(worker, zone))
+    }
+
+    /// Number of workers on each connected gateway, for reports.
+    pub fn loads(&self) -> impl Iterator<Item = (&Arc<str>, usize)> {
+        self.gateways
+            .values()
+            .filter(|gateway| gateway.state != GatewayState::Disconnected)
+            .map(|gateway| (&gateway.offer.name, gateway.workers))
+    }
+
+    fn best_route(&self, availability_zone: &Arc<str>) -> Route {
+        let load = |gateway: &Gateway| {
+            let load_ppm = gateway.load_ppm() + 1;
+            if gateway.offer.availability_zone == *availability_zone {
+                load_ppm * 100
+            } else {
+                load_ppm * OTHER_ZONE_LOAD_PERCENT
+            }
+        };
+        self.gateways
+            .iter()
+            .filter(|(_, gateway)| gateway.takes_workers())
+            .min_by_key(|(key, gateway)| (load(gateway), *key))
+            .map_or(Route::Local, |(key, _)| Route::Gateway(key))
+    }
+
+    fn count(&mut self, route: Route, change: isize) {
+        if let Route::Gateway(key) = route
+            && let Some(gateway) = self.gateways.get_mut(key)
+        {
+            gateway.workers = gateway.workers.saturating_add_signed(change);
+        }
+    }
+}
--- a/crates/ports/src/worker.rs
+++ b/crates/ports/src/worker.rs
@@ -7,6 +7,7 @@
     OrderResult, PaceOrder, PollOrder, PollResult, StartOrder, StopOrder,
 };
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 /// A call to the worker links.
 #[derive(Debug)]
@@ -19,6 +20,8 @@
         id: Arc<str>,
         /// Address of the worker.
         address: Arc<str>,
+        /// Availability zone of the worker.
+        availability_zone: Arc<str>,
         /// Fencing token of the leader.
         fencing_token: u64,
     },
@@ -76,5 +79,10 @@
 /// Sends calls to the worker links.
 pub type WorkerCalls = mpsc::Sender<WorkerCall>;
 
-/// Receives the results of orders.
-pub type WorkerEvents = mpsc::Receiver<WorkerEvent>;
+/// Receives the results of orders. Unbounded, so that results never block the calls: each call has one
+/// result, and the scheduler bounds the calls.
+pub type WorkerEvents = mpsc::UnboundedReceiver<WorkerEvent>;
+
+/// Starts the links to workers of one process: the call handle, the results, and the task that serves
+/// them. The task ends when the handle is dropped.
+pub type StartLinks = fn() -> (WorkerCalls, WorkerEvents, JoinHandle<()>);
