Empty instances for pools that need them, and time the evacuations of a wave

Change: instances in excess of what their pool needs are cordoned and move when their finite tasks have ended; waiting long-running tasks that fit nowhere take instances from the largest pool; a wave empties as many instances at once as the time that is left asks for.

--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -86,6 +86,8 @@
     request: WaveRequest,
     /// Names of the instances in the request.
     instances: FastSet<Arc<str>>,
+    /// Until when all of them must be maintained.
+    deadline: Millis,
     /// Instances whose maintenance has begun.
     begun: FastSet<Arc<str>>,
     completed: bool,
@@ -172,6 +174,7 @@
             unlisted_since: None,
             persisted: former.is_some_and(|wave| wave.completed),
             instances: request.instances.iter().cloned().collect(),
+            deadline: now.after_ms(request.duration_ms),
             request,
         });
         self.request_batch(now.after_ms(RUN_END_BATCH_DELAY_MS));
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -12,6 +12,38 @@
 use crate::schedule::order::{InstanceState, StepKey};
 use crate::schedule::worker::Worker;
 
+/// Time in which an instance is emptied, its long-running tasks start elsewhere, and it is maintained.
+const EVACUATION_DURATION_MS: u64 = 3_000;
+
+/// Instances that a pool needs and has.
+#[derive(Clone, Copy, Debug)]
+struct PoolNeed {
+    pool: ServiceKey,
+    needed: usize,
+    /// Usable ones, including those that are on their way to the pool.
+    present: usize,
+    /// How many of the missing ones waiting long-running tasks need.
+    for_long_running: usize,
+}
+
+impl PoolNeed {
+    const fn missing(&self) -> usize {
+        self.needed.saturating_sub(self.present)
+    }
+
+    const fn surplus(&self) -> usize {
+        self.present.saturating_sub(self.needed)
+    }
+}
+
+/// Instances that a pool still lacks in a planning pass.
+#[derive(Clone, Copy, Debug)]
+struct MissingInstances {
+    pool: ServiceKey,
+    count: usize,
+    for_long_running: usize,
+}
+
 impl Scheduler {
     pub(super) fn is_spare(&self, instance: &TrackedInstance) -> bool {
         self.fleet.spare_services.contains(&instance.pool)
@@ -24,56 +56,130 @@
             .keys()
             .filter(|key| !self.fleet.spare_services.contains(key))
             .collect();
-        let needs: Vec<(ServiceKey, usize, usize)> = pools
+        let needs: Vec<PoolNeed> = pools
             .into_iter()
-            .map(|pool| {
-                (
-                    pool,
-                    self.instances_needed(pool, now),
-                    self.instance_count(pool, now),
-                )
-            })
+            .map(|pool| self.pool_need(pool, now))
             .collect();
-        let missing: usize = needs
+        let mut missing: Vec<MissingInstances> = needs
             .iter()
-            .map(|(_, needed, present)| needed.saturating_sub(*present))
-            .sum();
-        if missing > 0 {
-            self.fill_pools(&needs, now);
+            .filter(|need| need.missing() > 0)
+            .map(|need| MissingInstances {
+                pool: need.pool,
+                count: need.missing(),
+                for_long_running: need.for_long_running.min(need.missing()),
+            })
+            .collect();
+        if !missing.is_empty() {
+            let movable = self.movable_instances(&needs, now);
+            self.assign(movable, &mut missing, |key, pool, scheduler| {
+                scheduler.order_instance(key, Operation::Move(pool), now);
+            });
         }
-        for (pool, needed, present) in needs {
-            self.return_idle_instances(pool, present.saturating_sub(needed), now);
+        if !missing.is_empty() {
+            let drainable = self.drainable_instances(&needs, &missing, now);
+            self.assign(drainable, &mut missing, |key, pool, scheduler| {
+                scheduler.fleet.instances[key].operation_state =
+                    OperationState::Evacuating(Operation::Move(pool));
+                scheduler.set_cordon(key, true);
+            });
+        }
+        for need in needs {
+            self.return_idle_instances(need.pool, need.surplus(), now);
         }
     }
 
-    /// Moves instances to the pools that have fewer than they need, in turn, so that none waits for
-    /// another when there are too few.
-    fn fill_pools(&mut self, needs: &[(ServiceKey, usize, usize)], now: Millis) {
-        let mut missing: Vec<(ServiceKey, usize)> = needs
-            .iter()
-            .map(|(pool, needed, present)| (*pool, needed.saturating_sub(*present)))
-            .filter(|(_, missing)| *missing > 0)
-            .collect();
-        let mut movable = self.movable_instances(needs, now).into_iter();
+    fn pool_need(&mut self, pool: ServiceKey, now: Millis) -> PoolNeed {
+        let for_long_running = self.instances_missing_for_long_running(pool, now);
+        PoolNeed {
+            pool,
+            needed: self.instances_needed(pool, for_long_running, now),
+            present: self.instance_count(pool, now),
+            for_long_running,
+        }
+    }
+
+    /// Gives the instances to the pools in turn, so that none waits for another when there are too few.
+    fn assign(
+        &mut self,
+        instances: Vec<FleetInstanceKey>,
+        missing: &mut Vec<MissingInstances>,
+        order: impl Fn(FleetInstanceKey, ServiceKey, &mut Self),
+    ) {
+        let mut instances = instances.into_iter();
         while !missing.is_empty() {
-            for (pool, count) in &mut missing {
-                let Some(key) = movable.next() else {
+            for entry in missing.iter_mut() {
+                let Some(key) = instances.next() else {
                     return;
                 };
-                self.order_instance(key, Operation::Move(*pool), now);
-                *count -= 1;
+                order(key, entry.pool, self);
+                entry.count -= 1;
+                entry.for_long_running = entry.for_long_running.saturating_sub(1);
             }
-            missing.retain(|(_, count)| *count > 0);
+            missing.retain(|entry| entry.count > 0);
         }
     }
 
+    /// Instances that are emptied for another pool: those of pools with more than they need, and as many
+    /// of the largest pool as waiting long-running tasks of other pools need. None of them runs a
+    /// long-running task, so they are empty as soon as their finite tasks have ended.
+    fn drainable_instances(
+        &self,
+        needs: &[PoolNeed],
+        missing: &[MissingInstances],
+        now: Millis,
+    ) -> Vec<FleetInstanceKey> {
+        let mut surplus: FastMap<ServiceKey, usize> = needs
+            .iter()
+            .filter(|need| need.surplus() > 0)
+            .map(|need| (need.pool, need.surplus()))
+            .collect();
+        let for_long_running: usize = missing.iter().map(|entry| entry.for_long_running).sum();
+        let largest = needs
+            .iter()
+            .filter(|need| {
+                !missing
+                    .iter()
+                    .any(|m| m.pool == need.pool && m.for_long_running > 0)
+            })
+            .max_by_key(|need| need.present);
+        if let Some(largest) = largest.filter(|_| for_long_running > 0) {
+            let count = surplus.entry(largest.pool).or_default();
+            *count = (*count).max(for_long_running);
+        }
+        let mut candidates: Vec<(u64, FleetInstanceKey)> = self
+            .fleet
+            .instances
+            .iter()
+            .filter(|(key, instance)| {
+                surplus.contains_key(&instance.pool)
+                    && self.is_movable(instance, now)
+                    && self.is_usable(instance)
+                    && self.long_running_runs(*key).is_empty()
+            })
+            .filter_map(|(key, _)| {
+                let worker = self.workers.get(self.worker_on(key)?)?;
+                Some((worker.used.dominant_share_ppm(worker.report.capacity), key))
+            })
+            .collect();
+        candidates.sort_unstable();
+        candidates
+            .into_iter()
+            .map(|(_, key)| key)
+            .filter(|key| {
+                let left = surplus.get_mut(&self.fleet.instances[*key].pool);
+                left.is_some_and(|left| left.checked_sub(1).map(|rest| *left = rest).is_some())
+            })
+            .collect()
+    }
+
     /// Number of usable instances of a pool, including those that are moving to it.
     pub(super) fn instance_count(&self, service: ServiceKey, now: Millis) -> usize {
         let of_pool = |instance: &&TrackedInstance| match &instance.operation_state {
             OperationState::Ordered {
                 operation: Operation::Move(to),
                 ..
-            } => *to == service,
+            }
+            | OperationState::Evacuating(Operation::Move(to)) => *to == service,
             _ => {
                 instance.pool == service
                     && (self.is_usable(instance) || instance.arrival_deadline > now)
@@ -95,7 +201,12 @@
     }
 
     /// Number of instances that a service needs for its running, waiting and expected tasks.
-    pub(super) fn instances_needed(&mut self, service: ServiceKey, now: Millis) -> usize {
+    fn instances_needed(
+        &mut self,
+        service: ServiceKey,
+        missing_for_long_running: usize,
+        now: Millis,
+    ) -> usize {
         let forecast = self.services[service].load.forecast(now);
         let long_running = self.long_running_demand(service);
         let waiting = self.services[service]
@@ -115,19 +226,27 @@
             usize::try_from((share_ppm * 100 / TARGET_UTILIZATION_PERCENT).div_ceil(1_000_000))
                 .unwrap_or(0);
         for_capacity
-            .max(self.instances_for_evacuation(service))
+            .max(self.instances_for_evacuation(service, now))
             .max(self.instances_for_spread(service, now))
-            .max(self.instances_for_long_running(service, now))
+            .max(match missing_for_long_running {
+                0 => 0,
+                missing => self.usable_workers(service, now).count() + missing,
+            })
     }
 
-    /// Number of instances needed for waiting long-running tasks that fit on no worker. Their needs are
-    /// large, so the sum of the pool's free resources does not tell whether one of them fits anywhere.
-    fn instances_for_long_running(&self, service: ServiceKey, now: Millis) -> usize {
-        let workers: Vec<Resources> = self.services[service]
+    fn usable_workers(&self, service: ServiceKey, now: Millis) -> impl Iterator<Item = &Worker> {
+        self.services[service]
             .workers
             .iter()
             .filter_map(|key| self.workers.get(*key))
-            .filter(|worker| worker.takes_work(now))
+            .filter(move |worker| worker.takes_work(now))
+    }
+
+    /// Number of instances missing for waiting long-running tasks that fit on no worker. Their needs are
+    /// large, so the sum of the pool's free resources does not tell whether one of them fits anywhere.
+    fn instances_missing_for_long_running(&self, service: ServiceKey, now: Millis) -> usize {
+        let free: Vec<Resources> = self
+            .usable_workers(service, now)
             .map(Worker::free)
             .collect();
         let capacity = self.largest_capacity();
@@ -138,7 +257,7 @@
                 continue;
             };
             let need = spec.need();
-            let fits_nowhere = need.fits(capacity) && !workers.iter().any(|free| need.fits(*free));
+            let fits_nowhere = need.fits(capacity) && !free.iter().any(|free| need.fits(*free));
             if !spec.long_running || !fits_nowhere {
                 continue;
             }
@@ -149,10 +268,7 @@
                 }
             }
         }
-        if additional.is_empty() {
-            return 0;
-        }
-        workers.len() + additional.len()
+        additional.len()
     }
 
     /// Number of instances needed for waiting tasks whose step limits the tasks per worker.
@@ -171,29 +287,32 @@
         let Some(additional) = additional.max().filter(|count| *count > 0) else {
             return 0;
         };
-        let workers = self.services[service]
-            .workers
-            .iter()
-            .filter_map(|key| self.workers.get(*key));
-        workers.filter(|worker| worker.takes_work(now)).count() + additional as usize
+        self.usable_workers(service, now).count() + additional as usize
     }
 
-    /// Number of instances that a pool needs while some of them await maintenance: one more than are
-    /// in use, to take over the tasks of the next one.
-    pub(super) fn instances_for_evacuation(&self, service: ServiceKey) -> usize {
+    /// Number of instances that a pool needs while some of them await maintenance: more than are in use,
+    /// to take over the tasks of the next ones. How many more follows from the time that is left.
+    fn instances_for_evacuation(&self, service: ServiceKey, now: Millis) -> usize {
         let of_pool = |instance: &TrackedInstance| instance.pool == service;
-        let mut members = self
+        let awaiting = self
             .fleet
             .instances
-            .iter()
-            .filter(|(_, instance)| of_pool(instance));
-        if !members.any(|(_, instance)| self.awaits_maintenance(instance)) {
+            .values()
+            .filter(|instance| of_pool(instance));
+        let deadlines: Vec<Millis> = awaiting
+            .filter_map(|instance| self.maintenance_deadline(instance))
+            .collect();
+        let Some(first) = deadlines.iter().min() else {
             return 0;
-        }
+        };
+        let rounds = (first.ms_since(now) / EVACUATION_DURATION_MS).max(1);
+        let at_once = deadlines
+            .len()
+            .div_ceil(usize::try_from(rounds).unwrap_or(usize::MAX));
         let working = self.fleet.instances.iter().filter(|(key, instance)| {
             of_pool(instance) && self.is_usable(instance) && !self.runs_nothing(*key)
         });
-        working.count() + 1
+        working.count() + at_once
     }
 
     /// Whether the step's result would still be useful, so that capacity is acquired for it.
@@ -242,14 +361,10 @@
 
     /// Instances that run nothing, in a spare pool or in excess of what their pool needs. Spare
     /// instances and those that await no maintenance come first.
-    fn movable_instances(
-        &self,
-        needs: &[(ServiceKey, usize, usize)],
-        now: Millis,
-    ) -> Vec<FleetInstanceKey> {
+    fn movable_instances(&self, needs: &[PoolNeed], now: Millis) -> Vec<FleetInstanceKey> {
         let mut surplus: FastMap<ServiceKey, usize> = needs
             .iter()
-            .map(|(pool, needed, present)| (*pool, present.saturating_sub(*needed)))
+            .map(|need| (need.pool, need.surplus()))
             .collect();
         let mut candidates: Vec<(bool, bool, FleetInstanceKey)> = self
             .fleet
@@ -287,12 +402,17 @@
             && instance.not_before <= now
     }
 
-    pub(super) fn awaits_maintenance(&self, instance: &TrackedInstance) -> bool {
-        self.fleet.waves.iter().any(|wave| {
-            !wave.completed
-                && wave.instances.contains(&instance.report.name)
-                && !wave.begun.contains(&instance.report.name)
-        })
+    fn awaits_maintenance(&self, instance: &TrackedInstance) -> bool {
+        self.maintenance_deadline(instance).is_some()
+    }
+
+    /// Until when the instance must have been maintained, if a wave still waits for it.
+    fn maintenance_deadline(&self, instance: &TrackedInstance) -> Option<Millis> {
+        let name = &instance.report.name;
+        let waiting = self.fleet.waves.iter().filter(|wave| {
+            !wave.completed && wave.instances.contains(name) && !wave.begun.contains(name)
+        });
+        waiting.map(|wave| wave.deadline).min()
     }
 
     pub(super) fn return_idle_instances(
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -362,6 +362,24 @@
     assert_eq!(harness.start_count("c.0.0.0"), 0);
 }
 
+/// Guards against a worker that counts as unresponsive, or is not polled again, after the gateway that
+/// held its link was lost several times.
+#[test]
+fn a_closed_link_does_not_exclude_a_worker() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    harness.close_next_polls = 3;
+    harness.run_for(200);
+    assert_eq!(harness.close_next_polls, 0, "the polls were sent");
+    harness.submit("b", job(vec![step(1)], 3));
+    harness.run_for(20);
+    assert_eq!(harness.running(), ["a.0.0.0", "b.0.0.0"]);
+    harness.end_task("a.0.0.0", RunEndKind::Done);
+    harness.run_for(200);
+    assert_eq!(harness.state("a"), JobState::Completed);
+}
+
 /// Guards against an instance that is unusable for 12.5 s because the response to an order was lost.
 /// Repeating an order that was carried out has no further effect.
 #[test]
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -95,6 +95,8 @@
     pub(crate) lose_next_starts: usize,
     /// Number of next polls that get no response.
     pub(crate) lose_next_polls: usize,
+    /// Number of next polls whose link is closed before the response.
+    pub(crate) close_next_polls: usize,
     /// Number of next orders to instances that are lost: no response and no effect.
     pub(crate) lose_next_orders: usize,
     /// Time, task and run number of each start order.
@@ -126,6 +128,7 @@
             refuse_fencing_token: false,
             lose_next_starts: 0,
             lose_next_polls: 0,
+            close_next_polls: 0,
             lose_next_orders: 0,
             starts: Vec::new(),
             pace_orders: Vec::new(),
@@ -307,6 +310,13 @@
         self.workers[worker].end(|_, _| true, kind);
     }
 
+    /// Ends the active runs of one job as done.
+    pub(crate) fn end_runs_of_job(&mut self, job: &str) {
+        for worker in &mut self.workers {
+            worker.end(|name, _| &*name.job == job, RunEndKind::Done);
+        }
+    }
+
     pub(crate) fn end_task(&mut self, task: &str, kind: RunEndKind) {
         for worker in &mut self.workers {
             worker.end(|name, _| task_path(name) == task, kind);
@@ -539,6 +549,10 @@
             self.lose_next_polls -= 1;
             return PollResult::Unanswered;
         }
+        if self.close_next_polls > 0 {
+            self.close_next_polls -= 1;
+            return PollResult::LinkClosed;
+        }
         let now_ms = self.now.as_ms();
         let Some(index) = self
             .worker_index(key)
