Refuse hopeless jobs under overload, and empty no instance for a passing need

Change: the leader publishes, while a service has 32 or more waiting steps, how long jobs of eight sizes wait; every daemon refuses a finite job that is expected neither on time nor while it is useful, with a Retry-After that is spread by the job's id, after reading that no earlier attempt stored it. A task counts as on time only with 150 ms left for its completion to be seen. Instances are emptied only for waiting long-running tasks.

--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -6,6 +6,7 @@
 
 use rosemaryscale_domain::job::JobState;
 use rosemaryscale_domain::route;
+use rosemaryscale_domain::schedule::pressure::{Admission, Pressure};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{JobCall, JobReply, JobRequest, QueueConfig, QueueConfigWatch};
 use rosemaryscale_ports::kv::{KeyValue, KvEntry, Update, WatchEvent};
@@ -15,7 +16,7 @@
 use tokio::task::JoinSet;
 
 use self::store_calls::{StoreCalls, Submission};
-use super::records::{self, LEADER_KEY, LeaderRecord, StateRecord};
+use super::records::{self, LEADER_KEY, LeaderRecord, PRESSURE_KEY, StateRecord};
 
 /// Margin before the caller's deadline within which it is answered.
 const REPLY_MARGIN_MS: u64 = 400;
@@ -26,6 +27,9 @@
 /// The view counts as current if the store answered within this time.
 const VIEW_MAX_AGE_MS: u64 = 2_500;
 
+/// Age after which a published pressure is ignored; it is written every 300 ms while there is any.
+const PRESSURE_MAX_AGE_MS: u64 = 1_200;
+
 /// Who holds the scheduler key, according to the watched view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LeaderStatus {
@@ -71,6 +75,8 @@
     store_reachable: watch::Sender<bool>,
     /// Time since which reads of the store have failed.
     unreachable_since: Option<Millis>,
+    /// Pressure that the leader has published, and when it was received.
+    pressure: Option<(Pressure, Millis)>,
     calls: JoinSet<StoreCallResult>,
 }
 
@@ -82,6 +88,7 @@
             last_answer_at: None,
             store_reachable: watch::Sender::new(false),
             unreachable_since: None,
+            pressure: None,
             calls: JoinSet::new(),
         }
     }
@@ -171,6 +178,10 @@
             *leader = self.leader_status(&entry);
             return;
         }
+        if &*entry.key == PRESSURE_KEY {
+            self.apply_pressure(&entry);
+            return;
+        }
         let Some(id) = records::state_id(&entry.key) else {
             return;
         };
@@ -184,6 +195,38 @@
         }
     }
 
+    fn apply_pressure(&mut self, entry: &KvEntry) {
+        match records::decode::<Pressure>(&entry.value) {
+            Ok(pressure) => self.pressure = Some((pressure, self.options.clock.now())),
+            Err(error) => {
+                warn!(self.options.log, "pressure skipped"; "reason" => %error);
+            }
+        }
+    }
+
+    /// Refusal of a job that would be useless by the time it could run; `None` if it may be stored.
+    fn refuse_hopeless(&self, job: &Submission) -> Option<JobReply> {
+        let now = self.options.clock.now();
+        let (pressure, received_at) = self.pressure.as_ref()?;
+        if now.ms_since(*received_at) > PRESSURE_MAX_AGE_MS {
+            return None;
+        }
+        match pressure.admit(&job.id, &job.record) {
+            Admission::Accept => None,
+            Admission::Refuse {
+                retry_after_ms,
+                expected_ms,
+            } => Some(JobReply::Unavailable {
+                reason: format!(
+                    "service {} is overloaded: the job would end in about {expected_ms} ms, long after its objective",
+                    job.record.policy.service
+                )
+                .into(),
+                retry_after_ms,
+            }),
+        }
+    }
+
     fn leader_status(&self, entry: &KvEntry) -> LeaderStatus {
         let identity = &self.options.identity;
         match records::decode::<LeaderRecord>(&entry.value) {
@@ -278,7 +321,10 @@
             (JobRequest::Submit(Ok(spec)), None) => {
                 let store = self.store_calls(call.deadline_ms);
                 match Submission::new(&store.clock, &config, id, queue, spec) {
-                    Some(job) => self.spawn(call.reply, store, job),
+                    Some(job) => {
+                        let refusal = self.refuse_hopeless(&job);
+                        self.spawn(call.reply, store, job, refusal);
+                    }
                     None => {
                         let _ = call.reply.send(JobReply::NoSuchQueue);
                     }
@@ -319,12 +365,22 @@
         }
     }
 
-    fn spawn(&mut self, reply: oneshot::Sender<JobReply>, store: StoreCalls, job: Submission) {
+    /// Stores a job, or refuses it unless an earlier attempt has stored it.
+    fn spawn(
+        &mut self,
+        reply: oneshot::Sender<JobReply>,
+        store: StoreCalls,
+        job: Submission,
+        refusal: Option<JobReply>,
+    ) {
         let log = self.options.log.clone();
         let metrics = Arc::clone(&self.options.metrics);
         self.calls.spawn(async move {
             let started_at = store.clock.now();
-            let outcome = store.submit(&job).await;
+            let outcome = match refusal {
+                Some(refusal) if store.is_absent(&job.id).await => refusal,
+                _ => store.submit(&job).await,
+            };
             metrics.time_ms("submit.ms", store.clock.now().ms_since(started_at));
             metrics.count(submit_metric(&outcome), 1);
             info!(log, "submit"; "job" => &*job.id, "queue" => &*job.record.queue, "outcome" => ?outcome);
--- a/crates/daemon/src/jobs/frontend/store_calls.rs
+++ b/crates/daemon/src/jobs/frontend/store_calls.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Whether the store certainly has no record of the job.
+    pub(super) async fn is_absent(&self, id: &str) -> bool {
+        matches!(self.kv.get(&records::job_key(id)).await, Ok(None))
+    }
+
     pub(super) async fn cancel(&self, id: &str, is_known: bool) -> JobReply {
         if !is_known {
             match self.kv.get(&records::job_key(id)).await {
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod events;
+mod pressure;
 mod start;
 
 use std::net::SocketAddr;
@@ -25,6 +26,7 @@
 use tokio::time::MissedTickBehavior;
 
 use self::actions::StartedRuns;
+use self::pressure::PublishedPressure;
 use super::batch::{BatchWriter, LeadershipLost, WaveStateFormat};
 use super::lease::{self, LEADER_GRACE_MS, LEADER_TTL_MS, LeaderLease, RENEW_INTERVAL_MS, Renewal};
 use super::records::LeaderRecord;
@@ -137,6 +139,7 @@
 enum BackgroundResult {
     Renewed(Renewal),
     Written(Result<BatchWriter, LeadershipLost>, Option<Batch>),
+    PressureWritten,
 }
 
 /// The leader: the scheduler, its lease and its ports.
@@ -150,6 +153,7 @@
     is_renewing: bool,
     next_renewal_at: Millis,
     next_status_at: Millis,
+    pressure: PublishedPressure,
 }
 
 impl Leader {
@@ -245,6 +249,7 @@
         }
         started.flush(&self.options);
         self.write_batch(now);
+        self.publish_pressure(now);
         if !self.is_renewing && now >= self.next_renewal_at {
             self.is_renewing = true;
             self.next_renewal_at = now.after_ms(RENEW_INTERVAL_MS);
@@ -318,6 +323,7 @@
                     Renewal::Unanswered => {}
                 }
             }
+            BackgroundResult::PressureWritten => self.pressure.written(),
             BackgroundResult::Written(Err(LeadershipLost), _) => {
                 return Err("this daemon no longer holds the scheduler key");
             }
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
+use super::pressure::PublishedPressure;
 use super::{
     EventSources, FINAL_WRITE_TIMEOUT, GatewayOffers, Leader, LeaderEnd, LeaderOptions,
     PortHandles, apply_config, events,
@@ -174,6 +175,7 @@
         Some(Self {
             next_renewal_at: now,
             next_status_at: now,
+            pressure: PublishedPressure::default(),
             options,
             lease,
             scheduler,
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -18,6 +18,8 @@
 pub(super) const PROGRESS_PREFIX: &str = "rosemaryscale/progress/";
 /// Key of the leader, attached to its lease.
 pub(super) const LEADER_KEY: &str = "rosemaryscale/view/scheduler";
+/// Key of the pressure on the services, which the leader writes while there is any.
+pub(super) const PRESSURE_KEY: &str = "rosemaryscale/view/pressure";
 /// Key of the scheduler record, which every batch of the leader rewrites.
 pub(super) const SCHEDULER_RECORD_KEY: &str = "rosemaryscale/scheduler";
 /// Marker among the job keys that is created and deleted together with the leader key. A watch of jobs
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -182,6 +182,15 @@
     pub spec: JobSpec,
 }
 
+impl JobRecord {
+    /// Latency objective of the job.
+    #[must_use]
+    pub fn objective_ms(&self) -> u64 {
+        let critical_path_ms = self.spec.critical_path_ms() as f64;
+        (critical_path_ms * self.policy.stretch) as u64 + self.policy.objective_ms
+    }
+}
+
 /// State of a job as visible to callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/domain/src/placement/resources.rs
+++ b/crates/domain/src/placement/resources.rs
@@ -1,7 +1,10 @@
 //! Amounts of processors, memory and accelerators.
 
+use serde::{Deserialize, Serialize};
+
 /// An amount of each resource.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Resources {
     /// Processors, in thousandths.
     pub processors_milli: u64,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -13,6 +13,7 @@
 mod pace;
 mod persist;
 mod place;
+pub mod pressure;
 mod ready;
 mod recovery;
 mod roster;
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -116,6 +116,8 @@
     by_name: FastMap<Arc<str>, FleetInstanceKey>,
     waves: Vec<Wave>,
     recorded_waves: Vec<WaveRecord>,
+    /// Instances that each pool has and needs, as of the last planning pass.
+    pool_demand: FastMap<ServiceKey, usize>,
     spare_services: FastSet<ServiceKey>,
     last_listed_at: Option<Millis>,
     /// When the latest read of the list was requested.
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -75,6 +75,10 @@
                 scheduler.order_instance(key, Operation::Move(pool), now);
             });
         }
+        for entry in &mut missing {
+            entry.count = entry.count.min(entry.for_long_running);
+        }
+        missing.retain(|entry| entry.count > 0);
         if !missing.is_empty() {
             let drainable = self.drainable_instances(&needs, &missing, now);
             self.assign(drainable, &mut missing, |key, pool, scheduler| {
@@ -83,6 +87,10 @@
                 scheduler.set_cordon(key, true);
             });
         }
+        self.fleet.pool_demand = needs
+            .iter()
+            .map(|need| (need.pool, need.needed.min(need.present)))
+            .collect();
         for need in needs {
             self.return_idle_instances(need.pool, need.surplus(), now);
         }
@@ -119,39 +127,29 @@
         }
     }
 
-    /// Instances that are emptied for another pool: those of pools with more than they need, and as many
-    /// of the largest pool as waiting long-running tasks of other pools need. None of them runs a
-    /// long-running task, so they are empty as soon as their finite tasks have ended.
+    /// Instances of the largest pool that are emptied for waiting long-running tasks of other pools. None
+    /// of them runs a long-running task itself, so they are empty as soon as their finite tasks have
+    /// ended.
     fn drainable_instances(
         &self,
         needs: &[PoolNeed],
         missing: &[MissingInstances],
         now: Millis,
     ) -> Vec<FleetInstanceKey> {
-        let mut surplus: FastMap<ServiceKey, usize> = needs
-            .iter()
-            .filter(|need| need.surplus() > 0)
-            .map(|need| (need.pool, need.surplus()))
-            .collect();
-        let for_long_running: usize = missing.iter().map(|entry| entry.for_long_running).sum();
+        let wanted: usize = missing.iter().map(|entry| entry.count).sum();
         let largest = needs
             .iter()
-            .filter(|need| {
-                !missing
-                    .iter()
-                    .any(|m| m.pool == need.pool && m.for_long_running > 0)
-            })
+            .filter(|need| !missing.iter().any(|entry| entry.pool == need.pool))
             .max_by_key(|need| need.present);
-        if let Some(largest) = largest.filter(|_| for_long_running > 0) {
-            let count = surplus.entry(largest.pool).or_default();
-            *count = (*count).max(for_long_running);
-        }
+        let Some(largest) = largest else {
+            return Vec::new();
+        };
         let mut candidates: Vec<(u64, FleetInstanceKey)> = self
             .fleet
             .instances
             .iter()
             .filter(|(key, instance)| {
-                surplus.contains_key(&instance.pool)
+                instance.pool == largest.pool
                     && self.is_movable(instance, now)
                     && self.is_usable(instance)
                     && self.long_running_runs(*key).is_empty()
@@ -162,14 +160,8 @@
             })
             .collect();
         candidates.sort_unstable();
-        candidates
-            .into_iter()
-            .map(|(_, key)| key)
-            .filter(|key| {
-                let left = surplus.get_mut(&self.fleet.instances[*key].pool);
-                left.is_some_and(|left| left.checked_sub(1).map(|rest| *left = rest).is_some())
-            })
-            .collect()
+        candidates.truncate(wanted);
+        candidates.into_iter().map(|(_, key)| key).collect()
     }
 
     /// Number of usable instances of a pool, including those that are moving to it.
@@ -234,6 +226,19 @@
             })
     }
 
+    /// Number of workers that a service has once it has all instances that other services do not use.
+    pub(in crate::schedule) fn reachable_workers(&self, service: ServiceKey) -> usize {
+        let of_others: usize = self
+            .fleet
+            .pool_demand
+            .iter()
+            .filter(|(pool, _)| **pool != service)
+            .map(|(_, demand)| demand)
+            .sum();
+        let reachable = self.fleet.instances.len().saturating_sub(of_others);
+        reachable.max(self.services[service].workers.len())
+    }
+
     fn usable_workers(&self, service: ServiceKey, now: Millis) -> impl Iterator<Item = &Worker> {
         self.services[service]
             .workers
@@ -334,7 +339,7 @@
         self.demand_of_runs(service, |step| !step.long_running)
     }
 
-    pub(super) fn long_running_demand(&self, service: ServiceKey) -> Resources {
+    pub(in crate::schedule) fn long_running_demand(&self, service: ServiceKey) -> Resources {
         self.demand_of_runs(service, |step| step.long_running)
     }
 
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -143,7 +143,7 @@
         let key = self.jobs.insert(Job {
             id: Arc::clone(&id),
             policy: record.policy.clone(),
-            objective_ms: objective_ms(&record),
+            objective_ms: record.objective_ms(),
             remaining_paths_ms: record.spec.remaining_paths_ms(),
             unfinished_by_step: vec![0; record.spec.steps.len()],
             service,
@@ -361,18 +361,8 @@
         let Some(job) = self.jobs.get(key) else {
             return 0;
         };
-        let work_ppm: u64 = job
-            .record
-            .spec
-            .steps
-            .iter()
-            .zip(&job.unfinished_by_step)
-            .map(|(step, count)| {
-                let share_ppm = step.need().dominant_share_ppm(capacity);
-                count * share_ppm * step.estimate_ms.max(ESTIMATE_MIN_MS)
-            })
-            .sum();
-        work_ppm / 1_000_000
+        let steps = job.record.spec.steps.iter();
+        work_ms(steps.zip(job.unfinished_by_step.iter().copied()), capacity)
     }
 
     /// Removes a job that has been deleted from the store.
@@ -386,7 +376,16 @@
     }
 }
 
-fn objective_ms(record: &JobRecord) -> u64 {
-    let critical_path_ms = record.spec.critical_path_ms() as f64;
-    (critical_path_ms * record.policy.stretch) as u64 + record.policy.objective_ms
+/// Declared work of the given numbers of tasks of steps, in milliseconds of a whole worker.
+pub(super) fn work_ms<'a>(
+    steps: impl Iterator<Item = (&'a StepSpec, u64)>,
+    worker: Resources,
+) -> u64 {
+    let work_ppm: u64 = steps
+        .map(|(step, count)| {
+            let share_ppm = step.need().dominant_share_ppm(worker);
+            count * share_ppm * step.estimate_ms.max(ESTIMATE_MIN_MS)
+        })
+        .sum();
+    work_ppm / 1_000_000
 }
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -15,6 +15,9 @@
 /// wait 150 ms. A worker that has restarted no longer knows the next leader's fencing token.
 const UNCONFIRMED_LEADER_ANSWER_AGE_MS: u64 = 400;
 
+/// Time from the end of a run until callers see its job as completed: a poll, a batch in the store, and
+/// the watch of the daemon that is asked.
+const COMPLETION_DELAY_MS: u64 = 150;
 /// Waiting steps of a service above which placement passes are spaced.
 const WAITING_STEPS_MAX: usize = 32;
 /// Spacing of placement passes of a service with many waiting steps.
@@ -199,6 +202,12 @@
         })
     }
 
+    /// Whether the job can still meet its objective if the step starts now.
+    pub(super) fn is_on_time(&self, step: StepKey, now: Millis) -> bool {
+        let job = self.job_table.jobs.get(step.job);
+        job.is_some_and(|job| urgency(step.step, job, now) == Urgency::OnTime)
+    }
+
     fn step_need(&self, step: StepKey) -> Option<Resources> {
         let job = self.job_table.jobs.get(step.job)?;
         Some(job.step(step.step)?.need())
@@ -514,7 +523,7 @@
         .copied()
         .unwrap_or(0);
     let expected_latency_ms = now.after_ms(remaining_ms).ms_since(job.received_at);
-    if expected_latency_ms <= job.objective_ms {
+    if expected_latency_ms + COMPLETION_DELAY_MS <= job.objective_ms {
         Urgency::OnTime
     } else if expected_latency_ms <= job.objective_ms * USEFUL_LATENCY_FACTOR {
         Urgency::Late
