--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -20,10 +20,10 @@
     EventSources, FINAL_WRITE_TIMEOUT, GatewayOffers, Leader, LeaderEnd, LeaderOptions,
     PortHandles, apply_config, events,
 };
-use crate::jobs::batch::BatchWriter;
+use crate::jobs::batch::{BatchWriter, LaneRevisions};
 use crate::jobs::lease::{self, LEADER_GRACE_MS, LeaderLease, Renewal};
 use crate::jobs::records::{
-    self, GATEWAY_PREFIX, GatewayRecord, JOB_PREFIX, JobKeyKind, PROGRESS_PREFIX,
+    self, GATEWAY_PREFIX, GatewayRecord, JOB_PREFIX, JobKeyKind, LANE_PREFIX, PROGRESS_PREFIX,
     SCHEDULER_RECORD_KEY, SchedulerRecord, WORKERS_KEY,
 };
 
@@ -118,8 +118,9 @@
         jobs: &mut mpsc::Receiver<WatchEvent>,
     ) -> Option<Self> {
         // Concurrent reads: a single call to a slow store takes hundreds of milliseconds.
-        let (former, workers, progress) = tokio::join!(
+        let (former, lanes, workers, progress) = tokio::join!(
             read_former_record(&options.kv, &mut calls.gateways),
+            read_with_retries(&options.kv, prefix_range(LANE_PREFIX)),
             read_with_retries(&options.kv, KeyRange::Key(WORKERS_KEY.into())),
             read_with_retries(&options.kv, prefix_range(PROGRESS_PREFIX)),
         );
@@ -163,15 +164,20 @@
         }
         scheduler.restore_waves(former_record.waves);
         apply_config(&mut scheduler, &options.config.borrow());
-        let writer = BatchWriter {
-            fencing_token: lease.fencing_token,
-            revision: record_revision,
-            term: former_record.term + 1,
-            daemon: Arc::clone(&options.identity.daemon),
+        let mut revisions: LaneRevisions = lanes
+            .into_iter()
+            .map(|entry| (entry.key, entry.mod_revision))
+            .collect();
+        revisions.insert(SCHEDULER_RECORD_KEY.into(), record_revision);
+        let writer = BatchWriter::new(
+            lease.fencing_token,
+            former_record.term + 1,
+            Arc::clone(&options.identity.daemon),
             // Gateways may hold orders of the former term until its runs are accounted for, and of this
             // one as soon as they are used.
-            order_age_max_ms: former_record.order_age_max_ms,
-        };
+            former_record.order_age_max_ms,
+            &revisions,
+        );
         Some(Self {
             next_renewal_at: now,
             next_status_at: now,
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -22,6 +22,8 @@
 pub(super) const PRESSURE_KEY: &str = "rosemaryscale/view/pressure";
 /// Key of the scheduler record, which every batch of the leader rewrites.
 pub(super) const SCHEDULER_RECORD_KEY: &str = "rosemaryscale/scheduler";
+/// Prefix of the records of the further lanes on which the leader writes large batches.
+pub(super) const LANE_PREFIX: &str = "rosemaryscale/scheduler-lane/";
 /// Marker among the job keys that is created and deleted together with the leader key. A watch of jobs
 /// therefore reports the loss of the leader key before any job accepted later. The marker sorts after
 /// all job ids, so that a paged listing reads it last.
