--- a/crates/domain/tests/overload.rs
+++ b/crates/domain/tests/overload.rs
@@ -38,10 +38,10 @@
     let mut ends: Vec<(Millis, String)> = Vec::new();
     while harness.now.ms_since(begin) < FLOOD_MS + 10_000 {
         let now_ms = harness.now.ms_since(begin);
-        if now_ms % PUBLISH_INTERVAL_MS == 0 && with_admission {
+        if now_ms.is_multiple_of(PUBLISH_INTERVAL_MS) && with_admission {
             pressure = harness.scheduler.pressure(harness.now);
         }
-        if now_ms < FLOOD_MS && now_ms % ARRIVAL_INTERVAL_MS == 0 {
+        if now_ms < FLOOD_MS && now_ms.is_multiple_of(ARRIVAL_INTERVAL_MS) {
             let id = format!("job{now_ms:05}");
             let record = job(vec![step(8)], 3);
             match pressure.admit(&id, &record) {
--- a/crates/domain/tests/pool_moves.rs
+++ b/crates/domain/tests/pool_moves.rs
@@ -4,7 +4,7 @@
 
 use rosemaryscale_domain::job::{JobRecord, StepSpec};
 use rosemaryscale_domain::prelude::*;
-use rosemaryscale_domain::schedule::order::{RunEndKind, WaveRequest};
+use rosemaryscale_domain::schedule::order::WaveRequest;
 use scheduler_harness::{SchedulerHarness, job, step};
 
 /// A harness whose pools have workers on instances: pool and number of workers of each.
