--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -19,6 +19,7 @@
 mod roster;
 mod run;
 mod runs;
+mod start;
 mod worker;
 
 use crate::job::{JobProgress, JobRecord, JobState, QueuePolicy};
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -1,13 +1,10 @@
 //! Placement: selects a worker for each ready task.
 
 use super::job_table::{Job, Task, TaskStatus, USEFUL_LATENCY_FACTOR};
-use super::order::{Action, StartOrder, StepKey};
-use super::run::{Phase, PlacedRun, Run, RunInfo};
+use super::order::StepKey;
 use super::worker::Worker;
-use super::{
-    LEASE_MARGIN_MS, LOW_PRIORITY_BATCH_DELAY_MS, POLL_INTERVAL_MS, RUN_NUMBERS_PER_TERM, Scheduler,
-};
-use crate::job::{JobState, StepSpec};
+use super::{RUN_NUMBERS_PER_TERM, Scheduler};
+use crate::job::StepSpec;
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -425,90 +422,6 @@
         let also_planned = planned.iter().filter(|(key, _)| *key == worker).count();
         running + also_planned < step.per_worker_max as usize
     }
-
-    fn start(&mut self, key: TaskKey, worker_key: WorkerKey, number: u32, now: Millis) {
-        let Some(step) = self.job_table.step_of(key) else {
-            return;
-        };
-        let info = RunInfo {
-            task: key,
-            number,
-            worker: worker_key,
-            need: step.need(),
-            fills: step.fills,
-            sent_at: now,
-        };
-        let worker = &mut self.workers[worker_key];
-        if worker.clock.is_none() {
-            return;
-        }
-        let run = self
-            .runs
-            .insert(PlacedRun::new(Phase::Sent(Run::new(info))));
-        worker.runs.push(run);
-        worker.used = worker.used.plus(info.need);
-        let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
-        worker.lease_end = worker.lease_end.max(lease_end);
-        if !worker.poll_in_flight {
-            worker.next_poll_at = worker.next_poll_at.min(now.after_ms(POLL_INTERVAL_MS));
-        }
-        let task = &mut self.job_table.tasks[key];
-        task.status = TaskStatus::Placed(run);
-        task.last_run_number = number;
-        task.last_run_lost = false;
-        let job_key = task.job;
-        self.send_start(run, now);
-        let job = &mut self.job_table.jobs[job_key];
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-            job.dirty = true;
-            self.request_batch(now.after_ms(LOW_PRIORITY_BATCH_DELAY_MS));
-        }
-    }
-}
-
-impl Scheduler {
-    /// Sends the start order of a run. It may be sent again: a worker starts a run only once.
-    pub(super) fn send_start(&mut self, key: RunKey, now: Millis) -> bool {
-        let Some(order) = self.start_order(key, now) else {
-            return false;
-        };
-        let Some(run) = self.runs.get_mut(key) else {
-            return false;
-        };
-        run.start_attempts += 1;
-        run.start_in_flight = true;
-        self.actions.push(Action::Start(run.info().worker, order));
-        true
-    }
-
-    fn start_order(&self, key: RunKey, now: Millis) -> Option<StartOrder> {
-        let info = *self.runs.get(key)?.info();
-        let task = self.job_table.tasks.get(info.task)?;
-        let job = self.job_table.jobs.get(task.job)?;
-        let step = self.job_table.step_of(info.task)?;
-        let worker = self.workers.get(info.worker)?;
-        let ticket = self
-            .step_key(info.task)
-            .and_then(|step| self.advice.ticket(step, info.worker, now))
-            .cloned();
-        if ticket.is_none() && job.policy.advice.is_some() {
-            return None;
-        }
-        Some(StartOrder {
-            run: key,
-            task: self.job_table.name(info.task)?,
-            number: info.number,
-            text: Arc::clone(&job.record.spec.text),
-            deadline_ms: worker.estimated_clock_at(now)? + self.settings.run_lease_ms,
-            checkpoint: if step.checkpointing {
-                Arc::clone(&task.checkpoint)
-            } else {
-                "".into()
-            },
-            ticket,
-        })
-    }
 }
 
 /// Classifies the tasks of a step. By the declared run times, tasks that can no longer meet the objective of
