Let the hash of a job's id wrap in the spread of Retry-After

An addition after the wrapping product could overflow, which panics in a debug build. Found while reading the diff; ids of 16 hexadecimal digits reach the top of the range by chance only, so no test plays it.

--- a/crates/domain/src/schedule/pressure.rs
+++ b/crates/domain/src/schedule/pressure.rs
@@ -109,9 +109,9 @@
 
 /// Spreads the return of callers that were refused together, by the ids of their jobs.
 fn spread_ms(id: &str, range_ms: u64) -> u64 {
-    let hash = id
-        .bytes()
-        .fold(0_u64, |hash, byte| hash.wrapping_mul(31) + u64::from(byte));
+    let hash = id.bytes().fold(0_u64, |hash, byte| {
+        hash.wrapping_mul(31).wrapping_add(u64::from(byte))
+    });
     hash % range_ms.max(1)
 }
 
