--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::expect_used, clippy::panic, reason = "tests panic on failure")]
 
 use rosemaryscale_daemon::Config;
+use rosemaryscale_daemon::jobs::JobServiceConfig;
 
 const SETTINGS: &str = include_str!("../../../examples/kalahari/entry-1.jsonc");
 
@@ -112,3 +113,34 @@
         "{error}"
     );
 }
+
+/// Guards against a daemon of the job service that starts with an impossible share of a processor, link or
+/// gateway address, and against settings of the version before that are no longer accepted.
+#[test]
+fn invalid_settings_of_the_job_service_are_refused() {
+    let with = |more: &str| {
+        format!(
+            r#"{{"name": "one", "availability_zone": "z", "caller_address": "127.0.0.1:1",
+                "ready_address": "127.0.0.1:2", "store_address": "127.0.0.1:3",
+                "machines_address": "127.0.0.1:4", "run_lease_max_ms": 10000, "stop_grace_ms": 200,
+                "status_kept_ms": 120000, "stop_ms": 6000{more}}}"#
+        )
+    };
+    let before = JobServiceConfig::parse(&with("")).expect("the settings before gateways");
+    assert!(before.gateway_address.is_none());
+    for (more, path, reason) in [
+        (r#", "processor_share": 0"#, "processor_share", "above 0"),
+        (r#", "link_mbps": -1"#, "link_mbps", "above 0"),
+        (
+            r#", "gateway_address": "here""#,
+            "gateway_address",
+            "address",
+        ),
+        (r#", "gateway_port": 1"#, "gateway_port", "unknown"),
+    ] {
+        let error = JobServiceConfig::parse(&with(more))
+            .expect_err(more)
+            .to_string();
+        assert!(error.contains(path) && error.contains(reason), "{error}");
+    }
+}
