Ignore a pressure that a listing brings

Cause: read in the diff. A pressure that a former leader left in the store came with each listing and refused jobs as hopeless for 1.2 s. Only one that is published while the daemon watches counts now.

--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -125,7 +125,11 @@
             WatchEvent::Snapshot { entries, .. } => {
                 self.states.clear();
                 let mut leader = LeaderStatus::None;
-                for entry in entries {
+                // A pressure in a listing may have been left by a former leader.
+                let current = entries
+                    .into_iter()
+                    .filter(|entry| &*entry.key != PRESSURE_KEY);
+                for entry in current {
                     self.apply_entry(entry, &mut leader);
                 }
                 self.options.leader.send_replace(leader);
