Give up a task that crashes each worker that starts it

Class: an outcome that is charged to nobody.

Change: the crash of a worker is counted for its active tasks that had started less than 5 s before, and stored with the progress of the job. A suspect restarts apart from other suspects; after two crashes on a worker that takes no other task; after three its job fails. Planned ends of workers and expired leases count for nothing.

Evidence: four of the seven tests of crashes.rs fail on the code before (the other three guard tasks that did nothing wrong, and shrunk capacity).

--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -93,6 +93,11 @@
                     warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
                         "silent" => unresponsive);
                 }
+                SchedulerEvent::TaskGivenUp { task, crashes } => {
+                    self.options.metrics.count("tasks.given_up", 1);
+                    warn!(self.options.log, "task given up"; "job" => &*task.job,
+                        "at" => %position(task.position), "crashed_workers" => crashes);
+                }
                 SchedulerEvent::InstanceChanged {
                     instance,
                     state,
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -203,7 +203,7 @@
     Running,
     /// All tasks are done.
     Completed,
-    /// A task failed in `attempts_max` runs.
+    /// A task failed in `attempts_max` runs, or crashed several workers.
     Failed,
     /// The caller cancelled it.
     Cancelled,
@@ -251,6 +251,9 @@
     pub failed_runs: Vec<u32>,
     /// Latest checkpoint; empty if there is none.
     pub checkpoint: Arc<str>,
+    /// Workers that have crashed soon after they started the task, one after the other.
+    #[serde(default)]
+    pub crashes: u32,
 }
 
 /// Progress of a job, stored for the next leader.
@@ -263,6 +266,6 @@
     pub ended_wall_ms: u64,
     /// Completed tasks.
     pub done: Vec<TaskPosition>,
-    /// Unfinished tasks with failures or a checkpoint.
+    /// Unfinished tasks with failures, crashes or a checkpoint.
     pub tasks: Vec<TaskProgress>,
 }
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -5,6 +5,7 @@
 //! must be stored before the end of a run is acknowledged.
 
 mod advice;
+mod crashes;
 mod fleet;
 mod job_table;
 mod load;
@@ -164,6 +165,8 @@
     /// Runs are not stopped for maintenance or moves before this time.
     interruptions_allowed_from: Millis,
     repeated: Vec<JobKey>,
+    /// Tasks that are to be given up, since too many workers have crashed under them.
+    crashing_tasks: Vec<TaskKey>,
     /// When the workers, unanswered stops and repeated jobs are next checked.
     next_check_at: Millis,
     /// When all services with ready tasks are next due for a placement pass.
@@ -200,6 +203,7 @@
             leadership_unconfirmed: false,
             interruptions_allowed_from: Millis::ZERO,
             repeated: Vec::new(),
+            crashing_tasks: Vec::new(),
             next_check_at: now,
             next_full_placement_at: now,
             actions: Vec::new(),
@@ -378,6 +382,7 @@
     /// Runs all work that is due and returns the actions to carry out.
     pub fn advance(&mut self, now: Millis, wall: Millis) -> Vec<Action> {
         self.check_recovery(now);
+        self.give_up_crashing_tasks(now, wall);
         let check_due = self.next_check_at <= now;
         if check_due {
             self.next_check_at = now.after_ms(CHECK_INTERVAL_MS);
--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -27,7 +27,7 @@
         }
         let former = before.and_then(|id| self.workers_by_id.get(&id).copied());
         if let Some(worker) = former {
-            self.end_incarnation(worker, now);
+            self.process_ended(worker, now);
         }
     }
 
@@ -66,7 +66,7 @@
         }
         for key in ended {
             if self.may_have_runs(key) {
-                self.end_incarnation(key, now);
+                self.process_ended(key, now);
             }
         }
     }
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -45,6 +45,8 @@
     pub avoid_worker: Option<WorkerKey>,
     /// Earliest time of the next start.
     pub not_before: Millis,
+    /// Workers that have crashed soon after they started the task, one after the other.
+    pub crashes: u32,
     /// Whether its last run was lost with its worker, so that the outcome is unknown.
     pub last_run_lost: bool,
     /// Start of the current outage of a long-running task.
@@ -191,6 +193,7 @@
                         checkpoint: "".into(),
                         avoid_worker: None,
                         not_before: Millis::ZERO,
+                        crashes: 0,
                         last_run_lost: false,
                         not_running_since: None,
                     })
@@ -219,6 +222,7 @@
             {
                 task.failed_runs.clone_from(&stored.failed_runs);
                 task.checkpoint = Arc::clone(&stored.checkpoint);
+                task.crashes = stored.crashes;
             }
         }
         if let Some(job) = self.jobs.get_mut(key) {
@@ -345,11 +349,15 @@
         for task in tasks.filter_map(|task| self.tasks.get(*task)) {
             if task.done {
                 progress.done.push(task.position);
-            } else if !task.failed_runs.is_empty() || !task.checkpoint.is_empty() {
+            } else if !task.failed_runs.is_empty()
+                || !task.checkpoint.is_empty()
+                || task.crashes > 0
+            {
                 progress.tasks.push(TaskProgress {
                     position: task.position,
                     failed_runs: task.failed_runs.clone(),
                     checkpoint: Arc::clone(&task.checkpoint),
+                    crashes: task.crashes,
                 });
             }
         }
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -36,7 +36,7 @@
         match result {
             PollResult::Listed(listing) => self.apply_listing(key, &listing, now, wall),
             PollResult::Refused(Refusal::OtherIncarnation) | PollResult::NotListening => {
-                self.end_incarnation(key, now);
+                self.process_ended(key, now);
             }
             PollResult::Refused(refusal) => {
                 worker.ack_sent = 0;
@@ -71,7 +71,7 @@
             return;
         }
         if started_ms != 0 && known_start_ms != 0 && started_ms > known_start_ms {
-            self.end_incarnation(key, now);
+            self.process_ended(key, now);
             let worker = &mut self.workers[key];
             let report = worker.report.clone();
             worker.begin_incarnation(report);
@@ -238,8 +238,9 @@
         let mut run = PlacedRun::new(Phase::Confirmed(Run::adopted(info, now)));
         run.progress.percent_changed_at = now;
         let run = self.runs.insert(run);
+        let crashes = self.job_table.tasks[task].crashes;
         let worker = &mut self.workers[worker];
-        worker.runs.push(run);
+        worker.add_run(run, crashes, now);
         worker.used = worker.used.plus(info.need);
         let has_ended = self
             .job_table
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -350,6 +350,13 @@
         /// Whether it was unresponsive.
         unresponsive: bool,
     },
+    /// A task was given up, and its job fails: worker after worker crashed soon after starting it.
+    TaskGivenUp {
+        /// The task.
+        task: TaskName,
+        /// Workers that have crashed.
+        crashes: u32,
+    },
     /// The platform lists an instance with another state or worker.
     InstanceChanged {
         /// The instance.
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -155,8 +155,9 @@
                 waiting.push(key);
                 continue;
             }
+            let is_isolated = task.is_isolated();
             if !self.place_task(key, service, now) {
-                fits = false;
+                fits = is_isolated;
                 waiting.push(key);
                 if self.is_unconstrained(key) {
                     bounds.unplaceable = Some(need);
@@ -212,7 +213,9 @@
 
     /// Whether any worker of the service with enough room can run the task.
     fn is_unconstrained(&self, key: TaskKey) -> bool {
-        self.advice_of(key).is_none()
+        let is_isolated = self.job_table.tasks.get(key).is_some_and(Task::is_isolated);
+        !is_isolated
+            && self.advice_of(key).is_none()
             && self.job_table.step_of(key).is_some_and(|step| {
                 step.requirement.is_none() && step.per_worker_max == 0 && !step.gang
             })
@@ -321,10 +324,12 @@
         let step_key = self.step_key(key)?;
         let advised = self.advice_of(key).is_some();
         self.fitting_workers(key, service, planned, now)
+            .filter(|worker| !task.is_isolated() || self.is_free_of_suspects(*worker, planned))
             .filter(|worker| !advised || self.advice.ticket(step_key, *worker, now).is_some())
             .map(|key| {
                 let worker = &self.workers[key];
                 let cost = (
+                    worker.exposure(task),
                     task.avoid_worker == Some(key),
                     is_outside_affinity_rack(step, worker),
                     packing_cost_ppm(step, worker),
@@ -340,6 +345,10 @@
             .map(|(_, key)| key)
     }
 
+    fn is_free_of_suspects(&self, key: WorkerKey, planned: &[(WorkerKey, Resources)]) -> bool {
+        self.workers[key].suspects.is_empty() && planned.iter().all(|(other, _)| *other != key)
+    }
+
     /// Workers with room for the task that meet the constraints of its step. `planned` reserves
     /// room that is not yet in use.
     pub(super) fn fitting_workers(
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -3,7 +3,7 @@
 use super::load::LoadForecast;
 use super::order::{Action, PollOrder, SchedulerEvent, WorkerReport};
 use super::ready::ReadyQueue;
-use super::worker::Worker;
+use super::worker::{IncarnationEnd, Worker};
 use super::{
     LEASE_MARGIN_MS, LOW_PRIORITY_BATCH_DELAY_MS, PoolUse, Scheduler, Service,
     UNRESPONSIVE_POLL_INTERVAL_MS,
@@ -43,9 +43,10 @@
             ..report
         };
         let former_instance = Arc::clone(&worker.report.instance);
+        let end = worker.process_end();
         worker.report = report.clone();
         if other_incarnation {
-            self.end_incarnation(key, now);
+            self.end_incarnation(key, end, now);
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.begin_incarnation(report.clone());
             }
@@ -174,7 +175,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in expired {
-            self.end_incarnation(key, now);
+            self.end_incarnation(key, IncarnationEnd::LeaseExpired, now);
         }
         let ended: Vec<WorkerKey> = self
             .workers
@@ -242,8 +243,15 @@
         }
     }
 
+    /// Ends all runs of a worker that has refused a connection or an order since its process has ended.
+    pub(super) fn process_ended(&mut self, key: WorkerKey, now: Millis) {
+        if let Some(end) = self.workers.get(key).map(Worker::process_end) {
+            self.end_incarnation(key, end, now);
+        }
+    }
+
     /// Ends all runs of a worker whose process has ended or whose lease has expired.
-    pub(super) fn end_incarnation(&mut self, key: WorkerKey, now: Millis) {
+    pub(super) fn end_incarnation(&mut self, key: WorkerKey, end: IncarnationEnd, now: Millis) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -266,6 +274,9 @@
                 continue;
             };
             let task = placed.info().task;
+            if end == IncarnationEnd::Crashed {
+                self.count_crash(run, now);
+            }
             self.drop_run(run, now);
             if let Some(task) = self.job_table.tasks.get_mut(task) {
                 task.last_run_lost = true;
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -25,7 +25,7 @@
                 }
             }
             OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening => {
-                self.end_incarnation(worker, now);
+                self.process_ended(worker, now);
             }
             OrderResult::Refused(refusal) => {
                 self.fenced |= refusal == Refusal::Fenced;
@@ -81,7 +81,7 @@
     ) {
         if let OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening = result
         {
-            self.end_incarnation(worker, now);
+            self.process_ended(worker, now);
             return;
         }
         self.fenced |= result == OrderResult::Refused(Refusal::Fenced);
@@ -160,7 +160,7 @@
         };
         let info = *run.info();
         if let Some(worker) = self.workers.get_mut(info.worker) {
-            worker.runs.retain(|run| *run != key);
+            worker.remove_run(key);
             worker.used = worker.used.minus(info.need);
         }
         self.request_worker_placement(info.worker);
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -19,6 +19,17 @@
 /// Time without new starts after a worker refused or did not answer an order.
 const UNHEALTHY_PAUSE_MS: u64 = 500;
 
+/// Why all runs of a worker have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum IncarnationEnd {
+    /// Its process has ended unexpectedly.
+    Crashed,
+    /// Its process has ended after a drain, or for a move or maintenance of its instance.
+    Planned,
+    /// It was unresponsive until its lease expired.
+    LeaseExpired,
+}
+
 /// A worker: one process of an instance.
 #[derive(Debug)]
 pub(super) struct Worker {
@@ -35,6 +46,10 @@
     pub used: Resources,
     /// Its active runs.
     pub runs: Vec<RunKey>,
+    /// Those of them whose tasks were running on a worker that crashed.
+    pub suspects: Vec<RunKey>,
+    /// End of the time in which it takes no other task, because it runs one that may crash it.
+    pub isolated_until: Millis,
     /// Runs that it lists for jobs that this leader does not know.
     pub unknown_runs: Vec<ListedRun>,
     /// When it began to list such runs.
@@ -89,6 +104,8 @@
             recorded: false,
             used: Resources::default(),
             runs: Vec::new(),
+            suspects: Vec::new(),
+            isolated_until: Millis::ZERO,
             unknown_runs: Vec::new(),
             unknown_runs_since: None,
             clock: None,
@@ -127,6 +144,7 @@
             && !self.cordoned
             && self.unknown_runs.is_empty()
             && self.paused_until <= now
+            && self.isolated_until <= now
     }
 
     /// Estimates the worker's clock.
@@ -171,6 +189,15 @@
         self.failures_in_row = FAILURES_IN_ROW_MAX - 1;
     }
 
+    /// What the end of its process means now.
+    pub(super) const fn process_end(&self) -> IncarnationEnd {
+        if self.report.draining || self.cordoned {
+            IncarnationEnd::Planned
+        } else {
+            IncarnationEnd::Crashed
+        }
+    }
+
     pub(super) fn count_success(&mut self) {
         self.failures_in_row = 0;
     }
@@ -183,6 +210,7 @@
             service,
             // Only runs whose start is in flight are left.
             runs: std::mem::take(&mut self.runs),
+            suspects: std::mem::take(&mut self.suspects),
             used: self.used,
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
