Stop the later run of a task that turns out to be done

Cause: a worker that was cut off reports, when it is back, that a run of a task ended as done before its lease ended. By then the task runs again elsewhere. The task was marked as finished, but only the reported run was removed: nothing stopped the later one, and since a finished task has no placed run, neither the end of the job nor its cancellation did. It ran on until its own end, which for a cancelled job is the reported "a work unit runs on, and its job was cancelled".

Change: an end as done stops every run of the task but the one that has ended.

Result: a_late_end_of_an_earlier_run_stops_the_later_run fails without the change (the later run of the first step is still active 1 s after the end was reported, and 1 s after the cancellation) and passes with it. All tests of rosemaryscale-domain pass.

--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -346,12 +346,13 @@
             return;
         };
         self.record_end(key, task, end);
+        let ended_run = self.run_at(key, task, end.number);
         match end.kind {
-            RunEndKind::Done => self.task_done(task, now, wall),
+            RunEndKind::Done => self.task_done(task, ended_run, now, wall),
             RunEndKind::Failed => self.task_failed(key, task, end.number, now, wall),
             RunEndKind::Stopped | RunEndKind::Lapsed | RunEndKind::Broken | RunEndKind::Alone => {}
         }
-        if let Some(run) = self.run_at(key, task, end.number) {
+        if let Some(run) = ended_run {
             self.drop_run(run, now);
         }
         self.events.push(SchedulerEvent::RunEnded {
@@ -379,7 +380,9 @@
         }
     }
 
-    fn task_done(&mut self, key: TaskKey, now: Millis, wall: Millis) {
+    /// Completes a task, and the other tasks of a gang. Stops their runs apart from the one that has
+    /// ended: a later run of the task may be active elsewhere.
+    fn task_done(&mut self, key: TaskKey, ended_run: Option<RunKey>, now: Millis, wall: Millis) {
         let Some(step) = self.job_table.step_of(key) else {
             return;
         };
@@ -398,11 +401,10 @@
             if !self.job_table.mark_done(member) {
                 continue;
             }
-            if let TaskStatus::Placed(run) = previous_status {
-                // The caller removes the run that has ended.
-                if member != key {
-                    self.stop_run(run, now);
-                }
+            if let TaskStatus::Placed(run) = previous_status
+                && Some(run) != ended_run
+            {
+                self.stop_run(run, now);
             }
         }
         self.complete_or_unblock(job, position.occurrence, now, wall);
--- /dev/null
+++ b/crates/domain/tests/cancellations.rs
@@ -0,0 +1,32 @@
+//! Ends and cancellations of jobs that still have runs, tested against simulated workers.
+
+mod scheduler_harness;
+
+use rosemaryscale_domain::job::StepSpec;
+use rosemaryscale_domain::schedule::order::RunEndKind;
+use scheduler_harness::{SchedulerHarness, job, step};
+
+/// Guards against a run that nobody stops: a worker that was cut off reports that an earlier run of a task
+/// is done while a later run of it is active elsewhere. The later run is no longer needed, and a
+/// cancellation of the job did not end it.
+#[test]
+fn a_late_end_of_an_earlier_run_stops_the_later_run() {
+    let mut harness = SchedulerHarness::new(2);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1)
+    };
+    harness.submit("a", job(vec![step(1), second], 3));
+    harness.run_for(100);
+    let cut_off = harness.worker_running("a.0.0.0").expect("it runs");
+    harness.partition(cut_off);
+    harness.end_runs_on_worker(cut_off, RunEndKind::Done);
+    harness.run_for(8_000);
+    assert_eq!(harness.running(), ["a.0.0.0"], "it was started again");
+    harness.workers[cut_off].partitioned = false;
+    harness.run_for(1_000);
+    assert_eq!(harness.running(), ["a.0.1.0"], "the first step is done");
+    harness.cancel("a");
+    harness.run_for(1_000);
+    assert!(harness.running().is_empty(), "{:?}", harness.running());
+}
