Stop a run again that outlasts an accepted stop

Cause: read in the code. After a worker had accepted a stop, the stop was never sent again. If the worker crashes then and its next process, under the same id, carries out a start that was still in transit, the worker lists the run, the scheduler finds it as one that is being stopped, and nothing ends it.

Change: a stop is sent again if the run is still there after the time that a worker takes to stop a run and a poll takes to report the end (stop_grace_ms and 1,100 ms, the time that a new leader waits for stops of the former one).

Result: a_run_that_outlasts_an_accepted_stop_is_stopped_again fails without the change (the run is still active 3 s after the restart) and passes with it.

--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -8,10 +8,10 @@
 use super::{FormerTerm, LEASE_MARGIN_MS, RecordedWorker, Scheduler};
 use crate::prelude::*;
 
-/// Time for a poll to report a run that the former leader stopped, beyond the time a worker takes
-/// to stop it. Until then the new leader plans no stops, so that both together do not exceed the
-/// limits.
-const FORMER_STOPS_LISTED_MS: u64 = 1_100;
+/// Time for a poll to report the end of a run that was stopped, beyond the time a worker takes to stop
+/// it. A new leader plans no stops before that, so that its stops and those of the former leader
+/// together do not exceed the limits.
+pub(super) const STOP_LISTED_MS: u64 = 1_100;
 
 /// State of the recovery after a change of the leader.
 #[derive(Debug)]
@@ -103,7 +103,7 @@
         if recovery.awaited.is_empty() || now >= recovery.until {
             self.recovery = None;
             self.interruptions_allowed_from =
-                now.after_ms(self.settings.stop_grace_ms + FORMER_STOPS_LISTED_MS);
+                now.after_ms(self.settings.stop_grace_ms + STOP_LISTED_MS);
             self.release_recovered();
             // The next leader need not wait for workers that no longer have runs.
             self.request_batch(now);
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -2,6 +2,7 @@
 
 use super::job_table::TaskStatus;
 use super::order::{Action, OrderResult, Refusal, StopOrder};
+use super::recovery::STOP_LISTED_MS;
 use super::{RESTART_DELAY_MS, STOP_RESEND_DELAY_MS, Scheduler};
 use crate::prelude::*;
 
@@ -92,7 +93,9 @@
         match result {
             OrderResult::Accepted { .. } => {
                 run.stop_accepted_at = Some(now);
-                run.resend_stop_at = Millis::MAX;
+                // A run that is listed for longer was started after the stop, by a late order that reached
+                // the worker's next process.
+                run.resend_stop_at = now.after_ms(self.settings.stop_grace_ms + STOP_LISTED_MS);
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.next_poll_at = worker.next_poll_at.min(now);
                 }
--- a/crates/domain/tests/cancellations.rs
+++ b/crates/domain/tests/cancellations.rs
@@ -30,3 +30,24 @@
     harness.run_for(1_000);
     assert!(harness.running().is_empty(), "{:?}", harness.running());
 }
+
+/// Guards against a run that nobody stops: the worker has accepted the stop, crashes, and its next process
+/// carries out a start that was still in transit.
+#[test]
+fn a_run_that_outlasts_an_accepted_stop_is_stopped_again() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.hold_starts = true;
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(20);
+    harness.cancel("a");
+    harness.run_for(10);
+    harness.restart(0);
+    harness.deliver_starts();
+    assert_eq!(
+        harness.running(),
+        ["a.0.0.0"],
+        "the late start takes effect"
+    );
+    harness.run_for(3_000);
+    assert!(harness.running().is_empty(), "{:?}", harness.running());
+}
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -91,6 +91,9 @@
     pub(crate) stall_writes: bool,
     pub(crate) lose_starts: bool,
     pub(crate) refuse_fencing_token: bool,
+    /// Whether starts stay in transit until [`SchedulerHarness::deliver_starts`].
+    pub(crate) hold_starts: bool,
+    held_starts: Vec<(WorkerKey, StartOrder)>,
     /// Number of next starts that are lost: no response and no effect.
     pub(crate) lose_next_starts: usize,
     /// Number of next polls that get no response.
@@ -128,6 +131,8 @@
             stall_writes: false,
             lose_starts: false,
             refuse_fencing_token: false,
+            hold_starts: false,
+            held_starts: Vec::new(),
             lose_next_starts: 0,
             lose_next_polls: 0,
             close_next_polls: 0,
@@ -174,6 +179,7 @@
             sequence: 0,
             lease_end_ms: 0,
             partitioned: false,
+            listening: true,
             closed: FastMap::default(),
         });
     }
@@ -209,10 +215,19 @@
         self.workers[worker].running.clear();
     }
 
+    /// Delivers the starts in transit to whichever process listens now.
+    pub(crate) fn deliver_starts(&mut self) {
+        self.hold_starts = false;
+        for (key, order) in std::mem::take(&mut self.held_starts) {
+            self.execute(Action::Start(key, order));
+        }
+    }
+
     /// Restarts a worker under the same id, as a new incarnation.
     pub(crate) fn restart(&mut self, worker: usize) {
         let restarted = &mut self.workers[worker];
         restarted.partitioned = false;
+        restarted.listening = true;
         restarted.running.clear();
         restarted.ended.clear();
         restarted.closed.clear();
@@ -396,6 +411,7 @@
             Action::Disconnect(key) => {
                 self.worker_indices.remove(&key);
             }
+            Action::Start(key, order) if self.hold_starts => self.held_starts.push((key, order)),
             Action::Start(key, order) => {
                 let result = self.start(key, &order);
                 self.scheduler.started(key, order.run, result, self.now);
@@ -542,6 +558,9 @@
         let (Some(index), false) = (reachable, self.lose_stops) else {
             return OrderResult::Unanswered;
         };
+        if !self.workers[index].listening {
+            return OrderResult::NotListening;
+        }
         let worker = &mut self.workers[index];
         worker.mark_closed(&task_path(&order.task), order.number);
         worker.end(
@@ -570,6 +589,9 @@
         else {
             return PollResult::Unanswered;
         };
+        if !self.workers[index].listening {
+            return PollResult::NotListening;
+        }
         let worker = &mut self.workers[index];
         worker.ended.retain(|end| end.sequence > order.acknowledged);
         if let Some(deadline_ms) = order.deadline_ms {
--- a/crates/domain/tests/scheduler_harness/worker.rs
+++ b/crates/domain/tests/scheduler_harness/worker.rs
@@ -13,6 +13,8 @@
     pub(crate) sequence: u64,
     pub(crate) lease_end_ms: u64,
     pub(crate) partitioned: bool,
+    /// Whether a process listens at its address.
+    pub(crate) listening: bool,
     /// Highest run number that was stopped or has ended, by task. Starts up to it are refused.
     pub(crate) closed: FastMap<String, u32>,
 }
