Send a stop again that met no listener while the start is in flight

Cause: read in the code. A stop that meets no listener, or another process of the worker, ends the runs of that worker, apart from those whose start is in flight. Such a run kept its stop marked as in flight, so that it was not sent again: the room of the run stayed booked, and if the worker's next process carried out the start, the run went on although its job was cancelled.

Change: the result of the stop is applied to the run first, whatever it is.

Result: a_late_start_is_stopped_after_the_stop_met_no_listener fails without the change (the run is still active 1 s after the late start) and passes with it. All tests of rosemaryscale-domain pass.

--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -80,18 +80,11 @@
         result: OrderResult,
         now: Millis,
     ) {
-        if let OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening = result
-        {
-            self.end_incarnation(worker, now);
-            return;
-        }
         self.fenced |= result == OrderResult::Refused(Refusal::Fenced);
-        let Some(run) = run.and_then(|run| self.runs.get_mut(run)) else {
-            return;
-        };
-        run.stop_in_flight = false;
-        match result {
-            OrderResult::Accepted { .. } => {
+        if let Some(run) = run.and_then(|run| self.runs.get_mut(run)) {
+            run.stop_in_flight = false;
+            run.resend_stop_at = now.after_ms(STOP_RESEND_DELAY_MS);
+            if let OrderResult::Accepted { .. } = result {
                 run.stop_accepted_at = Some(now);
                 // A run that is listed for longer was started after the stop, by a late order that reached
                 // the worker's next process.
@@ -100,7 +93,11 @@
                     worker.next_poll_at = worker.next_poll_at.min(now);
                 }
             }
-            _ => run.resend_stop_at = now.after_ms(STOP_RESEND_DELAY_MS),
+        }
+        if let OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening = result
+        {
+            // Keeps runs whose start is in flight; their stop is sent again.
+            self.end_incarnation(worker, now);
         }
     }
 
--- a/crates/domain/tests/cancellations.rs
+++ b/crates/domain/tests/cancellations.rs
@@ -31,6 +31,28 @@
     assert!(harness.running().is_empty(), "{:?}", harness.running());
 }
 
+/// Guards against a run that nobody stops: the worker has crashed before the stop arrives, so that the stop
+/// has no effect, and a start that is still in transit is carried out by the worker's next process.
+#[test]
+fn a_late_start_is_stopped_after_the_stop_met_no_listener() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.hold_starts = true;
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(20);
+    harness.workers[0].listening = false;
+    harness.cancel("a");
+    harness.run_for(20);
+    harness.restart(0);
+    harness.deliver_starts();
+    assert_eq!(
+        harness.running(),
+        ["a.0.0.0"],
+        "the late start takes effect"
+    );
+    harness.run_for(1_000);
+    assert!(harness.running().is_empty(), "{:?}", harness.running());
+}
+
 /// Guards against a run that nobody stops: the worker has accepted the stop, crashes, and its next process
 /// carries out a start that was still in transit.
 #[test]
