Do not run an ended job again that a listing still reports

Change: the leader remembers removed jobs until the watch reports that their records are gone, and does not add them meanwhile. Retention moves to a module of its own.

--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -21,6 +21,7 @@
         if self.has_lost_marker(&event) {
             return Err("the scheduler key was deleted");
         }
+        self.apply_deleted_jobs(&event);
         let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
         for entry in self.put_entries(event, "jobs") {
             let acceptance = acceptance(&entry, self.lease.fencing_token);
@@ -41,6 +42,26 @@
         Ok(())
     }
 
+    fn apply_deleted_jobs(&mut self, event: &WatchEvent) {
+        match event {
+            WatchEvent::Snapshot { entries, .. } => {
+                let ids = entries.iter().filter_map(|entry| job_id(&entry.key));
+                let listed: FastSet<Arc<str>> = ids.map(Arc::from).collect();
+                self.scheduler.jobs_listed(&listed);
+            }
+            WatchEvent::Changed { updates, .. } => {
+                for update in updates {
+                    if let Update::Deleted(key) = update
+                        && let Some(id) = job_id(key)
+                    {
+                        self.scheduler.job_deleted(id);
+                    }
+                }
+            }
+            WatchEvent::Disconnected { .. } => {}
+        }
+    }
+
     fn has_lost_marker(&self, event: &WatchEvent) -> bool {
         let is_own = |entry: &KvEntry| entry.lease == self.lease.id;
         match event {
@@ -230,6 +251,14 @@
     }
 }
 
+/// Id of the job whose record has this key.
+fn job_id(key: &str) -> Option<&str> {
+    match records::job_key_kind(key)? {
+        JobKeyKind::Job(id) => Some(id),
+        JobKeyKind::Cancel(_) | JobKeyKind::Leader => None,
+    }
+}
+
 /// Whether a job was accepted during the term whose leader key was created at revision `fencing_token`,
 /// or before it.
 pub(super) fn acceptance(entry: &KvEntry, fencing_token: u64) -> Acceptance {
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -16,6 +16,7 @@
 pub mod pressure;
 mod ready;
 mod recovery;
+mod retention;
 mod roster;
 mod run;
 mod runs;
@@ -34,6 +35,7 @@
 pub use persist::{Batch, JobWrite, RecordedWorker};
 use ready::ReadyQueue;
 use recovery::Recovery;
+use retention::Retention;
 use run::PlacedRun;
 use worker::Worker;
 
@@ -146,6 +148,7 @@
 pub struct Scheduler {
     settings: ScheduleSettings,
     job_table: JobTable,
+    retention: Retention,
     runs: SlotMap<RunKey, PlacedRun>,
     workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FastMap<Arc<str>, WorkerKey>,
@@ -186,6 +189,7 @@
         let mut scheduler = Self {
             settings,
             job_table: JobTable::default(),
+            retention: Retention::default(),
             runs: SlotMap::with_key(),
             workers: SlotMap::with_key(),
             workers_by_id: FastMap::default(),
@@ -245,7 +249,7 @@
         }
     }
 
-    /// Adds a newly accepted job.
+    /// Adds a newly accepted job. A job that has ended and was removed is not added again.
     pub fn submit(
         &mut self,
         id: Arc<str>,
@@ -254,6 +258,9 @@
         now: Millis,
         wall: Millis,
     ) {
+        if self.retention.was_removed(&id) {
+            return;
+        }
         let received = received_at(&record, now, wall);
         let repeated = record.spec.repeat.is_some();
         let service = self.service_key(&record.policy.service);
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -193,30 +193,4 @@
             }
         }
     }
-
-    /// Removes up to `limit` jobs that ended more than `keep_ms` ago, and returns their ids so that
-    /// the store can delete them.
-    pub fn take_expired(&mut self, wall: Millis, keep_ms: u64, limit: usize) -> Vec<Arc<str>> {
-        let expired: Vec<JobKey> = self
-            .job_table
-            .jobs
-            .iter()
-            .filter(|(_, job)| {
-                job.state.is_final()
-                    && !job.dirty
-                    && job.written_state == job.state
-                    && wall.ms_since(Millis::from_ms(job.ended_wall_ms)) > keep_ms
-            })
-            .map(|(key, _)| key)
-            .take(limit)
-            .collect();
-        expired
-            .into_iter()
-            .filter_map(|key| {
-                let id = Arc::clone(&self.job_table.jobs.get(key)?.id);
-                self.job_table.remove(key);
-                Some(id)
-            })
-            .collect()
-    }
 }
--- a/crates/domain/tests/cancellations.rs
+++ b/crates/domain/tests/cancellations.rs
@@ -73,3 +73,26 @@
     harness.run_for(3_000);
     assert!(harness.running().is_empty(), "{:?}", harness.running());
 }
+
+/// Guards against a second run of a job that has ended: a listing that was read before its records were
+/// deleted reports it after the scheduler has removed it.
+#[test]
+fn a_removed_job_is_added_again_only_after_its_deletion() {
+    const MAX_JOBS: usize = 10;
+    let mut harness = SchedulerHarness::new(1);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    harness.end_all_runs(RunEndKind::Done);
+    harness.run_for(1_000);
+    let expired = harness.scheduler.take_expired(harness.now, 0, MAX_JOBS);
+    assert_eq!(expired, ["a".into()]);
+    let listed = std::iter::once("a".into()).collect();
+    harness.scheduler.jobs_listed(&listed);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    assert!(harness.running().is_empty(), "{:?}", harness.running());
+    harness.scheduler.job_deleted("a");
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    assert_eq!(harness.running(), ["a.0.0.0"], "the id is used again");
+}
