--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -17,6 +17,7 @@
 pub mod pressure;
 mod ready;
 mod recovery;
+mod retention;
 mod roster;
 mod run;
 mod runs;
@@ -35,6 +36,7 @@
 pub use persist::{Batch, JobWrite, RecordedWorker};
 use ready::ReadyQueue;
 use recovery::Recovery;
+use retention::Retention;
 use run::PlacedRun;
 use worker::Worker;
 
@@ -147,6 +149,7 @@
 pub struct Scheduler {
     settings: ScheduleSettings,
     job_table: JobTable,
+    retention: Retention,
     runs: SlotMap<RunKey, PlacedRun>,
     workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FastMap<Arc<str>, WorkerKey>,
@@ -189,6 +192,7 @@
         let mut scheduler = Self {
             settings,
             job_table: JobTable::default(),
+            retention: Retention::default(),
             runs: SlotMap::with_key(),
             workers: SlotMap::with_key(),
             workers_by_id: FastMap::default(),
@@ -249,7 +253,7 @@
         }
     }
 
-    /// Adds a newly accepted job.
+    /// Adds a newly accepted job. A job that has ended and was removed is not added again.
     pub fn submit(
         &mut self,
         id: Arc<str>,
@@ -258,6 +262,9 @@
         now: Millis,
         wall: Millis,
     ) {
+        if self.retention.was_removed(&id) {
+            return;
+        }
         let received = received_at(&record, now, wall);
         let repeated = record.spec.repeat.is_some();
         let service = self.service_key(&record.policy.service);
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -2,6 +2,7 @@
 
 use super::job_table::TaskStatus;
 use super::order::{Action, OrderResult, Refusal, StopOrder};
+use super::recovery::STOP_LISTED_MS;
 use super::{RESTART_DELAY_MS, STOP_RESEND_DELAY_MS, Scheduler};
 use crate::prelude::*;
 
@@ -79,25 +80,24 @@
         result: OrderResult,
         now: Millis,
     ) {
-        if let OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening = result
-        {
-            self.process_ended(worker, now);
-            return;
-        }
         self.fenced |= result == OrderResult::Refused(Refusal::Fenced);
-        let Some(run) = run.and_then(|run| self.runs.get_mut(run)) else {
-            return;
-        };
-        run.stop_in_flight = false;
-        match result {
-            OrderResult::Accepted { .. } => {
+        if let Some(run) = run.and_then(|run| self.runs.get_mut(run)) {
+            run.stop_in_flight = false;
+            run.resend_stop_at = now.after_ms(STOP_RESEND_DELAY_MS);
+            if let OrderResult::Accepted { .. } = result {
                 run.stop_accepted_at = Some(now);
-                run.resend_stop_at = Millis::MAX;
+                // A run that is listed for longer was started after the stop, by a late order that reached
+                // the worker's next process.
+                run.resend_stop_at = now.after_ms(self.settings.stop_grace_ms + STOP_LISTED_MS);
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.next_poll_at = worker.next_poll_at.min(now);
                 }
             }
-            _ => run.resend_stop_at = now.after_ms(STOP_RESEND_DELAY_MS),
+        }
+        if let OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening = result
+        {
+            // Keeps runs whose start is in flight; their stop is sent again.
+            self.process_ended(worker, now);
         }
     }
 
