Give a pool more instances when its workers shrink

Cause: pools are sized by the largest worker of the fleet. A pool whose workers had shrunk was counted as full while its tasks waited, and a finite task that fitted on none of them waited until they grew again.

Change: room that workers have lost counts as used, and finite tasks that fit on no worker of their pool ask for instances as long-running ones do.

--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -21,8 +21,8 @@
     needed: usize,
     /// Usable ones, including those that are on their way to the pool.
     present: usize,
-    /// How many of the missing ones waiting long-running tasks need.
-    for_long_running: usize,
+    /// How many of the missing ones are for waiting tasks that no worker of the pool has room for.
+    for_unplaceable: usize,
 }
 
 impl PoolNeed {
@@ -40,7 +40,7 @@
 struct MissingInstances {
     pool: ServiceKey,
     count: usize,
-    for_long_running: usize,
+    for_unplaceable: usize,
 }
 
 impl Scheduler {
@@ -65,7 +65,7 @@
             .map(|need| MissingInstances {
                 pool: need.pool,
                 count: need.missing(),
-                for_long_running: need.for_long_running.min(need.missing()),
+                for_unplaceable: need.for_unplaceable.min(need.missing()),
             })
             .collect();
         if !missing.is_empty() {
@@ -75,7 +75,7 @@
             });
         }
         for entry in &mut missing {
-            entry.count = entry.count.min(entry.for_long_running);
+            entry.count = entry.count.min(entry.for_unplaceable);
         }
         missing.retain(|entry| entry.count > 0);
         if !missing.is_empty() {
@@ -96,12 +96,12 @@
     }
 
     fn pool_need(&mut self, pool: ServiceKey, now: Millis) -> PoolNeed {
-        let for_long_running = self.instances_missing_for_long_running(pool, now);
+        let for_unplaceable = self.instances_missing_for_unplaceable(pool, now);
         PoolNeed {
             pool,
-            needed: self.instances_needed(pool, for_long_running, now),
+            needed: self.instances_needed(pool, for_unplaceable, now),
             present: self.instance_count(pool, now),
-            for_long_running,
+            for_unplaceable,
         }
     }
 
@@ -120,7 +120,7 @@
                 };
                 order(key, entry.pool, self);
                 entry.count -= 1;
-                entry.for_long_running = entry.for_long_running.saturating_sub(1);
+                entry.for_unplaceable = entry.for_unplaceable.saturating_sub(1);
             }
             missing.retain(|entry| entry.count > 0);
         }
@@ -195,7 +195,7 @@
     fn instances_needed(
         &mut self,
         service: ServiceKey,
-        missing_for_long_running: usize,
+        missing_for_unplaceable: usize,
         now: Millis,
     ) -> usize {
         let forecast = self.services[service].load.forecast(now);
@@ -212,6 +212,8 @@
         let running = self.finite_demand(service);
         // Expected tasks reuse the capacity of finite tasks that end, so the two are not added up.
         let sum = long_running.plus(running.plus(waiting).max(forecast));
+        // Instances are counted as whole ones, so room that their workers have lost counts as used.
+        let sum = sum.plus(self.lost_room(service));
         let share_ppm = sum.dominant_share_ppm(self.largest_capacity());
         let for_capacity =
             usize::try_from((share_ppm * 100 / TARGET_UTILIZATION_PERCENT).div_ceil(1_000_000))
@@ -219,7 +221,7 @@
         for_capacity
             .max(self.instances_for_evacuation(service, now))
             .max(self.instances_for_spread(service, now))
-            .max(match missing_for_long_running {
+            .max(match missing_for_unplaceable {
                 0 => 0,
                 missing => self.usable_workers(service, now).count() + missing,
             })
@@ -238,6 +240,15 @@
         reachable.max(self.services[service].workers.len())
     }
 
+    fn lost_room(&self, service: ServiceKey) -> Resources {
+        let workers = self.services[service].workers.iter();
+        workers
+            .filter_map(|key| self.workers.get(*key))
+            .filter(|worker| worker.listed)
+            .map(Worker::lost_room)
+            .fold(Resources::default(), Resources::plus)
+    }
+
     fn usable_workers(&self, service: ServiceKey, now: Millis) -> impl Iterator<Item = &Worker> {
         self.services[service]
             .workers
@@ -246,13 +257,14 @@
             .filter(move |worker| worker.takes_work(now))
     }
 
-    /// Number of instances missing for waiting long-running tasks that fit on no worker. Their needs are
-    /// large, so the sum of the pool's free resources does not tell whether one of them fits anywhere.
-    fn instances_missing_for_long_running(&self, service: ServiceKey, now: Millis) -> usize {
-        let free: Vec<Resources> = self
+    /// Number of instances missing for waiting long-running tasks that fit on no worker, and for finite ones
+    /// that fit on none even when it is empty. Their needs are large, so the sum of the pool's free
+    /// resources does not tell whether one of them fits anywhere.
+    fn instances_missing_for_unplaceable(&self, service: ServiceKey, now: Millis) -> usize {
+        let (free, capacities): (Vec<Resources>, Vec<Resources>) = self
             .usable_workers(service, now)
-            .map(Worker::free)
-            .collect();
+            .map(|worker| (worker.free(), worker.report.capacity))
+            .unzip();
         let capacity = self.largest_capacity();
         let mut additional: Vec<Resources> = Vec::new();
         for (step, tasks) in self.services[service].ready.steps() {
@@ -261,8 +273,15 @@
                 continue;
             };
             let need = spec.need();
-            let fits_nowhere = need.fits(capacity) && !free.iter().any(|free| need.fits(*free));
-            if !spec.long_running || !fits_nowhere {
+            let rooms = if spec.long_running {
+                &free
+            } else {
+                &capacities
+            };
+            let fits_nowhere = need.fits(capacity) && !rooms.iter().any(|room| need.fits(*room));
+            // A pool without usable workers grows with its demand.
+            let is_pool_usable = spec.long_running || !rooms.is_empty();
+            if !fits_nowhere || !is_pool_usable {
                 continue;
             }
             for _ in 0..self.ready_count(tasks) {
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -45,6 +45,7 @@
         let former_instance = Arc::clone(&worker.report.instance);
         let end = worker.process_end();
         worker.report = report.clone();
+        worker.full_capacity = worker.full_capacity.max(report.capacity);
         if other_incarnation {
             self.end_incarnation(key, end, now);
             if let Some(worker) = self.workers.get_mut(key) {
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 pub(super) struct Worker {
     pub report: WorkerReport,
+    /// Largest capacity that it has reported.
+    pub full_capacity: Resources,
     /// Key of its service.
     pub service: Option<ServiceKey>,
     /// Whether the platform lists the worker.
@@ -97,6 +99,7 @@
 impl Worker {
     pub(super) fn new(report: WorkerReport, lease_end: Millis) -> Self {
         Self {
+            full_capacity: report.capacity,
             report,
             service: None,
             listed: true,
@@ -135,6 +138,11 @@
         self.report.capacity.minus(self.used)
     }
 
+    /// Room that it has lost since its capacity has shrunk.
+    pub(super) fn lost_room(&self) -> Resources {
+        self.full_capacity.minus(self.report.capacity)
+    }
+
     pub(super) fn takes_work(&self, now: Millis) -> bool {
         self.listed
             && self.synced
