Charge crashes only to tasks that had just started

Cause: the age of a run was taken at the time the crash was noticed and from the time of adoption, and 5 s of youth are the whole run of most tasks. The review also found that suspects were never cleared while their run lived, so that isolated tasks, gangs and waves waited without end, and that crashes before the answer to a start, or noticed late, were not counted.

Change: a crash counts if the last answer of the worker came less than 1 s after the start, for a long-running task if it was not in service yet; a run of a former leader is not charged; a sound run clears its task; suspects keep others away for 1 s at most; a finite task is given up after five crashes in any case.

--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -251,7 +251,10 @@
     pub failed_runs: Vec<u32>,
     /// Latest checkpoint; empty if there is none.
     pub checkpoint: Arc<str>,
-    /// Workers that have crashed soon after they started the task, one after the other.
+    /// Workers in a row that have crashed soon after they started the task.
+    #[serde(default)]
+    pub early_crashes: u32,
+    /// Workers that have crashed with the task; not kept for long-running tasks.
     #[serde(default)]
     pub crashes: u32,
 }
--- a/crates/domain/src/schedule/crashes.rs
+++ b/crates/domain/src/schedule/crashes.rs
@@ -1,60 +1,57 @@
 //! Tasks whose workers have crashed.
 //!
 //! A task may crash each worker that starts it, but a crash doesn't show which of the worker's tasks caused
-//! it. Tasks that were running there are therefore suspects: they restart apart from other suspects, and after
-//! a further crash alone on a worker. A task is given up once no other one explains the crashes.
+//! it. Tasks that had just started there are therefore suspects: they restart apart from other suspects, and
+//! after a further crash alone on a worker. A task is given up once no other one explains the crashes.
 
 use super::Scheduler;
-use super::job_table::Task;
+use super::job_table::{Task, TaskStatus};
 use super::order::SchedulerEvent;
 use super::worker::Worker;
 use crate::job::JobState;
 use crate::prelude::*;
 
-/// Crashes after which a task shares its worker with no task that starts after it.
+/// Early crashes in a row after which a task shares its worker with no task that starts after it.
 const ISOLATED_CRASHES_MIN: u32 = 2;
-/// Crashes after which a task is given up. The last one happened while the task ran alone; two may also be
-/// those of a task that only shared its workers.
-const CRASHES_MAX: u32 = 3;
-/// Duration of a run that clears its task: a task that crashes its workers does so soon after its start, and a
-/// worker that crashes later says nothing about it.
-const PROBATION_MS: u64 = 5_000;
+/// Early crashes in a row after which a task is given up. The last one happened while the task ran alone; two
+/// may also be those of a task that only shared its workers.
+const EARLY_CRASHES_MAX: u32 = 3;
+/// Crashes after which a finite task is given up, however long it had been running.
+const CRASHES_MAX: u32 = 5;
+/// Duration of a run that clears its task, and for which a suspect keeps other ones away from its worker. A task
+/// that crashes its worker usually does so within milliseconds of its start.
+const PROBATION_MS: u64 = 1_000;
 
 impl Task {
     /// Whether the task starts only on a worker without suspects, which takes no other task meanwhile.
     pub(super) const fn is_isolated(&self) -> bool {
-        self.crashes >= ISOLATED_CRASHES_MIN
+        self.early_crashes >= ISOLATED_CRASHES_MIN
     }
 }
 
 impl Worker {
-    /// Adds an active run of a task with the given number of crashes.
-    pub(super) fn add_run(&mut self, key: RunKey, crashes: u32, now: Millis) {
-        self.runs.push(key);
-        if crashes > 0 {
-            self.suspects.push(key);
+    /// Keeps suspects, or all tasks, away from the worker if a task that starts on it may crash it.
+    pub(super) fn begin_probation(&mut self, task: &Task, now: Millis) {
+        let until = now.after_ms(PROBATION_MS);
+        if task.early_crashes > 0 {
+            self.suspected_until = until;
         }
-        if crashes >= ISOLATED_CRASHES_MIN {
-            self.isolated_until = now.after_ms(PROBATION_MS);
+        if task.is_isolated() {
+            self.isolated_until = until;
         }
     }
 
-    /// Removes a run that has ended.
-    pub(super) fn remove_run(&mut self, key: RunKey) {
-        self.runs.retain(|run| *run != key);
-        self.suspects.retain(|run| *run != key);
-        if self.suspects.is_empty() {
-            self.isolated_until = Millis::ZERO;
-        }
+    pub(super) fn has_suspects(&self, now: Millis) -> bool {
+        self.suspected_until > now
     }
 
-    /// How many runs a further crash by a suspect would put at risk of being blamed or lost: other suspects
-    /// for a task with one crash, all runs for one with more.
-    pub(super) fn exposure(&self, task: &Task) -> usize {
-        match task.crashes {
+    /// What a crash by the task would put at risk: another suspect that it would be confused with, or, if it
+    /// has to run alone, the runs of the worker.
+    pub(super) fn exposure(&self, task: &Task, now: Millis) -> usize {
+        match task.early_crashes {
             0 => 0,
             _ if task.is_isolated() => self.runs.len(),
-            _ => self.suspects.len(),
+            _ => usize::from(self.has_suspects(now)),
         }
     }
 }
@@ -62,25 +59,40 @@
 impl Scheduler {
     /// Counts the crash of its worker for the task of a run. The job is given up by
     /// [`Self::give_up_crashing_tasks`].
-    pub(super) fn count_crash(&mut self, run: RunKey, now: Millis) {
-        let Some(run) = self.runs.get(run) else {
+    pub(super) fn count_crash(&mut self, key: RunKey, now: Millis) {
+        let Some(run) = self.runs.get(key) else {
             return;
         };
-        let has_run_long = run
-            .confirmed_since()
-            .is_some_and(|since| now.ms_since(since) >= PROBATION_MS);
-        let may_have_started = run.confirmed_since().is_some() || run.start_attempts > 1;
-        let key = run.info().task;
-        let Some(task) = self.job_table.tasks.get_mut(key) else {
+        // A start that was refused has no part in the crash. A run of the former leader has outlived its start.
+        let may_have_started = run.is_answered || run.start_attempts > 1 || run.is_stopping();
+        let is_adopted = run.start_attempts == 0;
+        let info = *run.info();
+        let long_running = self
+            .job_table
+            .step_of(info.task)
+            .is_some_and(|step| step.long_running);
+        let last_answer_at = self
+            .workers
+            .get(info.worker)
+            .map_or(now, |worker| worker.last_answer_at);
+        let was_sound = if long_running {
+            run.progress.percent >= 100
+        } else {
+            last_answer_at.ms_since(info.sent_at) >= PROBATION_MS
+        };
+        let Some(task) = self.job_table.tasks.get_mut(info.task) else {
             return;
         };
-        if run.is_stopping() || !may_have_started {
+        if is_adopted || !may_have_started || task.status != TaskStatus::Placed(key) {
             return;
         }
-        task.avoid_worker = Some(run.info().worker);
-        task.crashes = if has_run_long { 0 } else { task.crashes + 1 };
-        if task.crashes >= CRASHES_MAX {
-            self.crashing_tasks.push(key);
+        task.avoid_worker = Some(info.worker);
+        task.early_crashes = if was_sound { 0 } else { task.early_crashes + 1 };
+        if !long_running {
+            task.crashes += 1;
+        }
+        if task.early_crashes >= EARLY_CRASHES_MAX || task.crashes >= CRASHES_MAX {
+            self.crashing_tasks.push(info.task);
         }
         if let Some(job) = self.job_table.jobs.get_mut(task.job) {
             job.dirty = true;
@@ -88,6 +100,35 @@
         self.request_batch(now.after_ms(super::RUN_END_BATCH_DELAY_MS));
     }
 
+    /// Clears the task of a run that its worker lists as sound.
+    pub(super) fn clear_suspect(&mut self, key: RunKey, now: Millis) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let info = run.info();
+        let Some(task) = self.job_table.tasks.get_mut(info.task) else {
+            return;
+        };
+        if task.early_crashes == 0 {
+            return;
+        }
+        let Some(job) = self.job_table.jobs.get_mut(task.job) else {
+            return;
+        };
+        let long_running = job
+            .step(task.position.step)
+            .is_some_and(|step| step.long_running);
+        let is_sound = if long_running {
+            run.progress.percent >= 100
+        } else {
+            now.ms_since(info.sent_at) >= PROBATION_MS
+        };
+        if is_sound {
+            task.early_crashes = 0;
+            job.dirty = true;
+        }
+    }
+
     /// Ends the jobs of tasks that crash their workers as failed.
     pub(super) fn give_up_crashing_tasks(&mut self, now: Millis, wall: Millis) {
         for key in std::mem::take(&mut self.crashing_tasks) {
@@ -96,7 +137,7 @@
             else {
                 continue;
             };
-            let (job, crashes) = (task.job, task.crashes);
+            let (job, crashes) = (task.job, task.crashes.max(task.early_crashes));
             self.events.push(SchedulerEvent::TaskGivenUp {
                 task: name,
                 crashes,
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -45,7 +45,9 @@
     pub avoid_worker: Option<WorkerKey>,
     /// Earliest time of the next start.
     pub not_before: Millis,
-    /// Workers that have crashed soon after they started the task, one after the other.
+    /// Workers in a row that have crashed soon after they started the task.
+    pub early_crashes: u32,
+    /// Workers that have crashed with the task; not kept for long-running tasks.
     pub crashes: u32,
     /// Whether its last run was lost with its worker, so that the outcome is unknown.
     pub last_run_lost: bool,
@@ -196,6 +198,7 @@
                         checkpoint: "".into(),
                         avoid_worker: None,
                         not_before: Millis::ZERO,
+                        early_crashes: 0,
                         crashes: 0,
                         last_run_lost: false,
                         not_running_since: None,
@@ -225,6 +228,7 @@
             {
                 task.failed_runs.clone_from(&stored.failed_runs);
                 task.checkpoint = Arc::clone(&stored.checkpoint);
+                task.early_crashes = stored.early_crashes;
                 task.crashes = stored.crashes;
             }
         }
@@ -360,12 +364,13 @@
                 progress.done.push(task.position);
             } else if !task.failed_runs.is_empty()
                 || !task.checkpoint.is_empty()
-                || task.crashes > 0
+                || task.early_crashes + task.crashes > 0
             {
                 progress.tasks.push(TaskProgress {
                     position: task.position,
                     failed_runs: task.failed_runs.clone(),
                     checkpoint: Arc::clone(&task.checkpoint),
+                    early_crashes: task.early_crashes,
                     crashes: task.crashes,
                 });
             }
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -138,6 +138,7 @@
             };
             listed.insert(run);
             self.update_progress(run, listed_run, now);
+            self.clear_suspect(run, now);
         }
         self.update_unknown_runs(key, unknown, now);
         listed
@@ -238,9 +239,8 @@
         let mut run = PlacedRun::new(Phase::Confirmed(Run::adopted(info, now)));
         run.progress.percent_changed_at = now;
         let run = self.runs.insert(run);
-        let crashes = self.job_table.tasks[task].crashes;
         let worker = &mut self.workers[worker];
-        worker.add_run(run, crashes, now);
+        worker.runs.push(run);
         worker.used = worker.used.plus(info.need);
         let has_ended = self
             .job_table
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -321,12 +321,12 @@
         let step_key = self.step_key(key)?;
         let advised = self.advice_of(key).is_some();
         self.fitting_workers(key, service, planned, now)
-            .filter(|worker| !task.is_isolated() || self.is_free_of_suspects(*worker, planned))
+            .filter(|worker| !task.is_isolated() || !self.workers[*worker].has_suspects(now))
             .filter(|worker| !advised || self.advice.ticket(step_key, *worker, now).is_some())
             .map(|key| {
                 let worker = &self.workers[key];
                 let cost = (
-                    worker.exposure(task),
+                    worker.exposure(task, now),
                     task.avoid_worker == Some(key),
                     is_outside_affinity_rack(step, worker),
                     packing_cost_ppm(step, worker),
@@ -342,10 +342,6 @@
             .map(|(_, key)| key)
     }
 
-    fn is_free_of_suspects(&self, key: WorkerKey, planned: &[(WorkerKey, Resources)]) -> bool {
-        self.workers[key].suspects.is_empty() && planned.iter().all(|(other, _)| *other != key)
-    }
-
     /// Workers with room for the task that meet the constraints of its step. `planned` reserves
     /// room that is not yet in use.
     pub(super) fn fitting_workers(
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -95,6 +95,8 @@
     pub progress: RunProgress,
     /// CPU share granted to a backfill task.
     pub pace_percent: u32,
+    /// Whether the worker has confirmed the run.
+    pub is_answered: bool,
     /// Number of times that the start was sent.
     pub start_attempts: u32,
     /// Whether a start is in flight.
@@ -113,6 +115,7 @@
             phase,
             progress: RunProgress::default(),
             pace_percent: 100,
+            is_answered: false,
             start_attempts: 0,
             start_in_flight: false,
             stop_in_flight: false,
@@ -142,6 +145,7 @@
     }
 
     pub(super) fn confirm(&mut self, now: Millis) {
+        self.is_answered = true;
         if let Phase::Sent(run) = self.phase {
             self.phase = Phase::Confirmed(run.confirm(now));
             self.progress.percent_changed_at = now;
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -160,7 +160,7 @@
         };
         let info = *run.info();
         if let Some(worker) = self.workers.get_mut(info.worker) {
-            worker.remove_run(key);
+            worker.runs.retain(|run| *run != key);
             worker.used = worker.used.minus(info.need);
         }
         self.request_worker_placement(info.worker);
@@ -174,6 +174,11 @@
         if task.status != TaskStatus::Placed(key) {
             return;
         }
+        if task.is_isolated()
+            && let Some(worker) = self.workers.get_mut(info.worker)
+        {
+            worker.isolated_until = Millis::ZERO;
+        }
         if long_running {
             task.not_before = now.after_ms(RESTART_DELAY_MS);
             task.not_running_since = task.not_running_since.or(Some(now));
--- a/crates/domain/src/schedule/start.rs
+++ b/crates/domain/src/schedule/start.rs
@@ -28,8 +28,8 @@
         let run = self
             .runs
             .insert(PlacedRun::new(Phase::Sent(Run::new(info))));
-        let crashes = self.job_table.tasks[key].crashes;
-        worker.add_run(run, crashes, now);
+        worker.runs.push(run);
+        worker.begin_probation(&self.job_table.tasks[key], now);
         worker.used = worker.used.plus(info.need);
         let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
         worker.lease_end = worker.lease_end.max(lease_end);
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -48,9 +48,9 @@
     pub used: Resources,
     /// Its active runs.
     pub runs: Vec<RunKey>,
-    /// Those of them whose tasks were running on a worker that crashed.
-    pub suspects: Vec<RunKey>,
-    /// End of the time in which it takes no other task, because it runs one that may crash it.
+    /// End of the time in which it runs a task that may crash it.
+    pub suspected_until: Millis,
+    /// End of the time in which it takes no other task, because it runs one that probably crashes it.
     pub isolated_until: Millis,
     /// Runs that it lists for jobs that this leader does not know.
     pub unknown_runs: Vec<ListedRun>,
@@ -107,7 +107,7 @@
             recorded: false,
             used: Resources::default(),
             runs: Vec::new(),
-            suspects: Vec::new(),
+            suspected_until: Millis::ZERO,
             isolated_until: Millis::ZERO,
             unknown_runs: Vec::new(),
             unknown_runs_since: None,
@@ -218,7 +218,6 @@
             service,
             // Only runs whose start is in flight are left.
             runs: std::mem::take(&mut self.runs),
-            suspects: std::mem::take(&mut self.suspects),
             used: self.used,
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
