--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -18,7 +18,7 @@
 use rosemaryscale_domain::schedule::{
     Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
-use worker::{ModelWorker, instance_report, worker_report};
+use worker::{ModelWorker, instance_report};
 
 const TICK_MS: u64 = 10;
 const WORKER_COUNT: usize = 4;
@@ -179,7 +179,7 @@
         if leader.reaches_store {
             for worker in &self.workers {
                 if worker.up {
-                    leader.scheduler.worker_listed(worker_report(worker), now);
+                    leader.scheduler.worker_listed(worker.report(), now);
                 } else {
                     leader.scheduler.worker_unlisted(&worker.id);
                 }
--- a/crates/domain/tests/takeover_model/worker.rs
+++ b/crates/domain/tests/takeover_model/worker.rs
@@ -37,12 +37,15 @@
     lease_end_ms: u64,
     /// When its lease last expired. Acknowledged ends from before then do not count.
     pub(super) lease_expired_at: Millis,
+    report: WorkerReport,
 }
 
 impl ModelWorker {
     pub(super) fn new(index: usize) -> Self {
+        let id: Arc<str> = format!("w{index}").into();
         Self {
-            id: format!("w{index}").into(),
+            report: first_report(&id),
+            id,
             up: true,
             incarnation: 1,
             clock_percent: if index.is_multiple_of(2) { 98 } else { 100 },
@@ -74,6 +77,11 @@
     pub(super) fn restart(&mut self) {
         self.up = true;
         self.incarnation += 1;
+        self.report.started_wall_ms = self.incarnation;
+    }
+
+    pub(super) fn report(&self) -> WorkerReport {
+        self.report.clone()
     }
 
     /// Ends runs that have finished or whose lease has expired, and returns these ends.
@@ -229,23 +237,23 @@
     }
 }
 
-pub(super) fn worker_report(worker: &ModelWorker) -> WorkerReport {
+fn first_report(id: &Arc<str>) -> WorkerReport {
     WorkerReport {
-        id: Arc::clone(&worker.id),
+        id: Arc::clone(id),
         service: "service".into(),
-        address: Arc::clone(&worker.id),
+        address: Arc::clone(id),
         availability_zone: "zone".into(),
         labels: Vec::new(),
         capacity: capacity(),
-        instance: format!("machine-{}", worker.id).into(),
-        started_wall_ms: worker.incarnation,
+        instance: format!("machine-{id}").into(),
+        started_wall_ms: 1,
         draining: false,
     }
 }
 
 pub(super) fn instance_report(worker: &ModelWorker) -> InstanceReport {
     InstanceReport {
-        name: format!("machine-{}", worker.id).into(),
+        name: Arc::clone(&worker.report.instance),
         pool: "service".into(),
         state: if worker.up {
             InstanceState::Up
