Cancel jobs with long runs in seeded schedules

The runs of the takeover model last at most 1.5 s, less than the 4 s and the stop grace for which a run of a cancelled job may last, and no check looked at these runs. A stop that is never sent would have passed.

A second test draws frequent cancellations of recent jobs, 30% of whose runs last 5 to 12 s. The leader that reads the store must send no start of a cancelled job, and no run of one may outlast 4,200 ms, counted from the cancellation, the start of the run, or the time since which the same leader reaches the same incarnation of its worker. Lost and late messages do not count as unreachable.

--- a/crates/domain/tests/takeover_model/checks.rs
+++ b/crates/domain/tests/takeover_model/checks.rs
@@ -4,8 +4,11 @@
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{ListedEnd, RunEndKind, StartOrder};
 
-use super::ATTEMPTS_MAX;
 use super::worker::{ModelWorker, TASK_CAPACITY};
+use super::{ATTEMPTS_MAX, STOP_GRACE_MS};
+
+/// Longest time that a run of a cancelled job may last while its worker is reachable.
+const CANCELLED_RUN_MS: u64 = 4_000 + STOP_GRACE_MS;
 
 /// Identifies the end of a run: worker index, incarnation and sequence number.
 type EndId = (usize, u64, u64);
@@ -19,6 +22,20 @@
     superseded: FastSet<EndId>,
     ended_at: FastMap<EndId, Millis>,
     acknowledged: FastSet<EndId>,
+    /// When each cancelled job was cancelled.
+    cancelled_at: FastMap<Arc<str>, Millis>,
+    /// Since when the leader, the incarnation of a worker and the path between them are unchanged.
+    reachable: FastMap<Arc<str>, Reachable>,
+    /// First start order of a leader for a job of which it knew that it was cancelled.
+    cancelled_start: Option<TaskName>,
+}
+
+/// A worker as reached by the leader that can read the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Reachable {
+    leader: usize,
+    incarnation: u64,
+    since: Millis,
 }
 
 impl Checks {
@@ -124,6 +141,63 @@
         Ok(())
     }
 
+    pub(super) fn cancelled(&mut self, job: &Arc<str>, now: Millis) {
+        self.cancelled_at.entry(Arc::clone(job)).or_insert(now);
+    }
+
+    /// Records a start order of the leader that can read the store.
+    pub(super) fn start_sent(&mut self, task: &TaskName) {
+        if self.cancelled_start.is_none() && self.cancelled_at.contains_key(&task.job) {
+            self.cancelled_start = Some(task.clone());
+        }
+    }
+
+    /// Checks that no run of a cancelled job outlasts [`CANCELLED_RUN_MS`], counted from the cancellation,
+    /// from the start of the run, and from when the worker became reachable.
+    pub(super) fn check_cancelled_runs(
+        &mut self,
+        workers: &[ModelWorker],
+        leader: Option<usize>,
+        partitioned: &FastSet<usize>,
+        now: Millis,
+    ) -> Result<(), String> {
+        if let Some(task) = &self.cancelled_start {
+            return Err(format!("{task:?} was started after its job was cancelled"));
+        }
+        for (index, worker) in workers.iter().enumerate() {
+            let Some(leader) = leader.filter(|_| worker.up && !partitioned.contains(&index)) else {
+                self.reachable.remove(&worker.id);
+                continue;
+            };
+            let current = Reachable {
+                leader,
+                incarnation: worker.incarnation,
+                since: now,
+            };
+            let entry = self
+                .reachable
+                .entry(Arc::clone(&worker.id))
+                .or_insert(current);
+            if (entry.leader, entry.incarnation) != (leader, worker.incarnation) {
+                *entry = current;
+            }
+            let reachable_since = entry.since;
+            for run in &worker.running {
+                let Some(cancelled_at) = self.cancelled_at.get(&run.task.job) else {
+                    continue;
+                };
+                let since = reachable_since.max(*cancelled_at).max(run.started_at);
+                if now.ms_since(since) > CANCELLED_RUN_MS {
+                    return Err(format!(
+                        "{:?} runs at {now:?}, and its job was cancelled at {cancelled_at:?}",
+                        run.task
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Checks that every job has reached the final state that its runs and cancellations imply.
     pub(super) fn check_all_finished(
         &self,
--- a/crates/domain/tests/takeover_model/faults.rs
+++ b/crates/domain/tests/takeover_model/faults.rs
@@ -18,10 +18,13 @@
                 scheduler.submit(id, record, Acceptance::InTerm, now, now);
             }
         }
-        if self.draw_chance(2) && !self.store.jobs.is_empty() {
-            let index = self.rng.random_range(0..self.store.jobs.len());
+        let job_count = self.store.jobs.len();
+        if self.draw_chance(self.conditions.cancels_per_mille) && job_count > 0 {
+            let recent = job_count.min(self.conditions.cancelled_among_last);
+            let index = self.rng.random_range(job_count - recent..job_count);
             let id = Arc::clone(&self.store.jobs[index].0);
             self.store.cancelled.insert(Arc::clone(&id));
+            self.checks.cancelled(&id, self.now);
             if let Some(leader) = self.storing_leader() {
                 let now = self.now;
                 self.leaders[leader].scheduler.cancel(&id, now, now);
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -4,11 +4,15 @@
 //! and become unreachable. A leader may be killed, or continue after it has lost the store.
 
 mod checks;
+mod conditions;
 mod faults;
 mod messages;
 mod worker;
 
+use std::ops::Range;
+
 use checks::Checks;
+pub(crate) use conditions::Conditions;
 use messages::{Answer, Delivery, Event, InTransit, Order};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -29,6 +33,9 @@
 const LEADER_GRACE_MS: u64 = 9_000;
 const RUN_LEASE_MS: u64 = 5_000;
 const ORDER_TIMEOUT_MS: u64 = 200;
+const STOP_GRACE_MS: u64 = 200;
+/// Duration of long runs. All are longer than a run of a cancelled job may last.
+const LONG_WORK_MS: Range<u64> = 5_000..12_000;
 pub(crate) const ATTEMPTS_MAX: u32 = 3;
 
 /// A daemon that is or was the leader, with its scheduler.
@@ -61,12 +68,13 @@
     store: Store,
     in_transit: Vec<InTransit>,
     loss_percent: u32,
+    conditions: Conditions,
     checks: Checks,
 }
 
 /// Runs the schedule of a seed; `Err` describes the violated invariant.
-pub(crate) fn run_schedule(seed: u64) -> Result<(), String> {
-    let mut model = TakeoverModel::new(seed);
+pub(crate) fn run_schedule(seed: u64, conditions: Conditions) -> Result<(), String> {
+    let mut model = TakeoverModel::new(seed, conditions);
     while model.now.as_ms() < DEADLINE_MS {
         model.tick()?;
     }
@@ -78,7 +86,7 @@
 }
 
 impl TakeoverModel {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, conditions: Conditions) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let loss_percent = [0, 3, 15][rng.random_range(0..3)];
         let mut model = Self {
@@ -90,6 +98,7 @@
             store: Store::default(),
             in_transit: Vec::new(),
             loss_percent,
+            conditions,
             checks: Checks::default(),
         };
         model.start_leader();
@@ -123,7 +132,15 @@
         for leader in 0..self.leaders.len() {
             self.advance(leader);
         }
-        Ok(())
+        self.check_cancelled()
+    }
+
+    fn check_cancelled(&mut self) -> Result<(), String> {
+        let leader = self.storing_leader();
+        let nothing = FastSet::default();
+        let partitioned = leader.map_or(&nothing, |leader| &self.leaders[leader].partitioned_from);
+        self.checks
+            .check_cancelled_runs(&self.workers, leader, partitioned, self.now)
     }
 
     fn storing_leader(&self) -> Option<usize> {
@@ -139,7 +156,7 @@
             run_lease_ms: RUN_LEASE_MS,
             poll_wait_ms: 0,
             leader_grace_ms: LEADER_GRACE_MS,
-            stop_grace_ms: 200,
+            stop_grace_ms: STOP_GRACE_MS,
             term,
         };
         let former = FormerTerm::with_workers(self.store.workers.clone());
@@ -234,6 +251,11 @@
         let Some(worker) = self.leaders[index].worker_indices.get(&key).copied() else {
             return;
         };
+        if let Order::Start(start) = &order
+            && self.storing_leader() == Some(index)
+        {
+            self.checks.start_sent(&start.task);
+        }
         let delay_ms = self.rng.random_range(0..4) * TICK_MS;
         let delivery = self.draw_delivery(index, worker);
         let (arrives_ms, is_answered) = match delivery {
@@ -272,6 +294,15 @@
         self.in_transit.extend(events);
     }
 
+    fn draw_work_ms(&mut self) -> u64 {
+        let work_ms = self.rng.random_range(50..1_500);
+        let long_runs_percent = self.conditions.long_runs_percent;
+        if long_runs_percent > 0 && self.rng.random_range(0..100) < long_runs_percent {
+            return self.rng.random_range(LONG_WORK_MS);
+        }
+        work_ms
+    }
+
     fn draw_delivery(&mut self, index: usize, worker: usize) -> Delivery {
         if self.leaders[index].partitioned_from.contains(&worker) || !self.workers[worker].up {
             return Delivery::Lost;
@@ -321,7 +352,7 @@
     ) -> Result<(), String> {
         let (now, fencing_token) = (self.now, self.leaders[leader].fencing_token);
         let failed = self.draw_chance(40);
-        let work_ms = self.rng.random_range(50..1_500);
+        let work_ms = self.draw_work_ms();
         let target = &mut self.workers[worker.1];
         let is_alive = target.up && target.incarnation == incarnation;
         let answer = match &order {
--- a/crates/domain/tests/takeover_model/worker.rs
+++ b/crates/domain/tests/takeover_model/worker.rs
@@ -16,6 +16,7 @@
 pub(super) struct Run {
     pub(super) task: TaskName,
     number: u32,
+    pub(super) started_at: Millis,
     ends_at: Millis,
     end: RunEndKind,
 }
@@ -166,6 +167,7 @@
         self.running.push(Run {
             task: order.task.clone(),
             number: order.number,
+            started_at: now,
             ends_at: now.after_ms(work_ms),
             end,
         });
