Acknowledge ends only after an answered poll

A worker that restarts under its id numbers its ends from 1 again. A leader that does not know of the restart yet kept polling it with the cursor of the former incarnation. When the answer to such a poll was lost after a start had reached the new incarnation, the poll made the worker drop the end of that run unseen; the run was then missing from the next answer, and the task started again after its end had been acknowledged (TWICE).

A poll carries the cursor only if the poll before it was answered, which proves the incarnation. The poll that follows a lost one carries 0, as the first poll of a leader does.

The new test fails without it (2 starts instead of 1).

--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -228,14 +228,21 @@
                 }
                 _ => None,
             };
+            // A poll without an answer may have reached the next incarnation. A cursor of the former one
+            // would make it drop ends that this leader has not seen.
+            let last_poll_answered = worker.last_answer_at >= worker.poll_sent_at;
+            worker.ack_sent = if last_poll_answered {
+                worker.ack_ready
+            } else {
+                0
+            };
             worker.poll_in_flight = true;
             worker.poll_sent_at = now;
-            worker.ack_sent = worker.ack_ready;
             self.actions.push(Action::Poll(
                 key,
                 PollOrder {
                     deadline_ms,
-                    acknowledged: worker.ack_ready,
+                    acknowledged: worker.ack_sent,
                     wait_ms: if is_long_poll { wait_ms } else { 0 },
                 },
             ));
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -380,6 +380,29 @@
     assert_eq!(harness.state("a"), JobState::Completed);
 }
 
+/// Guards against acknowledging an end that the leader has not seen: the worker has restarted unnoticed, and
+/// a poll with the cursor of its former incarnation makes it drop the end of a task that then starts again
+/// (takeover schedule of seed 1170 with restarts).
+#[test]
+fn a_restarted_worker_keeps_its_ends_until_they_are_seen() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    harness.end_task("a.0.0.0", RunEndKind::Done);
+    harness.run_for(1_000);
+    assert!(harness.workers[0].ended.is_empty(), "acknowledged");
+    harness.restart_unlisted(0);
+    harness.lose_next_polls = 1;
+    harness.submit("b", job(vec![step(1)], 3));
+    while harness.lose_next_polls > 0 {
+        harness.run_for(10);
+    }
+    harness.end_task("b.0.0.0", RunEndKind::Done);
+    harness.run_for(500);
+    assert_eq!(harness.start_count("b.0.0.0"), 1);
+    assert_eq!(harness.state("b"), JobState::Completed);
+}
+
 /// Guards against an instance that is unusable for 12.5 s because the response to an order was lost.
 /// Repeating an order that was carried out has no further effect.
 #[test]
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -211,6 +211,13 @@
 
     /// Restarts a worker under the same id, as a new incarnation.
     pub(crate) fn restart(&mut self, worker: usize) {
+        self.restart_unlisted(worker);
+        let report = self.workers[worker].report.clone();
+        self.scheduler.worker_listed(report, self.now);
+    }
+
+    /// Restarts a worker under the same id before the platform lists its new incarnation.
+    pub(crate) fn restart_unlisted(&mut self, worker: usize) {
         let restarted = &mut self.workers[worker];
         restarted.partitioned = false;
         restarted.running.clear();
@@ -218,8 +225,6 @@
         restarted.closed.clear();
         restarted.sequence = 0;
         restarted.report.started_wall_ms += 1;
-        self.scheduler
-            .worker_listed(restarted.report.clone(), self.now);
     }
 
     /// Replaces the scheduler by one of a new leader, restored from the store.
