Stop late starts at the next incarnation of a worker

A start without an answer may be carried out seconds later. Its run is stopped, and the incarnation then refuses the start; but a worker that restarts under the same id knows nothing of that stop, nor of the end of the run if a repeated start was accepted. It would carry out the start beside another run or after the acknowledged end (TWICE).

The scheduler keeps starts without an answer for 12.5 s by the id of the worker, and stops their runs at an incarnation that answers for the first time. The room of each stays reserved until the worker proves that it does not run.

The takeover model gets frequent restarts under the same or a new id, clocks that start anew, a longest lease and orders that outlive a crash. A start or stop on its way reaches a later incarnation with the same id that the leader has reached for 2 s. Before that nothing but the name of the incarnation in the order can protect the worker.

--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod fleet;
 mod job_table;
+mod late_starts;
 mod load;
 mod observe;
 pub mod order;
@@ -29,6 +30,7 @@
 use fleet::Fleet;
 pub use fleet::WaveRecord;
 use job_table::{JobTable, TaskStatus};
+use late_starts::LateStarts;
 use load::LoadForecast;
 use order::{Action, SchedulerEvent, StepKey};
 pub use persist::{Batch, JobWrite, RecordedWorker};
@@ -147,6 +149,7 @@
     settings: ScheduleSettings,
     job_table: JobTable,
     runs: SlotMap<RunKey, PlacedRun>,
+    late_starts: LateStarts,
     workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FastMap<Arc<str>, WorkerKey>,
     /// Workers by the name of the instance that they report.
@@ -187,6 +190,7 @@
             settings,
             job_table: JobTable::default(),
             runs: SlotMap::with_key(),
+            late_starts: LateStarts::default(),
             workers: SlotMap::with_key(),
             workers_by_id: FastMap::default(),
             workers_by_instance: FastMap::default(),
--- /dev/null
+++ b/crates/domain/src/schedule/late_starts.rs
@@ -0,0 +1,79 @@
+//! Starts that got no answer and may still be on their way to a worker.
+//!
+//! An incarnation refuses such a start after the stop of its run. The next incarnation of the worker may
+//! have the same id and knows nothing of that stop, so the run is stopped there again before the start
+//! arrives.
+
+use super::Scheduler;
+use super::run::{Phase, PlacedRun, Run, RunInfo};
+use crate::prelude::*;
+
+/// Time for which a start without an answer may still be carried out. The platform says only that this may
+/// be seconds; orders to instances are held back for the same time.
+const LATE_START_MS: u64 = 12_500;
+
+/// A start without an answer.
+#[derive(Clone, Copy, Debug)]
+struct LateStart {
+    info: RunInfo,
+    expires_at: Millis,
+}
+
+/// Starts without an answer, by the id of the worker that they name.
+#[derive(Debug, Default)]
+pub(super) struct LateStarts {
+    by_worker: FastMap<Arc<str>, Vec<LateStart>>,
+}
+
+impl LateStarts {
+    fn add(&mut self, worker: Arc<str>, info: RunInfo, now: Millis) {
+        self.by_worker.retain(|_, starts| {
+            starts.retain(|start| start.expires_at > now);
+            !starts.is_empty()
+        });
+        let starts = self.by_worker.entry(worker).or_default();
+        starts.retain(|start| (start.info.task, start.info.number) != (info.task, info.number));
+        let expires_at = now.after_ms(LATE_START_MS);
+        starts.push(LateStart { info, expires_at });
+    }
+
+    fn pending(&self, worker: &str, now: Millis) -> Vec<RunInfo> {
+        let starts = self.by_worker.get(worker).into_iter().flatten();
+        let pending = starts.filter(|start| start.expires_at > now);
+        pending.map(|start| start.info).collect()
+    }
+}
+
+impl Scheduler {
+    /// Records that a start got no answer.
+    pub(super) fn record_late_start(&mut self, worker: WorkerKey, run: RunKey, now: Millis) {
+        if let (Some(worker), Some(run)) = (self.workers.get(worker), self.runs.get(run)) {
+            let id = Arc::clone(&worker.report.id);
+            self.late_starts.add(id, *run.info(), now);
+        }
+    }
+
+    /// Stops the runs whose starts may still reach an incarnation that has just answered for the first time.
+    /// Their room is reserved until the worker proves that they do not run.
+    pub(super) fn stop_late_starts(&mut self, key: WorkerKey, now: Millis) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        for info in self.late_starts.pending(&worker.report.id, now) {
+            if self.run_at(key, info.task, info.number).is_some() {
+                continue;
+            }
+            let info = RunInfo {
+                worker: key,
+                sent_at: now,
+                ..info
+            };
+            let run = PlacedRun::new(Phase::Sent(Run::new(info)));
+            let run = self.runs.insert(run);
+            let worker = &mut self.workers[key];
+            worker.runs.push(run);
+            worker.used = worker.used.plus(info.need);
+            self.stop_run(run, now);
+        }
+    }
+}
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -81,6 +81,7 @@
         if started_ms != 0 {
             worker.report.started_wall_ms = started_ms;
         }
+        let is_first_answer = !worker.synced;
         let was_usable = worker.synced && !worker.unresponsive;
         if worker.synced && worker.failed_polls > 0 {
             self.short_polls_until = now.after_ms(ANSWER_LOSS_WINDOW_MS);
@@ -104,6 +105,9 @@
         }
         let listed = self.apply_running(key, &listing.running, now);
         self.drop_unlisted(key, &listed, sent_at, now);
+        if is_first_answer {
+            self.stop_late_starts(key, now);
+        }
         self.adjust_pace(key, now);
         self.stop_stalled(key, now);
         let worker = &mut self.workers[key];
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -15,6 +15,9 @@
             Some(run) => run.start_in_flight = false,
             None => return,
         }
+        if result == OrderResult::Unanswered {
+            self.record_late_start(worker, run, now);
+        }
         match result {
             OrderResult::Accepted { clock_ms } => {
                 if let Some(worker) = self.workers.get_mut(worker) {
--- a/crates/domain/tests/schedule.rs
+++ b/crates/domain/tests/schedule.rs
@@ -380,6 +380,28 @@
     assert_eq!(harness.state("a"), JobState::Completed);
 }
 
+/// Guards against a start that is still on its way when its worker restarts under the same id: the new
+/// incarnation does not know that the run has ended, and would run the task again.
+#[test]
+fn a_restarted_worker_is_told_to_refuse_late_starts() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.lose_next_starts = 1;
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    harness.end_task("a.0.0.0", RunEndKind::Done);
+    harness.run_for(1_000);
+    assert_eq!(harness.state("a"), JobState::Completed);
+    harness.restart(0);
+    harness.lose_stops = true;
+    harness.run_for(200);
+    harness.lose_stops = false;
+    harness.run_for(500);
+    assert_eq!(harness.workers[0].closed.get("a.0.0.0"), Some(&1));
+    harness.submit("b", job(vec![step(4)], 3));
+    harness.run_for(100);
+    assert_eq!(harness.running().len(), 4, "all room is free again");
+}
+
 /// Guards against acknowledging an end that the leader has not seen: the worker has restarted unnoticed, and
 /// a poll with the cursor of its former incarnation makes it drop the end of a task that then starts again
 /// (takeover schedule of seed 1170 with restarts).
--- a/crates/domain/tests/takeover_model/checks.rs
+++ b/crates/domain/tests/takeover_model/checks.rs
@@ -198,6 +198,12 @@
         Ok(())
     }
 
+    /// Time for which the leader has reached this incarnation of a worker.
+    pub(super) fn reachable_ms(&self, worker: &str, now: Millis) -> u64 {
+        let reachable = self.reachable.get(worker);
+        reachable.map_or(0, |reachable| now.ms_since(reachable.since))
+    }
+
     /// Checks that every job has reached the final state that its runs and cancellations imply.
     pub(super) fn check_all_finished(
         &self,
--- a/crates/domain/tests/takeover_model/conditions.rs
+++ b/crates/domain/tests/takeover_model/conditions.rs
@@ -9,6 +9,22 @@
     pub(super) cancelled_among_last: usize,
     /// Share of runs that take longer than a run of a cancelled job may last.
     pub(super) long_runs_percent: u32,
+    /// Probability that one of the workers crashes, for each tick.
+    pub(super) crashes_per_mille: u32,
+    /// Probability that a crashed worker restarts, for each tick and worker drawn.
+    pub(super) restarts_per_mille: u32,
+    /// What a worker keeps over a restart.
+    pub(super) restart: Restart,
+}
+
+/// What a worker keeps over a restart, and which orders its next incarnation may receive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Restart {
+    /// It keeps its id and its clock. An order reaches only the incarnation that existed when it was sent.
+    OrdersLost,
+    /// It keeps its id or gets a new one, and its clock starts at 0. A start or stop on its way can reach
+    /// a later incarnation with the same id.
+    OrdersOnTheirWay,
 }
 
 impl Conditions {
@@ -17,6 +33,9 @@
         cancels_per_mille: 2,
         cancelled_among_last: usize::MAX,
         long_runs_percent: 0,
+        crashes_per_mille: 1,
+        restarts_per_mille: 8,
+        restart: Restart::OrdersLost,
     };
 
     /// Frequent cancellations of jobs with long runs.
@@ -24,5 +43,14 @@
         cancels_per_mille: 8,
         cancelled_among_last: 3,
         long_runs_percent: 30,
+        ..Self::SHORT_RUNS
+    };
+
+    /// Frequent restarts, over which orders stay on their way.
+    pub(crate) const RESTARTS: Self = Self {
+        crashes_per_mille: 3,
+        restarts_per_mille: 40,
+        restart: Restart::OrdersOnTheirWay,
+        ..Self::CANCELLATIONS
     };
 }
--- a/crates/domain/tests/takeover_model/messages.rs
+++ b/crates/domain/tests/takeover_model/messages.rs
@@ -30,10 +30,22 @@
     Late,
 }
 
+/// What happens to an order that arrives at the address of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reception {
+    Accepted,
+    NotListening,
+    /// A worker with another id than the order names refuses it.
+    OtherId,
+}
+
 #[derive(Debug)]
 pub(super) enum Event {
-    /// An order reaches its worker. It takes effect only in the incarnation that it was sent to.
+    /// An order reaches its worker.
     OrderArrives {
+        /// Id that the order names.
+        id: Arc<str>,
+        /// Incarnation that existed when it was sent.
         incarnation: u64,
         order: Order,
         is_answered: bool,
