--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod fleet;
 mod job_table;
+mod late_starts;
 mod load;
 mod observe;
 pub mod order;
@@ -31,6 +32,7 @@
 use fleet::Fleet;
 pub use fleet::WaveRecord;
 use job_table::{JobTable, TaskStatus};
+use late_starts::LateStarts;
 use load::LoadForecast;
 use order::{Action, SchedulerEvent, StepKey};
 pub use persist::{Batch, JobWrite, RecordedWorker};
@@ -151,6 +153,7 @@
     job_table: JobTable,
     retention: Retention,
     runs: SlotMap<RunKey, PlacedRun>,
+    late_starts: LateStarts,
     workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FastMap<Arc<str>, WorkerKey>,
     /// Workers by the name of the instance that they report.
@@ -194,6 +197,7 @@
             job_table: JobTable::default(),
             retention: Retention::default(),
             runs: SlotMap::with_key(),
+            late_starts: LateStarts::default(),
             workers: SlotMap::with_key(),
             workers_by_id: FastMap::default(),
             workers_by_instance: FastMap::default(),
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -4,21 +4,26 @@
 //! and become unreachable. A leader may be killed, or continue after it has lost the store.
 
 mod checks;
+mod conditions;
 mod faults;
 mod messages;
 mod worker;
 
+use std::ops::Range;
+
 use checks::Checks;
-use messages::{Answer, Delivery, Event, InTransit, Order};
+pub(crate) use conditions::Conditions;
+use conditions::Restart;
+use messages::{Answer, Delivery, Event, InTransit, Order, Reception};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rosemaryscale_domain::job::{JobProgress, JobRecord};
 use rosemaryscale_domain::prelude::*;
-use rosemaryscale_domain::schedule::order::{Action, OrderResult, PollResult, RunEndKind};
+use rosemaryscale_domain::schedule::order::{Action, OrderResult, PollResult, Refusal, RunEndKind};
 use rosemaryscale_domain::schedule::{
     Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
-use worker::{ModelWorker, instance_report, worker_report};
+use worker::{ModelWorker, instance_report};
 
 const TICK_MS: u64 = 10;
 const WORKER_COUNT: usize = 4;
@@ -29,13 +34,22 @@
 const LEADER_GRACE_MS: u64 = 9_000;
 const RUN_LEASE_MS: u64 = 5_000;
 const ORDER_TIMEOUT_MS: u64 = 200;
+const STOP_GRACE_MS: u64 = 200;
+/// Duration of long runs. All are longer than a run of a cancelled job may last.
+const LONG_WORK_MS: Range<u64> = 5_000..12_000;
 pub(crate) const ATTEMPTS_MAX: u32 = 3;
 
+/// Time for which a leader must have reached a restarted worker before an order on its way to an earlier
+/// incarnation can reach this one. Until then, nothing but the name of the incarnation in the order
+/// protects the worker: it knows neither a fencing token nor the stops that its predecessor accepted.
+const STOPS_REPEATED_MS: u64 = 2_000;
+
 /// A daemon that is or was the leader, with its scheduler.
 struct Leader {
     scheduler: Scheduler,
     fencing_token: u64,
-    worker_indices: FastMap<WorkerKey, usize>,
+    /// Id and index of each worker that it is connected to.
+    worker_indices: FastMap<WorkerKey, (Arc<str>, usize)>,
     is_active: bool,
     reaches_store: bool,
     lost_store_at: Millis,
@@ -61,12 +75,13 @@
     store: Store,
     in_transit: Vec<InTransit>,
     loss_percent: u32,
+    conditions: Conditions,
     checks: Checks,
 }
 
 /// Runs the schedule of a seed; `Err` describes the violated invariant.
-pub(crate) fn run_schedule(seed: u64) -> Result<(), String> {
-    let mut model = TakeoverModel::new(seed);
+pub(crate) fn run_schedule(seed: u64, conditions: Conditions) -> Result<(), String> {
+    let mut model = TakeoverModel::new(seed, conditions);
     while model.now.as_ms() < DEADLINE_MS {
         model.tick()?;
     }
@@ -78,7 +93,7 @@
 }
 
 impl TakeoverModel {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, conditions: Conditions) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let loss_percent = [0, 3, 15][rng.random_range(0..3)];
         let mut model = Self {
@@ -90,6 +105,7 @@
             store: Store::default(),
             in_transit: Vec::new(),
             loss_percent,
+            conditions,
             checks: Checks::default(),
         };
         model.start_leader();
@@ -123,7 +139,15 @@
         for leader in 0..self.leaders.len() {
             self.advance(leader);
         }
-        Ok(())
+        self.check_cancelled()
+    }
+
+    fn check_cancelled(&mut self) -> Result<(), String> {
+        let leader = self.storing_leader();
+        let nothing = FastSet::default();
+        let partitioned = leader.map_or(&nothing, |leader| &self.leaders[leader].partitioned_from);
+        self.checks
+            .check_cancelled_runs(&self.workers, leader, partitioned, self.now)
     }
 
     fn storing_leader(&self) -> Option<usize> {
@@ -139,7 +163,7 @@
             run_lease_ms: RUN_LEASE_MS,
             poll_wait_ms: 0,
             leader_grace_ms: LEADER_GRACE_MS,
-            stop_grace_ms: 200,
+            stop_grace_ms: STOP_GRACE_MS,
             term,
         };
         let former = FormerTerm::with_workers(self.store.workers.clone());
@@ -179,7 +203,7 @@
         if leader.reaches_store {
             for worker in &self.workers {
                 if worker.up {
-                    leader.scheduler.worker_listed(worker_report(worker), now);
+                    leader.scheduler.worker_listed(worker.report(), now);
                 } else {
                     leader.scheduler.worker_unlisted(&worker.id);
                 }
@@ -212,8 +236,8 @@
                     .worker(key)
                     .map(|report| Arc::clone(&report.id));
                 let position = self.workers.iter().position(|w| Some(&w.id) == id.as_ref());
-                if let Some(worker_index) = position {
-                    leader.worker_indices.insert(key, worker_index);
+                if let (Some(id), Some(worker_index)) = (id, position) {
+                    leader.worker_indices.insert(key, (id, worker_index));
                 }
             }
             Action::Disconnect(key) => {
@@ -231,9 +255,14 @@
     }
 
     fn send(&mut self, index: usize, key: WorkerKey, order: Order) {
-        let Some(worker) = self.leaders[index].worker_indices.get(&key).copied() else {
+        let Some((id, worker)) = self.leaders[index].worker_indices.get(&key).cloned() else {
             return;
         };
+        if let Order::Start(start) = &order
+            && self.storing_leader() == Some(index)
+        {
+            self.checks.start_sent(&start.task);
+        }
         let delay_ms = self.rng.random_range(0..4) * TICK_MS;
         let delivery = self.draw_delivery(index, worker);
         let (arrives_ms, is_answered) = match delivery {
@@ -261,9 +290,9 @@
             ));
         }
         if let Some(arrives_ms) = arrives_ms {
-            let incarnation = self.workers[worker].incarnation;
             let event = Event::OrderArrives {
-                incarnation,
+                id,
+                incarnation: self.workers[worker].incarnation,
                 order,
                 is_answered,
             };
@@ -272,6 +301,15 @@
         self.in_transit.extend(events);
     }
 
+    fn draw_work_ms(&mut self) -> u64 {
+        let work_ms = self.rng.random_range(50..1_500);
+        let long_runs_percent = self.conditions.long_runs_percent;
+        if long_runs_percent > 0 && self.rng.random_range(0..100) < long_runs_percent {
+            return self.rng.random_range(LONG_WORK_MS);
+        }
+        work_ms
+    }
+
     fn draw_delivery(&mut self, index: usize, worker: usize) -> Delivery {
         if self.leaders[index].partitioned_from.contains(&worker) || !self.workers[worker].up {
             return Delivery::Lost;
@@ -298,11 +336,13 @@
         {
             match event {
                 Event::OrderArrives {
+                    id,
                     incarnation,
                     order,
                     is_answered,
                 } => {
-                    self.receive_order(leader, worker, incarnation, order, is_answered)?;
+                    let reception = self.reception(&id, worker.1, incarnation, &order);
+                    self.receive_order(leader, worker, reception, order, is_answered)?;
                 }
                 Event::Answered { order, answer } => self.answered(leader, worker.0, order, answer),
                 Event::BatchWritten(batch) => self.written(leader, &batch),
@@ -311,24 +351,50 @@
         Ok(())
     }
 
+    /// What happens to an order that names this worker id and was sent to this incarnation.
+    fn reception(&self, id: &Arc<str>, index: usize, sent_to: u64, order: &Order) -> Reception {
+        let worker = &self.workers[index];
+        if !worker.up {
+            return Reception::NotListening;
+        }
+        if worker.id != *id {
+            return Reception::OtherId;
+        }
+        let reachable_ms = self.checks.reachable_ms(id, self.now);
+        let reaches_later_incarnation = match (self.conditions.restart, order) {
+            (Restart::OrdersLost, _) | (_, Order::Poll(_)) => false,
+            (Restart::OrdersOnTheirWay, _) => reachable_ms >= STOPS_REPEATED_MS,
+        };
+        if worker.incarnation == sent_to || reaches_later_incarnation {
+            Reception::Accepted
+        } else {
+            Reception::NotListening
+        }
+    }
+
     fn receive_order(
         &mut self,
         leader: usize,
         worker: (WorkerKey, usize),
-        incarnation: u64,
+        reception: Reception,
         order: Order,
         is_answered: bool,
     ) -> Result<(), String> {
         let (now, fencing_token) = (self.now, self.leaders[leader].fencing_token);
         let failed = self.draw_chance(40);
-        let work_ms = self.rng.random_range(50..1_500);
+        let work_ms = self.draw_work_ms();
         let target = &mut self.workers[worker.1];
-        let is_alive = target.up && target.incarnation == incarnation;
         let answer = match &order {
-            _ if !is_alive => match &order {
-                Order::Poll(_) => Answer::Poll(PollResult::NotListening),
-                Order::Start(_) | Order::Stop(_) => Answer::Order(OrderResult::NotListening),
-            },
+            Order::Poll(_) if reception == Reception::NotListening => {
+                Answer::Poll(PollResult::NotListening)
+            }
+            _ if reception == Reception::NotListening => Answer::Order(OrderResult::NotListening),
+            Order::Poll(_) if reception == Reception::OtherId => {
+                Answer::Poll(PollResult::Refused(Refusal::OtherIncarnation))
+            }
+            _ if reception == Reception::OtherId => {
+                Answer::Order(OrderResult::Refused(Refusal::OtherIncarnation))
+            }
             Order::Start(start) => {
                 let end = if failed {
                     RunEndKind::Failed
--- a/crates/domain/tests/takeover_model/worker.rs
+++ b/crates/domain/tests/takeover_model/worker.rs
@@ -11,11 +11,15 @@
 /// Number of tasks that fit on a worker.
 pub(super) const TASK_CAPACITY: usize = 4;
 
+/// Longest lease that a worker gives to its runs.
+const MAX_LEASE_MS: u64 = 6_000;
+
 /// A run in progress.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
     pub(super) task: TaskName,
     number: u32,
+    pub(super) started_at: Millis,
     ends_at: Millis,
     end: RunEndKind,
 }
@@ -27,6 +31,8 @@
     pub(super) up: bool,
     /// Number of the incarnation, reported as its start time.
     pub(super) incarnation: u64,
+    /// Reading of the schedule's clock at which its own one was 0.
+    clock_origin: Millis,
     /// Speed of its clock relative to real time, in percent.
     clock_percent: u64,
     fencing_token: u64,
@@ -37,14 +43,18 @@
     lease_end_ms: u64,
     /// When its lease last expired. Acknowledged ends from before then do not count.
     pub(super) lease_expired_at: Millis,
+    report: WorkerReport,
 }
 
 impl ModelWorker {
     pub(super) fn new(index: usize) -> Self {
+        let id: Arc<str> = format!("w{index}").into();
         Self {
-            id: format!("w{index}").into(),
+            report: first_report(&id),
+            id,
             up: true,
             incarnation: 1,
+            clock_origin: Millis::ZERO,
             clock_percent: if index.is_multiple_of(2) { 98 } else { 100 },
             fencing_token: 0,
             running: Vec::new(),
@@ -57,7 +67,7 @@
     }
 
     fn clock_ms(&self, now: Millis) -> u64 {
-        now.as_ms() * self.clock_percent / 100
+        now.ms_since(self.clock_origin) * self.clock_percent / 100
     }
 
     /// Ends the incarnation and loses its state.
@@ -74,6 +84,26 @@
     pub(super) fn restart(&mut self) {
         self.up = true;
         self.incarnation += 1;
+        self.report.started_wall_ms = self.incarnation;
+    }
+
+    pub(super) fn reset_clock(&mut self, now: Millis) {
+        self.clock_origin = now;
+    }
+
+    /// Gives the incarnation an id of its own.
+    pub(super) fn rename(&mut self) {
+        self.id = format!("{}-{}", self.report.instance, self.incarnation).into();
+        self.report.id = Arc::clone(&self.id);
+    }
+
+    fn prolong_lease(&mut self, deadline_ms: u64, now: Millis) {
+        let longest_ms = self.clock_ms(now) + MAX_LEASE_MS;
+        self.lease_end_ms = self.lease_end_ms.max(deadline_ms.min(longest_ms));
+    }
+
+    pub(super) fn report(&self) -> WorkerReport {
+        self.report.clone()
     }
 
     /// Ends runs that have finished or whose lease has expired, and returns these ends.
@@ -148,16 +178,17 @@
             .get(&order.task)
             .is_some_and(|closed| *closed >= order.number)
         {
-            self.lease_end_ms = self.lease_end_ms.max(order.deadline_ms);
+            self.prolong_lease(order.deadline_ms, now);
             return (OrderResult::Refused(Refusal::OldRun), false);
         }
         if order.deadline_ms <= clock_ms {
             return (OrderResult::Refused(Refusal::Late), false);
         }
-        self.lease_end_ms = self.lease_end_ms.max(order.deadline_ms);
+        self.prolong_lease(order.deadline_ms, now);
         self.running.push(Run {
             task: order.task.clone(),
             number: order.number,
+            started_at: now,
             ends_at: now.after_ms(work_ms),
             end,
         });
@@ -201,7 +232,7 @@
             .partition(|end| end.sequence <= acknowledged);
         self.ended = ended;
         if let Some(deadline_ms) = order.deadline_ms {
-            self.lease_end_ms = self.lease_end_ms.max(deadline_ms);
+            self.prolong_lease(deadline_ms, now);
         }
         let listed = self.running.iter().map(|run| ListedRun {
             task: run.task.clone(),
@@ -229,23 +260,23 @@
     }
 }
 
-pub(super) fn worker_report(worker: &ModelWorker) -> WorkerReport {
+fn first_report(id: &Arc<str>) -> WorkerReport {
     WorkerReport {
-        id: Arc::clone(&worker.id),
+        id: Arc::clone(id),
         service: "service".into(),
-        address: Arc::clone(&worker.id),
+        address: Arc::clone(id),
         availability_zone: "zone".into(),
         labels: Vec::new(),
         capacity: capacity(),
-        instance: format!("machine-{}", worker.id).into(),
-        started_wall_ms: worker.incarnation,
+        instance: format!("machine-{id}").into(),
+        started_wall_ms: 1,
         draining: false,
     }
 }
 
 pub(super) fn instance_report(worker: &ModelWorker) -> InstanceReport {
     InstanceReport {
-        name: format!("machine-{}", worker.id).into(),
+        name: Arc::clone(&worker.report.instance),
         pool: "service".into(),
         state: if worker.up {
             InstanceState::Up
