Count dropped log lines on the metrics page

Change: the queue of the log is an own drain around slog-async's core. It counts the lines that find no room; the metrics page serves the count as rosemaryscale_log_dropped_lines, from the counter itself, since records of metrics are lost while their queue is full. The thread that writes the lines reports dropped ones at most once a second and when the log is closed, in the words used before.

Tests: the page counts exactly the lines that are missing and the reports sum up to them; with an interval of 0 the test of the rate fails (a report every 90 lines).

--- a/crates/adapters/src/log.rs
+++ b/crates/adapters/src/log.rs
@@ -1,10 +1,17 @@
-//! Sets up logging with slog.
+//! Sets up logging with slog. A thread of its own writes the lines from a bounded queue; lines that find
+//! the queue full are dropped and counted.
 
+use std::cell::Cell;
 use std::io::Write;
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
+use rosemaryscale_ports::prelude::*;
 use serde::Deserialize;
-use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog::{Drain, Level, LevelFilter, Logger, Never, OwnedKVList, Record, b, o, record};
+use slog_async::{AsyncCore, AsyncError};
+
+use crate::SystemClock;
 
 /// Maximum number of log lines that are queued for the writer. During a burst, one scheduling round
 /// starts several hundred tasks, each of which logs a line of about 300 bytes.
@@ -22,48 +29,154 @@
     Text,
 }
 
+/// Minimum time between log lines that report dropped lines. A burst fills the queue many times a second.
+const DROP_REPORT_INTERVAL_MS: u64 = 1_000;
+
+/// Number of log lines that were dropped since the log was opened. Loggers are called from every task and
+/// never wait, so they share a counter instead of sending messages, which a full queue would lose.
+#[derive(Clone, Debug, Default)]
+pub struct DroppedLines(Arc<AtomicU64>);
+
+impl DroppedLines {
+    /// The number of dropped lines.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn add_one(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// Creates a logger that writes to standard error.
 pub fn open(format: LogFormat, level: Level) -> Logger {
-    match format {
+    let (log, _) = match format {
         LogFormat::Json => open_json(std::io::stderr(), level),
         LogFormat::Text => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
-            root(
-                Mutex::new(slog_term::FullFormat::new(decorator).build()).fuse(),
-                level,
-            )
+            open_text(decorator, level)
         }
-    }
+    };
+    log
 }
 
 /// Creates a logger that writes to standard output. A separate thread writes the lines. If its
 /// queue is full, lines are dropped and counted, so a consumer that stops reading blocks no other
 /// thread.
-pub fn open_stdout(format: LogFormat, level: Level) -> Logger {
+pub fn open_stdout(format: LogFormat, level: Level) -> (Logger, DroppedLines) {
     match format {
         LogFormat::Json => open_json(std::io::stdout(), level),
         LogFormat::Text => {
             let decorator = slog_term::TermDecorator::new().stdout().build();
-            root(
-                Mutex::new(slog_term::FullFormat::new(decorator).build()).fuse(),
-                level,
-            )
+            open_text(decorator, level)
         }
     }
 }
 
 /// Creates a logger that writes JSON lines to a writer, which may block.
-pub fn open_json(writer: impl Write + Send + 'static, level: Level) -> Logger {
+pub fn open_json(writer: impl Write + Send + 'static, level: Level) -> (Logger, DroppedLines) {
     let json = slog_json::Json::new(writer).add_default_keys().build();
     root(Mutex::new(json).fuse(), level)
 }
 
-fn root<D>(drain: D, level: Level) -> Logger
+fn open_text(decorator: slog_term::TermDecorator, level: Level) -> (Logger, DroppedLines) {
+    let text = slog_term::FullFormat::new(decorator).build();
+    root(Mutex::new(text).fuse(), level)
+}
+
+fn root<D>(drain: D, level: Level) -> (Logger, DroppedLines)
 where
-    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+    D: Drain<Ok = (), Err = Never> + Send + 'static,
 {
-    let drain = slog_async::Async::new(drain)
-        .chan_size(LINE_QUEUE_CAPACITY)
-        .build();
-    Logger::root(LevelFilter::new(drain, level).fuse(), o!())
+    let dropped = DroppedLines::default();
+    let writer = LineWriter {
+        drain,
+        clock: SystemClock::new(),
+        dropped: dropped.clone(),
+        reported: Cell::new(0),
+        next_report_at: Cell::new(Millis::ZERO),
+    };
+    let queue = LineQueue {
+        core: AsyncCore::custom(writer)
+            .chan_size(LINE_QUEUE_CAPACITY)
+            .build(),
+        dropped: dropped.clone(),
+    };
+    let log = Logger::root(LevelFilter::new(queue, level).fuse(), o!());
+    (log, dropped)
+}
+
+/// Queues lines for the thread that writes them, and drops and counts those that find no room.
+struct LineQueue {
+    core: AsyncCore,
+    dropped: DroppedLines,
+}
+
+impl Drain for LineQueue {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        match self.core.log(record, values) {
+            Ok(()) => {}
+            // The thread has ended, so the line is lost as well.
+            Err(AsyncError::Full | AsyncError::Fatal(_)) => self.dropped.add_one(),
+        }
+        Ok(())
+    }
+}
+
+/// Writes lines on the log's thread, and reports dropped lines between them.
+struct LineWriter<D: Drain<Ok = (), Err = Never>> {
+    drain: D,
+    clock: SystemClock,
+    dropped: DroppedLines,
+    /// Number of dropped lines that the log has reported.
+    reported: Cell<u64>,
+    next_report_at: Cell<Millis>,
+}
+
+impl<D: Drain<Ok = (), Err = Never>> LineWriter<D> {
+    fn report_dropped(&self, values: &OwnedKVList) {
+        let total = self.dropped.total();
+        let count = total - self.reported.replace(total);
+        if count == 0 {
+            return;
+        }
+        let now = self.clock.now();
+        self.next_report_at
+            .set(now.after_ms(DROP_REPORT_INTERVAL_MS));
+        let Ok(()) = self.drain.log(
+            &record!(
+                Level::Error,
+                "",
+                &format_args!("slog-async: logger dropped messages due to channel overflow"),
+                b!("count" => count)
+            ),
+            values,
+        );
+    }
+}
+
+impl<D: Drain<Ok = (), Err = Never>> Drain for LineWriter<D> {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        let Ok(()) = self.drain.log(record, values);
+        if self.dropped.total() > self.reported.get()
+            && self.clock.now() >= self.next_report_at.get()
+        {
+            self.report_dropped(values);
+        }
+        Ok(())
+    }
+}
+
+impl<D: Drain<Ok = (), Err = Never>> Drop for LineWriter<D> {
+    /// Reports the rest when the log is closed.
+    fn drop(&mut self) {
+        self.report_dropped(&o!().into());
+    }
 }
--- a/crates/adapters/src/metrics_registry.rs
+++ b/crates/adapters/src/metrics_registry.rs
@@ -9,6 +9,8 @@
 use rosemaryscale_ports::prelude::*;
 use tokio::task::JoinHandle;
 
+use crate::log::DroppedLines;
+
 /// Capacity of the queue of records. If it is full, records are dropped, so recording never blocks.
 const RECORD_QUEUE_CAPACITY: usize = 4_096;
 /// Capacity of the queue of reads.
@@ -19,6 +21,8 @@
 const TIME_MAX_MS: u64 = 600_000;
 /// Significant digits of a histogram.
 const SIGNIFICANT_DIGITS: u8 = 2;
+/// Name of the counter of dropped log lines.
+const DROPPED_LINES: &str = "log.dropped_lines";
 
 /// Handle that reads all metrics as text.
 pub type MetricsReader = mpsc::Sender<oneshot::Sender<String>>;
@@ -49,10 +53,14 @@
 
 /// Starts the task that holds the metrics. It ends when every handle is dropped.
 #[must_use]
-pub fn start() -> (Metrics, MetricsReader, JoinHandle<()>) {
+pub fn start(dropped_lines: DroppedLines) -> (Metrics, MetricsReader, JoinHandle<()>) {
     let (records, receiver) = mpsc::channel(RECORD_QUEUE_CAPACITY);
     let (reads, read_receiver) = mpsc::channel(READ_QUEUE_CAPACITY);
-    let task = tokio::spawn(MetricsRegistry::default().run(receiver, read_receiver));
+    let registry = MetricsRegistry {
+        dropped_lines,
+        ..MetricsRegistry::default()
+    };
+    let task = tokio::spawn(registry.run(receiver, read_receiver));
     (Arc::new(RegistrySink { records }), reads, task)
 }
 
@@ -62,6 +70,7 @@
     counters: BTreeMap<&'static str, i64>,
     gauges: BTreeMap<&'static str, u64>,
     times_ms: BTreeMap<&'static str, Histogram<u64>>,
+    dropped_lines: DroppedLines,
 }
 
 impl MetricsRegistry {
@@ -105,6 +114,8 @@
     /// Renders one line per value; dots in names are replaced by underscores.
     fn render(&self) -> String {
         let mut text = String::new();
+        let dropped_lines = self.dropped_lines.total();
+        let _ = writeln!(text, "{} {dropped_lines}", metric_name(DROPPED_LINES));
         for (name, value) in &self.counters {
             let _ = writeln!(text, "{} {value}", metric_name(name));
         }
--- a/crates/adapters/tests/log.rs
+++ b/crates/adapters/tests/log.rs
@@ -7,7 +7,10 @@
 use std::time::{Duration, Instant};
 
 use rosemaryscale_adapters::log::{LINE_QUEUE_CAPACITY, open_json};
+use rosemaryscale_adapters::metrics_registry;
+use serde_json::Value;
 use slog::{Level, info};
+use tokio::sync::oneshot;
 
 /// Blocks each write until the test permits it, then forwards its bytes.
 struct BlockedWriter {
@@ -37,7 +40,7 @@
     const IDLE_TIME: Duration = Duration::from_millis(500);
     let (permit, permits) = mpsc::channel();
     let (written, lines) = mpsc::channel();
-    let log = open_json(BlockedWriter { permits, written }, Level::Info);
+    let (log, _) = open_json(BlockedWriter { permits, written }, Level::Info);
     let started = Instant::now();
     for number in 0..LINES {
         info!(log, "line"; "number" => number);
@@ -58,3 +61,97 @@
     assert!(kept <= 2 * LINE_QUEUE_CAPACITY, "{kept} lines were kept");
     assert!(text.contains("dropped messages"), "the loss is reported");
 }
+
+/// Takes a millisecond for each line, as a slow reader of the log does, then forwards its bytes.
+struct SlowWriter {
+    written: mpsc::Sender<Vec<u8>>,
+}
+
+impl Write for SlowWriter {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        if bytes.contains(&b'\n') {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        let _ = self.written.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The number of dropped lines that each report names, and the number of other lines.
+fn reports_and_lines(bytes: &[u8]) -> (Vec<u64>, usize) {
+    let mut reports = Vec::new();
+    let mut lines = 0;
+    for line in bytes.split(|byte| *byte == b'\n') {
+        let Ok(fields) = serde_json::from_slice::<Value>(line) else {
+            continue;
+        };
+        if fields["msg"] == "slog-async: logger dropped messages due to channel overflow" {
+            reports.push(fields["count"].as_u64().expect("a report has a count"));
+        } else {
+            lines += 1;
+        }
+    }
+    (reports, lines)
+}
+
+/// Guards against dropped lines that nobody sees, because the metrics page does not count them.
+#[tokio::test]
+async fn the_metrics_page_counts_dropped_lines() {
+    const LINES: usize = 10 * LINE_QUEUE_CAPACITY;
+    const METRIC: &str = "rosemaryscale_log_dropped_lines";
+    let (permit, permits) = mpsc::channel();
+    let (written, received) = mpsc::channel();
+    let (log, dropped_lines) = open_json(BlockedWriter { permits, written }, Level::Info);
+    let (metrics, reader, registry) = metrics_registry::start(dropped_lines);
+    let page = async || {
+        let (reply, text) = oneshot::channel();
+        reader.send(reply).await.expect("the registry runs");
+        text.await.expect("the registry answers")
+    };
+    assert!(page().await.contains(&format!("{METRIC} 0\n")));
+    for number in 0..LINES {
+        info!(log, "line"; "number" => number);
+    }
+    let text = page().await;
+    drop(permit);
+    // Dropping the log joins its thread.
+    drop(log);
+    let bytes: Vec<u8> = received.into_iter().flatten().collect();
+    let (reports, kept) = reports_and_lines(&bytes);
+    let dropped = LINES - kept;
+    assert!(dropped > 0, "the queue overflowed");
+    assert!(text.contains(&format!("{METRIC} {dropped}\n")), "{text}");
+    assert_eq!(reports.iter().sum::<u64>(), dropped as u64, "{reports:?}");
+    drop(metrics);
+    registry.await.expect("the registry ends");
+}
+
+/// Guards against reports of dropped lines that themselves fill the log of an overloaded process.
+#[test]
+fn dropped_lines_are_reported_once_a_second() {
+    const FLOOD: Duration = Duration::from_millis(2_500);
+    let (written, received) = mpsc::channel();
+    let (log, dropped_lines) = open_json(SlowWriter { written }, Level::Info);
+    let started = Instant::now();
+    while started.elapsed() < FLOOD {
+        for number in 0..100 {
+            info!(log, "line"; "number" => number);
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    drop(log);
+    let elapsed_s = started.elapsed().as_secs() as usize;
+    let bytes: Vec<u8> = received.into_iter().flatten().collect();
+    let (reports, _) = reports_and_lines(&bytes);
+    assert_eq!(reports.iter().sum::<u64>(), dropped_lines.total());
+    assert!(reports.len() >= 2, "{reports:?}");
+    // The first one comes at once, and another one when the log is closed.
+    assert!(
+        reports.len() <= elapsed_s + 2,
+        "{reports:?} in {elapsed_s} s"
+    );
+}
--- a/crates/adapters/tests/worker_gateway.rs
+++ b/crates/adapters/tests/worker_gateway.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use rosemaryscale_adapters::log::DroppedLines;
 use rosemaryscale_adapters::metrics_registry;
 use rosemaryscale_adapters::worker_gateway::{
     GatewayOptions, GatewayServer, ORDER_AGE_MAX_MS, Router, RouterOptions,
@@ -90,7 +91,7 @@
     let options = GatewayOptions {
         start_links,
         clock: Arc::clone(&clock) as _,
-        metrics: metrics_registry::start().0,
+        metrics: metrics_registry::start(DroppedLines::default()).0,
         log: Logger::root(Discard, o!()),
     };
     let address = "127.0.0.1:0".parse().expect("an address");
@@ -124,7 +125,7 @@
             start_links: scripted_links::<LOCAL>,
             leader: "leader".into(),
             fencing_token,
-            metrics: metrics_registry::start().0,
+            metrics: metrics_registry::start(DroppedLines::default()).0,
             log: Logger::root(Discard, o!()),
         });
         let worker = SlotMap::<WorkerKey, ()>::with_key().insert(());
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -119,9 +119,9 @@
     ///
     /// Fails when an address cannot be used or the store's client has stopped.
     pub async fn start(settings: JobServiceConfig) -> Result<Self, JobServiceError> {
-        let log = log::open_stdout(settings.log_format, Level::Info);
+        let (log, dropped_lines) = log::open_stdout(settings.log_format, Level::Info);
         let clock: ClockHandle = Arc::new(SystemClock::new());
-        let (metrics, metrics_reader, metrics_task) = metrics_registry::start();
+        let (metrics, metrics_reader, metrics_task) = metrics_registry::start(dropped_lines);
         let (kv, store) = store::start(settings.store_address, Arc::clone(&metrics));
         let (config_sender, config_watch) = watch::channel(Arc::new(QueueConfig::default()));
         let config_key = KeyRange::Prefix(CONFIG_KEY.into());
