Write outcomes and states in log lines with Display

Cause: log lines wrote outcomes, states and kinds with the debug format, so a renamed variant would have changed what operators search for without notice.

Change: Display of JobReply, EventKind, JobState, RunEndKind, InstanceState and InstanceOrderResult writes the words that were logged until now, and no line of the job service or of the event log uses the debug format any more.

--- a/crates/adapters/src/event_log.rs
+++ b/crates/adapters/src/event_log.rs
@@ -59,7 +59,7 @@
             subject,
             detail,
         } = event;
-        info!(self.log, "{detail}"; "kind" => ?kind, "subject" => &*subject);
+        info!(self.log, "{detail}"; "kind" => %kind, "subject" => &*subject);
         if self.events.len() == MAX_EVENTS {
             self.events.pop_front();
         }
--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -312,13 +312,13 @@
                     "the queue requires an advisor and none is configured; set advisor_address",
                 );
                 info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
-                    "outcome" => ?reply);
+                    "outcome" => %reply);
                 let _ = call.reply.send(reply);
             }
             (JobRequest::Submit(Ok(_)), None) if !*self.store_reachable.borrow() => {
                 let reply = self.refuse_unreachable();
                 info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
-                    "outcome" => ?reply);
+                    "outcome" => %reply);
                 self.options.metrics.count(submit_metric(&reply), 1);
                 let _ = call.reply.send(reply);
             }
@@ -356,7 +356,7 @@
                 let log = self.options.log.clone();
                 self.calls.spawn(async move {
                     let reply = store.cancel(&id, known_state.is_some()).await;
-                    info!(log, "cancel"; "job" => &*id, "outcome" => ?reply);
+                    info!(log, "cancel"; "job" => &*id, "outcome" => %reply);
                     let _ = call.reply.send(reply);
                     StoreCallResult { state: None }
                 });
@@ -387,7 +387,7 @@
             };
             metrics.time_ms("submit.ms", store.clock.now().ms_since(started_at));
             metrics.count(submit_metric(&outcome), 1);
-            info!(log, "submit"; "job" => &*job.id, "queue" => &*job.record.queue, "outcome" => ?outcome);
+            info!(log, "submit"; "job" => &*job.id, "queue" => &*job.record.queue, "outcome" => %outcome);
             let accepted = outcome == JobReply::Accepted;
             let _ = reply.send(outcome);
             let state = StateRecord {
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -278,7 +278,7 @@
             writer.order_age_max_ms = ORDER_AGE_MAX_MS;
         }
         for job in batch.jobs.iter().filter(|job| job.state.is_some()) {
-            info!(self.options.log, "job state"; "job" => &*job.id, "state" => ?job.progress.state);
+            info!(self.options.log, "job state"; "job" => &*job.id, "state" => %job.progress.state);
         }
         let kv = self.options.kv.clone();
         let wave_state = self.options.platform.wave_state;
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -82,7 +82,7 @@
                     self.options.metrics.count(run_end_metric(kind), 1);
                     info!(self.options.log, "run ended"; "job" => &*task.job,
                         "at" => %position(task.position), "run" => number, "worker" => &*worker,
-                        "how" => ?kind, "failed_runs" => failed_runs);
+                        "how" => %kind, "failed_runs" => failed_runs);
                 }
                 SchedulerEvent::WorkerLost {
                     worker,
@@ -99,7 +99,7 @@
                     worker,
                 } => {
                     info!(self.options.log, "instance changed"; "instance" => &*instance,
-                        "state" => ?state, "worker" => worker.as_deref());
+                        "state" => %state, "worker" => worker.as_deref());
                 }
                 SchedulerEvent::InstanceUnlisted { instance } => {
                     info!(self.options.log, "instance unlisted"; "instance" => &*instance);
--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -134,7 +134,7 @@
         match event {
             InstanceOrderEvent::ListRead(reports) => self.scheduler.instances_listed(reports, now),
             InstanceOrderEvent::OrderEnded { instance, result } => {
-                info!(self.options.log, "instance ordered"; "result" => ?result,
+                info!(self.options.log, "instance ordered"; "result" => %result,
                     "instance" => self.scheduler.instance_name(instance).map(ToString::to_string));
                 self.scheduler.instance_ordered(instance, result, now);
             }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod health;
 pub mod job;
 pub mod key;
+mod log_words;
 pub mod maintenance;
 pub mod map;
 pub mod member;
--- a/crates/ports/src/event.rs
+++ b/crates/ports/src/event.rs
@@ -1,5 +1,6 @@
 //! The event port: records and reads the timeline of a daemon.
 
+use std::fmt;
 use std::sync::Arc;
 
 use rosemaryscale_domain::Millis;
@@ -34,6 +35,24 @@
     Job,
 }
 
+/// Writes the words of log lines, which operators search for.
+impl fmt::Display for EventKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Daemon => "Daemon",
+            Self::Config => "Config",
+            Self::Platform => "Platform",
+            Self::Member => "Member",
+            Self::Instance => "Instance",
+            Self::Move => "Move",
+            Self::Controller => "Controller",
+            Self::Request => "Request",
+            Self::Slots => "Slots",
+            Self::Job => "Job",
+        })
+    }
+}
+
 /// An event of the timeline.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -1,5 +1,6 @@
 //! The job port: requests of callers about jobs, and the replies to them.
 
+use std::fmt;
 use std::sync::Arc;
 
 use rosemaryscale_domain::FastMap;
@@ -63,6 +64,30 @@
     OutcomeUnknown,
 }
 
+/// Writes the words of log lines, which operators search for.
+impl fmt::Display for JobReply {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted => formatter.write_str("Accepted"),
+            Self::Cancelled => formatter.write_str("Cancelled"),
+            Self::State(state) => write!(formatter, "State({state})"),
+            Self::Waiting(count) => write!(formatter, "Waiting({count})"),
+            Self::NoSuchQueue => formatter.write_str("NoSuchQueue"),
+            Self::NoSuchJob => formatter.write_str("NoSuchJob"),
+            // The debug format of a text quotes it.
+            Self::Malformed(reason) => write!(formatter, "Malformed({reason:?})"),
+            Self::Unavailable {
+                reason,
+                retry_after_ms,
+            } => write!(
+                formatter,
+                "Unavailable {{ reason: {reason:?}, retry_after_ms: {retry_after_ms} }}"
+            ),
+            Self::OutcomeUnknown => formatter.write_str("OutcomeUnknown"),
+        }
+    }
+}
+
 /// Sends callers' requests to the job service.
 pub type JobCallSender = mpsc::Sender<JobCall>;
 
