Log the inputs of decisions, and a line for each failed job

Cause: a log line told the outcome of a request but not what it was decided on; refusals of unknown queues, of malformed requests and before the first configuration had no line; a failed job's cause had to be pieced together from its run ended lines, which an overflow of the log drops like any other line.

Change: - submit, cancel and all their refusals carry config_version, view_revision, view_age_ms, and pressure_age_ms where a pressure was taken into account. A cancellation of a job that has ended is logged with the job's state. Lines are still grouped by cycle; only fields were added to them. - job failed (warning): the task, its failed runs, the limit and the reason, read from the scheduler's tables only when a job has failed. - The log's queue keeps 256 more places for warnings, so a burst of other lines doesn't displace them.

The processor time of the added fields was not measured.

--- a/crates/adapters/src/log.rs
+++ b/crates/adapters/src/log.rs
@@ -3,19 +3,22 @@
 
 use std::cell::Cell;
 use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use rosemaryscale_ports::prelude::*;
 use serde::Deserialize;
 use slog::{Drain, Level, LevelFilter, Logger, Never, OwnedKVList, Record, b, o, record};
-use slog_async::{AsyncCore, AsyncError};
+use slog_async::AsyncCore;
 
 use crate::SystemClock;
 
 /// Maximum number of log lines that are queued for the writer. During a burst, one scheduling round
 /// starts several hundred tasks, each of which logs a line of about 300 bytes.
 pub const LINE_QUEUE_CAPACITY: usize = 1_024;
+/// Additional lines of level warning and above that are queued. Lines about requests that end badly have
+/// this level, and must not be lost in the burst of other lines that an overload causes.
+pub const WARNING_QUEUE_CAPACITY: usize = 256;
 
 /// Format of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -90,17 +93,20 @@
     D: Drain<Ok = (), Err = Never> + Send + 'static,
 {
     let dropped = DroppedLines::default();
+    let queued = Arc::new(AtomicUsize::new(0));
     let writer = LineWriter {
         drain,
         clock: SystemClock::new(),
         dropped: dropped.clone(),
+        queued: Arc::clone(&queued),
         reported: Cell::new(0),
         next_report_at: Cell::new(Millis::ZERO),
     };
     let queue = LineQueue {
         core: AsyncCore::custom(writer)
-            .chan_size(LINE_QUEUE_CAPACITY)
+            .chan_size(LINE_QUEUE_CAPACITY + WARNING_QUEUE_CAPACITY)
             .build(),
+        queued,
         dropped: dropped.clone(),
     };
     let log = Logger::root(LevelFilter::new(queue, level).fuse(), o!());
@@ -110,6 +116,8 @@
 /// Queues lines for the thread that writes them, and drops and counts those that find no room.
 struct LineQueue {
     core: AsyncCore,
+    /// Number of queued lines; incremented before a line is queued.
+    queued: Arc<AtomicUsize>,
     dropped: DroppedLines,
 }
 
@@ -118,10 +126,16 @@
     type Err = Never;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
-        match self.core.log(record, values) {
-            Ok(()) => {}
-            // The thread has ended, so the line is lost as well.
-            Err(AsyncError::Full | AsyncError::Fatal(_)) => self.dropped.add_one(),
+        let capacity = if record.level().is_at_least(Level::Warning) {
+            LINE_QUEUE_CAPACITY + WARNING_QUEUE_CAPACITY
+        } else {
+            LINE_QUEUE_CAPACITY
+        };
+        let has_room = self.queued.fetch_add(1, Ordering::Relaxed) < capacity;
+        // A fatal error means that the thread has ended, so the line is lost as well.
+        if !has_room || self.core.log(record, values).is_err() {
+            self.queued.fetch_sub(1, Ordering::Relaxed);
+            self.dropped.add_one();
         }
         Ok(())
     }
@@ -132,6 +146,7 @@
     drain: D,
     clock: SystemClock,
     dropped: DroppedLines,
+    queued: Arc<AtomicUsize>,
     /// Number of dropped lines that the log has reported.
     reported: Cell<u64>,
     next_report_at: Cell<Millis>,
@@ -164,6 +179,7 @@
     type Err = Never;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        self.queued.fetch_sub(1, Ordering::Relaxed);
         let Ok(()) = self.drain.log(record, values);
         if self.dropped.total() > self.reported.get()
             && self.clock.now() >= self.next_report_at.get()
--- a/crates/adapters/tests/log.rs
+++ b/crates/adapters/tests/log.rs
@@ -6,10 +6,10 @@
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
-use rosemaryscale_adapters::log::{LINE_QUEUE_CAPACITY, open_json};
+use rosemaryscale_adapters::log::{LINE_QUEUE_CAPACITY, WARNING_QUEUE_CAPACITY, open_json};
 use rosemaryscale_adapters::metrics_registry;
 use serde_json::Value;
-use slog::{Level, info};
+use slog::{Level, info, warn};
 use tokio::sync::oneshot;
 
 /// Blocks each write until the test permits it, then forwards its bytes.
@@ -130,6 +130,33 @@
     registry.await.expect("the registry ends");
 }
 
+/// Guards against the loss of the lines about requests that end badly in a burst of other lines, and against
+/// warnings that accumulate in memory.
+#[test]
+fn a_burst_of_lines_leaves_room_for_warnings() {
+    let (permit, permits) = mpsc::channel();
+    let (written, received) = mpsc::channel();
+    let (log, _) = open_json(BlockedWriter { permits, written }, Level::Info);
+    for number in 0..2 * LINE_QUEUE_CAPACITY {
+        info!(log, "line"; "number" => number);
+    }
+    for number in 0..2 * WARNING_QUEUE_CAPACITY {
+        warn!(log, "job failed"; "number" => number);
+    }
+    drop(permit);
+    drop(log);
+    let bytes: Vec<u8> = received.into_iter().flatten().collect();
+    let text = String::from_utf8(bytes).expect("UTF-8");
+    let failed = text.lines().filter(|line| line.contains("job failed"));
+    // The thread may have taken the first line from the queue before it blocked.
+    let kept = failed.count();
+    assert!(kept >= WARNING_QUEUE_CAPACITY, "{kept} warnings were kept");
+    assert!(
+        kept <= WARNING_QUEUE_CAPACITY + 1,
+        "{kept} warnings were kept"
+    );
+}
+
 /// Guards against reports of dropped lines that themselves fill the log of an overloaded process.
 #[test]
 fn dropped_lines_are_reported_once_a_second() {
--- a/crates/daemon/src/jobs/election.rs
+++ b/crates/daemon/src/jobs/election.rs
@@ -54,12 +54,17 @@
         }
         match lease::acquire(&options.kv, &options.clock, &options.identity).await {
             Ok(Some(lease)) => {
-                info!(options.log, "scheduler key taken"; "fence" => lease.fencing_token);
+                info!(options.log, "scheduler key taken"; "fence" => lease.fencing_token,
+                    "lease_age_ms" => options.clock.now().ms_since(lease.confirmed_at));
                 let end = Leader::recover(options.clone(), lease, stop.clone()).await;
                 match end {
                     LeaderEnd::Stopped => return,
-                    LeaderEnd::Lost(reason) => {
-                        warn!(options.log, "scheduler key lost"; "reason" => reason);
+                    LeaderEnd::Lost {
+                        reason,
+                        lease_age_ms,
+                    } => {
+                        warn!(options.log, "scheduler key lost"; "reason" => reason,
+                            "lease_age_ms" => lease_age_ms);
                     }
                 }
             }
--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -1,5 +1,6 @@
 //! The callers' frontend: accepts jobs, reports their states, and cancels them.
 
+mod inputs;
 mod store_calls;
 
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use self::inputs::DecisionInputs;
 use self::store_calls::{StoreCalls, Submission};
 use super::records::{self, LEADER_KEY, LeaderRecord, PRESSURE_KEY, StateRecord};
 
@@ -30,6 +32,10 @@
 /// Age after which a published pressure is ignored; it is written every 300 ms while there is any.
 const PRESSURE_MAX_AGE_MS: u64 = 1_200;
 
+/// Maximum number of characters of a refused request's job id that the log repeats; any text may stand in
+/// the place of an id.
+const MAX_LOGGED_ID_CHARS: usize = 32;
+
 /// Who holds the scheduler key, according to the watched view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LeaderStatus {
@@ -71,6 +77,8 @@
     options: JobFrontendOptions,
     states: FastMap<Arc<str>, StateRecord>,
     last_answer_at: Option<Millis>,
+    /// Revision of the store up to which the view is complete.
+    view_revision: u64,
     /// Whether the most recent read of the store was answered; no write is attempted otherwise.
     store_reachable: watch::Sender<bool>,
     /// Time since which reads of the store have failed.
@@ -86,6 +94,7 @@
             options,
             states: FastMap::default(),
             last_answer_at: None,
+            view_revision: 0,
             store_reachable: watch::Sender::new(false),
             unreachable_since: None,
             pressure: None,
@@ -122,7 +131,8 @@
 
     fn apply(&mut self, event: WatchEvent) {
         match event {
-            WatchEvent::Snapshot { entries, .. } => {
+            WatchEvent::Snapshot { revision, entries } => {
+                self.view_revision = revision;
                 self.states.clear();
                 let mut leader = LeaderStatus::None;
                 // A pressure in a listing may have been left by a former leader.
@@ -135,7 +145,8 @@
                 self.options.leader.send_replace(leader);
                 self.mark_store_reachable();
             }
-            WatchEvent::Changed { updates, .. } => {
+            WatchEvent::Changed { revision, updates } => {
+                self.view_revision = revision;
                 let before = *self.options.leader.borrow();
                 let mut leader = if before == LeaderStatus::Unknown {
                     LeaderStatus::None
@@ -208,26 +219,21 @@
         }
     }
 
-    /// Refusal of a job that would be useless by the time it could run; `None` if it may be stored.
-    fn refuse_hopeless(&self, job: &Submission) -> Option<JobReply> {
-        let now = self.options.clock.now();
+    /// The published pressure and its age, unless it is too old to be taken into account.
+    fn current_pressure(&self) -> Option<(&Pressure, u64)> {
         let (pressure, received_at) = self.pressure.as_ref()?;
-        if now.ms_since(*received_at) > PRESSURE_MAX_AGE_MS {
-            return None;
-        }
-        match pressure.admit(&job.id, &job.record) {
-            Admission::Accept => None,
-            Admission::Refuse {
-                retry_after_ms,
-                expected_ms,
-            } => Some(JobReply::Unavailable {
-                reason: format!(
-                    "service {} is overloaded: the job would end in about {expected_ms} ms, long after its objective",
-                    job.record.policy.service
-                )
-                .into(),
-                retry_after_ms,
-            }),
+        let age_ms = self.options.clock.now().ms_since(*received_at);
+        (age_ms <= PRESSURE_MAX_AGE_MS).then_some((pressure, age_ms))
+    }
+
+    /// Inputs of a decision that does not depend on the pressure.
+    fn inputs(&self, config: &QueueConfig) -> DecisionInputs {
+        let now = self.options.clock.now();
+        DecisionInputs {
+            config_version: config.version,
+            view_revision: self.view_revision,
+            view_age_ms: self.last_answer_at.map(|at| now.ms_since(at)),
+            pressure_age_ms: None,
         }
     }
 
@@ -278,13 +284,14 @@
 
     fn handle_call(&mut self, call: JobCall) {
         let config = Arc::clone(&self.options.config.borrow());
+        let inputs = self.inputs(&config);
         if config.version == 0 {
             let reply = unavailable("no configuration has been received");
-            let _ = call.reply.send(reply);
+            self.refuse(call, reply, inputs);
             return;
         }
         let Some((route_match, rest)) = route::find(&config.routes, &call.host, &call.path) else {
-            let _ = call.reply.send(JobReply::NoSuchQueue);
+            self.refuse(call, JobReply::NoSuchQueue, inputs);
             return;
         };
         let queue = Arc::clone(&route_match.queue);
@@ -296,7 +303,7 @@
         }
         if !route::is_job_id(rest) {
             let reason = "the path must end with a job id of 16 hexadecimal digits";
-            let _ = call.reply.send(JobReply::Malformed(reason.into()));
+            self.refuse(call, JobReply::Malformed(reason.into()), inputs);
             return;
         }
         let id: Arc<str> = rest.into();
@@ -312,13 +319,13 @@
                     "the queue requires an advisor and none is configured; set advisor_address",
                 );
                 info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
-                    "outcome" => %reply);
+                    "outcome" => %reply, inputs);
                 let _ = call.reply.send(reply);
             }
             (JobRequest::Submit(Ok(_)), None) if !*self.store_reachable.borrow() => {
                 let reply = self.refuse_unreachable();
                 info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
-                    "outcome" => %reply);
+                    "outcome" => %reply, inputs);
                 self.options.metrics.count(submit_metric(&reply), 1);
                 let _ = call.reply.send(reply);
             }
@@ -326,16 +333,27 @@
                 let store = self.store_calls(call.deadline_ms);
                 match Submission::new(&store.clock, &config, id, queue, spec) {
                     Some(job) => {
-                        let refusal = self.refuse_hopeless(&job);
-                        self.spawn(call.reply, store, job, refusal);
+                        let pressure = self.current_pressure();
+                        let refusal =
+                            pressure.and_then(|(pressure, _)| refuse_hopeless(pressure, &job));
+                        let inputs = DecisionInputs {
+                            pressure_age_ms: pressure.map(|(_, age_ms)| age_ms),
+                            ..inputs
+                        };
+                        self.spawn(call.reply, store, job, refusal, inputs);
                     }
                     None => {
-                        let _ = call.reply.send(JobReply::NoSuchQueue);
+                        let reply = JobReply::NoSuchQueue;
+                        info!(self.options.log, "submit"; "outcome" => %reply, inputs);
+                        let _ = call.reply.send(reply);
                     }
                 }
             }
             (JobRequest::Submit(Err(reason)), _) => {
-                let _ = call.reply.send(JobReply::Malformed(reason));
+                let reply = JobReply::Malformed(reason);
+                info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
+                    "outcome" => %reply, inputs);
+                let _ = call.reply.send(reply);
             }
             (JobRequest::Read, Some(state)) => {
                 let _ = call.reply.send(JobReply::State(state));
@@ -349,14 +367,17 @@
                 });
             }
             (JobRequest::Cancel, Some(state)) if state.is_final() => {
-                let _ = call.reply.send(JobReply::Cancelled);
+                let reply = JobReply::Cancelled;
+                info!(self.options.log, "cancel"; "job" => &*id, "outcome" => %reply,
+                    "state" => %state, inputs);
+                let _ = call.reply.send(reply);
             }
             (JobRequest::Cancel, known_state) => {
                 let store = self.store_calls(call.deadline_ms);
                 let log = self.options.log.clone();
                 self.calls.spawn(async move {
                     let reply = store.cancel(&id, known_state.is_some()).await;
-                    info!(log, "cancel"; "job" => &*id, "outcome" => %reply);
+                    info!(log, "cancel"; "job" => &*id, "outcome" => %reply, inputs);
                     let _ = call.reply.send(reply);
                     StoreCallResult { state: None }
                 });
@@ -369,6 +390,22 @@
         }
     }
 
+    /// Refuses a request whose job or queue is not known. Only refused submissions and cancellations are
+    /// logged: callers read states much more often.
+    fn refuse(&self, call: JobCall, reply: JobReply, inputs: DecisionInputs) {
+        let line = match call.request {
+            JobRequest::Submit(_) => Some("submit"),
+            JobRequest::Cancel => Some("cancel"),
+            JobRequest::Read | JobRequest::Other => None,
+        };
+        if let Some(line) = line {
+            let id = call.path.rsplit('/').next().unwrap_or_default();
+            let id: String = id.chars().take(MAX_LOGGED_ID_CHARS).collect();
+            info!(self.options.log, "{line}"; "job" => id, "outcome" => %reply, inputs);
+        }
+        let _ = call.reply.send(reply);
+    }
+
     /// Stores a job, or refuses it unless an earlier attempt has stored it.
     fn spawn(
         &mut self,
@@ -376,6 +413,7 @@
         store: StoreCalls,
         job: Submission,
         refusal: Option<JobReply>,
+        inputs: DecisionInputs,
     ) {
         let log = self.options.log.clone();
         let metrics = Arc::clone(&self.options.metrics);
@@ -387,7 +425,8 @@
             };
             metrics.time_ms("submit.ms", store.clock.now().ms_since(started_at));
             metrics.count(submit_metric(&outcome), 1);
-            info!(log, "submit"; "job" => &*job.id, "queue" => &*job.record.queue, "outcome" => %outcome);
+            info!(log, "submit"; "job" => &*job.id, "queue" => &*job.record.queue,
+                "outcome" => %outcome, inputs);
             let accepted = outcome == JobReply::Accepted;
             let _ = reply.send(outcome);
             let state = StateRecord {
@@ -430,6 +469,24 @@
     }
 }
 
+/// Refusal of a job that would be useless by the time it could run; `None` if it may be stored.
+fn refuse_hopeless(pressure: &Pressure, job: &Submission) -> Option<JobReply> {
+    match pressure.admit(&job.id, &job.record) {
+        Admission::Accept => None,
+        Admission::Refuse {
+            retry_after_ms,
+            expected_ms,
+        } => Some(JobReply::Unavailable {
+            reason: format!(
+                "service {} is overloaded: the job would end in about {expected_ms} ms, long after its objective",
+                job.record.policy.service
+            )
+            .into(),
+            retry_after_ms,
+        }),
+    }
+}
+
 /// Whether workers refuse the queue's tasks without a ticket of the advisor.
 fn is_advised(config: &QueueConfig, queue: &str) -> bool {
     config
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -95,7 +95,12 @@
     /// The daemon is stopping.
     Stopped,
     /// The key is lost or no longer certain: another daemon may hold it.
-    Lost(&'static str),
+    Lost {
+        /// The reason.
+        reason: &'static str,
+        /// Time since the lease was last confirmed.
+        lease_age_ms: u64,
+    },
 }
 
 /// Streams of events that the leader consumes.
@@ -154,6 +159,8 @@
     next_renewal_at: Millis,
     next_status_at: Millis,
     pressure: PublishedPressure,
+    /// When the platform's list of instances was last read.
+    instances_listed_at: Option<Millis>,
 }
 
 impl Leader {
@@ -170,7 +177,7 @@
                 event = sources.jobs.recv() => match event {
                     Some(event) => {
                         if let Err(reason) = self.apply_job_changes(event) {
-                            break LeaderEnd::Lost(reason);
+                            break self.lost(reason);
                         }
                     }
                     None => break LeaderEnd::Stopped,
@@ -204,7 +211,7 @@
                     if let Ok(finished) = finished
                         && let Err(reason) = self.apply_background(finished)
                     {
-                        break LeaderEnd::Lost(reason);
+                        break self.lost(reason);
                     }
                     self.allow_gateways();
                 }
@@ -212,7 +219,7 @@
                 _ = stop.wait_for(|stop| *stop) => break LeaderEnd::Stopped,
             }
             if let Err(reason) = self.run_cycle().await {
-                break LeaderEnd::Lost(reason);
+                break self.lost(reason);
             }
         };
         if let LeaderEnd::Stopped = end {
@@ -222,6 +229,18 @@
         end
     }
 
+    /// Time since the store last confirmed the lease.
+    fn lease_age_ms(&self) -> u64 {
+        self.options.clock.now().ms_since(self.lease.confirmed_at)
+    }
+
+    fn lost(&self, reason: &'static str) -> LeaderEnd {
+        LeaderEnd::Lost {
+            reason,
+            lease_age_ms: self.lease_age_ms(),
+        }
+    }
+
     /// Advances the scheduler, carries out its actions, and starts writes and renewals that are due.
     async fn run_cycle(&mut self) -> Result<(), &'static str> {
         let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
@@ -241,9 +260,9 @@
         let actions = self.scheduler.advance(now, wall);
         self.log_scheduler_events();
         if recovering && !self.scheduler.is_recovering() {
-            info!(self.options.log, "recovery ended");
+            info!(self.options.log, "recovery ended"; "lease_age_ms" => self.lease_age_ms());
         }
-        let mut started = StartedRuns::default();
+        let mut started = StartedRuns::new(self.lease_age_ms());
         for action in actions {
             self.send(action, &mut started).await?;
         }
@@ -277,9 +296,7 @@
         if self.scheduler.worker_count() > LOCAL_WORKERS_MAX {
             writer.order_age_max_ms = ORDER_AGE_MAX_MS;
         }
-        for job in batch.jobs.iter().filter(|job| job.state.is_some()) {
-            info!(self.options.log, "job state"; "job" => &*job.id, "state" => %job.progress.state);
-        }
+        self.log_job_states(&batch);
         let kv = self.options.kv.clone();
         let wave_state = self.options.platform.wave_state;
         self.background.spawn(async move {
@@ -303,6 +320,7 @@
             if let (Some(batch), Some(writer)) =
                 (self.scheduler.take_batch(Millis::MAX), self.writer.take())
             {
+                self.log_job_states(&batch);
                 let _ = writer
                     .write(&self.options.kv, &batch, self.options.platform.wave_state)
                     .await;
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -3,7 +3,8 @@
 use std::fmt::Write;
 use std::sync::Arc;
 
-use rosemaryscale_domain::job::TaskPosition;
+use rosemaryscale_domain::job::{JobState, TaskPosition};
+use rosemaryscale_domain::schedule::Batch;
 use rosemaryscale_domain::schedule::order::{
     Action, AdviceOrder, AdviceResult, RunEndKind, SchedulerEvent, StartOrder,
 };
@@ -19,14 +20,24 @@
 
 /// Runs of one job that were started in one cycle, for the log. A line for each run would take a tenth of
 /// the leader's processor time while thousands of tasks start a second.
-#[derive(Default)]
 pub(super) struct StartedRuns {
     job: Option<Arc<str>>,
     runs: String,
     count: i64,
+    /// Time since the lease was confirmed when the cycle began to send.
+    lease_age_ms: u64,
 }
 
 impl StartedRuns {
+    pub(super) fn new(lease_age_ms: u64) -> Self {
+        Self {
+            job: None,
+            runs: String::new(),
+            count: 0,
+            lease_age_ms,
+        }
+    }
+
     fn add(&mut self, leader: &Leader, worker: WorkerKey, order: &StartOrder) {
         if self.job.as_ref() != Some(&order.task.job) {
             self.flush(&leader.options);
@@ -45,7 +56,8 @@
     pub(super) fn flush(&mut self, options: &LeaderOptions) {
         if let Some(job) = self.job.take() {
             options.metrics.count("runs.started", self.count);
-            info!(options.log, "start"; "job" => &*job, "runs" => &self.runs);
+            info!(options.log, "start"; "job" => &*job, "runs" => &self.runs,
+                "lease_age_ms" => self.lease_age_ms);
         }
         self.runs.clear();
         self.count = 0;
@@ -91,7 +103,7 @@
                 } => {
                     self.options.metrics.count("workers.lost", 1);
                     warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
-                        "silent" => unresponsive);
+                        "silent" => unresponsive, "lease_age_ms" => self.lease_age_ms());
                 }
                 SchedulerEvent::InstanceChanged {
                     instance,
@@ -113,12 +125,43 @@
         }
     }
 
+    /// Logs the states that a batch makes visible to callers. A job that ends as failed gets a line with
+    /// its cause as a warning, for which the log keeps room while it drops other lines.
+    pub(super) fn log_job_states(&self, batch: &Batch) {
+        let lease_age_ms = self.lease_age_ms();
+        for job in batch.jobs.iter().filter(|job| job.state.is_some()) {
+            info!(self.options.log, "job state"; "job" => &*job.id, "state" => %job.progress.state,
+                "lease_age_ms" => lease_age_ms);
+            if job.progress.state != JobState::Failed {
+                continue;
+            }
+            let Some(failure) = self.scheduler.job_failure(&job.id) else {
+                continue;
+            };
+            let reason = if failure.failed_runs.len() >= failure.attempts_max {
+                "a task failed in as many runs as its queue allows"
+            } else {
+                "it was given up before a task had failed in as many runs as its queue allows"
+            };
+            warn!(self.options.log, "job failed"; "job" => &*job.id, "queue" => &*job.queue,
+                "at" => failure.position.map(position), "runs" => run_numbers(&failure.failed_runs),
+                "failed_runs" => failure.failed_runs.len(), "attempts_max" => failure.attempts_max,
+                "reason" => reason, "lease_age_ms" => lease_age_ms);
+        }
+    }
+
+    /// Time since the platform's list of instances was read; `None` if it has not been.
+    fn list_age_ms(&self) -> Option<u64> {
+        let now = self.options.clock.now();
+        self.instances_listed_at.map(|at| now.ms_since(at))
+    }
+
     pub(super) fn log_status(&self) {
         let awaited: Vec<&str> = self.scheduler.awaited_workers().map(|id| &**id).collect();
         if !awaited.is_empty() {
             let first = &awaited[..awaited.len().min(MAX_AWAITED_NAMES)];
             info!(self.options.log, "recovery waits"; "workers" => awaited.len(),
-                "first" => first.join(" "));
+                "first" => first.join(" "), "lease_age_ms" => self.lease_age_ms());
         }
         for pool in self.scheduler.pool_uses().filter(|pool| pool.workers > 0) {
             info!(self.options.log, "pool"; "service" => &*pool.service, "workers" => pool.workers,
@@ -154,7 +197,8 @@
             }
             Action::Stop(worker, order) => {
                 info!(self.options.log, "stop"; "job" => &*order.task.job,
-                    "at" => %position(order.task.position), "run" => order.number);
+                    "at" => %position(order.task.position), "run" => order.number,
+                    "lease_age_ms" => self.lease_age_ms());
                 WorkerCall::Stop(worker, order)
             }
             Action::Pace(worker, order) => WorkerCall::Pace(worker, order),
@@ -168,7 +212,8 @@
                 let Some(name) = self.scheduler.instance_name(instance).cloned() else {
                     return Ok(());
                 };
-                info!(self.options.log, "move"; "instance" => &*name, "pool" => &*pool);
+                info!(self.options.log, "move"; "instance" => &*name, "pool" => &*pool,
+                    "list_age_ms" => self.list_age_ms(), "lease_age_ms" => self.lease_age_ms());
                 let fencing_token = self.lease.fencing_token;
                 let call = InstanceOrderCall::Move {
                     instance,
@@ -182,7 +227,8 @@
                 let Some(name) = self.scheduler.instance_name(instance).cloned() else {
                     return Ok(());
                 };
-                info!(self.options.log, "maintain"; "instance" => &*name, "wave" => wave);
+                info!(self.options.log, "maintain"; "instance" => &*name, "wave" => wave,
+                    "list_age_ms" => self.list_age_ms(), "lease_age_ms" => self.lease_age_ms());
                 let fencing_token = self.lease.fencing_token;
                 let call = InstanceOrderCall::Maintain {
                     instance,
@@ -241,6 +287,12 @@
     format!("{}.{}.{}", at.occurrence, at.step, at.index)
 }
 
+/// Formats numbers of runs as a list.
+fn run_numbers(numbers: &[u32]) -> String {
+    let numbers: Vec<String> = numbers.iter().map(|number| format!("#{number}")).collect();
+    numbers.join(" ")
+}
+
 fn run_end_metric(kind: RunEndKind) -> &'static str {
     match kind {
         RunEndKind::Done => "runs.done",
--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -132,7 +132,10 @@
     pub(super) fn apply_instance_event(&mut self, event: InstanceOrderEvent) {
         let now = self.options.clock.now();
         match event {
-            InstanceOrderEvent::ListRead(reports) => self.scheduler.instances_listed(reports, now),
+            InstanceOrderEvent::ListRead(reports) => {
+                self.instances_listed_at = Some(now);
+                self.scheduler.instances_listed(reports, now);
+            }
             InstanceOrderEvent::OrderEnded { instance, result } => {
                 info!(self.options.log, "instance ordered"; "result" => %result,
                     "instance" => self.scheduler.instance_name(instance).map(ToString::to_string));
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -47,6 +47,7 @@
         mut stop: watch::Receiver<bool>,
     ) -> LeaderEnd {
         let kv = options.kv.clone();
+        let clock = Arc::clone(&options.clock);
         let platform = options.platform;
         let router = Router::start(RouterOptions {
             start_links: platform.start_links,
@@ -98,7 +99,10 @@
         let end = match loaded {
             Some(leader) => leader.run(sources, stop).await,
             None if *stop.borrow() => LeaderEnd::Stopped,
-            None => LeaderEnd::Lost("the stored state could not be loaded"),
+            None => LeaderEnd::Lost {
+                reason: "the stored state could not be loaded",
+                lease_age_ms: clock.now().ms_since(lease.confirmed_at),
+            },
         };
         // Revoking the lease lets the next leader start at once.
         let _ = tokio::time::timeout(FINAL_WRITE_TIMEOUT, kv.revoke(lease.id)).await;
@@ -125,9 +129,9 @@
             read_with_retries(&options.kv, prefix_range(PROGRESS_PREFIX)),
         );
         let (former_record, record_revision) = former;
-        let entries = loop {
+        let (revision, entries) = loop {
             match jobs.recv().await? {
-                WatchEvent::Snapshot { entries, .. } => break entries,
+                WatchEvent::Snapshot { revision, entries } => break (revision, entries),
                 WatchEvent::Changed { .. } | WatchEvent::Disconnected { .. } => {}
             }
         };
@@ -158,7 +162,8 @@
         let mut scheduler = Scheduler::new(settings, former_term, now);
         let stored = stored_jobs(entries, progress, lease.fencing_token, &options.log);
         info!(options.log, "recovery began"; "term" => former_record.term + 1, "jobs" => stored.len(),
-            "former_over" => former_term_ended);
+            "former_over" => former_term_ended, "revision" => revision,
+            "lease_age_ms" => now.ms_since(lease.confirmed_at));
         for job in stored {
             scheduler.restore(job, now, wall);
         }
@@ -182,6 +187,7 @@
             next_renewal_at: now,
             next_status_at: now,
             pressure: PublishedPressure::default(),
+            instances_listed_at: None,
             options,
             lease,
             scheduler,
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemaryscale_adapters::log::DroppedLines;
 use rosemaryscale_adapters::worker_gateway::{GatewayOptions, GatewayServer};
 use rosemaryscale_adapters::{SystemClock, log, metrics_registry};
 use rosemaryscale_platform::frontend::{FrontendError, FrontendServer};
@@ -119,7 +120,19 @@
     ///
     /// Fails when an address cannot be used or the store's client has stopped.
     pub async fn start(settings: JobServiceConfig) -> Result<Self, JobServiceError> {
-        let (log, dropped_lines) = log::open_stdout(settings.log_format, Level::Info);
+        let log = log::open_stdout(settings.log_format, Level::Info);
+        Self::start_with_log(settings, log).await
+    }
+
+    /// Starts all tasks, which write to the given log; the metrics count the lines that it drops.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be used or the store's client has stopped.
+    pub async fn start_with_log(
+        settings: JobServiceConfig,
+        (log, dropped_lines): (Logger, DroppedLines),
+    ) -> Result<Self, JobServiceError> {
         let clock: ClockHandle = Arc::new(SystemClock::new());
         let (metrics, metrics_reader, metrics_task) = metrics_registry::start(dropped_lines);
         let (kv, store) = store::start(settings.store_address, Arc::clone(&metrics));
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -5,6 +5,7 @@
 //! must be stored before the end of a run is acknowledged.
 
 mod advice;
+pub mod failure;
 mod fleet;
 mod job_table;
 mod load;
