Log why a run is stopped

Cause: stop lines named the run but not what it was stopped for, so a task that started again could not be told from one that was interrupted by maintenance or whose start had got no answer.

Change: each stop of the scheduler has a StopReason (cancelled, failed or completed job, unanswered start, not needed, no progress, done gang, evacuation, unknown job). It is kept with the run, so an order that is sent again repeats it, and stands beside the order in Action::Stop; the orders to workers and gateways are unchanged. The stop line logs it as reason.

--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -195,10 +195,10 @@
                 started.add(self, worker, &order);
                 WorkerCall::Start(worker, order)
             }
-            Action::Stop(worker, order) => {
+            Action::Stop(worker, order, reason) => {
                 info!(self.options.log, "stop"; "job" => &*order.task.job,
                     "at" => %position(order.task.position), "run" => order.number,
-                    "lease_age_ms" => self.lease_age_ms());
+                    "reason" => %reason, "lease_age_ms" => self.lease_age_ms());
                 WorkerCall::Stop(worker, order)
             }
             Action::Pace(worker, order) => WorkerCall::Pace(worker, order),
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -21,6 +21,7 @@
 mod run;
 mod runs;
 mod start;
+pub mod stop_reason;
 mod worker;
 
 use crate::job::{JobProgress, JobRecord, JobState, QueuePolicy};
@@ -36,6 +37,7 @@
 use ready::ReadyQueue;
 use recovery::Recovery;
 use run::PlacedRun;
+use stop_reason::StopReason;
 use worker::Worker;
 
 /// Run numbers reserved for each term of a leader; far more than a task needs in a day.
@@ -468,7 +470,7 @@
                 continue;
             };
             if let TaskStatus::Placed(run) = task.status {
-                self.stop_run(run, now);
+                self.stop_run(run, StopReason::of_ended_job(state), now);
             } else {
                 task.status = TaskStatus::Finished;
             }
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::order::{Action, InstanceReport, InstanceState, SchedulerEvent, WaveRequest};
+use super::stop_reason::StopReason;
 use super::{RUN_END_BATCH_DELAY_MS, Scheduler};
 use crate::prelude::*;
 
@@ -404,7 +405,7 @@
             }
             for run in self.long_running_runs(key) {
                 if self.may_interrupt(run) {
-                    self.stop_run(run, now);
+                    self.stop_run(run, StopReason::Evacuation, now);
                 }
             }
         }
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -6,6 +6,7 @@
     StopOrder,
 };
 use super::run::{Phase, PlacedRun, Run, RunInfo};
+use super::stop_reason::StopReason;
 use super::{
     JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, RUN_END_BATCH_DELAY_MS, Scheduler,
     UNRESPONSIVE_POLL_INTERVAL_MS, UNWRITTEN_ENDS_POLL_INTERVAL_MS,
@@ -165,7 +166,8 @@
                 task: listed_run.task.clone(),
                 number: listed_run.number,
             };
-            self.actions.push(Action::Stop(key, order));
+            self.actions
+                .push(Action::Stop(key, order, StopReason::UnknownJob));
         }
     }
 
@@ -256,7 +258,7 @@
         if needed && !has_ended && !task.done {
             task.status = TaskStatus::Placed(run);
         } else {
-            self.stop_run(run, now);
+            self.stop_run(run, StopReason::NotNeeded, now);
         }
         run
     }
@@ -309,7 +311,7 @@
                 task.avoid_worker = Some(key);
             }
             self.workers[key].count_failure(now);
-            self.stop_run(run, now);
+            self.stop_run(run, StopReason::NoProgress, now);
         }
     }
 
@@ -401,7 +403,7 @@
             if let TaskStatus::Placed(run) = previous_status {
                 // The caller removes the run that has ended.
                 if member != key {
-                    self.stop_run(run, now);
+                    self.stop_run(run, StopReason::GangDone, now);
                 }
             }
         }
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -2,6 +2,7 @@
 
 use std::marker::PhantomData;
 
+use super::stop_reason::StopReason;
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -101,6 +102,8 @@
     pub start_in_flight: bool,
     /// Whether a stop is in flight.
     pub stop_in_flight: bool,
+    /// Why it is stopped; `None` while it is not.
+    pub stop_reason: Option<StopReason>,
     /// When the worker accepted the stop.
     pub stop_accepted_at: Option<Millis>,
     /// When the stop is to be sent again.
@@ -116,6 +119,7 @@
             start_attempts: 0,
             start_in_flight: false,
             stop_in_flight: false,
+            stop_reason: None,
             stop_accepted_at: None,
             resend_stop_at: Millis::ZERO,
         }
@@ -148,7 +152,8 @@
         }
     }
 
-    pub(super) fn stop(&mut self, now: Millis) {
+    pub(super) fn stop(&mut self, reason: StopReason, now: Millis) {
+        self.stop_reason = self.stop_reason.or(Some(reason));
         self.phase = match self.phase {
             Phase::Sent(run) => Phase::Stopping(run.into_phase(now)),
             Phase::Confirmed(run) => Phase::Stopping(run.into_phase(now)),
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -2,6 +2,7 @@
 
 use super::job_table::TaskStatus;
 use super::order::{Action, OrderResult, Refusal, StopOrder};
+use super::stop_reason::StopReason;
 use super::{RESTART_DELAY_MS, STOP_RESEND_DELAY_MS, Scheduler};
 use crate::prelude::*;
 
@@ -31,7 +32,7 @@
                 self.fenced |= refusal == Refusal::Fenced;
                 self.pause_worker(worker, refusal, now);
                 if self.has_unanswered_start(run) {
-                    self.stop_run(run, now);
+                    self.stop_run(run, StopReason::StartUnanswered, now);
                     return;
                 }
                 let task = self.runs.get(run).map(|run| run.info().task);
@@ -42,14 +43,16 @@
                 }
                 self.drop_run(run, now);
             }
-            OrderResult::NotSent if self.has_unanswered_start(run) => self.stop_run(run, now),
+            OrderResult::NotSent if self.has_unanswered_start(run) => {
+                self.stop_run(run, StopReason::StartUnanswered, now)
+            }
             OrderResult::NotSent => self.drop_run(run, now),
             OrderResult::Unanswered if self.resend_start(worker, run, now) => {}
             OrderResult::Unanswered => {
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.pause(now);
                 }
-                self.stop_run(run, now);
+                self.stop_run(run, StopReason::StartUnanswered, now);
             }
         }
     }
@@ -126,14 +129,14 @@
         }
     }
 
-    pub(super) fn stop_run(&mut self, key: RunKey, now: Millis) {
+    pub(super) fn stop_run(&mut self, key: RunKey, reason: StopReason, now: Millis) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         if run.is_stopping() {
             return;
         }
-        run.stop(now);
+        run.stop(reason, now);
         self.send_stop(key);
     }
 
@@ -141,7 +144,8 @@
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
-        let Some(task) = self.job_table.name(run.info().task) else {
+        let (Some(task), Some(reason)) = (self.job_table.name(run.info().task), run.stop_reason)
+        else {
             return;
         };
         run.stop_in_flight = true;
@@ -150,7 +154,8 @@
             task,
             number: run.info().number,
         };
-        self.actions.push(Action::Stop(run.info().worker, order));
+        self.actions
+            .push(Action::Stop(run.info().worker, order, reason));
     }
 
     /// Removes a run that has certainly ended, and releases its task.
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -220,7 +220,7 @@
                 leader.worker_indices.remove(&key);
             }
             Action::Start(key, order) => self.send(index, key, Order::Start(order)),
-            Action::Stop(key, order) => self.send(index, key, Order::Stop(order)),
+            Action::Stop(key, order, _) => self.send(index, key, Order::Stop(order)),
             Action::Poll(key, order) => self.send(index, key, Order::Poll(order)),
             Action::ListInstances => {
                 let instances = self.workers.iter().map(instance_report).collect();
