--- a/crates/daemon/tests/reference.rs
+++ b/crates/daemon/tests/reference.rs
@@ -185,6 +185,36 @@
     }
 }
 
+/// Guards against metrics of the job service that are missing on the page, and rows for removed metrics.
+#[test]
+fn the_page_lists_the_metrics_of_the_job_service() {
+    let sources = [
+        include_str!("../src/jobs/frontend.rs"),
+        include_str!("../src/jobs/leader/actions.rs"),
+        include_str!("../../adapters/src/metrics_registry.rs"),
+        include_str!("../../adapters/src/worker_gateway/router.rs"),
+        include_str!("../../adapters/src/worker_gateway/server.rs"),
+        include_str!("../../../platform/src/store.rs"),
+    ];
+    let is_name = |text: &&str| {
+        text.bytes()
+            .all(|b| b.is_ascii_lowercase() || b"._".contains(&b))
+    };
+    let texts = sources.iter().flat_map(|source| source.split('"'));
+    let names: BTreeSet<&str> = texts.filter(is_name).collect();
+    let documented: BTreeSet<String> = table_rows("## Metrics of the job service")
+        .into_iter()
+        .map(|row| row.trim_start_matches("rosemaryscale_").to_owned())
+        .collect();
+    let in_code: BTreeSet<String> = names.iter().map(|name| name.replace('.', "_")).collect();
+    for name in names.iter().filter(|name| name.contains('.')) {
+        assert!(documented.contains(&name.replace('.', "_")), "{name}");
+    }
+    for name in documented {
+        assert!(in_code.contains(&name), "{name}");
+    }
+}
+
 /// Guards against commands and options that are missing on the page.
 #[test]
 fn the_page_lists_the_commands_and_options_of_the_tool() {
