Sample repeated stops in the log

Cause: an order to stop a run is sent again every 300 ms plus the time until the call ends, and each order wrote a line. A zone that does not answer repeats them for each of its runs, which fills the log of the leader.

Change: the scheduler counts the orders of a run; the first, second, fourth, eighth ... is logged, with its number as attempt.

--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -195,10 +195,15 @@
                 started.add(self, worker, &order);
                 WorkerCall::Start(worker, order)
             }
-            Action::Stop(worker, order, reason) => {
-                info!(self.options.log, "stop"; "job" => &*order.task.job,
-                    "at" => %position(order.task.position), "run" => order.number,
-                    "reason" => %reason, "lease_age_ms" => self.lease_age_ms());
+            Action::Stop(worker, order, cause) => {
+                // Stops are sent again twice a second while a worker does not answer, for each of
+                // its runs.
+                if cause.attempt.is_power_of_two() {
+                    info!(self.options.log, "stop"; "job" => &*order.task.job,
+                        "at" => %position(order.task.position), "run" => order.number,
+                        "reason" => %cause.reason, "attempt" => cause.attempt,
+                        "lease_age_ms" => self.lease_age_ms());
+                }
                 WorkerCall::Stop(worker, order)
             }
             Action::Pace(worker, order) => WorkerCall::Pace(worker, order),
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -6,7 +6,7 @@
     StopOrder,
 };
 use super::run::{Phase, PlacedRun, Run, RunInfo};
-use super::stop_reason::StopReason;
+use super::stop_reason::{StopCause, StopReason};
 use super::{
     JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, RUN_END_BATCH_DELAY_MS, Scheduler,
     UNRESPONSIVE_POLL_INTERVAL_MS, UNWRITTEN_ENDS_POLL_INTERVAL_MS,
@@ -166,8 +166,11 @@
                 task: listed_run.task.clone(),
                 number: listed_run.number,
             };
-            self.actions
-                .push(Action::Stop(key, order, StopReason::UnknownJob));
+            let cause = StopCause {
+                reason: StopReason::UnknownJob,
+                attempt: 1,
+            };
+            self.actions.push(Action::Stop(key, order, cause));
         }
     }
 
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::stop_reason::StopReason;
+use super::stop_reason::StopCause;
 use crate::job::TaskName;
 use crate::placement::Resources;
 use crate::prelude::*;
@@ -131,8 +131,8 @@
     Disconnect(WorkerKey),
     /// Start a task.
     Start(WorkerKey, StartOrder),
-    /// Stop a run for this reason.
-    Stop(WorkerKey, StopOrder, StopReason),
+    /// Stop a run.
+    Stop(WorkerKey, StopOrder, StopCause),
     /// Set the CPU share of a run.
     Pace(WorkerKey, PaceOrder),
     /// Poll a worker.
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -104,6 +104,8 @@
     pub stop_in_flight: bool,
     /// Why it is stopped; `None` while it is not.
     pub stop_reason: Option<StopReason>,
+    /// Number of times that the stop was sent.
+    pub stop_attempts: u32,
     /// When the worker accepted the stop.
     pub stop_accepted_at: Option<Millis>,
     /// When the stop is to be sent again.
@@ -120,6 +122,7 @@
             start_in_flight: false,
             stop_in_flight: false,
             stop_reason: None,
+            stop_attempts: 0,
             stop_accepted_at: None,
             resend_stop_at: Millis::ZERO,
         }
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -2,7 +2,7 @@
 
 use super::job_table::TaskStatus;
 use super::order::{Action, OrderResult, Refusal, StopOrder};
-use super::stop_reason::StopReason;
+use super::stop_reason::{StopCause, StopReason};
 use super::{RESTART_DELAY_MS, STOP_RESEND_DELAY_MS, Scheduler};
 use crate::prelude::*;
 
@@ -149,13 +149,18 @@
             return;
         };
         run.stop_in_flight = true;
+        run.stop_attempts += 1;
+        let cause = StopCause {
+            reason,
+            attempt: run.stop_attempts,
+        };
         let order = StopOrder {
             run: Some(key),
             task,
             number: run.info().number,
         };
         self.actions
-            .push(Action::Stop(run.info().worker, order, reason));
+            .push(Action::Stop(run.info().worker, order, cause));
     }
 
     /// Removes a run that has certainly ended, and releases its task.
--- a/crates/domain/src/schedule/stop_reason.rs
+++ b/crates/domain/src/schedule/stop_reason.rs
@@ -27,6 +27,16 @@
     UnknownJob,
 }
 
+/// Why and how often a run was ordered to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopCause {
+    /// The reason.
+    pub reason: StopReason,
+    /// Number of the order, from 1: an order that is not answered is sent again. It is always 1 for a run that
+    /// this leader does not know.
+    pub attempt: u32,
+}
+
 impl StopReason {
     /// Reason of the stops that the end of a job leads to.
     pub(super) const fn of_ended_job(state: JobState) -> Self {
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -12,7 +12,7 @@
     Action, InstanceOrderResult, InstanceReport, InstanceState, ListedRun, Listing, OrderResult,
     PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder, WorkerReport,
 };
-use rosemaryscale_domain::schedule::stop_reason::StopReason;
+use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
     Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
@@ -103,8 +103,8 @@
     /// Time, task and run number of each start order.
     pub(crate) starts: Vec<(Millis, String, u32)>,
     pub(crate) pace_orders: Vec<(String, u32)>,
-    /// Task and reason of each stop order.
-    pub(crate) stop_reasons: Vec<(String, StopReason)>,
+    /// Task and cause of each stop order.
+    pub(crate) stop_causes: Vec<(String, StopCause)>,
     pub(crate) instances: Vec<InstanceReport>,
     /// Whether orders of maintenance are accepted without effect, as if it had been carried out before.
     pub(crate) maintained_before: bool,
@@ -137,7 +137,7 @@
             lose_next_orders: 0,
             starts: Vec::new(),
             pace_orders: Vec::new(),
-            stop_reasons: Vec::new(),
+            stop_causes: Vec::new(),
             instances: Vec::new(),
             maintained_before: false,
             complete_orders: true,
@@ -404,8 +404,8 @@
                 let result = self.start(key, &order);
                 self.scheduler.started(key, order.run, result, self.now);
             }
-            Action::Stop(key, order, reason) => {
-                self.stop_reasons.push((task_path(&order.task), reason));
+            Action::Stop(key, order, cause) => {
+                self.stop_causes.push((task_path(&order.task), cause));
                 let result = self.stop(key, &order);
                 self.scheduler.stopped(key, order.run, result, self.now);
             }
--- a/crates/domain/tests/stop_reasons.rs
+++ b/crates/domain/tests/stop_reasons.rs
@@ -9,10 +9,10 @@
 
 /// Reasons of the stop orders for a task. An order that is sent again repeats its reason.
 fn reasons(harness: &SchedulerHarness, task: &str) -> Vec<StopReason> {
-    let orders = harness.stop_reasons.iter();
+    let orders = harness.stop_causes.iter();
     let mut reasons: Vec<StopReason> = orders
         .filter(|(stopped, _)| stopped == task)
-        .map(|(_, reason)| *reason)
+        .map(|(_, cause)| cause.reason)
         .collect();
     reasons.dedup();
     reasons
@@ -50,7 +50,16 @@
     harness.run_for(1_000);
     assert_eq!(reasons(&harness, "a.0.0.0"), [StopReason::JobCancelled]);
     assert_eq!(reasons(&harness, "b.0.0.1"), [StopReason::JobFailed]);
-    assert!(harness.stop_reasons.len() > 2, "stops are sent again");
+    let orders = harness.stop_causes.iter();
+    let attempts: Vec<u32> = orders
+        .filter(|(stopped, _)| stopped == "a.0.0.0")
+        .map(|(_, cause)| cause.attempt)
+        .collect();
+    assert!(attempts.len() > 1, "the stop is sent again");
+    assert!(
+        attempts.iter().copied().eq(1..=attempts.len() as u32),
+        "{attempts:?}"
+    );
 }
 
 /// Guards against a stop of a run with an unknown start for which the log names another reason, also after
