--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -6,6 +6,7 @@
 
 mod advice;
 mod crashes;
+pub mod failure;
 mod fleet;
 mod job_table;
 mod late_starts;
@@ -23,6 +24,7 @@
 mod run;
 mod runs;
 mod start;
+pub mod stop_reason;
 mod worker;
 
 use crate::job::{JobProgress, JobRecord, JobState, QueuePolicy};
@@ -40,6 +42,7 @@
 use recovery::Recovery;
 use retention::Retention;
 use run::PlacedRun;
+use stop_reason::StopReason;
 use worker::Worker;
 
 /// Run numbers reserved for each term of a leader; far more than a task needs in a day.
@@ -484,7 +487,7 @@
                 continue;
             };
             if let TaskStatus::Placed(run) = task.status {
-                self.stop_run(run, now);
+                self.stop_run(run, StopReason::of_ended_job(state), now);
             } else {
                 task.status = TaskStatus::Finished;
             }
--- a/crates/domain/src/schedule/crashes.rs
+++ b/crates/domain/src/schedule/crashes.rs
@@ -23,6 +23,11 @@
 const PROBATION_MS: u64 = 1_000;
 
 impl Task {
+    /// Workers that have crashed with the task, in a row or in all.
+    pub(super) fn most_crashes(&self) -> u32 {
+        self.crashes.max(self.early_crashes)
+    }
+
     /// Whether the task starts only on a worker without suspects, which takes no other task meanwhile.
     pub(super) const fn is_isolated(&self) -> bool {
         self.early_crashes >= ISOLATED_CRASHES_MIN
@@ -63,9 +68,8 @@
         let Some(run) = self.runs.get(key) else {
             return;
         };
-        // A start that was refused has no part in the crash. A run of the former leader has outlived its start.
-        let may_have_started = run.is_answered || run.start_attempts > 1 || run.is_stopping();
-        let is_adopted = run.start_attempts == 0;
+        // A start without an answer may not have arrived. A run of the former leader has outlived its start.
+        let has_started = run.is_answered && run.start_attempts > 0;
         let info = *run.info();
         let long_running = self
             .job_table
@@ -83,7 +87,7 @@
         let Some(task) = self.job_table.tasks.get_mut(info.task) else {
             return;
         };
-        if is_adopted || !may_have_started || task.status != TaskStatus::Placed(key) {
+        if !has_started || task.status != TaskStatus::Placed(key) {
             return;
         }
         task.avoid_worker = Some(info.worker);
@@ -137,7 +141,7 @@
             else {
                 continue;
             };
-            let (job, crashes) = (task.job, task.crashes.max(task.early_crashes));
+            let (job, crashes) = (task.job, task.most_crashes());
             self.events.push(SchedulerEvent::TaskGivenUp {
                 task: name,
                 crashes,
--- a/crates/domain/src/schedule/late_starts.rs
+++ b/crates/domain/src/schedule/late_starts.rs
@@ -6,6 +6,7 @@
 
 use super::Scheduler;
 use super::run::{Phase, PlacedRun, Run, RunInfo};
+use super::stop_reason::StopReason;
 use crate::prelude::*;
 
 /// Time for which a start without an answer may still be carried out. The platform says only that this may
@@ -73,7 +74,7 @@
             let worker = &mut self.workers[key];
             worker.runs.push(run);
             worker.used = worker.used.plus(info.need);
-            self.stop_run(run, now);
+            self.stop_run(run, StopReason::StartUnanswered, now);
         }
     }
 }
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -6,6 +6,7 @@
     StopOrder,
 };
 use super::run::{Phase, PlacedRun, Run, RunInfo};
+use super::stop_reason::{StopCause, StopReason};
 use super::{
     JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, RUN_END_BATCH_DELAY_MS, Scheduler,
     UNRESPONSIVE_POLL_INTERVAL_MS, UNWRITTEN_ENDS_POLL_INTERVAL_MS,
@@ -170,7 +171,11 @@
                 task: listed_run.task.clone(),
                 number: listed_run.number,
             };
-            self.actions.push(Action::Stop(key, order));
+            let cause = StopCause {
+                reason: StopReason::UnknownJob,
+                attempt: 1,
+            };
+            self.actions.push(Action::Stop(key, order, cause));
         }
     }
 
@@ -261,7 +266,7 @@
         if needed && !has_ended && !task.done {
             task.status = TaskStatus::Placed(run);
         } else {
-            self.stop_run(run, now);
+            self.stop_run(run, StopReason::NotNeeded, now);
         }
         run
     }
@@ -314,7 +319,7 @@
                 task.avoid_worker = Some(key);
             }
             self.workers[key].count_failure(now);
-            self.stop_run(run, now);
+            self.stop_run(run, StopReason::NoProgress, now);
         }
     }
 
@@ -409,7 +414,12 @@
             if let TaskStatus::Placed(run) = previous_status
                 && Some(run) != ended_run
             {
-                self.stop_run(run, now);
+                let reason = if member == key {
+                    StopReason::NotNeeded
+                } else {
+                    StopReason::GangDone
+                };
+                self.stop_run(run, reason, now);
             }
         }
         self.complete_or_unblock(job, position.occurrence, now, wall);
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::stop_reason::StopCause;
 use crate::job::TaskName;
 use crate::placement::Resources;
 use crate::prelude::*;
@@ -131,7 +132,7 @@
     /// Start a task.
     Start(WorkerKey, StartOrder),
     /// Stop a run.
-    Stop(WorkerKey, StopOrder),
+    Stop(WorkerKey, StopOrder, StopCause),
     /// Set the CPU share of a run.
     Pace(WorkerKey, PaceOrder),
     /// Poll a worker.
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -3,6 +3,7 @@
 use super::job_table::TaskStatus;
 use super::order::{Action, OrderResult, Refusal, StopOrder};
 use super::recovery::STOP_LISTED_MS;
+use super::stop_reason::{StopCause, StopReason};
 use super::{RESTART_DELAY_MS, STOP_RESEND_DELAY_MS, Scheduler};
 use crate::prelude::*;
 
@@ -35,7 +36,7 @@
                 self.fenced |= refusal == Refusal::Fenced;
                 self.pause_worker(worker, refusal, now);
                 if self.has_unanswered_start(run) {
-                    self.stop_run(run, now);
+                    self.stop_run(run, StopReason::StartUnanswered, now);
                     return;
                 }
                 let task = self.runs.get(run).map(|run| run.info().task);
@@ -46,14 +47,16 @@
                 }
                 self.drop_run(run, now);
             }
-            OrderResult::NotSent if self.has_unanswered_start(run) => self.stop_run(run, now),
+            OrderResult::NotSent if self.has_unanswered_start(run) => {
+                self.stop_run(run, StopReason::StartUnanswered, now)
+            }
             OrderResult::NotSent => self.drop_run(run, now),
             OrderResult::Unanswered if self.resend_start(worker, run, now) => {}
             OrderResult::Unanswered => {
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.pause(now);
                 }
-                self.stop_run(run, now);
+                self.stop_run(run, StopReason::StartUnanswered, now);
             }
         }
     }
@@ -129,14 +132,14 @@
         }
     }
 
-    pub(super) fn stop_run(&mut self, key: RunKey, now: Millis) {
+    pub(super) fn stop_run(&mut self, key: RunKey, reason: StopReason, now: Millis) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         if run.is_stopping() {
             return;
         }
-        run.stop(now);
+        run.stop(reason, now);
         self.send_stop(key);
     }
 
@@ -144,16 +147,23 @@
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
-        let Some(task) = self.job_table.name(run.info().task) else {
+        let (Some(task), Some(reason)) = (self.job_table.name(run.info().task), run.stop_reason)
+        else {
             return;
         };
         run.stop_in_flight = true;
+        run.stop_attempts += 1;
+        let cause = StopCause {
+            reason,
+            attempt: run.stop_attempts,
+        };
         let order = StopOrder {
             run: Some(key),
             task,
             number: run.info().number,
         };
-        self.actions.push(Action::Stop(run.info().worker, order));
+        self.actions
+            .push(Action::Stop(run.info().worker, order, cause));
     }
 
     /// Removes a run that has certainly ended, and releases its task.
--- a/crates/domain/tests/takeover_model/faults.rs
+++ b/crates/domain/tests/takeover_model/faults.rs
@@ -71,6 +71,8 @@
     pub(super) fn inject_faults(&mut self) {
         let worker = self.rng.random_range(0..WORKER_COUNT);
         if self.draw_chance(self.conditions.crashes_per_mille) {
+            let running = self.workers[worker].running.iter().map(|run| &run.task);
+            self.checks.worker_crashed(running);
             self.workers[worker].crash();
         }
         if self.draw_chance(self.conditions.restarts_per_mille) && !self.workers[worker].up {
