--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -10,6 +10,7 @@
 use rosemaryscale_ports::prelude::*;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 const HEARTBEAT_TTL_MS: u64 = 5_000;
 /// Three renewals fit into the TTL of a heartbeat, so that one lost reply does not let it expire.
@@ -53,6 +54,32 @@
     lease: Option<u64>,
     /// Whether this daemon's member record was written under the current lease.
     registered: bool,
+    renewals: Renewals,
+}
+
+/// Results of the renewals, to report when they begin to fail and when they succeed again.
+#[derive(Debug, Default)]
+struct Renewals {
+    last_success: Option<Instant>,
+    failing: bool,
+}
+
+impl Renewals {
+    /// Records a result. Returns what to report; a series of failures is reported once.
+    fn record(&mut self, result: &KvResult<()>, now: Instant) -> Option<String> {
+        if let Err(error) = result {
+            let was_failing = std::mem::replace(&mut self.failing, true);
+            return (!was_failing).then(|| format!("cannot renew its heartbeat: {error}"));
+        }
+        let was_failing = std::mem::replace(&mut self.failing, false);
+        let since_ms = self
+            .last_success
+            .replace(now)
+            .map_or(0, |last| (now - last).as_millis());
+        // Without a failed renewal before it, the process was suspended or its runtime was blocked.
+        (was_failing || since_ms > u128::from(HEARTBEAT_TTL_MS))
+            .then(|| format!("renewed its heartbeat again after {since_ms} ms"))
+    }
 }
 
 impl Membership {
@@ -73,6 +100,7 @@
             view,
             lease: None,
             registered: false,
+            renewals: Renewals::default(),
         };
         (membership, receiver)
     }
@@ -90,15 +118,24 @@
                 _ = &mut stop => break,
                 Some(event) = watched.recv() => self.handle_event(&event),
                 _ = interval.tick() => {
-                    if self.renew().await.is_err() {
-                        self.options.metrics.count("member.heartbeat_failures", 1);
-                    }
+                    let result = self.renew().await;
+                    self.report_renewal(&result);
                 }
             }
         }
         self.deregister().await;
     }
 
+    fn report_renewal(&mut self, result: &KvResult<()>) {
+        if result.is_err() {
+            self.options.metrics.count("member.heartbeat_failures", 1);
+        }
+        if let Some(detail) = self.renewals.record(result, Instant::now()) {
+            let name = Arc::clone(&self.options.record.name);
+            self.options.events.record(EventKind::Member, name, detail);
+        }
+    }
+
     async fn renew(&mut self) -> KvResult<()> {
         if let Some(lease) = self.lease {
             match self.options.kv.keep_alive(lease).await {
--- a/crates/daemon/src/wiring.rs
+++ b/crates/daemon/src/wiring.rs
@@ -171,8 +171,11 @@
         );
         let platform = settings.platform;
         let (kv, kv_task) = kv_client::start(platform.kv_address, Metrics::clone(&metrics));
-        let (instances, poller) =
-            instance_poller::start(platform.instances_address, Metrics::clone(&metrics));
+        let (instances, poller) = instance_poller::start(
+            platform.instances_address,
+            Metrics::clone(&metrics),
+            events.clone(),
+        );
         Ok(Self {
             record: member_record(&settings),
             settings,
--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -2,7 +2,8 @@
 //!
 //! Each harness uses its own loopback address, so tests can run in parallel.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -33,6 +34,8 @@
 const PLATFORM_PORT: u16 = 7100;
 const UPSTREAM_PORT: u16 = 7200;
 const PORTS_PER_DAEMON: u16 = 10;
+/// Longest wait for an answer of a daemon in the diagnostics of a failed test.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Number of the next harness of this process; the last octet of its address.
 static NEXT_HARNESS_NUMBER: AtomicU8 = AtomicU8::new(1);
@@ -137,6 +140,9 @@
         let host = IpAddr::V4(Ipv4Addr::new(127, high, low, number));
         let directory =
             std::env::temp_dir().join(format!("rosemaryscale-{}-{number}", std::process::id()));
+        // A failed run keeps its directory, and process ids are reused: without this, its logs would
+        // count as logs of this run.
+        let _ = std::fs::remove_dir_all(&directory);
         std::fs::create_dir_all(&directory).expect("the temporary directory is writable");
         let platform = Platform::start(SocketAddr::new(host, PLATFORM_PORT))
             .await
@@ -321,17 +327,23 @@
         }
     }
 
-    /// Diagnostics of a daemon for a failed test: the states of its threads and the end of its log.
+    /// Diagnostics of a daemon for a failed test: the states of its threads, whether its runtime
+    /// answers, and the end of its log.
     fn daemon_diagnostics(&self, index: usize) -> String {
         const LOG_LINES: usize = 15;
         let name = &self.daemons[index].name;
         let threads = self
             .process_id(index)
             .map_or_else(|| "no process".to_owned(), thread_states);
+        let answer = if answers(self.operator_address(index)) {
+            "the operator API answers"
+        } else {
+            "the operator API does not answer"
+        };
         let log = self.log(index);
         let lines: Vec<&str> = log.lines().collect();
         let log_tail = lines[lines.len().saturating_sub(LOG_LINES)..].join("\n");
-        format!("{name}: {threads}\n{log_tail}")
+        format!("{name}: {threads}; {answer}\n{log_tail}")
     }
 
     /// Waits until the process of a daemon exits.
@@ -405,6 +417,20 @@
     format!("process {process}, threads: {}", states.join(", "))
 }
 
+/// Whether an HTTP server answers a request. It blocks, so that it can be used while a test panics;
+/// an idle daemon and one whose runtime is blocked cannot be told apart by the states of their
+/// threads.
+fn answers(address: SocketAddr) -> bool {
+    let exchange = || -> std::io::Result<bool> {
+        let mut stream = TcpStream::connect_timeout(&address, ANSWER_TIMEOUT)?;
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: daemon\r\nconnection: close\r\n\r\n")?;
+        let mut first_byte = [0];
+        Ok(stream.read(&mut first_byte)? > 0)
+    };
+    exchange().unwrap_or(false)
+}
+
 impl Drop for Harness {
     fn drop(&mut self) {
         if std::thread::panicking() {
