Start nothing of a job that is stored after its cancellation

Cause: a cancellation of a job that the store did not have was answered 410 and left no record. A write of another daemon that creates the job may still be under way (a write without an answer may take effect seconds later), or the caller's attempt may arrive again. The job was then created after its cancellation had been acknowledged, ran, and nobody stopped it.

Change: such a cancellation is stored, in one write on the condition that the job does not exist (before: one read). The leader remembers cancellations of unknown jobs, also those that it finds when its term begins, and ends such a job as cancelled when it becomes known. The submission needs no further condition, and its answer stays true: the job is stored and shown as cancelled. A record without a job is deleted status_s after the leader has seen it. If the job exists and the view does not know it yet, a cancellation is two writes instead of a read and a write; all others are unchanged. Older daemons beside new ones leave the former gap and do no harm.

Not solved by this: a job refused as hopeless while an earlier write of it is under way (docs/platform.md, Open).

--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -55,6 +55,21 @@
 /// Revisions of the lanes' records as of the start of a term, by key.
 pub(super) type LaneRevisions = FastMap<Arc<str>, u64>;
 
+/// Ids of records that the store need no longer keep.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ExpiredRecords {
+    /// Jobs.
+    pub(super) jobs: Vec<Arc<str>>,
+    /// Cancellations without a job.
+    pub(super) cancellations: Vec<Arc<str>>,
+}
+
+impl ExpiredRecords {
+    pub(super) fn is_empty(&self) -> bool {
+        self.jobs.is_empty() && self.cancellations.is_empty()
+    }
+}
+
 /// The leader key belongs to another daemon, or no daemon holds it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LeadershipLost;
@@ -125,30 +140,35 @@
         Ok(self)
     }
 
-    /// Deletes all records of the given jobs.
-    pub(super) async fn delete_jobs(
+    /// Deletes all records of the given jobs, and cancellations without a job.
+    pub(super) async fn delete_expired(
         mut self,
         kv: &KeyValue,
-        ids: &[Arc<str>],
+        expired: &ExpiredRecords,
     ) -> Result<Self, LeadershipLost> {
         const KEYS_PER_JOB: usize = 4;
         let lane = &mut self.lanes[0];
         let Some(record) = read_with_retries(kv, &lane.record_key).await else {
             return Ok(self);
         };
-        for ids in ids.chunks(CHANGES_PER_TRANSACTION / KEYS_PER_JOB) {
-            let changes: Vec<Change> = ids
-                .iter()
-                .flat_map(|id| {
-                    [
-                        records::job_key(id),
-                        records::cancel_key(id),
-                        records::state_key(id),
-                        records::progress_key(id),
-                    ]
-                })
-                .map(|key| Change::Delete { key })
-                .collect();
+        let job_keys = |id: &Arc<str>| {
+            [
+                records::job_key(id),
+                records::cancel_key(id),
+                records::state_key(id),
+                records::progress_key(id),
+            ]
+        };
+        let jobs = expired
+            .jobs
+            .chunks(CHANGES_PER_TRANSACTION / KEYS_PER_JOB)
+            .map(|ids| ids.iter().flat_map(job_keys).collect::<Vec<_>>());
+        let cancellations = expired
+            .cancellations
+            .chunks(CHANGES_PER_TRANSACTION)
+            .map(|ids| ids.iter().map(|id| records::cancel_key(id)).collect());
+        for keys in jobs.chain(cancellations) {
+            let changes = keys.into_iter().map(|key| Change::Delete { key }).collect();
             lane.write(kv, changes, record.value.clone()).await?;
         }
         Ok(self)
--- a/crates/daemon/src/jobs/frontend/store_calls.rs
+++ b/crates/daemon/src/jobs/frontend/store_calls.rs
@@ -76,19 +76,25 @@
         matches!(self.kv.get(&records::job_key(id)).await, Ok(None))
     }
 
+    /// Cancels a job. The cancellation of a job that the store does not have is stored as well: a write of
+    /// another daemon that creates the job may take effect later, and the leader then starts none of it.
     pub(super) async fn cancel(&self, id: &str, is_known: bool) -> JobReply {
+        let transaction = |compares| Transaction {
+            compares,
+            changes: vec![records::put(records::cancel_key(id), "{}".into())],
+        };
         if !is_known {
-            match self.kv.get(&records::job_key(id)).await {
-                Ok(Some(_)) => {}
-                Ok(None) => return JobReply::NoSuchJob,
-                Err(error) => return unavailable(&error.to_string()),
+            let is_absent = Compare {
+                key: records::job_key(id),
+                mod_revision: 0,
+            };
+            match self.write(transaction(vec![is_absent])).await {
+                Ok(true) => return JobReply::NoSuchJob,
+                Ok(false) => {}
+                Err(reply) => return reply,
             }
         }
-        let transaction = Transaction {
-            compares: Vec::new(),
-            changes: vec![records::put(records::cancel_key(id), "{}".into())],
-        };
-        match self.write(transaction).await {
+        match self.write(transaction(Vec::new())).await {
             Ok(_) => JobReply::Cancelled,
             Err(reply) => reply,
         }
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -27,7 +27,7 @@
 
 use self::actions::StartedRuns;
 use self::pressure::PublishedPressure;
-use super::batch::{BatchWriter, LeadershipLost, WaveStateFormat};
+use super::batch::{BatchWriter, ExpiredRecords, LeadershipLost, WaveStateFormat};
 use super::lease::{self, LEADER_GRACE_MS, LEADER_TTL_MS, LeaderLease, RENEW_INTERVAL_MS, Renewal};
 use super::records::LeaderRecord;
 
@@ -333,7 +333,7 @@
                 if let Some(batch) = batch {
                     self.scheduler.batch_written(&batch, now);
                 }
-                self.delete_expired_jobs(writer, wall);
+                self.delete_expired(writer, now, wall);
             }
         }
         Ok(())
@@ -351,17 +351,21 @@
         }
     }
 
-    fn delete_expired_jobs(&mut self, writer: BatchWriter, wall: Millis) {
-        const MAX_JOBS_DELETED: usize = 70;
+    fn delete_expired(&mut self, writer: BatchWriter, now: Millis, wall: Millis) {
+        const MAX_DELETED: usize = 70;
         let kept_ms = self.options.status_kept_ms;
-        let expired = self.scheduler.take_expired(wall, kept_ms, MAX_JOBS_DELETED);
+        let scheduler = &mut self.scheduler;
+        let expired = ExpiredRecords {
+            jobs: scheduler.take_expired(wall, kept_ms, MAX_DELETED),
+            cancellations: scheduler.take_expired_cancellations(now, kept_ms, MAX_DELETED),
+        };
         if expired.is_empty() {
             self.writer = Some(writer);
             return;
         }
         let kv = self.options.kv.clone();
         self.background.spawn(async move {
-            let writer = writer.delete_jobs(&kv, &expired).await;
+            let writer = writer.delete_expired(&kv, &expired).await;
             BackgroundResult::Written(writer, None)
         });
     }
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -156,12 +156,16 @@
             rerouted: former_record.rerouted,
         };
         let mut scheduler = Scheduler::new(settings, former_term, now);
-        let stored = stored_jobs(entries, progress, lease.fencing_token, &options.log);
+        let (stored, early_cancellations) =
+            stored_jobs(entries, progress, lease.fencing_token, &options.log);
         info!(options.log, "recovery began"; "term" => former_record.term + 1, "jobs" => stored.len(),
             "former_over" => former_term_ended);
         for job in stored {
             scheduler.restore(job, now, wall);
         }
+        for id in &early_cancellations {
+            scheduler.cancel(id, now, wall);
+        }
         scheduler.restore_waves(former_record.waves);
         apply_config(&mut scheduler, &options.config.borrow());
         let mut revisions: LaneRevisions = lanes
@@ -259,13 +263,14 @@
     }
 }
 
-/// Combines the record, progress and cancellation of each job.
+/// Combines the record, progress and cancellation of each job. Also returns the cancellations without a
+/// job.
 fn stored_jobs(
     entries: Vec<KvEntry>,
     progress: Vec<KvEntry>,
     fencing_token: u64,
     log: &Logger,
-) -> Vec<StoredJob> {
+) -> (Vec<StoredJob>, FastSet<Arc<str>>) {
     let mut progress: FastMap<Arc<str>, JobProgress> = progress
         .into_iter()
         .filter_map(|entry| {
@@ -293,13 +298,15 @@
             Some(JobKeyKind::Leader) | None => {}
         }
     }
-    jobs.into_iter()
+    let jobs = jobs
+        .into_iter()
         .map(|(id, record, acceptance)| StoredJob {
             progress: progress.remove(&id),
-            cancelled: cancelled.contains(&id),
+            cancelled: cancelled.remove(&id),
             acceptance,
             id,
             record,
         })
-        .collect()
+        .collect();
+    (jobs, cancelled)
 }
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -270,6 +270,10 @@
         else {
             return;
         };
+        if self.retention.claim_cancellation(&id) {
+            self.finish_job(key, JobState::Cancelled, now, wall);
+            return;
+        }
         if repeated {
             self.repeated.push(key);
             return;
@@ -305,10 +309,11 @@
         self.services[job.service].load.add(work, now);
     }
 
-    /// Cancels a job.
+    /// Cancels a job, also one that becomes known later.
     pub fn cancel(&mut self, id: &str, now: Millis, wall: Millis) {
-        if let Some(key) = self.job_table.jobs_by_id.get(id).copied() {
-            self.finish_job(key, JobState::Cancelled, now, wall);
+        match self.job_table.jobs_by_id.get(id).copied() {
+            Some(key) => self.finish_job(key, JobState::Cancelled, now, wall),
+            None => self.retention.cancel_early(id, now),
         }
     }
 
--- a/crates/domain/src/schedule/retention.rs
+++ b/crates/domain/src/schedule/retention.rs
@@ -9,6 +9,9 @@
 pub(super) struct Retention {
     /// Jobs that the job table no longer has, and whose deletion from the store has not been observed.
     removed: FastSet<Arc<str>>,
+    /// Cancellations of jobs that are not known, and when they became known. A write that creates the job
+    /// may still be under way.
+    early_cancellations: FastMap<Arc<str>, Millis>,
 }
 
 impl Retention {
@@ -16,6 +19,18 @@
     pub(super) fn was_removed(&self, id: &str) -> bool {
         self.removed.contains(id)
     }
+
+    /// Remembers the cancellation of a job that is not known.
+    pub(super) fn cancel_early(&mut self, id: &str, now: Millis) {
+        if !self.was_removed(id) && !self.early_cancellations.contains_key(id) {
+            self.early_cancellations.insert(id.into(), now);
+        }
+    }
+
+    /// Whether the job was cancelled before it was known. Its cancellation is then deleted with the job.
+    pub(super) fn claim_cancellation(&mut self, id: &str) -> bool {
+        self.early_cancellations.remove(id).is_some()
+    }
 }
 
 impl Scheduler {
@@ -48,6 +63,27 @@
         ids
     }
 
+    /// Returns the ids of up to `limit` cancellations that have been known for more than `keep_ms` without
+    /// their job, so that the store can delete them.
+    pub fn take_expired_cancellations(
+        &mut self,
+        now: Millis,
+        keep_ms: u64,
+        limit: usize,
+    ) -> Vec<Arc<str>> {
+        let cancellations = &mut self.retention.early_cancellations;
+        let expired: Vec<Arc<str>> = cancellations
+            .iter()
+            .filter(|(_, known_since)| now.ms_since(**known_since) > keep_ms)
+            .map(|(id, _)| Arc::clone(id))
+            .take(limit)
+            .collect();
+        for id in &expired {
+            cancellations.remove(id);
+        }
+        expired
+    }
+
     /// Applies a complete list of the jobs in the store.
     pub fn jobs_listed(&mut self, listed: &FastSet<Arc<str>>) {
         self.retention.removed.retain(|id| listed.contains(id));
--- a/crates/domain/tests/cancellations.rs
+++ b/crates/domain/tests/cancellations.rs
@@ -2,7 +2,7 @@
 
 mod scheduler_harness;
 
-use rosemaryscale_domain::job::StepSpec;
+use rosemaryscale_domain::job::{JobState, StepSpec};
 use rosemaryscale_domain::schedule::order::RunEndKind;
 use scheduler_harness::{SchedulerHarness, job, step};
 
@@ -96,3 +96,28 @@
     harness.run_for(100);
     assert_eq!(harness.running(), ["a.0.0.0"], "the id is used again");
 }
+
+/// Guards against a job that runs although its cancellation was acknowledged: the write that creates it takes
+/// effect after the cancellation. Guards as well against remembering such cancellations for ever.
+#[test]
+fn a_cancellation_holds_for_a_job_that_becomes_known_later() {
+    const KEEP_MS: u64 = 1_000;
+    const MAX_CANCELLATIONS: usize = 10;
+    let mut harness = SchedulerHarness::new(1);
+    harness.cancel("a");
+    harness.cancel("never submitted");
+    harness.run_for(500);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(500);
+    assert_eq!(harness.start_count("a.0.0.0"), 0);
+    assert_eq!(harness.state("a"), JobState::Cancelled);
+    let take_expired = |harness: &mut SchedulerHarness| {
+        harness
+            .scheduler
+            .take_expired_cancellations(harness.now, KEEP_MS, MAX_CANCELLATIONS)
+    };
+    assert!(take_expired(&mut harness).is_empty());
+    harness.run_for(500);
+    assert_eq!(take_expired(&mut harness), ["never submitted".into()]);
+    assert!(take_expired(&mut harness).is_empty());
+}
