Do not count a failed run of a task that is done

Cause: when a worker that was cut off reports that an earlier run of a task is done, the later run that is active elsewhere is stopped, but may end as failed first. That end counted as an attempt of the finished task; with the last attempt the job was shown as failed although the task was done.

Change: a failed run of a task that is done is not counted.

Result: a_failed_run_of_a_task_that_is_done_does_not_count fails without the change (Failed instead of Running) and passes with it. All tests of rosemaryscale-domain pass.

--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -466,7 +466,7 @@
             .step_of(key)
             .is_some_and(|step| step.long_running);
         let task = &mut self.job_table.tasks[key];
-        if task.failed_runs.contains(&number) {
+        if task.done || task.failed_runs.contains(&number) {
             return;
         }
         if task.failed_runs.is_empty() {
--- a/crates/domain/tests/cancellations.rs
+++ b/crates/domain/tests/cancellations.rs
@@ -121,3 +121,27 @@
     assert_eq!(take_expired(&mut harness), ["never submitted".into()]);
     assert!(take_expired(&mut harness).is_empty());
 }
+
+/// Guards against a job that is shown as failed although its tasks are done: a later run of a task ends as
+/// failed after an earlier one was reported as done.
+#[test]
+fn a_failed_run_of_a_task_that_is_done_does_not_count() {
+    let mut harness = SchedulerHarness::new(2);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1)
+    };
+    harness.submit("a", job(vec![step(1), second], 1));
+    harness.run_for(100);
+    let cut_off = harness.worker_running("a.0.0.0").expect("it runs");
+    harness.partition(cut_off);
+    harness.end_runs_on_worker(cut_off, RunEndKind::Done);
+    harness.run_for(8_000);
+    harness.workers[cut_off].partitioned = false;
+    harness.lose_stops = true;
+    harness.run_for(500);
+    harness.end_task("a.0.0.0", RunEndKind::Failed);
+    harness.run_for(500);
+    assert_eq!(harness.state("a"), JobState::Running);
+    assert_eq!(harness.running(), ["a.0.1.0"]);
+}
