--- a/crates/domain/tests/cancellations.rs
+++ b/crates/domain/tests/cancellations.rs
@@ -2,7 +2,7 @@
 
 mod scheduler_harness;
 
-use rosemaryscale_domain::job::StepSpec;
+use rosemaryscale_domain::job::{JobState, StepSpec};
 use rosemaryscale_domain::schedule::order::RunEndKind;
 use scheduler_harness::{SchedulerHarness, job, step};
 
@@ -96,3 +96,52 @@
     harness.run_for(100);
     assert_eq!(harness.running(), ["a.0.0.0"], "the id is used again");
 }
+
+/// Guards against a job that runs although its cancellation was acknowledged: the write that creates it takes
+/// effect after the cancellation. Guards as well against remembering such cancellations for ever.
+#[test]
+fn a_cancellation_holds_for_a_job_that_becomes_known_later() {
+    const KEEP_MS: u64 = 1_000;
+    const MAX_CANCELLATIONS: usize = 10;
+    let mut harness = SchedulerHarness::new(1);
+    harness.cancel("a");
+    harness.cancel("never submitted");
+    harness.run_for(500);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(500);
+    assert_eq!(harness.start_count("a.0.0.0"), 0);
+    assert_eq!(harness.state("a"), JobState::Cancelled);
+    let take_expired = |harness: &mut SchedulerHarness| {
+        harness
+            .scheduler
+            .take_expired_cancellations(harness.now, KEEP_MS, MAX_CANCELLATIONS)
+    };
+    assert!(take_expired(&mut harness).is_empty());
+    harness.run_for(500);
+    assert_eq!(take_expired(&mut harness), ["never submitted".into()]);
+    assert!(take_expired(&mut harness).is_empty());
+}
+
+/// Guards against a job that is shown as failed although its tasks are done: a later run of a task ends as
+/// failed after an earlier one was reported as done.
+#[test]
+fn a_failed_run_of_a_task_that_is_done_does_not_count() {
+    let mut harness = SchedulerHarness::new(2);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1)
+    };
+    harness.submit("a", job(vec![step(1), second], 1));
+    harness.run_for(100);
+    let cut_off = harness.worker_running("a.0.0.0").expect("it runs");
+    harness.partition(cut_off);
+    harness.end_runs_on_worker(cut_off, RunEndKind::Done);
+    harness.run_for(8_000);
+    harness.workers[cut_off].partitioned = false;
+    harness.lose_stops = true;
+    harness.run_for(500);
+    harness.end_task("a.0.0.0", RunEndKind::Failed);
+    harness.run_for(500);
+    assert_eq!(harness.state("a"), JobState::Running);
+    assert_eq!(harness.running(), ["a.0.1.0"]);
+}
