Log the inputs of an ejection

Change: HealthChange::Ejected carries the consecutive failures, the failed connects and the recent reports of peers; the line ends with them. The prefix "ejected, probed in" is unchanged.

Result: an_ejection_states_its_evidence is new (the field did not exist before).

--- a/crates/daemon/src/dispatcher/instances.rs
+++ b/crates/daemon/src/dispatcher/instances.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use rosemaryscale_adapters::upstream_link::{self, LinkOptions};
-use rosemaryscale_domain::health::{FaultDomain, HealthChange};
+use rosemaryscale_domain::health::{EjectionEvidence, FaultDomain, HealthChange};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::dispatch::DispatchMessage;
 use rosemaryscale_ports::instance::{InstanceRecord, ServiceView};
@@ -75,16 +75,21 @@
         };
         let record = &target.record;
         let detail = match change {
-            HealthChange::Ejected {
-                pause_ms,
-                refuses_connections,
-            } => {
+            HealthChange::Ejected { pause_ms, evidence } => {
                 self.options.metrics.count("health.ejections", 1);
-                if refuses_connections {
+                let EjectionEvidence {
+                    failures,
+                    connect_failures,
+                    peer_reports,
+                } = evidence;
+                if connect_failures > 0 {
                     let _ = self.options.refusals.try_send(target.refusing_instance());
                 }
                 let (rack, zone) = (&record.rack, &record.zone);
-                format!("ejected, probed in {pause_ms} ms (rack {rack}, zone {zone})")
+                format!(
+                    "ejected, probed in {pause_ms} ms (rack {rack}, zone {zone}, {failures} failures, \
+                     {connect_failures} failed connects, {peer_reports} peer reports)"
+                )
             }
             HealthChange::OnTrial => "on trial with one request at a time".into(),
             HealthChange::Returned => "returned to full use".into(),
--- a/crates/domain/src/health.rs
+++ b/crates/domain/src/health.rs
@@ -70,6 +70,18 @@
     pub zone: Arc<str>,
 }
 
+/// Inputs of the decision to eject an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EjectionEvidence {
+    /// Consecutive failures.
+    pub failures: u32,
+    /// Consecutive failures to connect. If there are any, the instance refuses this daemon's
+    /// connections, which is reported to the peers.
+    pub connect_failures: u32,
+    /// Peers that recently reported refused connections.
+    pub peer_reports: usize,
+}
+
 /// A health change that is reported on the timeline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HealthChange {
@@ -77,8 +89,8 @@
     Ejected {
         /// Time until the probe.
         pause_ms: u64,
-        /// Whether it refuses this daemon's connections, which is reported to the peers.
-        refuses_connections: bool,
+        /// What was known about the instance.
+        evidence: EjectionEvidence,
     },
     /// The instance gets one exchange at a time.
     OnTrial,
@@ -283,12 +295,7 @@
         if health.connect_failures == 0 {
             return false;
         }
-        let recent = |at: Millis| now.ms_since(at) < PEER_REPORT_TTL_MS;
-        let peer_count = health
-            .peer_reports
-            .iter()
-            .filter(|(_, at)| recent(*at))
-            .count();
+        let peer_count = recent_peer_reports(health, now);
         let mut score = health.connect_failures + peer_count.min(MAX_PEER_SCORE) as u32;
         if health.unlisted {
             score += UNLISTED_SCORE;
@@ -350,11 +357,12 @@
             probe_at: now.after_ms(pause_ms),
             probing: false,
         };
-        let refuses_connections = health.connect_failures > 0;
-        let change = HealthChange::Ejected {
-            pause_ms,
-            refuses_connections,
+        let evidence = EjectionEvidence {
+            failures: health.failure_streak,
+            connect_failures: health.connect_failures,
+            peer_reports: recent_peer_reports(health, now),
         };
+        let change = HealthChange::Ejected { pause_ms, evidence };
         self.changes.push((instance, change));
     }
 
@@ -498,3 +506,10 @@
         std::mem::take(&mut self.changes)
     }
 }
+
+fn recent_peer_reports(health: &InstanceHealth, now: Millis) -> usize {
+    let reports = health.peer_reports.iter();
+    reports
+        .filter(|(_, at)| now.ms_since(*at) < PEER_REPORT_TTL_MS)
+        .count()
+}
--- a/crates/domain/tests/health.rs
+++ b/crates/domain/tests/health.rs
@@ -1,7 +1,7 @@
 //! Tests of instance health with a dispatcher and simulated instances.
 
 use quickcheck::{Gen, QuickCheck};
-use rosemaryscale_domain::health::{HealthChange, Observation, PoolHealth};
+use rosemaryscale_domain::health::{EjectionEvidence, HealthChange, Observation, PoolHealth};
 use rosemaryscale_domain::prelude::*;
 
 mod simulation;
@@ -244,6 +244,39 @@
     }
 }
 
+/// Guards against an ejection that cannot be explained afterwards, and against evidence that includes
+/// a report that no longer counts.
+#[test]
+fn an_ejection_states_its_evidence() {
+    let mut keys: SlotMap<InstanceKey, ()> = SlotMap::with_key();
+    let instances: Vec<InstanceKey> = (0..4).map(|_| keys.insert(())).collect();
+    let mut health = PoolHealth::default();
+    for (number, instance) in instances.iter().enumerate() {
+        health.insert(*instance, domain(number), Millis::ZERO);
+    }
+    let now = Millis::from_ms(20_000);
+    for (peer, at_ms) in [
+        ("entry-1", 10_000),
+        ("entry-2", 10_001),
+        ("entry-3", 15_000),
+    ] {
+        health.record_peer_refusal(instances[0], peer.into(), Millis::from_ms(at_ms));
+    }
+    health.record_exchange(instances[0], Observation::TimedOut, now, now);
+    health.record_exchange(instances[0], Observation::ConnectFailed, now, now);
+    health.eject_unhealthy(now);
+    let evidence = EjectionEvidence {
+        failures: 2,
+        connect_failures: 1,
+        peer_reports: 2,
+    };
+    let change = HealthChange::Ejected {
+        pause_ms: 1_000,
+        evidence,
+    };
+    assert_eq!(health.take_changes(), [(instances[0], change)]);
+}
+
 /// When two of the three instances of a zone are ejected, one connect failure must eject the third
 /// one instead of the usual three.
 #[test]
