Correct two tests of the request path that failed without a fault

Cause: a_leaving_upstream_gets_no_new_work took the time of the last new request at the end of a batch. A batch that spans the mark can end 7 s after it, when the long requests free the slots of the other upstream, although its last request at the leaving one was sent within the first second. peers_observations_speed_up_an_ejection sent its one request while the other daemons held the slots of the lost upstream, so that it could be served by the other one.

Change: an observer reads the report of the leaving upstream every 5 ms while the same batches run; the limit of 5 s is unchanged. The second test waits 2 s after the bursts, until idle slots are back at their owner (two windows of 250 ms; a report of a peer counts for 10 s), and now also requires the evidence of the ejection: one failed connect and two reports. Before, it passed without any report of a peer.

--- a/crates/daemon/tests/planned_changes.rs
+++ b/crates/daemon/tests/planned_changes.rs
@@ -12,6 +12,7 @@
 };
 use rosemaryscale_standins::harness::{Harness, ProcessSignal, wait_until};
 use serde_json::{Value, json};
+use tokio::sync::oneshot;
 
 mod load;
 
@@ -19,6 +20,7 @@
 
 /// Longest time in which an upstream gets new requests after the platform has marked it as leaving.
 const LEAVING_LIMIT: Duration = Duration::from_secs(5);
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(5);
 
 fn load(name: &'static str, requests_per_client: usize, delay_ms: u64) -> ClientLoad {
     ClientLoad {
@@ -128,6 +130,31 @@
     stop(harness).await;
 }
 
+/// Time of the last new request at the first upstream, from `start` until `stopped` resolves. It is
+/// read while requests run: a batch that spans the mark ends only when slots of the other upstream
+/// are free, which may be long after its last request at the leaving one.
+async fn last_new_work(
+    harness: Arc<Harness>,
+    start: Instant,
+    mut stopped: oneshot::Receiver<()>,
+) -> Instant {
+    let mut last_request = start;
+    let mut executed_before = harness.upstreams[0].report().await.executed;
+    loop {
+        let is_last = tokio::time::timeout(OBSERVE_INTERVAL, &mut stopped)
+            .await
+            .is_ok();
+        let executed_now = harness.upstreams[0].report().await.executed;
+        if executed_now > executed_before {
+            last_request = Instant::now();
+            executed_before = executed_now;
+        }
+        if is_last {
+            return last_request;
+        }
+    }
+}
+
 /// Guards against new requests to a leaving upstream after the limit, and against the loss of the
 /// requests that it was running.
 #[tokio::test]
@@ -142,16 +169,13 @@
     instances[0]["state"] = json!("leaving");
     harness.platform.set_instances(instances).await;
     let marked = Instant::now();
-    let mut last_request = marked;
-    let mut executed_before = harness.upstreams[0].report().await.executed;
+    let (stop_observer, stopped) = oneshot::channel();
+    let observer = tokio::spawn(last_new_work(Arc::clone(&harness), marked, stopped));
     while marked.elapsed() < LEAVING_LIMIT + Duration::from_secs(1) {
         run_load(&harness, &load("short", 1, 0)).await;
-        let executed_now = harness.upstreams[0].report().await.executed;
-        if executed_now > executed_before {
-            last_request = Instant::now();
-            executed_before = executed_now;
-        }
     }
+    stop_observer.send(()).expect("the observer runs");
+    let last_request = observer.await.expect("the observer does not panic");
     let took = last_request.duration_since(marked);
     println!(
         "last new request {} ms after the upstream was marked",
--- a/crates/daemon/tests/upstream_faults.rs
+++ b/crates/daemon/tests/upstream_faults.rs
@@ -17,6 +17,10 @@
 
 use load::{PATH, start, stop};
 
+/// Time after a burst in which idle slots are back at their owners; idle slots are returned after two
+/// windows of 250 ms. It is shorter than the 10 s for which the report of a peer counts.
+const SLOT_RETURN_TIME: Duration = Duration::from_secs(2);
+
 fn load(name: &'static str, method: Method) -> ClientLoad {
     ClientLoad {
         name,
@@ -219,8 +223,9 @@
         ejection_count(&harness).await >= 2
     })
     .await;
-    // The peers' reports may still be in transit; until they arrive, each request can add one failed
-    // connect.
+    // While the others hold its slots, the request waits and may be sent to the other upstream. This
+    // daemon then has no failed connect of its own, and does not eject on the reports alone.
+    tokio::time::sleep(SLOT_RETURN_TIME).await;
     let reply = harness
         .call_caller_api(owner, Method::GET, PATH, &[], "")
         .await;
@@ -229,6 +234,13 @@
         ejection_count(&harness).await >= 3
     })
     .await;
+    let log = harness.log(owner);
+    let ejection = log.lines().find(|line| line.contains("ejected, probed"));
+    let evidence = "1 failed connects, 2 peer reports";
+    assert!(
+        ejection.is_some_and(|line| line.contains(evidence)),
+        "not ejected on {evidence}: {ejection:?}"
+    );
     harness.stop().await;
 }
 
