Ignore late reports that a former incarnation has ended

A refused connect or a 421 ends the incarnation of a worker and the runs on it. When the order had been sent before the leader knew of a restart, and its result arrived after the next incarnation had accepted a start, that run was dropped as well and its task started a second time (TWICE).

Such a result counts only for the incarnation that was current when the poll or the run was sent; otherwise the order counts as not sent. A refused stop of a run that is gone ends nothing either.

--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -33,7 +33,14 @@
             return;
         };
         worker.poll_in_flight = false;
+        let is_current = worker.incarnation_since <= worker.poll_sent_at;
         match result {
+            PollResult::Refused(Refusal::OtherIncarnation) | PollResult::NotListening
+                if !is_current =>
+            {
+                // The poll was sent to the former incarnation.
+                worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
+            }
             PollResult::Listed(listing) => self.apply_listing(key, &listing, now, wall),
             PollResult::Refused(Refusal::OtherIncarnation) | PollResult::NotListening => {
                 self.end_incarnation(key, now);
@@ -74,7 +81,7 @@
             self.end_incarnation(key, now);
             let worker = &mut self.workers[key];
             let report = worker.report.clone();
-            worker.begin_incarnation(report);
+            worker.begin_incarnation(report, now);
         }
         let worker = &mut self.workers[key];
         let sent_at = worker.poll_sent_at;
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -47,7 +47,7 @@
         if other_incarnation {
             self.end_incarnation(key, now);
             if let Some(worker) = self.workers.get_mut(key) {
-                worker.begin_incarnation(report.clone());
+                worker.begin_incarnation(report.clone(), now);
             }
             self.await_next_incarnation(key);
         }
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -18,7 +18,7 @@
         if result == OrderResult::Unanswered {
             self.record_late_start(worker, run, now);
         }
-        match result {
+        match self.without_former_end(worker, Some(run), result) {
             OrderResult::Accepted { clock_ms } => {
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.update_clock(clock_ms, now);
@@ -57,6 +57,30 @@
         }
     }
 
+    /// The result of an order, without the end of an incarnation that had ended before: an order that was sent
+    /// before this leader knew of the current incarnation says nothing about it, and neither does the stop of
+    /// a run that is gone.
+    fn without_former_end(
+        &self,
+        worker: WorkerKey,
+        run: Option<RunKey>,
+        result: OrderResult,
+    ) -> OrderResult {
+        let since = self
+            .workers
+            .get(worker)
+            .map(|worker| worker.incarnation_since);
+        let sent_at = run.and_then(|run| Some(self.runs.get(run)?.info().sent_at));
+        match result {
+            OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening
+                if sent_at < since =>
+            {
+                OrderResult::NotSent
+            }
+            _ => result,
+        }
+    }
+
     /// Whether an earlier start of the run was not answered, so that it may still take effect.
     fn has_unanswered_start(&self, run: RunKey) -> bool {
         self.runs.get(run).is_some_and(|run| run.start_attempts > 1)
@@ -82,6 +106,7 @@
         result: OrderResult,
         now: Millis,
     ) {
+        let result = self.without_former_end(worker, run, result);
         if let OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening = result
         {
             self.end_incarnation(worker, now);
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -23,6 +23,8 @@
 #[derive(Debug)]
 pub(super) struct Worker {
     pub report: WorkerReport,
+    /// Since when this leader knows of the current incarnation.
+    pub incarnation_since: Millis,
     /// Key of its service.
     pub service: Option<ServiceKey>,
     /// Whether the platform lists the worker.
@@ -83,6 +85,7 @@
     pub(super) fn new(report: WorkerReport, lease_end: Millis) -> Self {
         Self {
             report,
+            incarnation_since: Millis::ZERO,
             service: None,
             listed: true,
             synced: false,
@@ -176,7 +179,7 @@
     }
 
     /// Resets the state that belongs to the previous process of the worker.
-    pub(super) fn begin_incarnation(&mut self, report: WorkerReport) {
+    pub(super) fn begin_incarnation(&mut self, report: WorkerReport, now: Millis) {
         let (listed, service) = (self.listed, self.service);
         *self = Self {
             listed,
@@ -187,6 +190,7 @@
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
             cordoned: self.cordoned,
+            incarnation_since: now,
             ..Self::new(report, Millis::ZERO)
         };
     }
