--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -36,6 +36,8 @@
     pub report: WorkerReport,
     /// Largest capacity that it has reported.
     pub full_capacity: Resources,
+    /// Since when this leader knows of the current incarnation.
+    pub incarnation_since: Millis,
     /// Key of its service.
     pub service: Option<ServiceKey>,
     /// Whether the platform lists the worker.
@@ -101,6 +103,7 @@
         Self {
             full_capacity: report.capacity,
             report,
+            incarnation_since: Millis::ZERO,
             service: None,
             listed: true,
             synced: false,
@@ -211,7 +214,7 @@
     }
 
     /// Resets the state that belongs to the previous process of the worker.
-    pub(super) fn begin_incarnation(&mut self, report: WorkerReport) {
+    pub(super) fn begin_incarnation(&mut self, report: WorkerReport, now: Millis) {
         let (listed, service) = (self.listed, self.service);
         *self = Self {
             listed,
@@ -222,6 +225,7 @@
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
             cordoned: self.cordoned,
+            incarnation_since: now,
             ..Self::new(report, Millis::ZERO)
         };
     }
