Record that a restart which is listed late can run a task twice

The schedules list a restart at once. With a listing 300 ms later, a start can be accepted and answered by the next incarnation before the leader knows of the restart; the end of the former incarnation then drops this run, and its task starts again beside it (TWICE).

--- a/crates/domain/tests/takeover_model/conditions.rs
+++ b/crates/domain/tests/takeover_model/conditions.rs
@@ -15,6 +15,8 @@
     pub(super) restarts_per_mille: u32,
     /// What a worker keeps over a restart.
     pub(super) restart: Restart,
+    /// Time from the restart of a worker until the platform lists its new incarnation.
+    pub(super) listing_delay_ms: u64,
 }
 
 /// What a worker keeps over a restart, and which orders its next incarnation may receive.
@@ -36,6 +38,7 @@
         crashes_per_mille: 1,
         restarts_per_mille: 8,
         restart: Restart::OrdersLost,
+        listing_delay_ms: 0,
     };
 
     /// Frequent cancellations of jobs with long runs.
@@ -53,4 +56,10 @@
         restart: Restart::OrdersOnTheirWay,
         ..Self::CANCELLATIONS
     };
+
+    /// Restarts of which a leader learns from answers before the platform lists them.
+    pub(crate) const RESTARTS_LISTED_LATE: Self = Self {
+        listing_delay_ms: 300,
+        ..Self::RESTARTS
+    };
 }
--- a/crates/domain/tests/takeover_model/faults.rs
+++ b/crates/domain/tests/takeover_model/faults.rs
@@ -101,7 +101,7 @@
         let keeps_orders = self.conditions.restart == Restart::OrdersOnTheirWay;
         let gets_new_id = keeps_orders && self.draw_chance(NEW_ID_PER_MILLE);
         let worker = &mut self.workers[worker];
-        worker.restart();
+        worker.restart(self.now);
         if keeps_orders {
             worker.reset_clock(self.now);
         }
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -202,6 +202,10 @@
         leader.scheduler.set_leadership_unconfirmed(unconfirmed);
         if leader.reaches_store {
             for worker in &self.workers {
+                if worker.up && now.ms_since(worker.restarted_at) < self.conditions.listing_delay_ms
+                {
+                    continue;
+                }
                 if worker.up {
                     leader.scheduler.worker_listed(worker.report(), now);
                 } else {
--- a/crates/domain/tests/takeover_model/worker.rs
+++ b/crates/domain/tests/takeover_model/worker.rs
@@ -29,6 +29,8 @@
 pub(super) struct ModelWorker {
     pub(super) id: Arc<str>,
     pub(super) up: bool,
+    /// When the incarnation began; 0 for the first one.
+    pub(super) restarted_at: Millis,
     /// Number of the incarnation, reported as its start time.
     pub(super) incarnation: u64,
     /// Reading of the schedule's clock at which its own one was 0.
@@ -53,6 +55,7 @@
             report: first_report(&id),
             id,
             up: true,
+            restarted_at: Millis::ZERO,
             incarnation: 1,
             clock_origin: Millis::ZERO,
             clock_percent: if index.is_multiple_of(2) { 98 } else { 100 },
@@ -81,8 +84,9 @@
         self.lease_end_ms = 0;
     }
 
-    pub(super) fn restart(&mut self) {
+    pub(super) fn restart(&mut self, now: Millis) {
         self.up = true;
+        self.restarted_at = now;
         self.incarnation += 1;
         self.report.started_wall_ms = self.incarnation;
     }
--- a/crates/domain/tests/takeovers.rs
+++ b/crates/domain/tests/takeovers.rs
@@ -57,6 +57,17 @@
     );
 }
 
+/// Guards against dropping a run that a restarted worker has accepted and answered before the leader learns of
+/// the restart: the end of the former incarnation is then taken for the end of this run.
+#[test]
+fn restarts_listed_late_keep_the_invariants() {
+    play(
+        "restarts_listed_late_keep_the_invariants",
+        Conditions::RESTARTS_LISTED_LATE,
+        &[],
+    );
+}
+
 fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
