--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -1,13 +1,14 @@
 //! The callers' frontend: accepts jobs, reports their states, and cancels them.
 
 mod inputs;
+mod refusal;
 mod store_calls;
 
 use std::sync::Arc;
 
 use rosemaryscale_domain::job::JobState;
 use rosemaryscale_domain::route;
-use rosemaryscale_domain::schedule::pressure::{Admission, Pressure};
+use rosemaryscale_domain::schedule::pressure::Pressure;
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{JobCall, JobReply, JobRequest, QueueConfig, QueueConfigWatch};
 use rosemaryscale_ports::kv::{KeyValue, KvEntry, Update, WatchEvent};
@@ -17,6 +18,7 @@
 use tokio::task::JoinSet;
 
 use self::inputs::DecisionInputs;
+use self::refusal::{refuse_hopeless, unavailable};
 use self::store_calls::{StoreCalls, Submission};
 use super::records::{self, LEADER_KEY, LeaderRecord, PRESSURE_KEY, StateRecord};
 
@@ -469,24 +471,6 @@
     }
 }
 
-/// Refusal of a job that would be useless by the time it could run; `None` if it may be stored.
-fn refuse_hopeless(pressure: &Pressure, job: &Submission) -> Option<JobReply> {
-    match pressure.admit(&job.id, &job.record) {
-        Admission::Accept => None,
-        Admission::Refuse {
-            retry_after_ms,
-            expected_ms,
-        } => Some(JobReply::Unavailable {
-            reason: format!(
-                "service {} is overloaded: the job would end in about {expected_ms} ms, long after its objective",
-                job.record.policy.service
-            )
-            .into(),
-            retry_after_ms,
-        }),
-    }
-}
-
 /// Whether workers refuse the queue's tasks without a ticket of the advisor.
 fn is_advised(config: &QueueConfig, queue: &str) -> bool {
     config
@@ -502,10 +486,3 @@
         _ => "submit.refused",
     }
 }
-
-fn unavailable(reason: &str) -> JobReply {
-    JobReply::Unavailable {
-        reason: reason.into(),
-        retry_after_ms: MIN_RETRY_AFTER_MS,
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/jobs/frontend/refusal.rs
@@ -0,0 +1,33 @@
+//! Refusals that have no effect.
+
+use rosemaryscale_domain::schedule::pressure::{Admission, Pressure};
+use rosemaryscale_ports::job::JobReply;
+
+use super::MIN_RETRY_AFTER_MS;
+use super::store_calls::Submission;
+
+/// Refusal of a job that would be useless by the time it could run; `None` if it may be stored.
+pub(super) fn refuse_hopeless(pressure: &Pressure, job: &Submission) -> Option<JobReply> {
+    match pressure.admit(&job.id, &job.record) {
+        Admission::Accept => None,
+        Admission::Refuse {
+            retry_after_ms,
+            expected_ms,
+        } => Some(JobReply::Unavailable {
+            reason: format!(
+                "service {} is overloaded: the job would end in about {expected_ms} ms, long after its objective",
+                job.record.policy.service
+            )
+            .into(),
+            retry_after_ms,
+        }),
+    }
+}
+
+/// Refusal for the given reason, with the shortest time to come back.
+pub(super) fn unavailable(reason: &str) -> JobReply {
+    JobReply::Unavailable {
+        reason: reason.into(),
+        retry_after_ms: MIN_RETRY_AFTER_MS,
+    }
+}
--- a/crates/daemon/src/jobs/frontend/store_calls.rs
+++ b/crates/daemon/src/jobs/frontend/store_calls.rs
@@ -10,7 +10,7 @@
 use rosemaryscale_ports::prelude::*;
 use tokio::sync::watch;
 
-use super::unavailable;
+use super::refusal::unavailable;
 use crate::jobs::records::{self, StateRecord};
 
 /// Maximum number of attempts for a write.
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -2,11 +2,10 @@
 
 use super::job_table::TaskStatus;
 use super::order::{
-    Action, ListedEnd, ListedRun, Listing, PollResult, Refusal, RunEndKind, SchedulerEvent,
-    StopOrder,
+    ListedEnd, ListedRun, Listing, PollResult, Refusal, RunEndKind, SchedulerEvent,
 };
 use super::run::{Phase, PlacedRun, Run, RunInfo};
-use super::stop_reason::{StopCause, StopReason};
+use super::stop_reason::StopReason;
 use super::{
     JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, RUN_END_BATCH_DELAY_MS, Scheduler,
     UNRESPONSIVE_POLL_INTERVAL_MS, UNWRITTEN_ENDS_POLL_INTERVAL_MS,
@@ -14,10 +13,6 @@
 use crate::job::JobState;
 use crate::prelude::*;
 
-/// Time after which a run of an unknown job is stopped. A new job becomes known within a few watch
-/// intervals; this is well above them.
-const UNKNOWN_RUN_GRACE_MS: u64 = 3_000;
-
 /// Polls stay short for this long after a poll of a responsive worker was lost, so that the next
 /// answer soon repeats an end that the lost one reported.
 const ANSWER_LOSS_WINDOW_MS: u64 = 5_000;
@@ -156,70 +151,8 @@
         listed
     }
 
-    /// Records runs of jobs that this leader does not know. The job was stored before the run
-    /// started, so it becomes known soon; a run without a stored job is stopped.
-    fn update_unknown_runs(&mut self, key: WorkerKey, unknown: Vec<ListedRun>, now: Millis) {
-        let worker = &mut self.workers[key];
-        worker.unknown_runs_since = match worker.unknown_runs_since {
-            _ if unknown.is_empty() => None,
-            None => Some(now),
-            since => since,
-        };
-        worker.unknown_runs = unknown;
-        if worker
-            .unknown_runs_since
-            .is_none_or(|since| now.ms_since(since) < UNKNOWN_RUN_GRACE_MS)
-        {
-            return;
-        }
-        for listed_run in &worker.unknown_runs {
-            let order = StopOrder {
-                run: None,
-                task: listed_run.task.clone(),
-                number: listed_run.number,
-            };
-            let cause = StopCause {
-                reason: StopReason::UnknownJob,
-                attempt: 1,
-            };
-            self.actions.push(Action::Stop(key, order, cause));
-        }
-    }
-
-    /// Adopts the runs of a job that workers listed before this leader knew the job.
-    pub(super) fn adopt_unknown_runs(&mut self, job: &str, now: Millis) {
-        let keys: Vec<WorkerKey> = self.workers.keys().collect();
-        for key in keys {
-            let listed_runs = std::mem::take(&mut self.workers[key].unknown_runs);
-            let (known, unknown): (Vec<_>, Vec<_>) = listed_runs
-                .into_iter()
-                .partition(|listed_run| &*listed_run.task.job == job);
-            self.workers[key].unknown_runs = unknown;
-            for listed_run in known {
-                let found = self
-                    .job_table
-                    .find(&listed_run.task)
-                    .or_else(|| self.find_in_new_occurrence(&listed_run));
-                if let Some(task) = found
-                    && self.run_at(key, task, listed_run.number).is_none()
-                {
-                    self.adopt_run(key, task, &listed_run, now);
-                }
-            }
-        }
-    }
-
-    /// Whether a worker lists runs of this job as unknown.
-    pub(super) fn has_unknown_runs(&self, job: &str) -> bool {
-        let mut listed_runs = self
-            .workers
-            .values()
-            .flat_map(|worker| &worker.unknown_runs);
-        listed_runs.any(|listed_run| &*listed_run.task.job == job)
-    }
-
     /// Finds a task in an occurrence that this leader has not created yet, and creates it.
-    fn find_in_new_occurrence(&mut self, listed_run: &ListedRun) -> Option<TaskKey> {
+    pub(super) fn find_in_new_occurrence(&mut self, listed_run: &ListedRun) -> Option<TaskKey> {
         let job = *self.job_table.jobs_by_id.get(&listed_run.task.job)?;
         self.job_table
             .create_occurrences_up_to(job, listed_run.task.position.occurrence);
@@ -236,7 +169,7 @@
     }
 
     /// Adopts a run that this leader did not start, or stops it if its task needs no run.
-    fn adopt_run(
+    pub(super) fn adopt_run(
         &mut self,
         worker: WorkerKey,
         task: TaskKey,
