--- a/crates/domain/src/schedule/crashes.rs
+++ b/crates/domain/src/schedule/crashes.rs
@@ -7,6 +7,7 @@
 use super::Scheduler;
 use super::job_table::{Task, TaskStatus};
 use super::order::SchedulerEvent;
+use super::run::PlacedRun;
 use super::worker::Worker;
 use crate::job::JobState;
 use crate::prelude::*;
@@ -79,11 +80,7 @@
             .workers
             .get(info.worker)
             .map_or(now, |worker| worker.last_answer_at);
-        let was_sound = if long_running {
-            run.progress.percent >= 100
-        } else {
-            last_answer_at.ms_since(info.sent_at) >= PROBATION_MS
-        };
+        let was_sound = is_sound(run, long_running, last_answer_at);
         let Some(task) = self.job_table.tasks.get_mut(info.task) else {
             return;
         };
@@ -122,12 +119,7 @@
         let long_running = job
             .step(task.position.step)
             .is_some_and(|step| step.long_running);
-        let is_sound = if long_running {
-            run.progress.percent >= 100
-        } else {
-            now.ms_since(info.sent_at) >= PROBATION_MS
-        };
-        if is_sound {
+        if is_sound(run, long_running, now) {
             task.early_crashes = 0;
             job.dirty = true;
         }
@@ -142,6 +134,10 @@
                 continue;
             };
             let (job, crashes) = (task.job, task.most_crashes());
+            // It may have been cancelled meanwhile.
+            if self.job_table.jobs[job].state.is_final() {
+                continue;
+            }
             self.events.push(SchedulerEvent::TaskGivenUp {
                 task: name,
                 crashes,
@@ -150,3 +146,12 @@
         }
     }
 }
+
+/// Whether a run that was seen at a time had lasted long enough, or come into service, to clear its task.
+fn is_sound(run: &PlacedRun, long_running: bool, seen_at: Millis) -> bool {
+    if long_running {
+        run.progress.percent >= 100
+    } else {
+        seen_at.ms_since(run.info().sent_at) >= PROBATION_MS
+    }
+}
