--- a/crates/domain/src/health.rs
+++ b/crates/domain/src/health.rs
@@ -9,8 +9,10 @@
 
 use crate::prelude::*;
 
+mod change;
 mod instance;
 
+pub use change::{EjectionEvidence, HealthChange};
 use instance::{ExchangeCounts, HealthState, InstanceHealth, SUSPECT_STREAK};
 
 /// Score at which an instance counts as unreachable and is ejected without a comparison with the
@@ -70,34 +72,6 @@
     pub zone: Arc<str>,
 }
 
-/// Inputs of the decision to eject an instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EjectionEvidence {
-    /// Consecutive failures.
-    pub failures: u32,
-    /// Consecutive failures to connect. If there are any, the instance refuses this daemon's
-    /// connections, which is reported to the peers.
-    pub connect_failures: u32,
-    /// Peers that recently reported refused connections.
-    pub peer_reports: usize,
-}
-
-/// A health change that is reported on the timeline.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HealthChange {
-    /// The instance gets no requests and is probed after the pause.
-    Ejected {
-        /// Time until the probe.
-        pause_ms: u64,
-        /// What was known about the instance.
-        evidence: EjectionEvidence,
-    },
-    /// The instance gets one exchange at a time.
-    OnTrial,
-    /// The instance is in full use again.
-    Returned,
-}
-
 /// Rank of an instance in the selection. Lower is better.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Preference {
--- a/crates/domain/src/schedule/crashes.rs
+++ b/crates/domain/src/schedule/crashes.rs
@@ -72,10 +72,7 @@
         // A start without an answer may not have arrived. A run of the former leader has outlived its start.
         let has_started = run.is_answered && run.start_attempts > 0;
         let info = *run.info();
-        let long_running = self
-            .job_table
-            .step_of(info.task)
-            .is_some_and(|step| step.long_running);
+        let long_running = self.job_table.is_long_running(info.task);
         let last_answer_at = self
             .workers
             .get(info.worker)
@@ -106,22 +103,20 @@
         let Some(run) = self.runs.get(key) else {
             return;
         };
-        let info = run.info();
-        let Some(task) = self.job_table.tasks.get_mut(info.task) else {
-            return;
-        };
-        if task.early_crashes == 0 {
+        let key = run.info().task;
+        let is_suspect = self
+            .job_table
+            .tasks
+            .get(key)
+            .is_some_and(|task| task.early_crashes > 0);
+        if !is_suspect || !is_sound(run, self.job_table.is_long_running(key), now) {
             return;
         }
-        let Some(job) = self.job_table.jobs.get_mut(task.job) else {
-            return;
-        };
-        let long_running = job
-            .step(task.position.step)
-            .is_some_and(|step| step.long_running);
-        if is_sound(run, long_running, now) {
+        if let Some(task) = self.job_table.tasks.get_mut(key) {
             task.early_crashes = 0;
-            job.dirty = true;
+            if let Some(job) = self.job_table.jobs.get_mut(task.job) {
+                job.dirty = true;
+            }
         }
     }
 
--- a/crates/domain/src/schedule/fleet/waves.rs
+++ b/crates/domain/src/schedule/fleet/waves.rs
@@ -130,8 +130,7 @@
         let is_long_running = |run: &&RunKey| {
             self.runs
                 .get(**run)
-                .and_then(|run| self.job_table.step_of(run.info().task))
-                .is_some_and(|step| step.long_running)
+                .is_some_and(|run| self.job_table.is_long_running(run.info().task))
         };
         worker
             .runs
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -271,6 +271,10 @@
         self.jobs.get(task.job)?.step(task.position.step)
     }
 
+    pub(super) fn is_long_running(&self, key: TaskKey) -> bool {
+        self.step_of(key).is_some_and(|step| step.long_running)
+    }
+
     /// Whether the task exists and can start.
     pub(super) fn is_ready(&self, key: TaskKey) -> bool {
         let task = self.tasks.get(key);
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -416,10 +416,7 @@
         now: Millis,
         wall: Millis,
     ) {
-        let long_running = self
-            .job_table
-            .step_of(key)
-            .is_some_and(|step| step.long_running);
+        let long_running = self.job_table.is_long_running(key);
         let task = &mut self.job_table.tasks[key];
         if task.done || task.failed_runs.contains(&number) {
             return;
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -202,10 +202,7 @@
             worker.used = worker.used.minus(info.need);
         }
         self.request_worker_placement(info.worker);
-        let long_running = self
-            .job_table
-            .step_of(info.task)
-            .is_some_and(|step| step.long_running);
+        let long_running = self.job_table.is_long_running(info.task);
         let Some(task) = self.job_table.tasks.get_mut(info.task) else {
             return;
         };
--- a/crates/domain/tests/cancellations.rs
+++ b/crates/domain/tests/cancellations.rs
@@ -1,28 +1,37 @@
 //! Ends and cancellations of jobs that still have runs, tested against simulated workers.
 
+#![allow(clippy::expect_used, reason = "tests panic on failure")]
+
 mod scheduler_harness;
 
 use rosemaryscale_domain::job::{JobState, StepSpec};
 use rosemaryscale_domain::schedule::order::RunEndKind;
 use scheduler_harness::{SchedulerHarness, job, step};
 
-/// Guards against a run that nobody stops: a worker that was cut off reports that an earlier run of a task
-/// is done while a later run of it is active elsewhere. The later run is no longer needed, and a
-/// cancellation of the job did not end it.
-#[test]
-fn a_late_end_of_an_earlier_run_stops_the_later_run() {
+/// Runs the first of two steps of job `a` on a worker that is cut off, which completes it unseen, and then
+/// again on another. Returns the index of the worker that is cut off.
+fn two_runs_of_the_first_step(attempts_max: u32) -> (SchedulerHarness, usize) {
     let mut harness = SchedulerHarness::new(2);
     let second = StepSpec {
         after: vec![0],
         ..step(1)
     };
-    harness.submit("a", job(vec![step(1), second], 3));
+    harness.submit("a", job(vec![step(1), second], attempts_max));
     harness.run_for(100);
     let cut_off = harness.worker_running("a.0.0.0").expect("it runs");
     harness.partition(cut_off);
     harness.end_runs_on_worker(cut_off, RunEndKind::Done);
     harness.run_for(8_000);
     assert_eq!(harness.running(), ["a.0.0.0"], "it was started again");
+    (harness, cut_off)
+}
+
+/// Guards against a run that nobody stops: a worker that was cut off reports that an earlier run of a task
+/// is done while a later run of it is active elsewhere. The later run is no longer needed, and a
+/// cancellation of the job did not end it.
+#[test]
+fn a_late_end_of_an_earlier_run_stops_the_later_run() {
+    let (mut harness, cut_off) = two_runs_of_the_first_step(3);
     harness.workers[cut_off].partitioned = false;
     harness.run_for(1_000);
     assert_eq!(harness.running(), ["a.0.1.0"], "the first step is done");
@@ -126,17 +135,7 @@
 /// failed after an earlier one was reported as done.
 #[test]
 fn a_failed_run_of_a_task_that_is_done_does_not_count() {
-    let mut harness = SchedulerHarness::new(2);
-    let second = StepSpec {
-        after: vec![0],
-        ..step(1)
-    };
-    harness.submit("a", job(vec![step(1), second], 1));
-    harness.run_for(100);
-    let cut_off = harness.worker_running("a.0.0.0").expect("it runs");
-    harness.partition(cut_off);
-    harness.end_runs_on_worker(cut_off, RunEndKind::Done);
-    harness.run_for(8_000);
+    let (mut harness, cut_off) = two_runs_of_the_first_step(1);
     harness.workers[cut_off].partitioned = false;
     harness.lose_stops = true;
     harness.run_for(500);
