--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -14,7 +14,7 @@
 use rosemaryscale_ports::prelude::*;
 
 use super::records::{
-    self, LANE_PREFIX, LEADER_KEY, SCHEDULER_RECORD_KEY, SchedulerRecord, WORKERS_KEY,
+    self, LANE_PREFIX, LEADER_KEY, SCHEDULER_RECORD_KEY, SchedulerRecord, StateRecord, WORKERS_KEY,
 };
 
 /// The store accepts 32 entries per transaction: two conditions, the record of the lane, and the changes.
@@ -280,8 +280,13 @@
 
 fn changes(write: &JobWrite) -> impl Iterator<Item = Change> {
     let progress = records::put_progress(&write.id, &write.progress);
-    let state = write
-        .state
-        .map(|state| records::put_state(&write.id, &write.queue, state));
+    let state = write.state.map(|state| {
+        let record = StateRecord {
+            queue: Arc::clone(&write.queue),
+            state,
+            workspace: write.workspace.clone(),
+        };
+        records::put_state(&write.id, &record)
+    });
     std::iter::once(progress).chain(state)
 }
--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -9,6 +9,7 @@
 use rosemaryscale_domain::job::JobState;
 use rosemaryscale_domain::route;
 use rosemaryscale_domain::schedule::pressure::Pressure;
+use rosemaryscale_domain::workspace::{Access, Caller, Workspace};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{JobCall, JobReply, JobRequest, QueueConfig, QueueConfigWatch};
 use rosemaryscale_ports::kv::{KeyValue, KvEntry, Update, WatchEvent};
@@ -18,7 +19,7 @@
 use tokio::task::JoinSet;
 
 use self::inputs::DecisionInputs;
-use self::refusal::{refuse_hopeless, unavailable};
+use self::refusal::{refuse_above_quota, refuse_hopeless, unavailable};
 use self::store_calls::{StoreCalls, Submission};
 use super::records::{self, LEADER_KEY, LeaderRecord, PRESSURE_KEY, StateRecord};
 
@@ -297,6 +298,15 @@
             return;
         };
         let queue = Arc::clone(&route_match.queue);
+        let access = config
+            .workspaces
+            .access(route_match.is_public, call.api_key);
+        if access == Access::Denied {
+            self.options.metrics.count("calls.unauthorized", 1);
+            self.refuse(call, JobReply::Unauthorized, inputs);
+            return;
+        }
+        let (caller, workspace) = caller_of(&config, access, &queue);
         if rest.is_empty() && matches!(call.request, JobRequest::Read) {
             let _ = call
                 .reply
@@ -309,8 +319,19 @@
             return;
         }
         let id: Arc<str> = rest.into();
-        let known_state = self.states.get(&id).map(|record| record.state);
+        let known = self.states.get(&id);
+        let is_open = known.is_none_or(|record| record.is_open_to(&caller));
+        let known_state = known.map(|record| record.state);
         match (call.request, known_state) {
+            (JobRequest::Submit(Ok(_)), Some(_)) if !is_open => {
+                let reply = JobReply::IdTaken;
+                info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
+                    "outcome" => %reply, inputs);
+                let _ = call.reply.send(reply);
+            }
+            (JobRequest::Read | JobRequest::Cancel, Some(_)) if !is_open => {
+                let _ = call.reply.send(JobReply::NoSuchJob);
+            }
             (JobRequest::Submit(Ok(_)), Some(_)) => {
                 let _ = call.reply.send(JobReply::Accepted);
             }
@@ -333,8 +354,15 @@
             }
             (JobRequest::Submit(Ok(spec)), None) => {
                 let store = self.store_calls(call.deadline_ms);
-                match Submission::new(&store.clock, &config, id, queue, spec) {
+                match Submission::new(&store.clock, &config, id, queue, workspace, spec) {
                     Some(job) => {
+                        if let Some(reply) = refuse_above_quota(&job.record) {
+                            info!(self.options.log, "submit"; "job" => &*job.id,
+                                "queue" => &*job.record.queue, "outcome" => %reply, inputs);
+                            self.options.metrics.count(submit_metric(&reply), 1);
+                            let _ = call.reply.send(reply);
+                            return;
+                        }
                         let pressure = self.current_pressure();
                         let refusal =
                             pressure.and_then(|(pressure, _)| refuse_hopeless(pressure, &job));
@@ -342,7 +370,7 @@
                             pressure_age_ms: pressure.map(|(_, age_ms)| age_ms),
                             ..inputs
                         };
-                        self.spawn(call.reply, store, job, refusal, inputs);
+                        self.spawn(call.reply, store, (job, caller), refusal, inputs);
                     }
                     None => {
                         let reply = JobReply::NoSuchQueue;
@@ -363,7 +391,7 @@
             (JobRequest::Read, None) => {
                 let store = self.store_calls(call.deadline_ms);
                 self.calls.spawn(async move {
-                    let (reply, state) = store.read(id).await;
+                    let (reply, state) = store.read(id, &caller).await;
                     let _ = call.reply.send(reply);
                     StoreCallResult { state }
                 });
@@ -378,7 +406,7 @@
                 let store = self.store_calls(call.deadline_ms);
                 let log = self.options.log.clone();
                 self.calls.spawn(async move {
-                    let reply = store.cancel(&id, known_state.is_some()).await;
+                    let reply = store.cancel(&id, &caller, known_state.is_some()).await;
                     info!(log, "cancel"; "job" => &*id, "outcome" => %reply, inputs);
                     let _ = call.reply.send(reply);
                     StoreCallResult { state: None }
@@ -413,7 +441,7 @@
         &mut self,
         reply: oneshot::Sender<JobReply>,
         store: StoreCalls,
-        job: Submission,
+        (job, caller): (Submission, Caller),
         refusal: Option<JobReply>,
         inputs: DecisionInputs,
     ) {
@@ -423,7 +451,7 @@
             let started_at = store.clock.now();
             let outcome = match refusal {
                 Some(refusal) if store.is_absent(&job.id).await => refusal,
-                _ => store.submit(&job).await,
+                _ => store.submit(&job, &caller).await,
             };
             metrics.time_ms("submit.ms", store.clock.now().ms_since(started_at));
             metrics.count(submit_metric(&outcome), 1);
@@ -431,10 +459,7 @@
                 "outcome" => %outcome, inputs);
             let accepted = outcome == JobReply::Accepted;
             let _ = reply.send(outcome);
-            let state = StateRecord {
-                queue: Arc::clone(&job.record.queue),
-                state: JobState::Queued,
-            };
+            let state = StateRecord::of_job(&job.record, JobState::Queued);
             StoreCallResult {
                 state: accepted.then_some((job.id, state)),
             }
@@ -471,6 +496,26 @@
     }
 }
 
+/// The caller of a call, and the workspace that a job submitted by it belongs to.
+fn caller_of(
+    config: &QueueConfig,
+    access: Access,
+    queue: &Arc<str>,
+) -> (Caller, Option<Workspace>) {
+    let workspace = match access {
+        Access::Workspace(key) => config.workspaces.get(key).cloned(),
+        Access::Public | Access::Denied => None,
+    };
+    let is_public = config.workspaces.is_enabled() && workspace.is_none();
+    let caller = Caller {
+        workspace: workspace
+            .as_ref()
+            .map(|workspace| Arc::clone(&workspace.name)),
+        public_queue: is_public.then(|| Arc::clone(queue)),
+    };
+    (caller, workspace)
+}
+
 /// Whether workers refuse the queue's tasks without a ticket of the advisor.
 fn is_advised(config: &QueueConfig, queue: &str) -> bool {
     config
--- a/crates/daemon/src/jobs/frontend/refusal.rs
+++ b/crates/daemon/src/jobs/frontend/refusal.rs
@@ -1,5 +1,6 @@
 //! Refusals that have no effect.
 
+use rosemaryscale_domain::job::JobRecord;
 use rosemaryscale_domain::schedule::pressure::{Admission, Pressure};
 use rosemaryscale_ports::job::JobReply;
 
@@ -24,6 +25,17 @@
     }
 }
 
+/// Refusal of a job that can never run within the quota of its workspace; `None` if it can.
+pub(super) fn refuse_above_quota(record: &JobRecord) -> Option<JobReply> {
+    let workspace = record.workspace.as_ref()?;
+    let step = workspace.step_above_quota(&record.spec)?;
+    let reason = format!(
+        "step {step} needs more than the quota of workspace {} at once; ask for less or have the quota raised",
+        workspace.name
+    );
+    Some(JobReply::AboveQuota(reason.into()))
+}
+
 /// Refusal for the given reason, with the shortest time to come back.
 pub(super) fn unavailable(reason: &str) -> JobReply {
     JobReply::Unavailable {
--- a/crates/daemon/src/jobs/frontend/store_calls.rs
+++ b/crates/daemon/src/jobs/frontend/store_calls.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use rosemaryscale_domain::job::{JobRecord, JobSpec, JobState};
+use rosemaryscale_domain::workspace::{Caller, Workspace};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::{JobReply, QueueConfig};
-use rosemaryscale_ports::kv::{Compare, KeyValue, KvError, Transaction};
+use rosemaryscale_ports::kv::{Compare, KeyValue, KvEntry, KvError, Transaction};
 use rosemaryscale_ports::prelude::*;
 use tokio::sync::watch;
 
@@ -28,6 +29,7 @@
         config: &QueueConfig,
         id: Arc<str>,
         queue: Arc<str>,
+        workspace: Option<Workspace>,
         spec: JobSpec,
     ) -> Option<Self> {
         let policy = config.policies.get(&queue)?.clone();
@@ -37,6 +39,7 @@
                 queue,
                 policy,
                 received_wall_ms: clock.wall().as_ms(),
+                workspace,
                 spec,
             },
         })
@@ -53,7 +56,7 @@
 
 impl StoreCalls {
     /// Creates the job's record unless it exists.
-    pub(super) async fn submit(&self, job: &Submission) -> JobReply {
+    pub(super) async fn submit(&self, job: &Submission, caller: &Caller) -> JobReply {
         let transaction = Transaction {
             compares: vec![Compare {
                 key: records::job_key(&job.id),
@@ -61,16 +64,32 @@
             }],
             changes: vec![
                 records::put_job(&job.id, &job.record),
-                records::put_state(&job.id, &job.record.queue, JobState::Queued),
+                records::put_state(&job.id, &StateRecord::of_job(&job.record, JobState::Queued)),
             ],
         };
         match self.write(transaction).await {
-            // A failed condition means that an earlier attempt has already stored the job.
-            Ok(_) => JobReply::Accepted,
+            Ok(true) => JobReply::Accepted,
+            // An earlier attempt has already stored the job, or it belongs to another workspace.
+            Ok(false) => self.check_owner(job, caller).await,
             Err(reply) => reply,
         }
     }
 
+    /// Answers the submission of a job whose id is in use.
+    async fn check_owner(&self, job: &Submission, caller: &Caller) -> JobReply {
+        if *caller == Caller::default() {
+            return JobReply::Accepted;
+        }
+        match self.kv.get(&records::job_key(&job.id)).await {
+            Ok(Some(entry)) => match records::decode::<JobRecord>(&entry.value) {
+                Ok(stored) if !caller.may_access_job(&stored) => JobReply::IdTaken,
+                _ => JobReply::Accepted,
+            },
+            // The job has ended and was deleted meanwhile, or its owner is not known.
+            Ok(None) | Err(_) => JobReply::OutcomeUnknown,
+        }
+    }
+
     /// Whether the store certainly has no record of the job.
     pub(super) async fn is_absent(&self, id: &str) -> bool {
         matches!(self.kv.get(&records::job_key(id)).await, Ok(None))
@@ -78,10 +97,10 @@
 
     /// Cancels a job. The cancellation of a job that the store does not have is stored as well: a write of
     /// another daemon that creates the job may take effect later, and the leader then starts none of it.
-    pub(super) async fn cancel(&self, id: &str, is_known: bool) -> JobReply {
+    pub(super) async fn cancel(&self, id: &str, caller: &Caller, is_known: bool) -> JobReply {
         let transaction = |compares| Transaction {
             compares,
-            changes: vec![records::put(records::cancel_key(id), "{}".into())],
+            changes: vec![records::put_cancellation(id, caller)],
         };
         if !is_known {
             let is_absent = Compare {
@@ -90,7 +109,12 @@
             };
             match self.write(transaction(vec![is_absent])).await {
                 Ok(true) => return JobReply::NoSuchJob,
-                Ok(false) => {}
+                Ok(false) if *caller == Caller::default() => {}
+                Ok(false) => match self.kv.get(&records::state_key(id)).await {
+                    Ok(Some(entry)) if !is_open_to(&entry, caller) => return JobReply::NoSuchJob,
+                    Ok(_) => {}
+                    Err(error) => return unavailable(&error.to_string()),
+                },
                 Err(reply) => return reply,
             }
         }
@@ -100,13 +124,18 @@
         }
     }
 
-    pub(super) async fn read(&self, id: Arc<str>) -> (JobReply, Option<(Arc<str>, StateRecord)>) {
+    pub(super) async fn read(
+        &self,
+        id: Arc<str>,
+        caller: &Caller,
+    ) -> (JobReply, Option<(Arc<str>, StateRecord)>) {
         let entry = match self.kv.get(&records::state_key(&id)).await {
             Ok(Some(entry)) => entry,
             Ok(None) => return (JobReply::NoSuchJob, None),
             Err(error) => return (unavailable(&error.to_string()), None),
         };
         match records::decode::<StateRecord>(&entry.value) {
+            Ok(record) if !record.is_open_to(caller) => (JobReply::NoSuchJob, Some((id, record))),
             Ok(record) => (JobReply::State(record.state), Some((id, record))),
             Err(error) => (unavailable(&error.to_string()), None),
         }
@@ -141,3 +170,9 @@
         Err(JobReply::OutcomeUnknown)
     }
 }
+
+/// Whether the caller may cancel the job with this stored state. A state that cannot be read is open: the
+/// leader checks the owner again.
+fn is_open_to(entry: &KvEntry, caller: &Caller) -> bool {
+    records::decode::<StateRecord>(&entry.value).map_or(true, |record| record.is_open_to(caller))
+}
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -390,6 +390,6 @@
 }
 
 fn apply_config(scheduler: &mut Scheduler, config: &QueueConfig) {
-    scheduler.configure(&config.policies);
+    scheduler.configure(&config.policies, &config.workspaces);
     scheduler.set_spare_services(&config.spare_services);
 }
--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -35,7 +35,10 @@
                         warn!(self.options.log, "job skipped"; "job" => id, "reason" => %error);
                     }
                 },
-                Some(JobKeyKind::Cancel(id)) => self.scheduler.cancel(id, now, wall),
+                Some(JobKeyKind::Cancel(id)) => {
+                    let caller = records::cancelling_caller(&entry);
+                    self.scheduler.cancel(id, &caller, now, wall);
+                }
                 Some(JobKeyKind::Leader) | None => {}
             }
         }
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -8,6 +8,7 @@
 use rosemaryscale_domain::schedule::{
     FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
+use rosemaryscale_domain::workspace::Caller;
 use rosemaryscale_ports::advice::{AdviceCalls, AdviceEvents};
 use rosemaryscale_ports::kv::{KeyRange, KeyValue, KvEntry, KvResult, WatchEvent};
 use rosemaryscale_ports::prelude::*;
@@ -168,8 +169,8 @@
         for job in stored {
             scheduler.restore(job, now, wall);
         }
-        for id in &early_cancellations {
-            scheduler.cancel(id, now, wall);
+        for (id, caller) in &early_cancellations {
+            scheduler.cancel(id, caller, now, wall);
         }
         scheduler.restore_waves(former_record.waves);
         apply_config(&mut scheduler, &options.config.borrow());
@@ -276,7 +277,7 @@
     progress: Vec<KvEntry>,
     fencing_token: u64,
     log: &Logger,
-) -> (Vec<StoredJob>, FastSet<Arc<str>>) {
+) -> (Vec<StoredJob>, FastMap<Arc<str>, Caller>) {
     let mut progress: FastMap<Arc<str>, JobProgress> = progress
         .into_iter()
         .filter_map(|entry| {
@@ -284,12 +285,12 @@
             Some((Arc::from(id), records::decode(&entry.value).ok()?))
         })
         .collect();
-    let mut cancelled: FastSet<Arc<str>> = FastSet::default();
+    let mut cancelled: FastMap<Arc<str>, Caller> = FastMap::default();
     let mut jobs = Vec::new();
     for entry in &entries {
         match records::job_key_kind(&entry.key) {
             Some(JobKeyKind::Cancel(id)) => {
-                cancelled.insert(id.into());
+                cancelled.insert(id.into(), records::cancelling_caller(entry));
             }
             Some(JobKeyKind::Job(id)) => match records::decode::<JobRecord>(&entry.value) {
                 Ok(record) => {
@@ -308,7 +309,9 @@
         .into_iter()
         .map(|(id, record, acceptance)| StoredJob {
             progress: progress.remove(&id),
-            cancelled: cancelled.remove(&id),
+            cancelled: cancelled
+                .remove(&id)
+                .is_some_and(|caller| caller.may_access_job(&record)),
             acceptance,
             id,
             record,
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -6,7 +6,8 @@
 use rosemaryscale_domain::job::{JobProgress, JobRecord, JobState};
 use rosemaryscale_domain::schedule::WaveRecord;
 use rosemaryscale_domain::worker_route::GatewayOffer;
-use rosemaryscale_ports::kv::Change;
+use rosemaryscale_domain::workspace::Caller;
+use rosemaryscale_ports::kv::{Change, KvEntry};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -93,6 +94,9 @@
     /// The state.
     #[serde(rename = "s")]
     pub(super) state: JobState,
+    /// The job's workspace.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub(super) workspace: Option<Arc<str>>,
 }
 
 /// Identity of the leader.
@@ -141,6 +145,22 @@
     pub(super) processor_milli: u64,
 }
 
+impl StateRecord {
+    /// State of a job that is to be stored.
+    pub(super) fn of_job(job: &JobRecord, state: JobState) -> Self {
+        Self {
+            queue: Arc::clone(&job.queue),
+            state,
+            workspace: job.workspace_name().cloned(),
+        }
+    }
+
+    /// Whether the caller may read, repeat or cancel the job.
+    pub(super) fn is_open_to(&self, caller: &Caller) -> bool {
+        caller.may_access(self.workspace.as_deref(), &self.queue)
+    }
+}
+
 impl GatewayRecord {
     /// Decodes the offer of a key and value; `None` if it is not an offer.
     pub(super) fn read(key: &str, value: &[u8]) -> Option<GatewayOffer> {
@@ -172,12 +192,20 @@
 }
 
 /// Change that stores a job's state.
-pub(super) fn put_state(id: &str, queue: &Arc<str>, state: JobState) -> Change {
-    let record = StateRecord {
-        queue: Arc::clone(queue),
-        state,
-    };
-    put(state_key(id), encode(&record))
+pub(super) fn put_state(id: &str, record: &StateRecord) -> Change {
+    put(state_key(id), encode(record))
+}
+
+/// Change that stores the cancellation of a job on behalf of a caller. It takes no effect on a job that the
+/// caller may not access, which may also be created after it.
+pub(super) fn put_cancellation(id: &str, caller: &Caller) -> Change {
+    put(cancel_key(id), encode(caller))
+}
+
+/// Who cancelled a job. A cancellation that cannot be read takes effect: it is of a version whose callers
+/// had no workspaces.
+pub(super) fn cancelling_caller(entry: &KvEntry) -> Caller {
+    decode(&entry.value).unwrap_or_default()
 }
 
 /// Change that stores a job's progress.
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -339,6 +339,10 @@
             match queue_config::decode(&entry.value) {
                 Ok(newer) if newer.version > config.borrow().version => {
                     info!(log, "configuration in force"; "version" => newer.version);
+                    for problem in &newer.problems {
+                        warn!(log, "configuration entry skipped"; "version" => newer.version,
+                            "reason" => &**problem);
+                    }
                     config.send_replace(Arc::new(newer));
                 }
                 Ok(_) => {}
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -4,6 +4,7 @@
 
 use crate::placement::Resources;
 use crate::prelude::*;
+use crate::workspace::Workspace;
 
 /// A step of a job: a number of identical tasks.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -178,11 +179,21 @@
     pub policy: QueuePolicy,
     /// When the job was received, in milliseconds since the Unix epoch.
     pub received_wall_ms: u64,
+    /// Workspace of the caller as configured at acceptance, in case it is removed later; `None` for a public
+    /// route or a configuration without workspaces.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<Workspace>,
     /// Specification of the job.
     pub spec: JobSpec,
 }
 
 impl JobRecord {
+    /// Name of the workspace that the job belongs to.
+    #[must_use]
+    pub fn workspace_name(&self) -> Option<&Arc<str>> {
+        self.workspace.as_ref().map(|workspace| &workspace.name)
+    }
+
     /// Latency objective of the job.
     #[must_use]
     pub fn objective_ms(&self) -> u64 {
--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -32,6 +32,8 @@
     pub struct SlotKey;
     /// Key of a team.
     pub struct TeamKey;
+    /// Key of a workspace.
+    pub struct WorkspaceKey;
     /// Key of a worker.
     pub struct WorkerKey;
     /// Key of a gateway, a daemon that holds links to workers for the leader.
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod slots;
 pub mod spare;
 pub mod worker_route;
+pub mod workspace;
 
 pub use dispatch::Dispatcher;
 pub use document::Document;
--- a/crates/domain/src/placement/resources.rs
+++ b/crates/domain/src/placement/resources.rs
@@ -33,6 +33,16 @@
         }
     }
 
+    /// The amount multiplied by a number.
+    #[must_use]
+    pub const fn times(self, factor: u64) -> Self {
+        Self {
+            processors_milli: self.processors_milli * factor,
+            memory_mb: self.memory_mb * factor,
+            accelerators: self.accelerators * factor,
+        }
+    }
+
     /// The saturating difference of two amounts.
     #[must_use]
     pub const fn minus(self, other: Self) -> Self {
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::key::{
     CallerKey, ClaimKey, ConnectionKey, DaemonKey, FleetInstanceKey, GatewayKey, InstanceKey,
     JobKey, PoolKey, RackKey, RequestKey, RunKey, ServiceKey, SlotKey, TaskKey, TeamKey, WaiterKey,
-    WorkerKey, ZoneKey,
+    WorkerKey, WorkspaceKey, ZoneKey,
 };
 pub use crate::map::{FastMap, FastSet};
 pub use crate::millis::Millis;
--- a/crates/domain/src/route.rs
+++ b/crates/domain/src/route.rs
@@ -11,6 +11,8 @@
     pub host: Arc<str>,
     /// Prefix of the path.
     pub prefix: Arc<str>,
+    /// Whether callers need no API key.
+    pub is_public: bool,
 }
 
 /// Returns the route of a request and the rest of its path; the longest matching prefix wins.
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -5,6 +5,7 @@
 //! must be stored before the end of a run is acknowledged.
 
 mod advice;
+mod choice;
 mod configuration;
 mod crashes;
 pub mod failure;
@@ -18,34 +19,42 @@
 mod persist;
 mod place;
 pub mod pressure;
+mod quota;
+mod rank;
 mod ready;
 mod recovery;
 mod retention;
 mod roster;
 mod run;
+mod run_table;
 mod runs;
 mod start;
 pub mod stop_reason;
 mod unknown_runs;
+mod view;
 mod worker;
+mod workspace_table;
 
 use crate::job::{JobProgress, JobRecord, JobState};
 use crate::placement::Resources;
 use crate::prelude::*;
+use crate::workspace::Caller;
 use advice::Advice;
 use fleet::Fleet;
 pub use fleet::WaveRecord;
-use job_table::{JobTable, TaskStatus};
+use job_table::{JobOwner, JobTable, TaskStatus};
 use late_starts::LateStarts;
 use load::LoadForecast;
 use order::{Action, SchedulerEvent};
+use persist::BatchQueue;
 pub use persist::{Batch, JobWrite, RecordedWorker};
 use ready::ReadyQueue;
 use recovery::Recovery;
 use retention::Retention;
-use run::PlacedRun;
+use run_table::RunTable;
 use stop_reason::StopReason;
 use worker::Worker;
+use workspace_table::WorkspaceTable;
 
 /// Run numbers reserved for each term of a leader; far more than a task needs in a day.
 const RUN_NUMBERS_PER_TERM: u32 = 1_000;
@@ -157,7 +166,7 @@
     settings: ScheduleSettings,
     job_table: JobTable,
     retention: Retention,
-    runs: SlotMap<RunKey, PlacedRun>,
+    runs: RunTable,
     late_starts: LateStarts,
     workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FastMap<Arc<str>, WorkerKey>,
@@ -165,6 +174,7 @@
     workers_by_instance: FastMap<Arc<str>, Vec<WorkerKey>>,
     services: SlotMap<ServiceKey, Service>,
     services_by_name: FastMap<Arc<str>, ServiceKey>,
+    workspaces: WorkspaceTable,
     fleet: Fleet,
     advice: Advice,
     recovery: Option<Recovery>,
@@ -184,13 +194,8 @@
     next_full_placement_at: Millis,
     actions: Vec<Action>,
     events: Vec<SchedulerEvent>,
-    /// Workers named in the newest batch that listed them.
-    written_workers: Option<Vec<RecordedWorker>>,
-    batch_sequence: u64,
-    batch_in_flight: bool,
-    batch_due: Option<Millis>,
+    batches: BatchQueue,
     fenced: bool,
-    released: bool,
 }
 
 impl Scheduler {
@@ -201,13 +206,14 @@
             settings,
             job_table: JobTable::default(),
             retention: Retention::default(),
-            runs: SlotMap::with_key(),
+            runs: RunTable::default(),
             late_starts: LateStarts::default(),
             workers: SlotMap::with_key(),
             workers_by_id: FastMap::default(),
             workers_by_instance: FastMap::default(),
             services: SlotMap::with_key(),
             services_by_name: FastMap::default(),
+            workspaces: WorkspaceTable::default(),
             fleet: Fleet::default(),
             advice: Advice::default(),
             recovery: None,
@@ -221,12 +227,8 @@
             next_full_placement_at: now,
             actions: Vec::new(),
             events: Vec::new(),
-            written_workers: None,
-            batch_sequence: 0,
-            batch_in_flight: false,
-            batch_due: Some(now),
+            batches: BatchQueue::new(now),
             fenced: false,
-            released: false,
         };
         scheduler.begin_recovery(former.workers, now);
         scheduler
@@ -235,14 +237,11 @@
     /// Adds a job that was read from the store at the start of the term.
     pub fn restore(&mut self, stored: StoredJob, now: Millis, wall: Millis) {
         let received = received_at(&stored.record, now, wall);
-        let service = self.service_key(&stored.record.policy.service);
-        let Some(key) = self.job_table.add(
-            stored.id,
-            stored.record,
-            service,
-            received,
-            stored.acceptance,
-        ) else {
+        let owner = self.owner_of(&stored.record);
+        let Some(key) =
+            self.job_table
+                .add(stored.id, stored.record, owner, received, stored.acceptance)
+        else {
             return;
         };
         let restored = stored.acceptance == Acceptance::BeforeTerm;
@@ -276,14 +275,17 @@
         }
         let received = received_at(&record, now, wall);
         let repeated = record.spec.repeat.is_some();
-        let service = self.service_key(&record.policy.service);
+        let owner = self.owner_of(&record);
         let Some(key) = self
             .job_table
-            .add(Arc::clone(&id), record, service, received, acceptance)
+            .add(Arc::clone(&id), record, owner, received, acceptance)
         else {
             return;
         };
-        if self.retention.claim_cancellation(&id) {
+        let cancelled_by = self.retention.claim_cancellation(&id);
+        if cancelled_by
+            .is_some_and(|caller| caller.may_access_job(&self.job_table.jobs[key].record))
+        {
             self.finish_job(key, JobState::Cancelled, now, wall);
             return;
         }
@@ -306,6 +308,16 @@
         self.queue_ready(key);
     }
 
+    fn owner_of(&mut self, record: &JobRecord) -> JobOwner {
+        JobOwner {
+            service: self.service_key(&record.policy.service),
+            workspace: record
+                .workspace
+                .as_ref()
+                .map(|workspace| self.workspaces.key_of(workspace)),
+        }
+    }
+
     fn record_arrival(&mut self, key: JobKey, now: Millis) {
         let Some(job) = self.job_table.jobs.get(key) else {
             return;
@@ -317,16 +329,19 @@
             .iter()
             .filter(|step| !step.long_running);
         let work = finite_steps
-            .map(|step| load::multiply(step.need(), step.estimate_ms * u64::from(step.count)))
+            .map(|step| step.need().times(step.estimate_ms * u64::from(step.count)))
             .fold(Resources::default(), Resources::plus);
         self.services[job.service].load.add(work, now);
     }
 
-    /// Cancels a job, also one that becomes known later.
-    pub fn cancel(&mut self, id: &str, now: Millis, wall: Millis) {
+    /// Cancels a job, also one that becomes known later, unless the caller may not access it.
+    pub fn cancel(&mut self, id: &str, caller: &Caller, now: Millis, wall: Millis) {
         match self.job_table.jobs_by_id.get(id).copied() {
-            Some(key) => self.finish_job(key, JobState::Cancelled, now, wall),
-            None => self.retention.cancel_early(id, now),
+            Some(key) if caller.may_access_job(&self.job_table.jobs[key].record) => {
+                self.finish_job(key, JobState::Cancelled, now, wall);
+            }
+            Some(_) => {}
+            None => self.retention.cancel_early(id, caller, now),
         }
     }
 
@@ -411,7 +426,8 @@
     }
 
     fn push_ready(&mut self, task: TaskKey) {
-        let (Some(step), Some(service)) = (self.step_key(task), self.service_of(task)) else {
+        let (Some(step), Some(service)) = (self.job_table.step_key(task), self.service_of(task))
+        else {
             return;
         };
         let service = &mut self.services[service];
@@ -466,7 +482,7 @@
     }
 
     pub(super) fn request_batch(&mut self, at: Millis) {
-        self.batch_due = Some(self.batch_due.map_or(at, |due| due.min(at)));
+        self.batches.request(at);
     }
 }
 
--- a/crates/domain/src/schedule/advice.rs
+++ b/crates/domain/src/schedule/advice.rs
@@ -5,8 +5,8 @@
 //! process of its worker.
 
 use super::Scheduler;
+use super::choice::{is_outside_affinity_rack, packing_cost_ppm};
 use super::order::{Action, AdviceOrder, AdviceResult, StepKey};
-use super::place::{is_outside_affinity_rack, packing_cost_ppm};
 use crate::job::AdvicePolicy;
 use crate::prelude::*;
 
@@ -119,7 +119,7 @@
         for step in steps {
             let Some((task, policy)) = self
                 .first_ready_task(step)
-                .and_then(|task| Some((task, self.advice_of(task)?)))
+                .and_then(|task| Some((task, self.job_table.advice_of(task)?)))
             else {
                 continue;
             };
@@ -134,6 +134,7 @@
     /// Waiting steps of queues with an advisor, best rank first.
     fn advised_steps(&self, now: Millis) -> Vec<StepKey> {
         let capacity = self.largest_capacity();
+        let view = self.view(now);
         let steps = self
             .services
             .values()
@@ -143,7 +144,7 @@
                 let job = self.job_table.jobs.get(step.job);
                 job.is_some_and(|job| job.policy.advice.is_some())
             })
-            .filter_map(|(step, _)| self.rank(step, capacity, now))
+            .filter_map(|(step, _)| view.rank(step, capacity))
             .collect();
         ranked.sort_unstable();
         ranked.into_iter().map(|rank| rank.step()).collect()
@@ -193,7 +194,7 @@
         let Some(spec) = self.job_table.step_of(task) else {
             return Vec::new();
         };
-        let fitting: Vec<WorkerKey> = self.fitting_workers(task, service, &[], now).collect();
+        let fitting: Vec<WorkerKey> = self.view(now).fitting_workers(task, service, &[]).collect();
         let has_ticket = |worker: &WorkerKey| self.advice.ticket(step, *worker, now).is_some();
         if fitting.iter().any(has_ticket) && !spec.gang {
             return Vec::new();
@@ -249,18 +250,4 @@
             decisions.insert(key, decision);
         }
     }
-
-    pub(super) fn advice_of(&self, task: TaskKey) -> Option<AdvicePolicy> {
-        let task = self.job_table.tasks.get(task)?;
-        self.job_table.jobs.get(task.job)?.policy.advice
-    }
-
-    pub(super) fn step_key(&self, task: TaskKey) -> Option<StepKey> {
-        let task = self.job_table.tasks.get(task)?;
-        Some(StepKey {
-            job: task.job,
-            occurrence: task.position.occurrence,
-            step: task.position.step,
-        })
-    }
 }
--- /dev/null
+++ b/crates/domain/src/schedule/choice.rs
@@ -0,0 +1,148 @@
+//! Choice of a worker for a ready task.
+
+use super::job_table::Task;
+use super::view::PlacementView;
+use super::worker::Worker;
+use crate::job::StepSpec;
+use crate::placement::Resources;
+use crate::prelude::*;
+
+/// Maximum age of a worker's last answer for a start by a leader that may have been replaced. Polls
+/// wait 150 ms. A worker that has restarted no longer knows the next leader's fencing token.
+const UNCONFIRMED_LEADER_ANSWER_AGE_MS: u64 = 400;
+
+impl PlacementView<'_> {
+    /// Selects the best worker with room for the task.
+    pub(super) fn best_worker(
+        &self,
+        key: TaskKey,
+        service: ServiceKey,
+        planned: &[(WorkerKey, Resources)],
+    ) -> Option<WorkerKey> {
+        let task = self.job_table.tasks.get(key)?;
+        let step = self.job_table.step_of(key)?;
+        let step_key = self.job_table.step_key(key)?;
+        let advised = self.job_table.advice_of(key).is_some();
+        self.fitting_workers(key, service, planned)
+            .filter(|worker| !task.is_isolated() || !self.workers[*worker].has_suspects(self.now))
+            .filter(|worker| !advised || self.advice.ticket(step_key, *worker, self.now).is_some())
+            .map(|key| {
+                let worker = &self.workers[key];
+                let cost = (
+                    worker.exposure(task, self.now),
+                    task.avoid_worker == Some(key),
+                    is_outside_affinity_rack(step, worker),
+                    packing_cost_ppm(step, worker),
+                );
+                (cost, key)
+            })
+            .min_by(|(cost, key), (other_cost, other)| {
+                cost.cmp(other_cost).then_with(|| {
+                    let id = |key: &WorkerKey| &self.workers[*key].report.id;
+                    id(key).cmp(id(other))
+                })
+            })
+            .map(|(_, key)| key)
+    }
+
+    /// Workers with room for the task that meet the constraints of its step. `planned` reserves
+    /// room that is not yet in use.
+    pub(super) fn fitting_workers(
+        &self,
+        key: TaskKey,
+        service: ServiceKey,
+        planned: &[(WorkerKey, Resources)],
+    ) -> impl Iterator<Item = WorkerKey> {
+        let task = self
+            .job_table
+            .tasks
+            .get(key)
+            .zip(self.job_table.step_of(key));
+        let workers = self.services.get(service).map(|service| &service.workers);
+        let planned_need = move |worker: WorkerKey| {
+            planned
+                .iter()
+                .filter(|(key, _)| *key == worker)
+                .fold(Resources::default(), |sum, (_, need)| sum.plus(*need))
+        };
+        task.into_iter()
+            .zip(workers)
+            .flat_map(|(task, workers)| workers.iter().map(move |worker| (task, *worker)))
+            .filter(move |((task, step), key)| {
+                let Some(worker) = self.workers.get(*key) else {
+                    return false;
+                };
+                worker.takes_work(self.now)
+                    && (!self.leadership_unconfirmed
+                        || self.now.ms_since(worker.last_answer_at)
+                            <= UNCONFIRMED_LEADER_ANSWER_AGE_MS)
+                    && step.need().plus(planned_need(*key)).fits(worker.free())
+                    && step
+                        .requirement
+                        .as_ref()
+                        .is_none_or(|label| worker.report.labels.contains(label))
+                    && self.is_below_per_worker_max(*key, task, step, planned)
+            })
+            .map(|(_, key)| key)
+    }
+
+    /// Selects the best worker for a task other than the one it runs on.
+    pub(super) fn best_other_worker(
+        &self,
+        key: TaskKey,
+        service: ServiceKey,
+        worker: WorkerKey,
+        planned: &[(WorkerKey, Resources)],
+    ) -> Option<WorkerKey> {
+        let full = self.workers.get(worker)?.report.capacity;
+        let mut planned = planned.to_vec();
+        planned.push((worker, full));
+        self.best_worker(key, service, &planned)
+            .filter(|chosen| *chosen != worker)
+    }
+
+    /// Whether the worker is below the step's limit of tasks per worker.
+    fn is_below_per_worker_max(
+        &self,
+        worker: WorkerKey,
+        task: &Task,
+        step: &StepSpec,
+        planned: &[(WorkerKey, Resources)],
+    ) -> bool {
+        if step.per_worker_max == 0 {
+            return true;
+        }
+        let same_step = |run: &&RunKey| {
+            self.runs
+                .get(**run)
+                .and_then(|run| self.job_table.tasks.get(run.info().task))
+                .is_some_and(|other| {
+                    other.job == task.job
+                        && other.position.step == task.position.step
+                        && other.position.occurrence == task.position.occurrence
+                })
+        };
+        let running = self.workers[worker].runs().iter().filter(same_step).count();
+        let also_planned = planned.iter().filter(|(key, _)| *key == worker).count();
+        running + also_planned < step.per_worker_max as usize
+    }
+}
+
+/// Whether the step prefers a rack that the worker is not in.
+pub(super) fn is_outside_affinity_rack(step: &StepSpec, worker: &Worker) -> bool {
+    step.affinity
+        .as_ref()
+        .is_some_and(|rack| worker.rack() != Some(rack))
+}
+
+/// Sort key for bin packing; the smallest is best. Tasks go to the fullest worker that fits, but
+/// backfill tasks go to the emptiest.
+pub(super) fn packing_cost_ppm(step: &StepSpec, worker: &Worker) -> u64 {
+    let free = worker.free().minus(step.need());
+    let share = free.dominant_share_ppm(worker.report.capacity);
+    if step.fills {
+        1_000_000 - share.min(1_000_000)
+    } else {
+        share
+    }
+}
--- a/crates/domain/src/schedule/configuration.rs
+++ b/crates/domain/src/schedule/configuration.rs
@@ -1,13 +1,20 @@
-//! Changes of the queue policies.
+//! Changes of the queue policies and workspaces.
 
 use super::Scheduler;
 use super::order::StepKey;
 use crate::job::QueuePolicy;
 use crate::prelude::*;
+use crate::workspace::Workspaces;
 
 impl Scheduler {
-    /// Applies the queue policies of a new configuration; a removed queue keeps its last policy.
-    pub fn configure(&mut self, policies: &FastMap<Arc<str>, QueuePolicy>) {
+    /// Applies the queue policies and workspaces of a new configuration; a removed queue keeps its last
+    /// policy, and a removed workspace its last weight and quota.
+    pub fn configure(
+        &mut self,
+        policies: &FastMap<Arc<str>, QueuePolicy>,
+        workspaces: &Workspaces,
+    ) {
+        self.workspaces.configure(workspaces);
         let services: FastMap<Arc<str>, ServiceKey> = policies
             .iter()
             .map(|(queue, policy)| (Arc::clone(queue), self.service_key(&policy.service)))
--- a/crates/domain/src/schedule/crashes.rs
+++ b/crates/domain/src/schedule/crashes.rs
@@ -56,7 +56,7 @@
     pub(super) fn exposure(&self, task: &Task, now: Millis) -> usize {
         match task.early_crashes {
             0 => 0,
-            _ if task.is_isolated() => self.runs.len(),
+            _ if task.is_isolated() => self.runs().len(),
             _ => usize::from(self.has_suspects(now)),
         }
     }
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -374,7 +374,7 @@
             Some(worker) => self.workers.get(worker).is_some_and(|worker| {
                 worker.synced
                     && !worker.unresponsive
-                    && worker.runs.is_empty()
+                    && worker.runs().is_empty()
                     && worker.unknown_runs.is_empty()
             }),
             None => self.fleet.instances[key].report.worker.is_none(),
--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -87,7 +87,7 @@
         let has_runs = self
             .workers
             .get(key)
-            .is_some_and(|worker| !worker.runs.is_empty());
+            .is_some_and(|worker| !worker.runs().is_empty());
         has_runs || self.is_awaited(key)
     }
 
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -7,7 +7,6 @@
 use crate::placement::Resources;
 use crate::prelude::*;
 use crate::schedule::Scheduler;
-use crate::schedule::load::multiply;
 use crate::schedule::order::{InstanceState, StepKey};
 use crate::schedule::worker::Worker;
 
@@ -155,7 +154,13 @@
             })
             .filter_map(|(key, _)| {
                 let worker = self.workers.get(self.worker_on(key)?)?;
-                Some((worker.used.dominant_share_ppm(worker.report.capacity), key))
+                Some((
+                    worker
+                        .bookings
+                        .used()
+                        .dominant_share_ppm(worker.report.capacity),
+                    key,
+                ))
             })
             .collect();
         candidates.sort_unstable();
@@ -206,7 +211,7 @@
             .filter(|(step, _)| self.is_still_useful(*step, now))
             .filter_map(|(step, tasks)| {
                 let spec = self.job_table.jobs.get(step.job)?.step(step.step)?;
-                Some(multiply(spec.need(), self.ready_count(tasks)))
+                Some(spec.need().times(self.ready_count(tasks)))
             })
             .fold(Resources::default(), Resources::plus);
         let running = self.finite_demand(service);
@@ -368,7 +373,7 @@
             .iter()
             .filter_map(|key| self.workers.get(*key));
         workers
-            .flat_map(|worker| &worker.runs)
+            .flat_map(|worker| worker.runs())
             .filter_map(|run| self.runs.get(*run))
             .filter(|run| {
                 self.job_table
--- a/crates/domain/src/schedule/fleet/waves.rs
+++ b/crates/domain/src/schedule/fleet/waves.rs
@@ -133,7 +133,7 @@
                 .is_some_and(|run| self.job_table.is_long_running(run.info().task))
         };
         worker
-            .runs
+            .runs()
             .iter()
             .filter(is_long_running)
             .copied()
@@ -162,7 +162,10 @@
                 return false;
             }
             // Excludes this instance, which is cordoned by the time its tasks are placed again.
-            let Some(target) = self.best_other_worker(task, service, worker, &planned, now) else {
+            let Some(target) = self
+                .view(now)
+                .best_other_worker(task, service, worker, &planned)
+            else {
                 return false;
             };
             planned.push((target, run.info().need));
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -1,8 +1,10 @@
 //! Jobs and their tasks.
 
 use super::Acceptance;
+use super::order::StepKey;
 use crate::job::{
-    JobProgress, JobRecord, JobState, QueuePolicy, StepSpec, TaskName, TaskPosition, TaskProgress,
+    AdvicePolicy, JobProgress, JobRecord, JobState, QueuePolicy, StepSpec, TaskName, TaskPosition,
+    TaskProgress,
 };
 use crate::placement::Resources;
 use crate::prelude::*;
@@ -55,6 +57,13 @@
     pub not_running_since: Option<Millis>,
 }
 
+/// The service and the workspace of a job.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct JobOwner {
+    pub service: ServiceKey,
+    pub workspace: Option<WorkspaceKey>,
+}
+
 /// A job and its tasks.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -63,6 +72,8 @@
     pub policy: QueuePolicy,
     /// Service whose workers run the tasks.
     pub service: ServiceKey,
+    /// Workspace that it belongs to.
+    pub workspace: Option<WorkspaceKey>,
     pub state: JobState,
     /// State as last stored.
     pub written_state: JobState,
@@ -139,7 +150,7 @@
         &mut self,
         id: Arc<str>,
         record: JobRecord,
-        service: ServiceKey,
+        owner: JobOwner,
         received_at: Millis,
         acceptance: Acceptance,
     ) -> Option<JobKey> {
@@ -153,7 +164,8 @@
             objective_ms: record.objective_ms(),
             remaining_paths_ms: record.spec.remaining_paths_ms(),
             unfinished_by_step: vec![0; record.spec.steps.len()],
-            service,
+            service: owner.service,
+            workspace: owner.workspace,
             record,
             state: JobState::Queued,
             written_state: JobState::Queued,
@@ -271,6 +283,26 @@
         self.jobs.get(task.job)?.step(task.position.step)
     }
 
+    pub(super) fn advice_of(&self, task: TaskKey) -> Option<AdvicePolicy> {
+        let task = self.tasks.get(task)?;
+        self.jobs.get(task.job)?.policy.advice
+    }
+
+    pub(super) fn step_key(&self, task: TaskKey) -> Option<StepKey> {
+        let task = self.tasks.get(task)?;
+        Some(StepKey {
+            job: task.job,
+            occurrence: task.position.occurrence,
+            step: task.position.step,
+        })
+    }
+
+    /// Workspace of the task's job.
+    pub(super) fn workspace_of(&self, key: TaskKey) -> Option<WorkspaceKey> {
+        let task = self.tasks.get(key)?;
+        self.jobs.get(task.job)?.workspace
+    }
+
     pub(super) fn is_long_running(&self, key: TaskKey) -> bool {
         self.step_of(key).is_some_and(|step| step.long_running)
     }
--- a/crates/domain/src/schedule/late_starts.rs
+++ b/crates/domain/src/schedule/late_starts.rs
@@ -70,10 +70,7 @@
                 ..info
             };
             let run = PlacedRun::new(Phase::Sent(Run::new(info)));
-            let run = self.runs.insert(run);
-            let worker = &mut self.workers[key];
-            worker.runs.push(run);
-            worker.used = worker.used.plus(info.need);
+            let run = self.runs.insert(run, &mut self.workers[key]);
             self.stop_run(run, StopReason::StartUnanswered, now);
         }
     }
--- a/crates/domain/src/schedule/load.rs
+++ b/crates/domain/src/schedule/load.rs
@@ -54,16 +54,7 @@
         let (recent, before) = (average(0), average(AVERAGE_BUCKETS as u64));
         let growth = recent.minus(before);
         let steps = FORECAST_MS / (AVERAGE_BUCKETS as u64 * BUCKET_MS);
-        recent.plus(multiply(growth, steps))
-    }
-}
-
-/// Multiplies each resource by a factor.
-pub(super) fn multiply(amount: Resources, factor: u64) -> Resources {
-    Resources {
-        processors_milli: amount.processors_milli * factor,
-        memory_mb: amount.memory_mb * factor,
-        accelerators: amount.accelerators * factor,
+        recent.plus(growth.times(steps))
     }
 }
 
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -160,7 +160,7 @@
     }
 
     pub(super) fn run_at(&self, worker: WorkerKey, task: TaskKey, number: u32) -> Option<RunKey> {
-        let runs = &self.workers.get(worker)?.runs;
+        let runs = self.workers.get(worker)?.runs();
         runs.iter().copied().find(|run| {
             self.runs
                 .get(*run)
@@ -182,15 +182,13 @@
             number: listed_run.number,
             worker,
             need: step.map(|step| step.need()).unwrap_or_default(),
+            workspace: self.job_table.workspace_of(task),
             fills: step.is_some_and(|step| step.fills),
             sent_at: now,
         };
         let mut run = PlacedRun::new(Phase::Confirmed(Run::adopted(info, now)));
         run.progress.percent_changed_at = now;
-        let run = self.runs.insert(run);
-        let worker = &mut self.workers[worker];
-        worker.runs.push(run);
-        worker.used = worker.used.plus(info.need);
+        let run = self.runs.insert(run, &mut self.workers[worker]);
         let has_ended = self
             .job_table
             .tasks
@@ -237,7 +235,7 @@
     /// Stops runs that make no progress, so that their tasks restart on another worker.
     fn stop_stalled(&mut self, key: WorkerKey, now: Millis) {
         let stalled: Vec<RunKey> = self.workers[key]
-            .runs
+            .runs()
             .iter()
             .copied()
             .filter(|run| {
@@ -272,7 +270,7 @@
         sent_at: Millis,
         now: Millis,
     ) {
-        for run in self.workers[key].runs.clone() {
+        for run in self.workers[key].runs().to_vec() {
             if listed.contains(&run) {
                 continue;
             }
@@ -287,7 +285,7 @@
     }
 
     fn apply_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Millis, wall: Millis) {
-        let batch = self.batch_sequence + 1;
+        let batch = self.batches.next_sequence();
         let worker = &mut self.workers[key];
         worker.last_end_sequence = end.sequence;
         worker.unwritten_ends.push_back((end.sequence, batch));
--- a/crates/domain/src/schedule/pace.rs
+++ b/crates/domain/src/schedule/pace.rs
@@ -24,14 +24,14 @@
             return;
         };
         if !worker
-            .runs
+            .runs()
             .iter()
             .any(|run| self.runs.get(*run).is_some_and(|run| run.info().fills))
         {
             return;
         }
         let latency_percent = worker
-            .runs
+            .runs()
             .iter()
             .filter_map(|run| self.latency_percent(*run))
             .max();
@@ -53,7 +53,7 @@
             worker.backfill_percent = percent;
             worker.paced_at = now;
         }
-        for run in worker.runs.clone() {
+        for run in worker.runs().to_vec() {
             self.send_pace(key, run, percent);
         }
     }
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -50,6 +50,8 @@
     pub id: Arc<str>,
     /// Its queue.
     pub queue: Arc<str>,
+    /// Its workspace.
+    pub workspace: Option<Arc<str>>,
     /// Progress that a new leader needs.
     pub progress: JobProgress,
     /// The state visible to callers, if it has changed.
@@ -76,22 +78,76 @@
     pub released: bool,
 }
 
+/// Progress of the batches towards the store.
+#[derive(Debug)]
+pub(super) struct BatchQueue {
+    /// Sequence number of the newest batch.
+    sequence: u64,
+    in_flight: bool,
+    /// When the next batch is due; `None` if nothing is to be stored.
+    due: Option<Millis>,
+    /// Workers named in the newest batch that listed them.
+    written_workers: Option<Vec<RecordedWorker>>,
+    /// Whether the next batch is the last one.
+    released: bool,
+}
+
+impl BatchQueue {
+    pub(super) const fn new(due: Millis) -> Self {
+        Self {
+            sequence: 0,
+            in_flight: false,
+            due: Some(due),
+            written_workers: None,
+            released: false,
+        }
+    }
+
+    /// Requests a batch at this time or earlier.
+    pub(super) fn request(&mut self, at: Millis) {
+        self.due = Some(self.due.map_or(at, |due| due.min(at)));
+    }
+
+    /// Sequence number of the batch that will contain a change made now.
+    pub(super) const fn next_sequence(&self) -> u64 {
+        self.sequence + 1
+    }
+
+    /// Begins a batch if one is due and none is in flight.
+    fn begin(&mut self, now: Millis) -> bool {
+        if self.in_flight || self.due.is_none_or(|due| due > now) {
+            return false;
+        }
+        self.due = None;
+        self.in_flight = true;
+        self.sequence += 1;
+        true
+    }
+
+    /// The workers to be stored, unless they are those of the last batch that listed them.
+    fn changed_workers(&mut self, workers: Vec<RecordedWorker>) -> Option<Vec<RecordedWorker>> {
+        if self.written_workers.as_ref() == Some(&workers) {
+            return None;
+        }
+        self.written_workers = Some(workers.clone());
+        Some(workers)
+    }
+}
+
 impl Scheduler {
     /// Makes the next batch the last one. The leader then sends no more orders, so that its
     /// successor need not wait for the time in which a lost leader may still send some.
     pub fn release(&mut self, now: Millis) {
-        self.released = true;
+        self.batches.released = true;
         self.request_batch(now);
     }
 
     /// Returns the next batch if one is due and none is in flight.
     pub fn take_batch(&mut self, now: Millis) -> Option<Batch> {
-        if self.batch_in_flight || self.batch_due.is_none_or(|due| due > now) {
+        if !self.batches.begin(now) {
             return None;
         }
-        self.batch_due = None;
-        self.batch_in_flight = true;
-        self.batch_sequence += 1;
+        let workers = self.workers_to_record();
         let dirty: Vec<JobKey> = self
             .job_table
             .jobs
@@ -104,25 +160,16 @@
             .filter_map(|key| self.job_write(key))
             .collect();
         Some(Batch {
-            sequence: self.batch_sequence,
+            sequence: self.batches.sequence,
             jobs,
-            workers: self.changed_workers(),
+            workers: self.batches.changed_workers(workers),
             rerouted: self.rerouted_queues(),
             waves: self.wave_records(),
             wave_states: self.take_wave_states(),
-            released: self.released,
+            released: self.batches.released,
         })
     }
 
-    fn changed_workers(&mut self) -> Option<Vec<RecordedWorker>> {
-        let workers = self.workers_to_record();
-        if self.written_workers.as_ref() == Some(&workers) {
-            return None;
-        }
-        self.written_workers = Some(workers.clone());
-        Some(workers)
-    }
-
     /// Workers that may have runs before the next batch is stored. An unresponsive worker without
     /// runs is left out: it gets no start until it has answered and is recorded again.
     fn workers_to_record(&mut self) -> Vec<RecordedWorker> {
@@ -131,7 +178,7 @@
         for key in keys {
             let awaited = self.is_awaited(key);
             let worker = &mut self.workers[key];
-            if worker.unresponsive && worker.runs.is_empty() && !awaited {
+            if worker.unresponsive && worker.runs().is_empty() && !awaited {
                 worker.recorded = false;
                 continue;
             }
@@ -155,6 +202,7 @@
         Some(JobWrite {
             id: Arc::clone(&job.id),
             queue: Arc::clone(&job.record.queue),
+            workspace: job.record.workspace_name().cloned(),
             progress,
             state,
         })
@@ -162,7 +210,7 @@
 
     /// Applies the completed write of a batch.
     pub fn batch_written(&mut self, batch: &Batch, now: Millis) {
-        self.batch_in_flight = false;
+        self.batches.in_flight = false;
         for recorded in batch.workers.iter().flatten() {
             let key = self.workers_by_id.get(&recorded.id).copied();
             if let Some(worker) = key.and_then(|key| self.workers.get_mut(key))
@@ -185,7 +233,7 @@
                 worker.unwritten_ends.pop_front();
             }
             if worker.unwritten_ends.is_empty() && worker.ack_sent < worker.ack_ready {
-                worker.next_poll_at = if worker.runs.is_empty() {
+                worker.next_poll_at = if worker.runs().is_empty() {
                     now.after_ms(super::ACK_DELAY_MS)
                 } else {
                     worker.next_poll_at.min(now)
--- a/crates/domain/src/schedule/pressure.rs
+++ b/crates/domain/src/schedule/pressure.rs
@@ -147,7 +147,7 @@
                 continue;
             };
             if !job.long_running() && job.is_useful(now) {
-                *jobs.entry(step.job).or_default() |= self.is_on_time(step, now);
+                *jobs.entry(step.job).or_default() |= self.view(now).is_on_time(step);
             }
         }
         let mut sizes: Vec<(u64, bool)> = jobs
--- a/crates/domain/src/schedule/retention.rs
+++ b/crates/domain/src/schedule/retention.rs
@@ -3,15 +3,22 @@
 
 use super::Scheduler;
 use crate::prelude::*;
+use crate::workspace::Caller;
+
+/// Cancellation of a job that is not known.
+#[derive(Debug)]
+struct EarlyCancellation {
+    caller: Caller,
+    known_since: Millis,
+}
 
 /// Records in the store that outlast what the job table knows.
 #[derive(Debug, Default)]
 pub(super) struct Retention {
     /// Jobs that the job table no longer has, and whose deletion from the store has not been observed.
     removed: FastSet<Arc<str>>,
-    /// Cancellations of jobs that are not known, and when they became known. A write that creates the job
-    /// may still be under way.
-    early_cancellations: FastMap<Arc<str>, Millis>,
+    /// Cancellations of jobs that are not known. A write that creates the job may still be under way.
+    early_cancellations: FastMap<Arc<str>, EarlyCancellation>,
 }
 
 impl Retention {
@@ -21,15 +28,20 @@
     }
 
     /// Remembers the cancellation of a job that is not known.
-    pub(super) fn cancel_early(&mut self, id: &str, now: Millis) {
+    pub(super) fn cancel_early(&mut self, id: &str, caller: &Caller, now: Millis) {
         if !self.was_removed(id) && !self.early_cancellations.contains_key(id) {
-            self.early_cancellations.insert(id.into(), now);
+            let cancellation = EarlyCancellation {
+                caller: caller.clone(),
+                known_since: now,
+            };
+            self.early_cancellations.insert(id.into(), cancellation);
         }
     }
 
-    /// Whether the job was cancelled before it was known. Its cancellation is then deleted with the job.
-    pub(super) fn claim_cancellation(&mut self, id: &str) -> bool {
-        self.early_cancellations.remove(id).is_some()
+    /// Who cancelled the job before it was known. Its cancellation is then deleted with the job.
+    pub(super) fn claim_cancellation(&mut self, id: &str) -> Option<Caller> {
+        let cancellation = self.early_cancellations.remove(id)?;
+        Some(cancellation.caller)
     }
 }
 
@@ -74,7 +86,7 @@
         let cancellations = &mut self.retention.early_cancellations;
         let expired: Vec<Arc<str>> = cancellations
             .iter()
-            .filter(|(_, known_since)| now.ms_since(**known_since) > keep_ms)
+            .filter(|(_, cancellation)| now.ms_since(cancellation.known_since) > keep_ms)
             .map(|(id, _)| Arc::clone(id))
             .take(limit)
             .collect();
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -183,7 +183,7 @@
             .iter()
             .filter(|(_, worker)| {
                 !worker.listed
-                    && worker.runs.is_empty()
+                    && worker.runs().is_empty()
                     && (worker.synced || worker.lease_end < now)
             })
             .map(|(key, _)| key)
@@ -214,7 +214,7 @@
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
             let worker = &mut self.workers[key];
-            let idle = worker.runs.is_empty() && worker.unknown_runs.is_empty();
+            let idle = worker.runs().is_empty() && worker.unknown_runs.is_empty();
             let acks_pending = worker.ack_sent < worker.ack_ready;
             let needs_poll = !worker.synced || !idle || acks_pending || self.leadership_unconfirmed;
             if worker.poll_in_flight || !needs_poll || worker.next_poll_at > now {
@@ -264,10 +264,10 @@
             return;
         };
         // The order that ends an empty instance is logged separately.
-        if worker.synced && !(worker.cordoned && worker.runs.is_empty()) {
+        if worker.synced && !(worker.cordoned && worker.runs().is_empty()) {
             self.events.push(SchedulerEvent::WorkerLost {
                 worker: Arc::clone(&worker.report.id),
-                runs: worker.runs.len(),
+                runs: worker.runs().len(),
                 unresponsive: worker.unresponsive,
             });
         }
@@ -276,7 +276,7 @@
         worker.unknown_runs.clear();
         worker.unknown_runs_since = None;
         worker.next_poll_at = now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS);
-        for run in worker.runs.clone() {
+        for run in worker.runs().to_vec() {
             // A start in flight may reach the new process; its result decides.
             let Some(placed) = self.runs.get(run).filter(|run| !run.start_in_flight) else {
                 continue;
@@ -314,7 +314,7 @@
                 service: Arc::clone(&service.name),
                 workers: synced.len(),
                 capacity: sum(|worker| worker.report.capacity),
-                used: sum(|worker| worker.used),
+                used: sum(|worker| worker.bookings.used()),
                 tasks_waiting: service.ready.task_count(),
             }
         })
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -23,6 +23,8 @@
     pub number: u32,
     pub worker: WorkerKey,
     pub need: Resources,
+    /// Workspace of its job.
+    pub workspace: Option<WorkspaceKey>,
     pub fills: bool,
     pub sent_at: Millis,
 }
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -41,7 +41,7 @@
                 }
                 let task = self.runs.get(run).map(|run| run.info().task);
                 if let (Refusal::Ticket, Some(step)) =
-                    (refusal, task.and_then(|task| self.step_key(task)))
+                    (refusal, task.and_then(|task| self.job_table.step_key(task)))
                 {
                     self.advice.expire_ticket(step, worker);
                 }
@@ -193,14 +193,10 @@
 
     /// Removes a run that has certainly ended, and releases its task.
     pub(super) fn drop_run(&mut self, key: RunKey, now: Millis) {
-        let Some(run) = self.runs.remove(key) else {
+        let Some(run) = self.runs.remove(key, &mut self.workers) else {
             return;
         };
         let info = *run.info();
-        if let Some(worker) = self.workers.get_mut(info.worker) {
-            worker.runs.retain(|run| *run != key);
-            worker.used = worker.used.minus(info.need);
-        }
         self.request_worker_placement(info.worker);
         let long_running = self.job_table.is_long_running(info.task);
         let Some(task) = self.job_table.tasks.get_mut(info.task) else {
--- a/crates/domain/src/schedule/start.rs
+++ b/crates/domain/src/schedule/start.rs
@@ -18,6 +18,7 @@
             number,
             worker: worker_key,
             need: step.need(),
+            workspace: self.job_table.workspace_of(key),
             fills: step.fills,
             sent_at: now,
         };
@@ -25,12 +26,9 @@
         if worker.clock.is_none() {
             return;
         }
-        let run = self
-            .runs
-            .insert(PlacedRun::new(Phase::Sent(Run::new(info))));
-        worker.runs.push(run);
+        let run = PlacedRun::new(Phase::Sent(Run::new(info)));
+        let run = self.runs.insert(run, worker);
         worker.begin_probation(&self.job_table.tasks[key], now);
-        worker.used = worker.used.plus(info.need);
         let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
         worker.lease_end = worker.lease_end.max(lease_end);
         if !worker.poll_in_flight {
@@ -71,6 +69,7 @@
         let step = self.job_table.step_of(info.task)?;
         let worker = self.workers.get(info.worker)?;
         let ticket = self
+            .job_table
             .step_key(info.task)
             .and_then(|step| self.advice.ticket(step, info.worker, now))
             .cloned();
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use super::order::{ListedRun, WorkerReport};
+use super::run_table::Bookings;
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -46,10 +47,8 @@
     pub synced: bool,
     /// Whether a stored batch names it.
     pub recorded: bool,
-    /// Resources reserved by its runs.
-    pub used: Resources,
-    /// Its active runs.
-    pub runs: Vec<RunKey>,
+    /// Its active runs and their room.
+    pub bookings: Bookings,
     /// End of the time in which it runs a task that may crash it.
     pub suspected_until: Millis,
     /// End of the time in which it takes no other task, because it runs one that probably crashes it.
@@ -108,8 +107,7 @@
             listed: true,
             synced: false,
             recorded: false,
-            used: Resources::default(),
-            runs: Vec::new(),
+            bookings: Bookings::default(),
             suspected_until: Millis::ZERO,
             isolated_until: Millis::ZERO,
             unknown_runs: Vec::new(),
@@ -137,8 +135,12 @@
         }
     }
 
+    pub(super) fn runs(&self) -> &[RunKey] {
+        self.bookings.runs()
+    }
+
     pub(super) fn free(&self) -> Resources {
-        self.report.capacity.minus(self.used)
+        self.report.capacity.minus(self.bookings.used())
     }
 
     /// Room that it has lost since its capacity has shrunk.
@@ -220,8 +222,7 @@
             listed,
             service,
             // Only runs whose start is in flight are left.
-            runs: std::mem::take(&mut self.runs),
-            used: self.used,
+            bookings: std::mem::take(&mut self.bookings),
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
             cordoned: self.cordoned,
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -16,6 +16,7 @@
 use rosemaryscale_domain::schedule::{
     Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
+use rosemaryscale_domain::workspace::Caller;
 
 pub(crate) use advisor::Advisor;
 use worker::{SimulatedWorker, task_path};
@@ -49,6 +50,7 @@
             advice: None,
         },
         received_wall_ms: 0,
+        workspace: None,
         spec: JobSpec {
             text: "text".into(),
             steps,
@@ -206,7 +208,8 @@
 
     pub(crate) fn cancel(&mut self, id: &str) {
         self.store.cancelled.insert(id.into());
-        self.scheduler.cancel(id, self.now, self.now);
+        self.scheduler
+            .cancel(id, &Caller::default(), self.now, self.now);
     }
 
     pub(crate) fn partition(&mut self, worker: usize) {
--- a/crates/domain/tests/takeover_model/faults.rs
+++ b/crates/domain/tests/takeover_model/faults.rs
@@ -4,6 +4,7 @@
 use rosemaryscale_domain::job::{JobRecord, JobSpec, QueuePolicy, StepSpec};
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::Acceptance;
+use rosemaryscale_domain::workspace::Caller;
 
 use super::conditions::Restart;
 use super::{ATTEMPTS_MAX, LEADER_TTL_MS, TakeoverModel, WORKER_COUNT};
@@ -31,7 +32,9 @@
             self.checks.cancelled(&id, self.now);
             if let Some(leader) = self.storing_leader() {
                 let now = self.now;
-                self.leaders[leader].scheduler.cancel(&id, now, now);
+                self.leaders[leader]
+                    .scheduler
+                    .cancel(&id, &Caller::default(), now, now);
             }
         }
     }
@@ -60,6 +63,7 @@
                 advice: None,
             },
             received_wall_ms: self.now.as_ms(),
+            workspace: None,
             spec: JobSpec {
                 text: "text".into(),
                 steps,
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -6,6 +6,7 @@
 use rosemaryscale_domain::FastMap;
 use rosemaryscale_domain::job::{JobSpec, JobState, QueuePolicy};
 use rosemaryscale_domain::route::Route;
+use rosemaryscale_domain::workspace::{KeyDigest, Workspaces};
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// The operation that a caller requests.
@@ -28,6 +29,8 @@
     pub host: Arc<str>,
     /// Path of the request.
     pub path: Arc<str>,
+    /// Digest of the caller's API key, if it sent one.
+    pub api_key: Option<KeyDigest>,
     /// The requested operation.
     pub request: JobRequest,
     /// Time that the caller waits for the reply, in milliseconds.
@@ -51,6 +54,12 @@
     NoSuchQueue,
     /// No such job.
     NoSuchJob,
+    /// The API key is missing or unknown.
+    Unauthorized,
+    /// The id belongs to a job of another workspace; the request had no effect.
+    IdTaken,
+    /// The job can never run within the quota of its workspace; the request had no effect.
+    AboveQuota(Arc<str>),
     /// The request is malformed and had no effect.
     Malformed(Arc<str>),
     /// The request had no effect and may be sent again.
@@ -74,6 +83,9 @@
             Self::Waiting(count) => write!(formatter, "Waiting({count})"),
             Self::NoSuchQueue => formatter.write_str("NoSuchQueue"),
             Self::NoSuchJob => formatter.write_str("NoSuchJob"),
+            Self::Unauthorized => formatter.write_str("Unauthorized"),
+            Self::IdTaken => formatter.write_str("IdTaken"),
+            Self::AboveQuota(reason) => write!(formatter, "AboveQuota({reason:?})"),
             // The debug format of a text quotes it.
             Self::Malformed(reason) => write!(formatter, "Malformed({reason:?})"),
             Self::Unavailable {
@@ -92,7 +104,7 @@
 pub type JobCallSender = mpsc::Sender<JobCall>;
 
 /// The configuration of queues and services.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default)]
 pub struct QueueConfig {
     /// Version; increases with every change.
     pub version: u64,
@@ -102,6 +114,10 @@
     pub policies: FastMap<Arc<str>, QueuePolicy>,
     /// Names of services whose instances are switched off.
     pub spare_services: Vec<Arc<str>>,
+    /// The workspaces and their keys.
+    pub workspaces: Workspaces,
+    /// Entries that cannot be used, with reason and remedy; never with a key.
+    pub problems: Vec<Arc<str>>,
     /// Maximum size of a request body.
     pub body_max_bytes: usize,
 }
