Make the idle time and the demand horizon of pools configurable

Change: PoolPolicy with the settings instance_idle_ms and demand_horizon_ms, whose defaults size pools as before.

--- a/crates/daemon/src/jobs/config.rs
+++ b/crates/daemon/src/jobs/config.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use rosemaryscale_adapters::log::LogFormat;
+use rosemaryscale_domain::schedule::PoolPolicy;
 use serde::Deserialize;
 
 use crate::config::{ConfigError, parse_fields, problem, read_text};
@@ -52,6 +53,12 @@
     pub stop_grace_ms: u64,
     /// Time for which a job's state is retained after the job ends.
     pub status_kept_ms: u64,
+    /// Idle time after which an instance that its pool does not need returns to the spare pool.
+    #[serde(default = "default_instance_idle_ms")]
+    pub instance_idle_ms: u64,
+    /// Time for which the growth of a service's demand is taken to continue when its pool is sized.
+    #[serde(default = "default_demand_horizon_ms")]
+    pub demand_horizon_ms: u64,
     /// Time between SIGTERM and SIGKILL.
     pub stop_ms: u64,
     /// Format of log lines.
@@ -63,6 +70,14 @@
     1.0
 }
 
+fn default_instance_idle_ms() -> u64 {
+    PoolPolicy::default().instance_idle_ms
+}
+
+fn default_demand_horizon_ms() -> u64 {
+    PoolPolicy::default().demand_horizon_ms
+}
+
 const fn default_link_mbps() -> f64 {
     1_000.0
 }
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -7,6 +7,7 @@
 use rosemaryscale_adapters::log::DroppedLines;
 use rosemaryscale_adapters::worker_gateway::{GatewayOptions, GatewayServer};
 use rosemaryscale_adapters::{SystemClock, log, metrics_registry};
+use rosemaryscale_domain::schedule::PoolPolicy;
 use rosemaryscale_platform::frontend::{FrontendError, FrontendServer};
 use rosemaryscale_platform::{
     CONFIG_KEY, WAVE_PREFIX, WORKER_PREFIX, advisor, instances, queue_config, store, wave,
@@ -220,6 +221,10 @@
             poll_wait_ms: POLL_WAIT_MS,
             stop_grace_ms: settings.stop_grace_ms,
             status_kept_ms: settings.status_kept_ms,
+            pools: PoolPolicy {
+                instance_idle_ms: settings.instance_idle_ms,
+                demand_horizon_ms: settings.demand_horizon_ms,
+            },
             platform: PLATFORM,
             has_ample_resources: settings.processor_share >= AMPLE_PROCESSOR_SHARE
                 && settings.link_mbps >= AMPLE_LINK_MBPS,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -41,7 +41,7 @@
 use crate::workspace::Caller;
 use advice::Advice;
 use fleet::Fleet;
-pub use fleet::WaveRecord;
+pub use fleet::{PoolPolicy, WaveRecord};
 use job_table::{JobOwner, JobTable, TaskStatus};
 use late_starts::LateStarts;
 use load::LoadForecast;
@@ -96,6 +96,8 @@
     pub stop_grace_ms: u64,
     /// Number of this leader's term; the first is 1.
     pub term: u32,
+    /// How pools follow the demand.
+    pub pools: PoolPolicy,
 }
 
 /// Whether a job was accepted before or during the term of this leader.
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -1,8 +1,6 @@
 //! Moves between pools: how many instances each pool needs, and which instances can be moved.
 
-use super::{
-    IDLE_TIMEOUT_MS, Operation, OperationState, TARGET_UTILIZATION_PERCENT, TrackedInstance,
-};
+use super::{Operation, OperationState, TARGET_UTILIZATION_PERCENT, TrackedInstance};
 use crate::job::StepSpec;
 use crate::placement::Resources;
 use crate::prelude::*;
@@ -203,7 +201,8 @@
         missing_for_unplaceable: usize,
         now: Millis,
     ) -> usize {
-        let forecast = self.services[service].load.forecast(now);
+        let horizon_ms = self.settings.pools.demand_horizon_ms;
+        let forecast = self.services[service].load.forecast(horizon_ms, now);
         let long_running = self.long_running_demand(service);
         let waiting = self.services[service]
             .ready
@@ -457,9 +456,9 @@
                 self.is_movable(instance, now)
                     && instance.pool == service
                     && self.worker_on(*key).is_some()
-                    && instance
-                        .idle_since
-                        .is_some_and(|since| now.ms_since(since) >= IDLE_TIMEOUT_MS)
+                    && instance.idle_since.is_some_and(|since| {
+                        now.ms_since(since) >= self.settings.pools.instance_idle_ms
+                    })
             })
             .map(|(key, _)| key)
             .take(count_max)
--- a/crates/domain/tests/pool_moves.rs
+++ b/crates/domain/tests/pool_moves.rs
@@ -5,11 +5,20 @@
 use rosemaryscale_domain::job::{JobRecord, StepSpec};
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::WaveRequest;
-use scheduler_harness::{SchedulerHarness, job, step};
+use rosemaryscale_domain::schedule::{PoolPolicy, ScheduleSettings};
+use scheduler_harness::{SchedulerHarness, job, settings, step};
 
 /// A harness whose pools have workers on instances: pool and number of workers of each.
 fn harness(pools: &[(&str, usize)], spares: usize) -> SchedulerHarness {
-    let mut harness = SchedulerHarness::new(0);
+    harness_with(PoolPolicy::default(), pools, spares)
+}
+
+fn harness_with(policy: PoolPolicy, pools: &[(&str, usize)], spares: usize) -> SchedulerHarness {
+    let settings = ScheduleSettings {
+        pools: policy,
+        ..settings(1)
+    };
+    let mut harness = SchedulerHarness::with_settings(0, settings);
     harness.scheduler.set_spare_services(&["spare".into()]);
     for (pool, count) in pools {
         for index in 0..*count {
@@ -99,3 +108,49 @@
     }
     assert_eq!(moves_to(&harness, "a"), 2, "in the first planning pass");
 }
+
+/// Instances that a pool of one gets in the first 1.5 s of a demand that rises by a job of one worker and one
+/// second every 100 ms.
+fn moves_during_rise(demand_horizon_ms: u64) -> usize {
+    let policy = PoolPolicy {
+        demand_horizon_ms,
+        ..PoolPolicy::default()
+    };
+    let mut harness = harness_with(policy, &[("a", 1)], 60);
+    harness.complete_orders = false;
+    for index in 0..15 {
+        let task = StepSpec {
+            processors_milli: 4_000,
+            estimate_ms: 1_000,
+            ..step(1)
+        };
+        harness.submit(&format!("job{index}"), job_of("a", vec![task]));
+        harness.run_for(100);
+    }
+    moves_to(&harness, "a")
+}
+
+/// Load pattern: the demand of a queue rises within a second and then stays. Guards against a pool that gets
+/// far more instances than the demand reaches, which other pools lack meanwhile.
+#[test]
+fn a_shorter_horizon_asks_for_fewer_instances_while_the_demand_rises() {
+    let (short, long) = (moves_during_rise(1_000), moves_during_rise(2_000));
+    assert!(short >= 14, "each waiting job has its instance: {short}");
+    assert!(short + 5 <= long, "{short} and {long}");
+}
+
+/// Load pattern: the burst of a queue has ended. Guards against instances that are paid for while nothing
+/// may use them, and against a setting without effect.
+#[test]
+fn an_idle_instance_returns_after_the_configured_time() {
+    let policy = PoolPolicy {
+        instance_idle_ms: 600,
+        ..PoolPolicy::default()
+    };
+    let mut harness = harness_with(policy, &[("a", 2)], 0);
+    let begin = harness.now;
+    while moves_to(&harness, "spare") == 0 {
+        harness.run_for(10);
+        assert!(harness.now.ms_since(begin) <= 1_000, "not returned");
+    }
+}
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -14,7 +14,8 @@
 };
 use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
-    Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
+    Acceptance, Batch, FormerTerm, PoolPolicy, RecordedWorker, ScheduleSettings, Scheduler,
+    StoredJob,
 };
 use rosemaryscale_domain::workspace::Caller;
 
@@ -125,9 +126,14 @@
 
 impl SchedulerHarness {
     pub(crate) fn new(workers: usize) -> Self {
+        Self::with_settings(workers, settings(1))
+    }
+
+    pub(crate) fn with_settings(workers: usize, settings: ScheduleSettings) -> Self {
+        let now = Millis::from_ms(100_000);
         let mut harness = Self {
-            now: Millis::from_ms(100_000),
-            scheduler: Scheduler::new(settings(1), FormerTerm::default(), Millis::from_ms(100_000)),
+            now,
+            scheduler: Scheduler::new(settings, FormerTerm::default(), now),
             store: Store::default(),
             workers: Vec::new(),
             worker_indices: FastMap::default(),
@@ -643,12 +649,13 @@
     }
 }
 
-fn settings(term: u32) -> ScheduleSettings {
+pub(crate) fn settings(term: u32) -> ScheduleSettings {
     ScheduleSettings {
         run_lease_ms: RUN_LEASE_MS,
         poll_wait_ms: 0,
         leader_grace_ms: LEADER_GRACE_MS,
         stop_grace_ms: STOP_GRACE_MS,
         term,
+        pools: PoolPolicy::default(),
     }
 }
