Split the handling of calls, and refuse calls without a key before their body

- handle_call had grown to 130 lines; calls.rs and view.rs now have one short function for each kind of call and event.
- A call that the configuration does not admit is answered without decoding its body.
- The cancellation of a job that is not stored yet no longer replaces that of another workspace: the record and the leader keep all callers, and the one that may access the job counts.
The record of a single caller is as before.
- A stored job that cannot be decoded no longer counts as the caller's own.

--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -1,27 +1,26 @@
 //! The callers' frontend: accepts jobs, reports their states, and cancels them.
 
+mod calls;
 mod inputs;
 mod refusal;
 mod store_calls;
+mod view;
 
 use std::sync::Arc;
 
 use rosemaryscale_domain::job::JobState;
-use rosemaryscale_domain::route;
 use rosemaryscale_domain::schedule::pressure::Pressure;
-use rosemaryscale_domain::workspace::{Access, Caller, Workspace};
 use rosemaryscale_ports::clock::ClockHandle;
-use rosemaryscale_ports::job::{JobCall, JobReply, JobRequest, QueueConfig, QueueConfigWatch};
-use rosemaryscale_ports::kv::{KeyValue, KvEntry, Update, WatchEvent};
+use rosemaryscale_ports::job::{JobCall, JobReply, QueueConfig, QueueConfigWatch};
+use rosemaryscale_ports::kv::{KeyValue, WatchEvent};
 use rosemaryscale_ports::prelude::*;
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use self::inputs::DecisionInputs;
-use self::refusal::{refuse_above_quota, refuse_hopeless, unavailable};
-use self::store_calls::{StoreCalls, Submission};
-use super::records::{self, LEADER_KEY, LeaderRecord, PRESSURE_KEY, StateRecord};
+use self::store_calls::StoreCalls;
+use super::records::{LeaderRecord, StateRecord};
 
 /// Margin before the caller's deadline within which it is answered.
 const REPLY_MARGIN_MS: u64 = 400;
@@ -35,10 +34,6 @@
 /// Age after which a published pressure is ignored; it is written every 300 ms while there is any.
 const PRESSURE_MAX_AGE_MS: u64 = 1_200;
 
-/// Maximum number of characters of a refused request's job id that the log repeats; any text may stand in
-/// the place of an id.
-const MAX_LOGGED_ID_CHARS: usize = 32;
-
 /// Who holds the scheduler key, according to the watched view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LeaderStatus {
@@ -132,96 +127,6 @@
         }
     }
 
-    fn apply(&mut self, event: WatchEvent) {
-        match event {
-            WatchEvent::Snapshot { revision, entries } => {
-                self.view_revision = revision;
-                self.states.clear();
-                let mut leader = LeaderStatus::None;
-                // A pressure in a listing may have been left by a former leader.
-                let current = entries
-                    .into_iter()
-                    .filter(|entry| &*entry.key != PRESSURE_KEY);
-                for entry in current {
-                    self.apply_entry(entry, &mut leader);
-                }
-                self.options.leader.send_replace(leader);
-                self.mark_store_reachable();
-            }
-            WatchEvent::Changed { revision, updates } => {
-                self.view_revision = revision;
-                let before = *self.options.leader.borrow();
-                let mut leader = if before == LeaderStatus::Unknown {
-                    LeaderStatus::None
-                } else {
-                    before
-                };
-                for update in updates {
-                    match update {
-                        Update::Put(entry) => self.apply_entry(entry, &mut leader),
-                        Update::Deleted(key) if &*key == LEADER_KEY => leader = LeaderStatus::None,
-                        Update::Deleted(key) => {
-                            if let Some(id) = records::state_id(&key) {
-                                self.states.remove(id);
-                            }
-                        }
-                    }
-                }
-                if leader != before {
-                    self.options.leader.send_replace(leader);
-                }
-                self.mark_store_reachable();
-            }
-            WatchEvent::Disconnected { reason } => {
-                self.store_reachable.send_replace(false);
-                let now = self.options.clock.now();
-                self.unreachable_since = self.unreachable_since.or(Some(now));
-                if *self.options.leader.borrow() != LeaderStatus::Unknown {
-                    warn!(self.options.log, "the store is not heard"; "reason" => reason);
-                }
-                self.options.leader.send_replace(LeaderStatus::Unknown);
-            }
-        }
-    }
-
-    fn mark_store_reachable(&mut self) {
-        self.last_answer_at = Some(self.options.clock.now());
-        self.store_reachable.send_replace(true);
-        self.unreachable_since = None;
-        self.update_readiness();
-    }
-
-    fn apply_entry(&mut self, entry: KvEntry, leader: &mut LeaderStatus) {
-        if &*entry.key == LEADER_KEY {
-            *leader = self.leader_status(&entry);
-            return;
-        }
-        if &*entry.key == PRESSURE_KEY {
-            self.apply_pressure(&entry);
-            return;
-        }
-        let Some(id) = records::state_id(&entry.key) else {
-            return;
-        };
-        match records::decode::<StateRecord>(&entry.value) {
-            Ok(record) => {
-                self.states.insert(id.into(), record);
-            }
-            Err(error) => {
-                warn!(self.options.log, "state skipped"; "job" => id, "reason" => %error);
-            }
-        }
-    }
-
-    fn apply_pressure(&mut self, entry: &KvEntry) {
-        match records::decode::<Pressure>(&entry.value) {
-            Ok(pressure) => self.pressure = Some((pressure, self.options.clock.now())),
-            Err(error) => {
-                warn!(self.options.log, "pressure skipped"; "reason" => %error);
-            }
-        }
-    }
-
     /// The published pressure and its age, unless it is too old to be taken into account.
     fn current_pressure(&self) -> Option<(&Pressure, u64)> {
         let (pressure, received_at) = self.pressure.as_ref()?;
@@ -240,19 +145,6 @@
         }
     }
 
-    fn leader_status(&self, entry: &KvEntry) -> LeaderStatus {
-        let identity = &self.options.identity;
-        match records::decode::<LeaderRecord>(&entry.value) {
-            Ok(record)
-                if record.daemon == identity.daemon
-                    && record.incarnation != identity.incarnation =>
-            {
-                LeaderStatus::FormerProcess(entry.lease)
-            }
-            _ => LeaderStatus::Held(entry.mod_revision),
-        }
-    }
-
     fn update_readiness(&mut self) {
         let reason = self.unready_reason();
         let was_ready = self.options.ready.borrow().is_ok();
@@ -285,187 +177,6 @@
             .is_some_and(|at| now.ms_since(at) < VIEW_MAX_AGE_MS)
     }
 
-    fn handle_call(&mut self, call: JobCall) {
-        let config = Arc::clone(&self.options.config.borrow());
-        let inputs = self.inputs(&config);
-        if config.version == 0 {
-            let reply = unavailable("no configuration has been received");
-            self.refuse(call, reply, inputs);
-            return;
-        }
-        let Some((route_match, rest)) = route::find(&config.routes, &call.host, &call.path) else {
-            self.refuse(call, JobReply::NoSuchQueue, inputs);
-            return;
-        };
-        let queue = Arc::clone(&route_match.queue);
-        let access = config
-            .workspaces
-            .access(route_match.is_public, call.api_key);
-        if access == Access::Denied {
-            self.options.metrics.count("calls.unauthorized", 1);
-            self.refuse(call, JobReply::Unauthorized, inputs);
-            return;
-        }
-        let (caller, workspace) = caller_of(&config, access, &queue);
-        if rest.is_empty() && matches!(call.request, JobRequest::Read) {
-            let _ = call
-                .reply
-                .send(JobReply::Waiting(self.queued_count(&queue)));
-            return;
-        }
-        if !route::is_job_id(rest) {
-            let reason = "the path must end with a job id of 16 hexadecimal digits";
-            self.refuse(call, JobReply::Malformed(reason.into()), inputs);
-            return;
-        }
-        let id: Arc<str> = rest.into();
-        let known = self.states.get(&id);
-        let is_open = known.is_none_or(|record| record.is_open_to(&caller));
-        let known_state = known.map(|record| record.state);
-        match (call.request, known_state) {
-            (JobRequest::Submit(Ok(_)), Some(_)) if !is_open => {
-                let reply = JobReply::IdTaken;
-                info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
-                    "outcome" => %reply, inputs);
-                let _ = call.reply.send(reply);
-            }
-            (JobRequest::Read | JobRequest::Cancel, Some(_)) if !is_open => {
-                let _ = call.reply.send(JobReply::NoSuchJob);
-            }
-            (JobRequest::Submit(Ok(_)), Some(_)) => {
-                let _ = call.reply.send(JobReply::Accepted);
-            }
-            (JobRequest::Submit(Ok(_)), None)
-                if !self.options.has_advisor && is_advised(&config, &queue) =>
-            {
-                let reply = unavailable(
-                    "the queue requires an advisor and none is configured; set advisor_address",
-                );
-                info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
-                    "outcome" => %reply, inputs);
-                let _ = call.reply.send(reply);
-            }
-            (JobRequest::Submit(Ok(_)), None) if !*self.store_reachable.borrow() => {
-                let reply = self.refuse_unreachable();
-                info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
-                    "outcome" => %reply, inputs);
-                self.options.metrics.count(submit_metric(&reply), 1);
-                let _ = call.reply.send(reply);
-            }
-            (JobRequest::Submit(Ok(spec)), None) => {
-                let store = self.store_calls(call.deadline_ms);
-                match Submission::new(&store.clock, &config, id, queue, workspace, spec) {
-                    Some(job) => {
-                        if let Some(reply) = refuse_above_quota(&job.record) {
-                            info!(self.options.log, "submit"; "job" => &*job.id,
-                                "queue" => &*job.record.queue, "outcome" => %reply, inputs);
-                            self.options.metrics.count(submit_metric(&reply), 1);
-                            let _ = call.reply.send(reply);
-                            return;
-                        }
-                        let pressure = self.current_pressure();
-                        let refusal =
-                            pressure.and_then(|(pressure, _)| refuse_hopeless(pressure, &job));
-                        let inputs = DecisionInputs {
-                            pressure_age_ms: pressure.map(|(_, age_ms)| age_ms),
-                            ..inputs
-                        };
-                        self.spawn(call.reply, store, (job, caller), refusal, inputs);
-                    }
-                    None => {
-                        let reply = JobReply::NoSuchQueue;
-                        info!(self.options.log, "submit"; "outcome" => %reply, inputs);
-                        let _ = call.reply.send(reply);
-                    }
-                }
-            }
-            (JobRequest::Submit(Err(reason)), _) => {
-                let reply = JobReply::Malformed(reason);
-                info!(self.options.log, "submit"; "job" => &*id, "queue" => &*queue,
-                    "outcome" => %reply, inputs);
-                let _ = call.reply.send(reply);
-            }
-            (JobRequest::Read, Some(state)) => {
-                let _ = call.reply.send(JobReply::State(state));
-            }
-            (JobRequest::Read, None) => {
-                let store = self.store_calls(call.deadline_ms);
-                self.calls.spawn(async move {
-                    let (reply, state) = store.read(id, &caller).await;
-                    let _ = call.reply.send(reply);
-                    StoreCallResult { state }
-                });
-            }
-            (JobRequest::Cancel, Some(state)) if state.is_final() => {
-                let reply = JobReply::Cancelled;
-                info!(self.options.log, "cancel"; "job" => &*id, "outcome" => %reply,
-                    "state" => %state, inputs);
-                let _ = call.reply.send(reply);
-            }
-            (JobRequest::Cancel, known_state) => {
-                let store = self.store_calls(call.deadline_ms);
-                let log = self.options.log.clone();
-                self.calls.spawn(async move {
-                    let reply = store.cancel(&id, &caller, known_state.is_some()).await;
-                    info!(log, "cancel"; "job" => &*id, "outcome" => %reply, inputs);
-                    let _ = call.reply.send(reply);
-                    StoreCallResult { state: None }
-                });
-            }
-            (JobRequest::Other, _) => {
-                let _ = call
-                    .reply
-                    .send(JobReply::Malformed("use POST, GET or DELETE".into()));
-            }
-        }
-    }
-
-    /// Refuses a request whose job or queue is not known. Only refused submissions and cancellations are
-    /// logged: callers read states much more often.
-    fn refuse(&self, call: JobCall, reply: JobReply, inputs: DecisionInputs) {
-        let line = match call.request {
-            JobRequest::Submit(_) => Some("submit"),
-            JobRequest::Cancel => Some("cancel"),
-            JobRequest::Read | JobRequest::Other => None,
-        };
-        if let Some(line) = line {
-            let id = call.path.rsplit('/').next().unwrap_or_default();
-            let id: String = id.chars().take(MAX_LOGGED_ID_CHARS).collect();
-            info!(self.options.log, "{line}"; "job" => id, "outcome" => %reply, inputs);
-        }
-        let _ = call.reply.send(reply);
-    }
-
-    /// Stores a job, or refuses it unless an earlier attempt has stored it.
-    fn spawn(
-        &mut self,
-        reply: oneshot::Sender<JobReply>,
-        store: StoreCalls,
-        (job, caller): (Submission, Caller),
-        refusal: Option<JobReply>,
-        inputs: DecisionInputs,
-    ) {
-        let log = self.options.log.clone();
-        let metrics = Arc::clone(&self.options.metrics);
-        self.calls.spawn(async move {
-            let started_at = store.clock.now();
-            let outcome = match refusal {
-                Some(refusal) if store.is_absent(&job.id).await => refusal,
-                _ => store.submit(&job, &caller).await,
-            };
-            metrics.time_ms("submit.ms", store.clock.now().ms_since(started_at));
-            metrics.count(submit_metric(&outcome), 1);
-            info!(log, "submit"; "job" => &*job.id, "queue" => &*job.record.queue,
-                "outcome" => %outcome, inputs);
-            let accepted = outcome == JobReply::Accepted;
-            let _ = reply.send(outcome);
-            let state = StateRecord::of_job(&job.record, JobState::Queued);
-            StoreCallResult {
-                state: accepted.then_some((job.id, state)),
-            }
-        });
-    }
-
     fn store_calls(&self, deadline_ms: u64) -> StoreCalls {
         let wait_ms = deadline_ms.saturating_sub(REPLY_MARGIN_MS);
         StoreCalls {
@@ -495,39 +206,3 @@
         self.states.values().filter(is_queued).count() as u64
     }
 }
-
-/// The caller of a call, and the workspace that a job submitted by it belongs to.
-fn caller_of(
-    config: &QueueConfig,
-    access: Access,
-    queue: &Arc<str>,
-) -> (Caller, Option<Workspace>) {
-    let workspace = match access {
-        Access::Workspace(key) => config.workspaces.get(key).cloned(),
-        Access::Public | Access::Denied => None,
-    };
-    let is_public = config.workspaces.is_enabled() && workspace.is_none();
-    let caller = Caller {
-        workspace: workspace
-            .as_ref()
-            .map(|workspace| Arc::clone(&workspace.name)),
-        public_queue: is_public.then(|| Arc::clone(queue)),
-    };
-    (caller, workspace)
-}
-
-/// Whether workers refuse the queue's tasks without a ticket of the advisor.
-fn is_advised(config: &QueueConfig, queue: &str) -> bool {
-    config
-        .policies
-        .get(queue)
-        .is_some_and(|policy| policy.advice.is_some())
-}
-
-fn submit_metric(outcome: &JobReply) -> &'static str {
-    match outcome {
-        JobReply::Accepted => "submit.accepted",
-        JobReply::OutcomeUnknown => "submit.outcome_unknown",
-        _ => "submit.refused",
-    }
-}
--- a/crates/daemon/src/jobs/frontend/refusal.rs
+++ b/crates/daemon/src/jobs/frontend/refusal.rs
@@ -30,7 +30,7 @@
     let workspace = record.workspace.as_ref()?;
     let step = workspace.step_above_quota(&record.spec)?;
     let reason = format!(
-        "step {step} needs more than the quota of workspace {} at once; ask for less or have the quota raised",
+        "step {step} needs more than the quota of workspace {} at once",
         workspace.name
     );
     Some(JobReply::AboveQuota(reason.into()))
--- a/crates/daemon/src/jobs/frontend/store_calls.rs
+++ b/crates/daemon/src/jobs/frontend/store_calls.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryscale_domain::job::{JobRecord, JobSpec, JobState};
-use rosemaryscale_domain::workspace::{Caller, Workspace};
+use rosemaryscale_domain::job::{JobRecord, JobState};
+use rosemaryscale_domain::workspace::Caller;
 use rosemaryscale_ports::clock::ClockHandle;
-use rosemaryscale_ports::job::{JobReply, QueueConfig};
+use rosemaryscale_ports::job::JobReply;
 use rosemaryscale_ports::kv::{Compare, KeyValue, KvEntry, KvError, Transaction};
 use rosemaryscale_ports::prelude::*;
 use tokio::sync::watch;
@@ -23,29 +23,6 @@
     pub(super) record: JobRecord,
 }
 
-impl Submission {
-    pub(super) fn new(
-        clock: &ClockHandle,
-        config: &QueueConfig,
-        id: Arc<str>,
-        queue: Arc<str>,
-        workspace: Option<Workspace>,
-        spec: JobSpec,
-    ) -> Option<Self> {
-        let policy = config.policies.get(&queue)?.clone();
-        Some(Self {
-            id,
-            record: JobRecord {
-                queue,
-                policy,
-                received_wall_ms: clock.wall().as_ms(),
-                workspace,
-                spec,
-            },
-        })
-    }
-}
-
 /// Store calls that share the deadline of one request.
 pub(super) struct StoreCalls {
     pub(super) kv: KeyValue,
@@ -80,48 +57,96 @@
         if *caller == Caller::default() {
             return JobReply::Accepted;
         }
-        match self.kv.get(&records::job_key(&job.id)).await {
-            Ok(Some(entry)) => match records::decode::<JobRecord>(&entry.value) {
-                Ok(stored) if !caller.may_access_job(&stored) => JobReply::IdTaken,
-                _ => JobReply::Accepted,
-            },
+        let entry = self.get(&records::job_key(&job.id)).await;
+        let stored = entry
+            .ok()
+            .flatten()
+            .and_then(|entry| records::decode::<JobRecord>(&entry.value).ok());
+        match stored {
+            Some(stored) if caller.may_access_job(&stored) => JobReply::Accepted,
+            Some(_) => JobReply::IdTaken,
             // The job has ended and was deleted meanwhile, or its owner is not known.
-            Ok(None) | Err(_) => JobReply::OutcomeUnknown,
+            None => JobReply::OutcomeUnknown,
         }
     }
 
     /// Whether the store certainly has no record of the job.
     pub(super) async fn is_absent(&self, id: &str) -> bool {
-        matches!(self.kv.get(&records::job_key(id)).await, Ok(None))
+        matches!(self.get(&records::job_key(id)).await, Ok(None))
     }
 
     /// Cancels a job. The cancellation of a job that the store does not have is stored as well: a write of
     /// another daemon that creates the job may take effect later, and the leader then starts none of it.
     pub(super) async fn cancel(&self, id: &str, caller: &Caller, is_known: bool) -> JobReply {
-        let transaction = |compares| Transaction {
-            compares,
-            changes: vec![records::put_cancellation(id, caller)],
+        let outcome = if is_known {
+            self.cancel_stored(id, caller).await
+        } else {
+            self.cancel_unknown(id, caller).await
         };
-        if !is_known {
-            let is_absent = Compare {
-                key: records::job_key(id),
-                mod_revision: 0,
-            };
-            match self.write(transaction(vec![is_absent])).await {
-                Ok(true) => return JobReply::NoSuchJob,
-                Ok(false) if *caller == Caller::default() => {}
-                Ok(false) => match self.kv.get(&records::state_key(id)).await {
-                    Ok(Some(entry)) if !is_open_to(&entry, caller) => return JobReply::NoSuchJob,
-                    Ok(_) => {}
-                    Err(error) => return unavailable(&error.to_string()),
-                },
-                Err(reply) => return reply,
-            }
+        outcome.unwrap_or_else(|reply| reply)
+    }
+
+    async fn cancel_stored(&self, id: &str, caller: &Caller) -> Result<JobReply, JobReply> {
+        let cancellation = records::put_cancellation(id, std::slice::from_ref(caller));
+        self.write(Transaction {
+            compares: Vec::new(),
+            changes: vec![cancellation],
+        })
+        .await?;
+        Ok(JobReply::Cancelled)
+    }
+
+    /// Cancels a job that the view does not show.
+    async fn cancel_unknown(&self, id: &str, caller: &Caller) -> Result<JobReply, JobReply> {
+        if self.cancel_absent(id, caller, None).await? {
+            return Ok(JobReply::NoSuchJob);
         }
-        match self.write(transaction(Vec::new())).await {
-            Ok(_) => JobReply::Cancelled,
-            Err(reply) => reply,
+        let state = self.get(&records::state_key(id)).await?;
+        match state {
+            Some(entry) if !is_open_to(&entry, caller) => Ok(JobReply::NoSuchJob),
+            Some(_) => self.cancel_stored(id, caller).await,
+            None => self.join_cancellation(id, caller).await,
+        }
+    }
+
+    /// Adds the caller to a cancellation of others: which of them may cancel the job is not known before
+    /// it is created.
+    async fn join_cancellation(&self, id: &str, caller: &Caller) -> Result<JobReply, JobReply> {
+        let Some(entry) = self.get(&records::cancel_key(id)).await? else {
+            // The job, with its cancellation, was deleted meanwhile.
+            return Ok(JobReply::NoSuchJob);
+        };
+        if self.cancel_absent(id, caller, Some(&entry)).await? {
+            return Ok(JobReply::NoSuchJob);
         }
+        Err(JobReply::OutcomeUnknown)
+    }
+
+    /// Stores the cancellation of a job that the store does not have, next to those in an earlier record.
+    /// Returns whether the store still had neither the job nor a newer record.
+    async fn cancel_absent(
+        &self,
+        id: &str,
+        caller: &Caller,
+        earlier: Option<&KvEntry>,
+    ) -> Result<bool, JobReply> {
+        let mut callers = earlier.map_or_else(Vec::new, records::cancelling_callers);
+        if callers.contains(caller) {
+            return Ok(true);
+        }
+        callers.push(caller.clone());
+        let compare = |key, mod_revision| Compare { key, mod_revision };
+        self.write(Transaction {
+            compares: vec![
+                compare(records::job_key(id), 0),
+                compare(
+                    records::cancel_key(id),
+                    earlier.map_or(0, |entry| entry.mod_revision),
+                ),
+            ],
+            changes: vec![records::put_cancellation(id, &callers)],
+        })
+        .await
     }
 
     pub(super) async fn read(
@@ -141,11 +166,22 @@
         }
     }
 
+    /// Reads a key until the deadline. Fails as unknown, since an earlier write of the request may have taken
+    /// effect.
+    async fn get(&self, key: &Arc<str>) -> Result<Option<KvEntry>, JobReply> {
+        match tokio::time::timeout(self.remaining(), self.kv.get(key)).await {
+            Ok(Ok(entry)) => Ok(entry),
+            Ok(Err(_)) | Err(_) => Err(JobReply::OutcomeUnknown),
+        }
+    }
+
+    fn remaining(&self) -> Duration {
+        Duration::from_millis(self.deadline.ms_since(self.clock.now()))
+    }
+
     /// Runs an idempotent transaction until the deadline.
     async fn write(&self, transaction: Transaction) -> Result<bool, JobReply> {
-        let remaining_ms = self.deadline.ms_since(self.clock.now());
-        let timeout = Duration::from_millis(remaining_ms);
-        match tokio::time::timeout(timeout, self.write_with_retries(transaction)).await {
+        match tokio::time::timeout(self.remaining(), self.write_with_retries(transaction)).await {
             Ok(result) => result,
             // The attempt in flight may still take effect.
             Err(_) => Err(JobReply::OutcomeUnknown),
--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -36,8 +36,9 @@
                     }
                 },
                 Some(JobKeyKind::Cancel(id)) => {
-                    let caller = records::cancelling_caller(&entry);
-                    self.scheduler.cancel(id, &caller, now, wall);
+                    for caller in records::cancelling_callers(&entry) {
+                        self.scheduler.cancel(id, &caller, now, wall);
+                    }
                 }
                 Some(JobKeyKind::Leader) | None => {}
             }
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -169,8 +169,10 @@
         for job in stored {
             scheduler.restore(job, now, wall);
         }
-        for (id, caller) in &early_cancellations {
-            scheduler.cancel(id, caller, now, wall);
+        for (id, callers) in &early_cancellations {
+            for caller in callers {
+                scheduler.cancel(id, caller, now, wall);
+            }
         }
         scheduler.restore_waves(former_record.waves);
         apply_config(&mut scheduler, &options.config.borrow());
@@ -277,7 +279,7 @@
     progress: Vec<KvEntry>,
     fencing_token: u64,
     log: &Logger,
-) -> (Vec<StoredJob>, FastMap<Arc<str>, Caller>) {
+) -> (Vec<StoredJob>, FastMap<Arc<str>, Vec<Caller>>) {
     let mut progress: FastMap<Arc<str>, JobProgress> = progress
         .into_iter()
         .filter_map(|entry| {
@@ -285,12 +287,12 @@
             Some((Arc::from(id), records::decode(&entry.value).ok()?))
         })
         .collect();
-    let mut cancelled: FastMap<Arc<str>, Caller> = FastMap::default();
+    let mut cancelled: FastMap<Arc<str>, Vec<Caller>> = FastMap::default();
     let mut jobs = Vec::new();
     for entry in &entries {
         match records::job_key_kind(&entry.key) {
             Some(JobKeyKind::Cancel(id)) => {
-                cancelled.insert(id.into(), records::cancelling_caller(entry));
+                cancelled.insert(id.into(), records::cancelling_callers(entry));
             }
             Some(JobKeyKind::Job(id)) => match records::decode::<JobRecord>(&entry.value) {
                 Ok(record) => {
@@ -311,7 +313,7 @@
             progress: progress.remove(&id),
             cancelled: cancelled
                 .remove(&id)
-                .is_some_and(|caller| caller.may_access_job(&record)),
+                .is_some_and(|callers| callers.iter().any(|caller| caller.may_access_job(&record))),
             acceptance,
             id,
             record,
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -196,16 +196,22 @@
     put(state_key(id), encode(record))
 }
 
-/// Change that stores the cancellation of a job on behalf of a caller. It takes no effect on a job that the
-/// caller may not access, which may also be created after it.
-pub(super) fn put_cancellation(id: &str, caller: &Caller) -> Change {
-    put(cancel_key(id), encode(caller))
+/// Change that stores the cancellation of a job on behalf of its callers. It takes no effect on a job that
+/// none of them may access, which may also be created after it.
+pub(super) fn put_cancellation(id: &str, callers: &[Caller]) -> Change {
+    let value = match callers {
+        [caller] => encode(caller),
+        callers => encode(&callers),
+    };
+    put(cancel_key(id), value)
 }
 
 /// Who cancelled a job. A cancellation that cannot be read takes effect: it is of a version whose callers
 /// had no workspaces.
-pub(super) fn cancelling_caller(entry: &KvEntry) -> Caller {
-    decode(&entry.value).unwrap_or_default()
+pub(super) fn cancelling_callers(entry: &KvEntry) -> Vec<Caller> {
+    decode::<Vec<Caller>>(&entry.value)
+        .or_else(|_| decode::<Caller>(&entry.value).map(|caller| vec![caller]))
+        .unwrap_or_else(|_| vec![Caller::default()])
 }
 
 /// Change that stores a job's progress.
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -150,8 +150,12 @@
         let (calls, call_receiver) = mpsc::channel(FRONTEND_CALL_CAPACITY);
         let (leader, leader_watch) = watch::channel(LeaderStatus::Unknown);
         let (ready, ready_watch) = watch::channel(Err("starting".into()));
-        let frontend_server =
-            FrontendServer::jobs(settings.caller_address, calls, stop_frontend_watch.clone());
+        let frontend_server = FrontendServer::jobs(
+            settings.caller_address,
+            calls,
+            config_watch.clone(),
+            stop_frontend_watch.clone(),
+        );
         let frontend_server = frontend_server.await.context(ServerSnafu)?;
         let ready_server =
             FrontendServer::ready(settings.ready_address, ready_watch, stop_probes_watch);
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -283,8 +283,10 @@
             return;
         };
         let cancelled_by = self.retention.claim_cancellation(&id);
+        let record = &self.job_table.jobs[key].record;
         if cancelled_by
-            .is_some_and(|caller| caller.may_access_job(&self.job_table.jobs[key].record))
+            .iter()
+            .any(|caller| caller.may_access_job(record))
         {
             self.finish_job(key, JobState::Cancelled, now, wall);
             return;
--- a/crates/domain/src/schedule/retention.rs
+++ b/crates/domain/src/schedule/retention.rs
@@ -8,7 +8,8 @@
 /// Cancellation of a job that is not known.
 #[derive(Debug)]
 struct EarlyCancellation {
-    caller: Caller,
+    /// Everyone who has cancelled it; one of them may turn out to be its owner.
+    callers: Vec<Caller>,
     known_since: Millis,
 }
 
@@ -29,19 +30,25 @@
 
     /// Remembers the cancellation of a job that is not known.
     pub(super) fn cancel_early(&mut self, id: &str, caller: &Caller, now: Millis) {
-        if !self.was_removed(id) && !self.early_cancellations.contains_key(id) {
-            let cancellation = EarlyCancellation {
-                caller: caller.clone(),
+        if self.was_removed(id) {
+            return;
+        }
+        let cancellation = self
+            .early_cancellations
+            .entry(id.into())
+            .or_insert_with(|| EarlyCancellation {
+                callers: Vec::new(),
                 known_since: now,
-            };
-            self.early_cancellations.insert(id.into(), cancellation);
+            });
+        if !cancellation.callers.contains(caller) {
+            cancellation.callers.push(caller.clone());
         }
     }
 
     /// Who cancelled the job before it was known. Its cancellation is then deleted with the job.
-    pub(super) fn claim_cancellation(&mut self, id: &str) -> Option<Caller> {
-        let cancellation = self.early_cancellations.remove(id)?;
-        Some(cancellation.caller)
+    pub(super) fn claim_cancellation(&mut self, id: &str) -> Vec<Caller> {
+        let cancellation = self.early_cancellations.remove(id);
+        cancellation.map_or_else(Vec::new, |cancellation| cancellation.callers)
     }
 }
 
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -5,8 +5,8 @@
 
 use rosemaryscale_domain::FastMap;
 use rosemaryscale_domain::job::{JobSpec, JobState, QueuePolicy};
-use rosemaryscale_domain::route::Route;
-use rosemaryscale_domain::workspace::{KeyDigest, Workspaces};
+use rosemaryscale_domain::route::{self, Route};
+use rosemaryscale_domain::workspace::{Access, KeyDigest, Workspaces};
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// The operation that a caller requests.
@@ -14,6 +14,8 @@
 pub enum JobRequest {
     /// Submit a job; the error describes why its specification is malformed.
     Submit(Result<JobSpec, Arc<str>>),
+    /// Submit a job whose body was not read, since the caller may not make the call.
+    SubmitUnread,
     /// Read the state of a job, or the number of waiting jobs of a queue.
     Read,
     /// Cancel a job.
@@ -122,6 +124,16 @@
     pub body_max_bytes: usize,
 }
 
+impl QueueConfig {
+    /// Whether a caller with this key may use the host and the path.
+    #[must_use]
+    pub fn admits(&self, host: &str, path: &str, api_key: Option<KeyDigest>) -> bool {
+        route::find(&self.routes, host, path).is_some_and(|(route, _)| {
+            self.workspaces.access(route.is_public, api_key) != Access::Denied
+        })
+    }
+}
+
 /// Receives the newest configuration.
 pub type QueueConfigWatch = watch::Receiver<Arc<QueueConfig>>;
 
