Add the decision about configuration sources, and a link between daemons for it

A daemon whose calls to the store fail has to learn newer versions and withdrawals of keys from its peers. domain::config_source decides when the version in force counts as confirmed and which peer is asked when; the new port and adapter config_link carry one question and its answer.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller_api;
 pub mod caller_request;
 pub mod clock;
+pub mod config_link;
 pub mod document_text;
 pub mod event_log;
 pub mod http_client;
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod callers;
 pub mod claim;
 pub mod class_share;
+pub mod config_source;
 pub mod connection;
 pub mod dispatch;
 pub mod document;
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod claim;
 pub mod clock;
 pub mod config;
+pub mod config_link;
 pub mod dispatch;
 pub mod event;
 pub mod fleet;
