Learn the configuration from peers while the store does not answer

A daemon that the store turned away went on with withdrawn keys for ever. The new task config_sync takes the place of watch_config: it publishes the newest version and when it was last confirmed, answers its peers, and asks them, one at a time and at most once a second, while the store confirms nothing. With strict_revoke, calls that need a key are answered with 503 once the last confirmation is older than revoke_ms.

Daemons learn the addresses of their peers from the view that they watch anyway: offers.rs, formerly gateway.rs, stores the record under the lease of the gateway offer, and only while the configuration has workspaces.

--- a/crates/daemon/src/jobs.rs
+++ b/crates/daemon/src/jobs.rs
@@ -5,11 +5,12 @@
 
 mod batch;
 pub mod config;
+mod config_sync;
 mod election;
 mod frontend;
-mod gateway;
 mod leader;
 mod lease;
+mod offers;
 mod records;
 mod service;
 
--- a/crates/daemon/src/jobs/config.rs
+++ b/crates/daemon/src/jobs/config.rs
@@ -40,6 +40,16 @@
     /// Without it, this daemon is no gateway.
     #[serde(default)]
     pub gateway_address: Option<SocketAddr>,
+    /// Listen address for peers, which ask this daemon for the configuration while the store does not answer
+    /// them. Without it, this daemon neither answers peers nor asks them.
+    #[serde(default)]
+    pub peer_address: Option<SocketAddr>,
+    /// Time without a confirmation of the configuration after which it counts as unconfirmed.
+    #[serde(default)]
+    pub revoke_ms: Option<u64>,
+    /// Whether calls that need a key are refused while the configuration is unconfirmed.
+    #[serde(default)]
+    pub strict_revoke: bool,
     /// Share of a processor that this daemon may use.
     #[serde(default = "default_processor_share")]
     pub processor_share: f64,
@@ -92,6 +102,11 @@
             let problem = problem("run_lease_max_ms", reason, "set a lease of 3000 ms or more");
             return Err(ConfigError::Invalid { problem });
         }
+        if config.strict_revoke && config.revoke_ms.is_none() {
+            let reason = "no time is set after which calls are refused".to_owned();
+            let problem = problem("strict_revoke", reason, "set revoke_ms as well");
+            return Err(ConfigError::Invalid { problem });
+        }
         for (field, value) in [
             ("processor_share", config.processor_share),
             ("link_mbps", config.link_mbps),
--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -8,6 +8,7 @@
 
 use std::sync::Arc;
 
+use rosemaryscale_domain::config_source::RevocationBound;
 use rosemaryscale_domain::job::JobState;
 use rosemaryscale_domain::schedule::pressure::Pressure;
 use rosemaryscale_ports::clock::ClockHandle;
@@ -20,6 +21,7 @@
 
 use self::inputs::DecisionInputs;
 use self::store_calls::StoreCalls;
+use super::config_sync::PeerAddresses;
 use super::records::{LeaderRecord, StateRecord};
 
 /// Margin before the caller's deadline within which it is answered.
@@ -52,6 +54,12 @@
     pub(super) kv: KeyValue,
     pub(super) clock: ClockHandle,
     pub(super) config: QueueConfigWatch,
+    /// When the configuration was last confirmed.
+    pub(super) confirmed: watch::Receiver<Option<Millis>>,
+    /// Bound on the time for which keys are honoured without a confirmation.
+    pub(super) revocation: RevocationBound,
+    /// Receives the daemons that can be asked for the configuration.
+    pub(super) peers: watch::Sender<PeerAddresses>,
     /// Record that identifies this process when it becomes the leader.
     pub(super) identity: LeaderRecord,
     /// Whether an advisor is configured.
@@ -74,6 +82,10 @@
 pub(super) struct JobFrontend {
     options: JobFrontendOptions,
     states: FastMap<Arc<str>, StateRecord>,
+    /// Where daemons answer questions about the configuration, by name.
+    peers: PeerAddresses,
+    /// Whether the configuration was confirmed within the bound at the last check.
+    was_confirmed: bool,
     last_answer_at: Option<Millis>,
     /// Revision of the store up to which the view is complete.
     view_revision: u64,
@@ -91,6 +103,8 @@
         Self {
             options,
             states: FastMap::default(),
+            peers: PeerAddresses::default(),
+            was_confirmed: true,
             last_answer_at: None,
             view_revision: 0,
             store_reachable: watch::Sender::new(false),
@@ -114,7 +128,10 @@
                     None => break,
                 },
                 Some(Ok(result)) = self.calls.join_next() => self.apply_store_result(result),
-                _ = check.tick() => self.update_readiness(),
+                _ = check.tick() => {
+                    self.update_readiness();
+                    self.check_confirmation();
+                }
             }
         }
         while self.calls.join_next().await.is_some() {}
@@ -139,12 +156,20 @@
         let now = self.options.clock.now();
         DecisionInputs {
             config_version: config.version,
+            config_age_ms: self.config_age_ms(config, now),
             view_revision: self.view_revision,
             view_age_ms: self.last_answer_at.map(|at| now.ms_since(at)),
             pressure_age_ms: None,
         }
     }
 
+    /// Time since the configuration was confirmed, if it has keys that may be withdrawn.
+    fn config_age_ms(&self, config: &QueueConfig, now: Millis) -> Option<u64> {
+        let confirmed_at = (*self.options.confirmed.borrow())?;
+        let has_keys = config.workspaces.is_enabled();
+        has_keys.then(|| now.ms_since(confirmed_at))
+    }
+
     fn update_readiness(&mut self) {
         let reason = self.unready_reason();
         let was_ready = self.options.ready.borrow().is_ok();
@@ -171,6 +196,35 @@
         (!self.is_view_current()).then_some("the platform's store is not reachable")
     }
 
+    /// Logs when the configuration is no longer confirmed within the bound, and when it is again.
+    fn check_confirmation(&mut self) {
+        let config = self.options.config.borrow();
+        if config.version == 0 || !config.workspaces.is_enabled() {
+            return;
+        }
+        let now = self.options.clock.now();
+        let confirmed_at = *self.options.confirmed.borrow();
+        let age_ms = confirmed_at.map(|at| now.ms_since(at));
+        if let Some(age_ms) = age_ms {
+            self.options.metrics.gauge("config.age_ms", age_ms);
+        }
+        let log = &self.options.log;
+        let is_confirmed = !self.options.revocation.is_exceeded(confirmed_at, now);
+        if self.was_confirmed && !is_confirmed {
+            let consequence = if self.options.revocation.is_strict {
+                "calls that need a key are refused"
+            } else {
+                "the last known keys are honoured"
+            };
+            warn!(log, "configuration not confirmed"; "version" => config.version,
+                "age_ms" => age_ms, "consequence" => consequence);
+        } else if !self.was_confirmed && is_confirmed {
+            info!(log, "configuration confirmed again"; "version" => config.version,
+                "age_ms" => age_ms);
+        }
+        self.was_confirmed = is_confirmed;
+    }
+
     fn is_view_current(&self) -> bool {
         let now = self.options.clock.now();
         self.last_answer_at
--- a/crates/daemon/src/jobs/frontend/calls.rs
+++ b/crates/daemon/src/jobs/frontend/calls.rs
@@ -92,6 +92,13 @@
         }
         let (route, rest) =
             route::find(&config.routes, &call.host, &call.path).ok_or(JobReply::NoSuchQueue)?;
+        let needs_key = config.workspaces.is_enabled() && !route.is_public;
+        if needs_key && self.is_unconfirmed() {
+            self.options.metrics.count("calls.unconfirmed", 1);
+            return Err(unavailable(
+                "whether the API key is still valid cannot be confirmed",
+            ));
+        }
         let access = config.workspaces.access(route.is_public, call.api_key);
         if access == Access::Denied {
             self.options.metrics.count("calls.unauthorized", 1);
@@ -111,6 +118,13 @@
         })
     }
 
+    /// Whether calls that need a key are refused, since the key may have been withdrawn meanwhile.
+    fn is_unconfirmed(&self) -> bool {
+        let confirmed_at = *self.options.confirmed.borrow();
+        let now = self.options.clock.now();
+        self.options.revocation.refuses(confirmed_at, now)
+    }
+
     fn carry_out(&mut self, request: JobRequest, call: AllowedCall) {
         match request {
             JobRequest::Submit(Ok(spec)) => self.submit(spec, call),
--- a/crates/daemon/src/jobs/frontend/view.rs
+++ b/crates/daemon/src/jobs/frontend/view.rs
@@ -5,7 +5,7 @@
 use slog::warn;
 
 use super::{JobFrontend, LeaderStatus};
-use crate::jobs::records::{self, LEADER_KEY, LeaderRecord, PRESSURE_KEY, StateRecord};
+use crate::jobs::records::{self, LEADER_KEY, LeaderRecord, PRESSURE_KEY, PeerRecord, StateRecord};
 
 impl JobFrontend {
     pub(super) fn apply(&mut self, event: WatchEvent) {
@@ -19,6 +19,7 @@
     fn apply_snapshot(&mut self, revision: u64, entries: Vec<KvEntry>) {
         self.view_revision = revision;
         self.states.clear();
+        self.peers.clear();
         let mut leader = LeaderStatus::None;
         // A pressure in a listing may have been left by a former leader.
         let current = entries
@@ -43,11 +44,7 @@
             match update {
                 Update::Put(entry) => self.apply_entry(entry, &mut leader),
                 Update::Deleted(key) if &*key == LEADER_KEY => leader = LeaderStatus::None,
-                Update::Deleted(key) => {
-                    if let Some(id) = records::state_id(&key) {
-                        self.states.remove(id);
-                    }
-                }
+                Update::Deleted(key) => self.remove_entry(&key),
             }
         }
         if leader != before {
@@ -68,6 +65,7 @@
 
     fn mark_store_reachable(&mut self) {
         self.last_answer_at = Some(self.options.clock.now());
+        self.publish_peers();
         self.store_reachable.send_replace(true);
         self.unreachable_since = None;
         self.update_readiness();
@@ -82,6 +80,10 @@
             self.apply_pressure(&entry);
             return;
         }
+        if let Some(name) = records::peer_name(&entry.key) {
+            self.apply_peer(name, &entry);
+            return;
+        }
         let Some(id) = records::state_id(&entry.key) else {
             return;
         };
@@ -95,6 +97,36 @@
         }
     }
 
+    fn remove_entry(&mut self, key: &str) {
+        if let Some(id) = records::state_id(key) {
+            self.states.remove(id);
+        } else if let Some(name) = records::peer_name(key) {
+            self.peers.remove(name);
+        }
+    }
+
+    fn apply_peer(&mut self, name: &str, entry: &KvEntry) {
+        match records::decode::<PeerRecord>(&entry.value) {
+            Ok(record) => {
+                self.peers.insert(name.into(), record.address);
+            }
+            Err(error) => {
+                warn!(self.options.log, "peer skipped"; "peer" => name, "reason" => %error);
+            }
+        }
+    }
+
+    /// Tells the task of the configuration whom it can ask.
+    fn publish_peers(&self) {
+        self.options.peers.send_if_modified(|published| {
+            let is_changed = *published != self.peers;
+            if is_changed {
+                published.clone_from(&self.peers);
+            }
+            is_changed
+        });
+    }
+
     fn apply_pressure(&mut self, entry: &KvEntry) {
         match records::decode::<Pressure>(&entry.value) {
             Ok(pressure) => self.pressure = Some((pressure, self.options.clock.now())),
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -1,5 +1,6 @@
 //! Keys and records that the job service keeps in the store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -33,6 +34,8 @@
 pub(super) const WORKERS_KEY: &str = "rosemaryscale/scheduler-workers";
 /// Prefix of the daemons that offer to hold links to workers, each under a lease.
 pub(super) const GATEWAY_PREFIX: &str = "rosemaryscale/gateway/";
+/// Prefix of the daemons that peers ask for the configuration, each under a lease.
+const PEER_PREFIX: &str = "rosemaryscale/view/daemon/";
 const STATE_PREFIX: &str = "rosemaryscale/view/state/";
 const CANCEL_SUFFIX: &str = "/cancel";
 
@@ -84,6 +87,16 @@
     key.strip_prefix(STATE_PREFIX)
 }
 
+/// Key of a daemon's offer to its peers.
+pub(super) fn peer_key(daemon: &str) -> Arc<str> {
+    format!("{PEER_PREFIX}{daemon}").into()
+}
+
+/// Parses the name of a daemon from the key of its offer to its peers.
+pub(super) fn peer_name(key: &str) -> Option<&str> {
+    key.strip_prefix(PEER_PREFIX)
+}
+
 /// State of a job in the view that all daemons watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -145,6 +158,14 @@
     pub(super) processor_milli: u64,
 }
 
+/// Where peers ask a daemon for the configuration. Its key names the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct PeerRecord {
+    /// Address for its peers.
+    pub(super) address: SocketAddr,
+}
+
 impl StateRecord {
     /// State of a job that is to be stored.
     pub(super) fn of_job(job: &JobRecord, state: JobState) -> Self {
@@ -214,6 +235,24 @@
         .unwrap_or_else(|_| vec![Caller::default()])
 }
 
+/// Change that stores a daemon's offer to the leader.
+pub(super) fn put_gateway(daemon: &str, record: &GatewayRecord, lease: u64) -> Change {
+    Change::Put {
+        key: format!("{GATEWAY_PREFIX}{daemon}").into(),
+        value: encode(record),
+        lease,
+    }
+}
+
+/// Change that stores a daemon's offer to its peers.
+pub(super) fn put_peer(daemon: &str, record: &PeerRecord, lease: u64) -> Change {
+    Change::Put {
+        key: peer_key(daemon),
+        value: encode(record),
+        lease,
+    }
+}
+
 /// Change that stores a job's progress.
 pub(super) fn put_progress(id: &str, progress: &JobProgress) -> Change {
     put(progress_key(id), encode(progress))
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemaryscale_adapters::config_link::{self, ConfigServer, ConfigServerError};
 use rosemaryscale_adapters::log::DroppedLines;
 use rosemaryscale_adapters::worker_gateway::{GatewayOptions, GatewayServer};
 use rosemaryscale_adapters::{SystemClock, log, metrics_registry};
+use rosemaryscale_domain::config_source::RevocationBound;
 use rosemaryscale_platform::frontend::{FrontendError, FrontendServer};
 use rosemaryscale_platform::{
     CONFIG_KEY, WAVE_PREFIX, WORKER_PREFIX, advisor, instances, queue_config, store, wave,
@@ -14,9 +16,9 @@
 };
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::job::QueueConfig;
-use rosemaryscale_ports::kv::{KeyRange, KvError, Update, WatchEvent};
+use rosemaryscale_ports::kv::{KeyRange, KvError};
 use rosemaryscale_ports::prelude::*;
-use slog::{Level, Logger, info, warn};
+use slog::{Level, Logger, info};
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -24,13 +26,16 @@
 use uuid::Uuid;
 
 use super::config::JobServiceConfig;
+use super::config_sync::{ConfigSync, ConfigSyncOptions, PeerAddresses};
 use super::election;
 use super::frontend::{JobFrontend, JobFrontendOptions, LeaderStatus};
-use super::gateway;
 use super::leader::{LeaderOptions, PlatformAdapters};
-use super::records::{GatewayRecord, LeaderRecord, VIEW_PREFIX};
+use super::offers::{OfferOptions, Offers};
+use super::records::{GatewayRecord, LeaderRecord, PeerRecord, VIEW_PREFIX};
 
 const FRONTEND_CALL_CAPACITY: usize = 1_024;
+/// Questions of peers about the configuration that may wait.
+const QUESTION_CAPACITY: usize = 64;
 /// Bounds the delay before a job's state is visible. The platform charges for each read of the watch.
 const STATE_WATCH_INTERVAL_MS: u64 = 100;
 /// Lease of a run. Covers the wait of a poll, the expiry of a leader's lease and the next election.
@@ -79,6 +84,12 @@
         /// The underlying error.
         source: std::io::Error,
     },
+    /// The server for peers did not start.
+    #[snafu(display("{source}"))]
+    Peers {
+        /// The underlying error.
+        source: ConfigServerError,
+    },
     /// The client of the platform's store has stopped.
     #[snafu(display("{source}"))]
     Store {
@@ -101,8 +112,12 @@
     frontend: JoinHandle<()>,
     election: JoinHandle<()>,
     config: JoinHandle<()>,
-    /// Server for the leader and task that offers it, if this daemon is a gateway.
-    gateway: Option<(JoinHandle<()>, JoinHandle<()>)>,
+    /// Server for the leader, if this daemon is a gateway.
+    gateway: Option<JoinHandle<()>>,
+    /// Task that offers this daemon to the leader and to its peers.
+    offers: JoinHandle<()>,
+    /// Server for questions of peers about the configuration and the task that asks them.
+    peers: Option<(ConfigServer, JoinHandle<()>)>,
     store: JoinHandle<()>,
     metrics_server: Option<JoinHandle<()>>,
     metrics: JoinHandle<()>,
@@ -178,25 +193,45 @@
                 };
                 let server = GatewayServer::bind(address, options);
                 let server = server.await.context(GatewaySnafu { address })?;
-                let record = GatewayRecord {
-                    address: address.to_string().into(),
-                    zone: Arc::clone(&settings.availability_zone),
-                    processor_milli: (settings.processor_share * 1_000.0) as u64,
-                };
-                let offer = gateway::offer(
-                    kv.clone(),
-                    Arc::clone(&settings.name),
-                    record,
-                    draining_watch.clone(),
-                    log.clone(),
-                );
-                Some((
-                    tokio::spawn(server.run(draining_watch.clone())),
-                    tokio::spawn(offer),
-                ))
+                Some(tokio::spawn(server.run(draining_watch.clone())))
             }
             None => None,
         };
+        let (inbound, questions) = mpsc::channel(QUESTION_CAPACITY);
+        let (link, peers) = match settings.peer_address {
+            Some(address) => {
+                let server = ConfigServer::start(address, inbound);
+                let server = server.await.context(PeersSnafu)?;
+                let (link, client) = config_link::start(Arc::clone(&metrics));
+                (Some(link), Some((server, client)))
+            }
+            None => (None, None),
+        };
+        let offers = Offers::new(OfferOptions {
+            kv: kv.clone(),
+            daemon: Arc::clone(&settings.name),
+            gateway: gateway_record(&settings),
+            peer: settings.peer_address.map(|address| PeerRecord { address }),
+            config: config_watch.clone(),
+            stop: draining_watch.clone(),
+            log: log.clone(),
+        });
+        let (confirmed, confirmed_watch) = watch::channel(None);
+        let (peer_addresses, peer_addresses_watch) = watch::channel(PeerAddresses::default());
+        let config = ConfigSync::new(ConfigSyncOptions {
+            daemon: Arc::clone(&settings.name),
+            key: CONFIG_KEY,
+            decode: queue_config::decode,
+            events: config_events,
+            config: config_sender,
+            confirmed,
+            peers: peer_addresses_watch,
+            questions,
+            link,
+            clock: Arc::clone(&clock),
+            metrics: Arc::clone(&metrics),
+            log: log.clone(),
+        });
         let identity = LeaderRecord {
             daemon: Arc::clone(&settings.name),
             incarnation: Uuid::new_v4().to_string().into(),
@@ -205,6 +240,12 @@
             kv: kv.clone(),
             clock: Arc::clone(&clock),
             config: config_watch.clone(),
+            confirmed: confirmed_watch,
+            revocation: RevocationBound {
+                revoke_ms: settings.revoke_ms,
+                is_strict: settings.strict_revoke,
+            },
+            peers: peer_addresses,
             identity: identity.clone(),
             has_advisor: settings.advisor_address.is_some(),
             view,
@@ -238,13 +279,10 @@
             ready_server: tokio::spawn(ready_server.run()),
             frontend: tokio::spawn(frontend.run()),
             election: tokio::spawn(election::run(options, leader_watch, draining_watch)),
-            config: tokio::spawn(watch_config(
-                config_events,
-                config_sender,
-                stop_frontend_watch,
-                log.clone(),
-            )),
+            config: tokio::spawn(config.run(stop_frontend_watch)),
             gateway,
+            offers: tokio::spawn(offers.run()),
+            peers,
             store,
             metrics_server,
             metrics: metrics_task,
@@ -284,10 +322,14 @@
         let _ = self.frontend_server.await;
         let _ = self.frontend.await;
         let _ = self.config.await;
-        if let Some((server, offer)) = self.gateway {
+        if let Some((server, client)) = self.peers {
+            server.stop().await;
+            let _ = client.await;
+        }
+        if let Some(server) = self.gateway {
             let _ = server.await;
-            let _ = offer.await;
         }
+        let _ = self.offers.await;
         self.stop_probes.send_replace(true);
         let _ = self.ready_server.await;
         if let Some(server) = self.metrics_server {
@@ -300,58 +342,16 @@
     }
 }
 
-fn open_signal(kind: SignalKind) -> Result<Signal, JobServiceError> {
-    signal(kind).context(ResourceSnafu)
+/// What the daemon offers to the leader, if it is a gateway.
+fn gateway_record(settings: &JobServiceConfig) -> Option<GatewayRecord> {
+    let address = settings.gateway_address?;
+    Some(GatewayRecord {
+        address: address.to_string().into(),
+        zone: Arc::clone(&settings.availability_zone),
+        processor_milli: (settings.processor_share * 1_000.0) as u64,
+    })
 }
 
-/// Publishes the configuration with the highest version; an older one never replaces it.
-async fn watch_config(
-    mut events: mpsc::Receiver<WatchEvent>,
-    config: watch::Sender<Arc<QueueConfig>>,
-    mut stop: watch::Receiver<bool>,
-    log: Logger,
-) {
-    let mut is_connected = false;
-    loop {
-        let event = tokio::select! {
-            event = events.recv() => event,
-            _ = stop.wait_for(|stop| *stop) => return,
-        };
-        let entries = match event {
-            None => return,
-            Some(WatchEvent::Snapshot { entries, .. }) => entries,
-            Some(WatchEvent::Changed { updates, .. }) => updates
-                .into_iter()
-                .filter_map(|update| match update {
-                    Update::Put(entry) => Some(entry),
-                    Update::Deleted(_) => None,
-                })
-                .collect(),
-            Some(WatchEvent::Disconnected { reason }) => {
-                if is_connected {
-                    warn!(log, "the configuration is not heard"; "reason" => reason);
-                }
-                is_connected = false;
-                continue;
-            }
-        };
-        if !is_connected {
-            info!(log, "the configuration is heard");
-            is_connected = true;
-        }
-        for entry in entries.iter().filter(|entry| &*entry.key == CONFIG_KEY) {
-            match queue_config::decode(&entry.value) {
-                Ok(newer) if newer.version > config.borrow().version => {
-                    info!(log, "configuration in force"; "version" => newer.version);
-                    for problem in &newer.problems {
-                        warn!(log, "configuration entry skipped"; "version" => newer.version,
-                            "reason" => &**problem);
-                    }
-                    config.send_replace(Arc::new(newer));
-                }
-                Ok(_) => {}
-                Err(reason) => warn!(log, "configuration skipped"; "reason" => &*reason),
-            }
-        }
-    }
+fn open_signal(kind: SignalKind) -> Result<Signal, JobServiceError> {
+    signal(kind).context(ResourceSnafu)
 }
--- a/crates/daemon/tests/reference.rs
+++ b/crates/daemon/tests/reference.rs
@@ -189,9 +189,11 @@
 #[test]
 fn the_page_lists_the_metrics_of_the_job_service() {
     let sources = [
+        include_str!("../src/jobs/config_sync.rs"),
         include_str!("../src/jobs/frontend.rs"),
         include_str!("../src/jobs/frontend/calls.rs"),
         include_str!("../src/jobs/leader/actions.rs"),
+        include_str!("../../adapters/src/config_link.rs"),
         include_str!("../../adapters/src/metrics_registry.rs"),
         include_str!("../../adapters/src/worker_gateway/router.rs"),
         include_str!("../../adapters/src/worker_gateway/server.rs"),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -127,7 +127,8 @@
         )
     };
     let before = JobServiceConfig::parse(&with("")).expect("the settings before gateways");
-    assert!(before.gateway_address.is_none());
+    assert!(before.gateway_address.is_none() && before.peer_address.is_none());
+    assert!(before.revoke_ms.is_none() && !before.strict_revoke);
     for (more, path, reason) in [
         (r#", "processor_share": 0"#, "processor_share", "above 0"),
         (r#", "link_mbps": -1"#, "link_mbps", "above 0"),
@@ -137,6 +138,12 @@
             "address",
         ),
         (r#", "gateway_port": 1"#, "gateway_port", "unknown"),
+        (r#", "peer_address": 4"#, "peer_address", "address"),
+        (
+            r#", "strict_revoke": true"#,
+            "strict_revoke",
+            "set revoke_ms",
+        ),
     ] {
         let error = JobServiceConfig::parse(&with(more))
             .expect_err(more)
