Keep runs that may have reached a worker's next incarnation

The end of an incarnation now carries its evidence. A run is ended if the incarnation had listed it, or if its last start had its result before the order that met the end was sent; others are kept until the next incarnation lists its runs or their lease has ended. Results of orders from before the current incarnation are told apart in one place, order_found_no_process. The recovery awaits the next incarnation of an ended worker for 1 s.

--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -7,6 +7,7 @@
 use crate::prelude::*;
 use crate::schedule::Scheduler;
 use crate::schedule::order::InstanceReport;
+use crate::schedule::run::EndEvidence;
 
 /// Time for which the list must omit the instance of an unresponsive worker before the worker counts as
 /// ended. The pages of one read are not a consistent snapshot, so one omission proves nothing; three
@@ -27,7 +28,7 @@
         }
         let former = before.and_then(|id| self.workers_by_id.get(&id).copied());
         if let Some(worker) = former {
-            self.process_ended(worker, now);
+            self.process_ended(worker, EndEvidence::Listing, now);
         }
     }
 
@@ -66,7 +67,7 @@
         }
         for key in ended {
             if self.may_have_runs(key) {
-                self.process_ended(key, now);
+                self.process_ended(key, EndEvidence::Listing, now);
             }
         }
     }
--- a/crates/domain/src/schedule/fleet/orders.rs
+++ b/crates/domain/src/schedule/fleet/orders.rs
@@ -4,6 +4,7 @@
 use crate::prelude::*;
 use crate::schedule::Scheduler;
 use crate::schedule::order::{Action, InstanceOrderResult, InstanceState};
+use crate::schedule::run::EndEvidence;
 use crate::schedule::worker::IncarnationEnd;
 
 /// Delay before an order without a response is sent again.
@@ -86,7 +87,12 @@
                 if let Some(worker) =
                     previous_worker.and_then(|id| self.workers_by_id.get(&id).copied())
                 {
-                    self.end_incarnation(worker, IncarnationEnd::Planned, now);
+                    self.end_incarnation(
+                        worker,
+                        IncarnationEnd::Planned,
+                        EndEvidence::Listing,
+                        now,
+                    );
                 }
                 if let Operation::Maintain(number) = operation {
                     self.mark_maintenance_begun(number, name, now);
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -4,7 +4,7 @@
 use super::order::{
     ListedEnd, ListedRun, Listing, PollResult, Refusal, RunEndKind, SchedulerEvent,
 };
-use super::run::{Phase, PlacedRun, Run, RunInfo};
+use super::run::{EndEvidence, Phase, PlacedRun, Run, RunInfo};
 use super::stop_reason::StopReason;
 use super::{
     JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, RUN_END_BATCH_DELAY_MS, Scheduler,
@@ -29,17 +29,12 @@
             return;
         };
         worker.poll_in_flight = false;
-        let is_current = worker.incarnation_since <= worker.poll_sent_at;
+        let sent_at = worker.poll_sent_at;
         match result {
-            PollResult::Refused(Refusal::OtherIncarnation) | PollResult::NotListening
-                if !is_current =>
-            {
-                // The poll was sent to the former incarnation.
-                worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
-            }
             PollResult::Listed(listing) => self.apply_listing(key, &listing, now, wall),
             PollResult::Refused(Refusal::OtherIncarnation) | PollResult::NotListening => {
-                self.process_ended(key, now);
+                worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
+                self.order_found_no_process(key, Some(sent_at), now);
             }
             PollResult::Refused(refusal) => {
                 worker.ack_sent = 0;
@@ -74,7 +69,7 @@
             return;
         }
         if started_ms != 0 && known_start_ms != 0 && started_ms > known_start_ms {
-            self.process_ended(key, now);
+            self.process_ended(key, EndEvidence::Listing, now);
             let worker = &mut self.workers[key];
             let report = worker.report.clone();
             worker.begin_incarnation(report, now);
@@ -188,6 +183,7 @@
         };
         let mut run = PlacedRun::new(Phase::Confirmed(Run::adopted(info, now)));
         run.progress.percent_changed_at = now;
+        run.is_listed = true;
         let run = self.runs.insert(run, &mut self.workers[worker]);
         let has_ended = self
             .job_table
@@ -214,6 +210,7 @@
             return;
         };
         run.confirm(now);
+        run.is_listed = true;
         if run.progress.percent != listed_run.percent {
             run.progress.percent = listed_run.percent;
             run.progress.percent_changed_at = now;
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -12,12 +12,17 @@
 /// it. A new leader plans no stops before that, so that its stops and those of the former leader
 /// together do not exceed the limits.
 pub(super) const STOP_LISTED_MS: u64 = 1_100;
+/// Time after the end of a worker's process for which a former leader may still start tasks on its next
+/// incarnation: the age of the last answer with which it starts anything, an order, and a poll of ours.
+const NEXT_INCARNATION_WAIT_MS: u64 = 1_000;
 
 /// State of the recovery after a change of the leader.
 #[derive(Debug)]
 pub(super) struct Recovery {
     /// Workers that may still have unknown runs of the former leader.
     awaited: FastSet<WorkerKey>,
+    /// Awaited workers whose process has ended, and until when their next incarnation is awaited.
+    ended: FastMap<WorkerKey, Millis>,
     /// All workers that the former leader stored.
     recorded: FastSet<WorkerKey>,
     /// End of the last lease that such a run can have.
@@ -43,6 +48,7 @@
         self.recovery = Some(Recovery {
             recorded: awaited.clone(),
             awaited,
+            ended: FastMap::default(),
             until: lease_end,
             changed: true,
         });
@@ -66,13 +72,24 @@
             .is_some_and(|recovery| recovery.awaited.contains(&key))
     }
 
-    /// Stops waiting for a worker whose process has ended.
-    pub(super) fn stop_awaiting(&mut self, key: WorkerKey) {
-        if let Some(recovery) = &mut self.recovery {
-            recovery.changed |= recovery.awaited.remove(&key);
+    /// Stops waiting for a worker whose process has ended, once the former leader can no longer start anything
+    /// on its next incarnation. Until then, the first listing of that incarnation decides.
+    pub(super) fn stop_awaiting(&mut self, key: WorkerKey, now: Millis) {
+        let wait_ms = NEXT_INCARNATION_WAIT_MS.min(self.settings.leader_grace_ms);
+        if let Some(recovery) = &mut self.recovery
+            && recovery.awaited.contains(&key)
+        {
+            let until = now.after_ms(wait_ms);
+            recovery.ended.entry(key).or_insert(until);
         }
     }
 
+    /// Whether the recovery waits for the next incarnation of a worker whose process has ended.
+    pub(super) fn awaits_next_incarnation(&self, key: WorkerKey) -> bool {
+        let recovery = self.recovery.as_ref();
+        recovery.is_some_and(|recovery| recovery.ended.contains_key(&key))
+    }
+
     /// Waits for the new process of a recorded worker: a start order of the former leader may have
     /// reached it before it was listed, and it has not seen the new fencing token.
     pub(super) fn await_next_incarnation(&mut self, key: WorkerKey) {
@@ -80,6 +97,7 @@
             && recovery.recorded.contains(&key)
         {
             recovery.awaited.insert(key);
+            recovery.ended.remove(&key);
         }
     }
 
@@ -97,8 +115,13 @@
         let before = recovery.awaited.len();
         recovery.awaited.retain(|key| {
             let worker = workers.get(*key);
-            worker.is_some_and(|worker| !worker.synced || !worker.unknown_runs.is_empty())
+            let is_over = recovery.ended.get(key).is_some_and(|until| *until <= now);
+            !is_over
+                && worker.is_some_and(|worker| !worker.synced || !worker.unknown_runs.is_empty())
         });
+        recovery
+            .ended
+            .retain(|key, _| recovery.awaited.contains(key));
         let changed = std::mem::take(&mut recovery.changed) || recovery.awaited.len() != before;
         if recovery.awaited.is_empty() || now >= recovery.until {
             self.recovery = None;
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -3,6 +3,7 @@
 use super::load::LoadForecast;
 use super::order::{Action, PollOrder, SchedulerEvent, WorkerReport};
 use super::ready::ReadyQueue;
+use super::run::EndEvidence;
 use super::worker::{IncarnationEnd, Worker};
 use super::{
     LEASE_MARGIN_MS, LOW_PRIORITY_BATCH_DELAY_MS, PoolUse, Scheduler, Service,
@@ -47,7 +48,7 @@
         worker.report = report.clone();
         worker.full_capacity = worker.full_capacity.max(report.capacity);
         if other_incarnation {
-            self.end_incarnation(key, end, now);
+            self.end_incarnation(key, end, EndEvidence::Listing, now);
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.begin_incarnation(report.clone(), now);
             }
@@ -176,13 +177,16 @@
             .map(|(key, _)| key)
             .collect();
         for key in expired {
-            self.end_incarnation(key, IncarnationEnd::LeaseExpired, now);
+            let end = IncarnationEnd::LeaseExpired;
+            self.end_incarnation(key, end, EndEvidence::Lease, now);
         }
+        self.drop_unclaimed_runs(now);
         let ended: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| {
+            .filter(|(key, worker)| {
                 !worker.listed
+                    && !self.awaits_next_incarnation(*key)
                     && worker.runs().is_empty()
                     && (worker.synced || worker.lease_end < now)
             })
@@ -251,15 +255,37 @@
         }
     }
 
-    /// Ends all runs of a worker that has refused a connection or an order since its process has ended.
-    pub(super) fn process_ended(&mut self, key: WorkerKey, now: Millis) {
+    /// Applies the answer of an order that found no process or another one. An order that was sent before this
+    /// leader knew of the current incarnation says nothing about it.
+    pub(super) fn order_found_no_process(
+        &mut self,
+        key: WorkerKey,
+        sent_at: Option<Millis>,
+        now: Millis,
+    ) {
+        let since = self.workers.get(key).map(|worker| worker.incarnation_since);
+        if let Some(sent_at) = sent_at.filter(|sent_at| Some(*sent_at) >= since) {
+            self.process_ended(key, EndEvidence::Order { sent_at }, now);
+        }
+    }
+
+    /// Ends the runs of a worker whose process has ended.
+    pub(super) fn process_ended(&mut self, key: WorkerKey, evidence: EndEvidence, now: Millis) {
         if let Some(end) = self.workers.get(key).map(Worker::process_end) {
-            self.end_incarnation(key, end, now);
+            self.end_incarnation(key, end, evidence, now);
         }
     }
 
-    /// Ends all runs of a worker whose process has ended or whose lease has expired.
-    pub(super) fn end_incarnation(&mut self, key: WorkerKey, end: IncarnationEnd, now: Millis) {
+    /// Ends the runs of a worker whose process has ended or whose lease has expired. A run whose start may have
+    /// reached the next incarnation is kept until that incarnation lists its runs, or the lease of the run
+    /// would have ended.
+    pub(super) fn end_incarnation(
+        &mut self,
+        key: WorkerKey,
+        end: IncarnationEnd,
+        evidence: EndEvidence,
+        now: Millis,
+    ) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -277,23 +303,50 @@
         worker.unknown_runs_since = None;
         worker.next_poll_at = now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS);
         for run in worker.runs().to_vec() {
-            // A start in flight may reach the new process; its result decides.
-            let Some(placed) = self.runs.get(run).filter(|run| !run.start_in_flight) else {
+            let Some(placed) = self.runs.get_mut(run) else {
                 continue;
             };
-            let task = placed.info().task;
+            if !placed.has_ended_with(evidence) {
+                placed.is_listed = false;
+                continue;
+            }
             if end == IncarnationEnd::Crashed {
                 self.count_crash(run, now);
             }
-            self.drop_run(run, now);
-            if let Some(task) = self.job_table.tasks.get_mut(task) {
-                task.last_run_lost = true;
-            }
+            self.drop_lost_run(run, now);
         }
-        self.stop_awaiting(key);
+        self.stop_awaiting(key, now);
         self.advice.remove_worker(key);
     }
 
+    fn drop_lost_run(&mut self, run: RunKey, now: Millis) {
+        let task = self.runs.get(run).map(|run| run.info().task);
+        self.drop_run(run, now);
+        if let Some(task) = task.and_then(|task| self.job_table.tasks.get_mut(task)) {
+            task.last_run_lost = true;
+        }
+    }
+
+    /// Drops the runs that were kept for the next incarnation of a worker and whose lease has ended.
+    fn drop_unclaimed_runs(&mut self, now: Millis) {
+        let lease_ms = self.settings.run_lease_ms + LEASE_MARGIN_MS;
+        let unclaimed: Vec<RunKey> = self
+            .workers
+            .values()
+            .filter(|worker| !worker.synced && worker.lease_end < now)
+            .flat_map(Worker::runs)
+            .copied()
+            .filter(|run| {
+                self.runs.get(*run).is_some_and(|run| {
+                    !run.start_in_flight && run.settled_at.after_ms(lease_ms) < now
+                })
+            })
+            .collect();
+        for run in unclaimed {
+            self.drop_lost_run(run, now);
+        }
+    }
+
     /// Resource usage of each pool, for reports.
     pub fn pool_uses(&self) -> impl Iterator<Item = PoolUse> {
         self.services.values().map(|service| {
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -73,6 +73,17 @@
     }
 }
 
+/// What shows that an incarnation of a worker has ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum EndEvidence {
+    /// An order sent at this time found no process, or another one.
+    Order { sent_at: Millis },
+    /// The platform or the next incarnation names another incarnation.
+    Listing,
+    /// Its lease has expired.
+    Lease,
+}
+
 /// Latest progress that a worker reported for a run.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunProgress {
@@ -104,12 +115,20 @@
     pub start_attempts: u32,
     /// Whether a start is in flight.
     pub start_in_flight: bool,
+    /// When the last start was sent.
+    pub start_sent_at: Millis,
+    /// When the last start got its result; until then, when the run was created.
+    pub settled_at: Millis,
+    /// Whether the current incarnation of its worker has listed it.
+    pub is_listed: bool,
     /// Whether a stop is in flight.
     pub stop_in_flight: bool,
     /// Why it is stopped; `None` while it is not.
     pub stop_reason: Option<StopReason>,
     /// Number of times that the stop was sent.
     pub stop_attempts: u32,
+    /// When the last stop was sent.
+    pub stop_sent_at: Millis,
     /// When the worker accepted the stop.
     pub stop_accepted_at: Option<Millis>,
     /// When the stop is to be sent again.
@@ -118,6 +137,11 @@
 
 impl PlacedRun {
     pub(super) fn new(phase: Phase) -> Self {
+        let since = match &phase {
+            Phase::Sent(run) => run.since,
+            Phase::Confirmed(run) => run.since,
+            Phase::Stopping(run) => run.since,
+        };
         Self {
             phase,
             progress: RunProgress::default(),
@@ -125,9 +149,13 @@
             is_answered: false,
             start_attempts: 0,
             start_in_flight: false,
+            start_sent_at: since,
+            settled_at: since,
+            is_listed: false,
             stop_in_flight: false,
             stop_reason: None,
             stop_attempts: 0,
+            stop_sent_at: Millis::ZERO,
             stop_accepted_at: None,
             resend_stop_at: Millis::ZERO,
         }
@@ -153,6 +181,18 @@
         matches!(self.phase, Phase::Stopping(_))
     }
 
+    /// Whether it can only be a run of the incarnation that has ended, and not of the next one.
+    pub(super) fn has_ended_with(&self, evidence: EndEvidence) -> bool {
+        if self.start_in_flight {
+            return false;
+        }
+        match evidence {
+            EndEvidence::Lease => true,
+            EndEvidence::Order { sent_at } => self.is_listed || self.settled_at < sent_at,
+            EndEvidence::Listing => self.is_listed,
+        }
+    }
+
     pub(super) fn confirm(&mut self, now: Millis) {
         self.is_answered = true;
         if let Phase::Sent(run) = self.phase {
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -13,14 +13,16 @@
 impl Scheduler {
     /// Applies the result of a start order.
     pub fn started(&mut self, worker: WorkerKey, run: RunKey, result: OrderResult, now: Millis) {
-        match self.runs.get_mut(run) {
-            Some(run) => run.start_in_flight = false,
-            None => return,
-        }
+        let Some(placed) = self.runs.get_mut(run) else {
+            return;
+        };
+        placed.start_in_flight = false;
+        placed.settled_at = now;
+        let sent_at = placed.start_sent_at;
         if result == OrderResult::Unanswered {
             self.record_late_start(worker, run, now);
         }
-        match self.without_former_end(worker, Some(run), result) {
+        match result {
             OrderResult::Accepted { clock_ms } => {
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.update_clock(clock_ms, now);
@@ -30,27 +32,23 @@
                 }
             }
             OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening => {
-                self.process_ended(worker, now);
+                self.order_found_no_process(worker, Some(sent_at), now);
+                self.start_not_carried_out(run, now);
             }
             OrderResult::Refused(refusal) => {
                 self.fenced |= refusal == Refusal::Fenced;
                 self.pause_worker(worker, refusal, now);
-                if self.has_unanswered_start(run) {
-                    self.stop_run(run, StopReason::StartUnanswered, now);
-                    return;
-                }
                 let task = self.runs.get(run).map(|run| run.info().task);
-                if let (Refusal::Ticket, Some(step)) =
-                    (refusal, task.and_then(|task| self.job_table.step_key(task)))
-                {
+                if let (false, Refusal::Ticket, Some(step)) = (
+                    self.has_unanswered_start(run),
+                    refusal,
+                    task.and_then(|task| self.job_table.step_key(task)),
+                ) {
                     self.advice.expire_ticket(step, worker);
                 }
-                self.drop_run(run, now);
+                self.start_not_carried_out(run, now);
             }
-            OrderResult::NotSent if self.has_unanswered_start(run) => {
-                self.stop_run(run, StopReason::StartUnanswered, now)
-            }
-            OrderResult::NotSent => self.drop_run(run, now),
+            OrderResult::NotSent => self.start_not_carried_out(run, now),
             OrderResult::Unanswered if self.resend_start(worker, run, now) => {}
             OrderResult::Unanswered => {
                 if let Some(worker) = self.workers.get_mut(worker) {
@@ -61,35 +59,20 @@
         }
     }
 
-    /// The result of an order, without the end of an incarnation that had ended before: an order that was sent
-    /// before this leader knew of the current incarnation says nothing about it, and neither does the stop of
-    /// a run that is gone.
-    fn without_former_end(
-        &self,
-        worker: WorkerKey,
-        run: Option<RunKey>,
-        result: OrderResult,
-    ) -> OrderResult {
-        let since = self
-            .workers
-            .get(worker)
-            .map(|worker| worker.incarnation_since);
-        let sent_at = run.and_then(|run| Some(self.runs.get(run)?.info().sent_at));
-        match result {
-            OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening
-                if sent_at < since =>
-            {
-                OrderResult::NotSent
-            }
-            _ => result,
-        }
-    }
-
     /// Whether an earlier start of the run was not answered, so that it may still take effect.
     fn has_unanswered_start(&self, run: RunKey) -> bool {
         self.runs.get(run).is_some_and(|run| run.start_attempts > 1)
     }
 
+    /// Drops a run whose last start had no effect, unless an earlier one may still take effect.
+    fn start_not_carried_out(&mut self, run: RunKey, now: Millis) {
+        if self.has_unanswered_start(run) {
+            self.stop_run(run, StopReason::StartUnanswered, now);
+        } else {
+            self.drop_run(run, now);
+        }
+    }
+
     fn resend_start(&mut self, worker: WorkerKey, run: RunKey, now: Millis) -> bool {
         let is_responsive = self
             .workers
@@ -110,9 +93,11 @@
         result: OrderResult,
         now: Millis,
     ) {
-        let result = self.without_former_end(worker, run, result);
         self.fenced |= result == OrderResult::Refused(Refusal::Fenced);
+        // The stop of a run that is gone says nothing about the current incarnation.
+        let mut sent_at = None;
         if let Some(run) = run.and_then(|run| self.runs.get_mut(run)) {
+            sent_at = Some(run.stop_sent_at);
             run.stop_in_flight = false;
             run.resend_stop_at = now.after_ms(STOP_RESEND_DELAY_MS);
             if let OrderResult::Accepted { .. } = result {
@@ -128,7 +113,7 @@
         if let OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening = result
         {
             // Keeps runs whose start is in flight; their stop is sent again.
-            self.process_ended(worker, now);
+            self.order_found_no_process(worker, sent_at, now);
         }
     }
 
@@ -153,7 +138,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in due {
-            self.send_stop(key);
+            self.send_stop(key, now);
         }
     }
 
@@ -165,10 +150,10 @@
             return;
         }
         run.stop(reason, now);
-        self.send_stop(key);
+        self.send_stop(key, now);
     }
 
-    pub(super) fn send_stop(&mut self, key: RunKey) {
+    pub(super) fn send_stop(&mut self, key: RunKey, now: Millis) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
@@ -177,6 +162,7 @@
             return;
         };
         run.stop_in_flight = true;
+        run.stop_sent_at = now;
         run.stop_attempts += 1;
         let cause = StopCause {
             reason,
--- a/crates/domain/src/schedule/start.rs
+++ b/crates/domain/src/schedule/start.rs
@@ -58,6 +58,7 @@
         };
         run.start_attempts += 1;
         run.start_in_flight = true;
+        run.start_sent_at = now;
         self.actions.push(Action::Start(run.info().worker, order));
         true
     }
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -221,7 +221,7 @@
         *self = Self {
             listed,
             service,
-            // Only runs whose start is in flight are left.
+            // Only runs that may have reached this incarnation are left.
             bookings: std::mem::take(&mut self.bookings),
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
--- a/crates/domain/tests/takeovers.rs
+++ b/crates/domain/tests/takeovers.rs
@@ -24,6 +24,12 @@
 /// 7555).
 const RESTART_REGRESSION_SEEDS: [u64; 6] = [1170, 5775, 138, 228, 7010, 7555];
 
+/// Regression seeds with restarts that are listed late. The end of the former incarnation ended a run that the
+/// next one had accepted and answered: found by an order sent earlier (720), or shown by the list (970). A new
+/// leader did not wait for the next incarnation, which took a start of the former leader (2939). The causes of
+/// 3605, 3888 and 3891 were not traced one by one.
+const LATE_LISTING_REGRESSION_SEEDS: [u64; 6] = [720, 970, 2939, 3605, 3888, 3891];
+
 /// Guards against concurrent runs of a task, runs after an acknowledged end, steps out of order, workers
 /// over their capacity, attempts beyond the limit, and jobs that are lost or wrongly marked as failed.
 #[test]
@@ -64,7 +70,7 @@
     play(
         "restarts_listed_late_keep_the_invariants",
         Conditions::RESTARTS_LISTED_LATE,
-        &[],
+        &LATE_LISTING_REGRESSION_SEEDS,
     );
 }
 
