--- a/crates/daemon/src/jobs/config.rs
+++ b/crates/daemon/src/jobs/config.rs
@@ -66,9 +66,9 @@
     /// Idle time after which an instance that its pool does not need returns to the spare pool.
     #[serde(default = "default_instance_idle_ms")]
     pub instance_idle_ms: u64,
-    /// Time for which the growth of a service's demand is taken to continue when its pool is sized.
-    #[serde(default = "default_demand_horizon_ms")]
-    pub demand_horizon_ms: u64,
+    /// Whether the growth of a service's demand is expected to continue only while there are instances for it.
+    #[serde(default)]
+    pub forecast_yields: bool,
     /// Time between SIGTERM and SIGKILL.
     pub stop_ms: u64,
     /// Format of log lines.
@@ -84,10 +84,6 @@
     PoolPolicy::default().instance_idle_ms
 }
 
-fn default_demand_horizon_ms() -> u64 {
-    PoolPolicy::default().demand_horizon_ms
-}
-
 const fn default_link_mbps() -> f64 {
     1_000.0
 }
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -268,7 +268,7 @@
             status_kept_ms: settings.status_kept_ms,
             pools: PoolPolicy {
                 instance_idle_ms: settings.instance_idle_ms,
-                demand_horizon_ms: settings.demand_horizon_ms,
+                forecast_yields: settings.forecast_yields,
             },
             platform: PLATFORM,
             has_ample_resources: settings.processor_share >= AMPLE_PROCESSOR_SHARE
