Divide services among workspaces by weight, and refuse floods by backlog

Cause: the order of work did not know workspaces.

Change: a token bucket for each workspace marks jobs beyond its rate, which rank last. Shares follow from progressive filling over the dominant resource, with demand summed every 50 ms, and steps of workspaces above their share come after those of the others in the same urgency, also when the share is exceeded within a pass. One worker of a service is held for a task that would otherwise find no room. The published pressure has the backlogs of up to 64 workspaces at their guaranteed shares.

--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -5,11 +5,13 @@
 //! must be stored before the end of a run is acknowledged.
 
 mod advice;
+mod backlog;
 mod choice;
 mod configuration;
 mod crashes;
 pub mod failure;
 mod fleet;
+mod hold;
 mod job_table;
 mod late_starts;
 mod load;
@@ -21,6 +23,7 @@
 pub mod pressure;
 mod quota;
 mod rank;
+mod rate;
 mod ready;
 mod recovery;
 mod retention;
@@ -28,6 +31,8 @@
 mod run;
 mod run_table;
 mod runs;
+mod share;
+pub mod share_status;
 mod start;
 pub mod stop_reason;
 mod unknown_runs;
@@ -52,6 +57,7 @@
 use recovery::Recovery;
 use retention::Retention;
 use run_table::RunTable;
+use share::Shares;
 use stop_reason::StopReason;
 use worker::Worker;
 use workspace_table::WorkspaceTable;
@@ -175,6 +181,7 @@
     services: SlotMap<ServiceKey, Service>,
     services_by_name: FastMap<Arc<str>, ServiceKey>,
     workspaces: WorkspaceTable,
+    shares: Shares,
     fleet: Fleet,
     advice: Advice,
     recovery: Option<Recovery>,
@@ -214,6 +221,7 @@
             services: SlotMap::with_key(),
             services_by_name: FastMap::default(),
             workspaces: WorkspaceTable::default(),
+            shares: Shares::default(),
             fleet: Fleet::default(),
             advice: Advice::default(),
             recovery: None,
@@ -236,7 +244,7 @@
 
     /// Adds a job that was read from the store at the start of the term.
     pub fn restore(&mut self, stored: StoredJob, now: Millis, wall: Millis) {
-        let received = received_at(&stored.record, now, wall);
+        let received = job_table::received_at(&stored.record, now, wall);
         let owner = self.owner_of(&stored.record);
         let Some(key) =
             self.job_table
@@ -244,6 +252,7 @@
         else {
             return;
         };
+        self.check_rate(key, now, wall);
         let restored = stored.acceptance == Acceptance::BeforeTerm;
         let is_final = stored.progress.as_ref().is_some_and(|p| p.state.is_final());
         if !is_final && self.job_table.jobs[key].record.spec.repeat.is_none() {
@@ -273,7 +282,7 @@
         if self.retention.was_removed(&id) {
             return;
         }
-        let received = received_at(&record, now, wall);
+        let received = job_table::received_at(&record, now, wall);
         let repeated = record.spec.repeat.is_some();
         let owner = self.owner_of(&record);
         let Some(key) = self
@@ -282,6 +291,7 @@
         else {
             return;
         };
+        self.check_rate(key, now, wall);
         let cancelled_by = self.retention.claim_cancellation(&id);
         if cancelled_by
             .is_some_and(|caller| caller.may_access_job(&self.job_table.jobs[key].record))
@@ -485,9 +495,3 @@
         self.batches.request(at);
     }
 }
-
-/// Converts the wall-clock time at which a job was received to this process's clock.
-fn received_at(record: &JobRecord, now: Millis, wall: Millis) -> Millis {
-    let age_ms = wall.ms_since(Millis::from_ms(record.received_wall_ms));
-    Millis::from_ms(now.as_ms().saturating_sub(age_ms))
-}
--- a/crates/domain/src/schedule/advice.rs
+++ b/crates/domain/src/schedule/advice.rs
@@ -7,6 +7,7 @@
 use super::Scheduler;
 use super::choice::{is_outside_affinity_rack, packing_cost_ppm};
 use super::order::{Action, AdviceOrder, AdviceResult, StepKey};
+use super::share::ShareLimits;
 use crate::job::AdvicePolicy;
 use crate::prelude::*;
 
@@ -135,17 +136,16 @@
     fn advised_steps(&self, now: Millis) -> Vec<StepKey> {
         let capacity = self.largest_capacity();
         let view = self.view(now);
-        let steps = self
-            .services
-            .values()
-            .flat_map(|service| service.ready.steps());
-        let mut ranked: Vec<_> = steps
-            .filter(|(step, _)| {
+        let uncontended = ShareLimits::default();
+        let mut ranked = Vec::new();
+        for (key, service) in &self.services {
+            let limits = self.shares.limits.get(key).unwrap_or(&uncontended);
+            let advised = service.ready.steps().filter(|(step, _)| {
                 let job = self.job_table.jobs.get(step.job);
                 job.is_some_and(|job| job.policy.advice.is_some())
-            })
-            .filter_map(|(step, _)| view.rank(step, capacity))
-            .collect();
+            });
+            ranked.extend(advised.filter_map(|(step, _)| view.rank(step, limits, capacity)));
+        }
         ranked.sort_unstable();
         ranked.into_iter().map(|rank| rank.step()).collect()
     }
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -74,6 +74,8 @@
     pub service: ServiceKey,
     /// Workspace that it belongs to.
     pub workspace: Option<WorkspaceKey>,
+    /// Whether its workspace had submitted more than its rate allows.
+    pub is_excess: bool,
     pub state: JobState,
     /// State as last stored.
     pub written_state: JobState,
@@ -166,6 +168,7 @@
             unfinished_by_step: vec![0; record.spec.steps.len()],
             service: owner.service,
             workspace: owner.workspace,
+            is_excess: false,
             record,
             state: JobState::Queued,
             written_state: JobState::Queued,
@@ -434,6 +437,12 @@
     }
 }
 
+/// Converts the wall-clock time at which a job was received to this process's clock.
+pub(super) fn received_at(record: &JobRecord, now: Millis, wall: Millis) -> Millis {
+    let age_ms = wall.ms_since(Millis::from_ms(record.received_wall_ms));
+    Millis::from_ms(now.as_ms().saturating_sub(age_ms))
+}
+
 /// Declared work of the given numbers of tasks of steps, in milliseconds of a whole worker.
 pub(super) fn work_ms<'a>(
     steps: impl Iterator<Item = (&'a StepSpec, u64)>,
--- a/crates/domain/src/schedule/late_starts.rs
+++ b/crates/domain/src/schedule/late_starts.rs
@@ -66,6 +66,7 @@
             }
             let info = RunInfo {
                 worker: key,
+                finite_in: self.finite_in(info.task, key),
                 sent_at: now,
                 ..info
             };
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -183,6 +183,7 @@
             worker,
             need: step.map(|step| step.need()).unwrap_or_default(),
             workspace: self.job_table.workspace_of(task),
+            finite_in: self.finite_in(task, worker),
             fills: step.is_some_and(|step| step.fills),
             sent_at: now,
         };
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -1,7 +1,13 @@
 //! Placement: selects a worker for each ready task.
 
+use std::collections::VecDeque;
+use std::iter::Peekable;
+use std::vec;
+
 use super::job_table::{Task, TaskStatus};
+use super::order::StepKey;
 use super::rank::Rank;
+use super::share::ShareLimits;
 use super::view::PlacementView;
 use super::worker::Worker;
 use super::{RUN_NUMBERS_PER_TERM, Scheduler};
@@ -35,6 +41,36 @@
     }
 }
 
+/// Steps of a placement pass in the order of their ranks. A step whose workspace exceeds its share during
+/// the pass is put off behind those of the others. Steps are put off in ascending order, so two sorted
+/// sequences are merged and nothing is sorted again.
+#[derive(Debug)]
+struct PassOrder {
+    ranked: Peekable<vec::IntoIter<Rank>>,
+    postponed: VecDeque<Rank>,
+}
+
+impl PassOrder {
+    fn new(ranked: Vec<Rank>) -> Self {
+        Self {
+            ranked: ranked.into_iter().peekable(),
+            postponed: VecDeque::new(),
+        }
+    }
+
+    fn next(&mut self) -> Option<Rank> {
+        match (self.ranked.peek(), self.postponed.front()) {
+            (Some(ranked), Some(postponed)) if postponed < ranked => self.postponed.pop_front(),
+            (Some(_), _) => self.ranked.next(),
+            (None, _) => self.postponed.pop_front(),
+        }
+    }
+
+    fn postpone(&mut self, rank: Rank) {
+        self.postponed.push_back(rank);
+    }
+}
+
 impl Scheduler {
     /// What placement decisions may see.
     pub(super) const fn view(&self, now: Millis) -> PlacementView<'_> {
@@ -87,32 +123,62 @@
             free_max: self.largest_free(service, now),
             unplaceable: None,
         };
-        for rank in self.ranked_steps(service, &bounds, capacity, now) {
+        let limits = self.take_share_limits(service, now);
+        self.update_hold(service, &limits, now);
+        let ranked = self.ranked_steps(service, &bounds, &limits, capacity, now);
+        let mut order = PassOrder::new(ranked);
+        while let Some(rank) = order.next() {
             let step = rank.step();
             let Some(need) = self
                 .view(now)
                 .step_need(step)
-                .filter(|need| bounds.may_fit(*need))
+                .filter(|need| bounds.may_fit(*need) || self.shares.held.is_for(service, step))
             else {
                 continue;
             };
+            if rank.is_below_share() && self.is_above_share_of(step, service, &limits, now) {
+                order.postpone(rank.above_share());
+                continue;
+            }
             let tasks = self.services[service].ready.take(step);
-            let waiting = self.place_step(tasks, service, need, &mut bounds, now);
+            let checked = rank.is_below_share().then_some(&limits);
+            let (waiting, is_postponed) =
+                self.place_step(tasks, service, (need, checked), &mut bounds, now);
             self.services[service].ready.put_back(step, waiting);
+            if is_postponed {
+                order.postpone(rank.above_share());
+            }
         }
+        self.shares.limits.insert(service, limits);
+    }
+
+    fn is_above_share_of(
+        &self,
+        step: StepKey,
+        service: ServiceKey,
+        limits: &ShareLimits,
+        now: Millis,
+    ) -> bool {
+        let job = self.job_table.jobs.get(step.job);
+        job.is_some_and(|job| {
+            self.view(now)
+                .is_above_share(limits, service, job.workspace)
+        })
     }
 
-    /// Places the tasks of a step and returns those that keep waiting.
+    /// Places the tasks of a step. Returns those that keep waiting, and whether any of them waits only
+    /// because its workspace is now above its share.
     fn place_step(
         &mut self,
         tasks: Vec<TaskKey>,
         service: ServiceKey,
-        need: Resources,
+        (need, limits): (Resources, Option<&ShareLimits>),
         bounds: &mut RoomBounds,
         now: Millis,
-    ) -> Vec<TaskKey> {
+    ) -> (Vec<TaskKey>, bool) {
         let mut waiting = Vec::new();
         let mut fits = true;
+        let mut is_postponed = false;
         for key in tasks {
             let Some(task) = self.job_table.tasks.get(key) else {
                 continue;
@@ -132,6 +198,15 @@
                 continue;
             }
             let is_isolated = task.is_isolated();
+            is_postponed |= limits.is_some_and(|limits| {
+                self.job_table
+                    .step_key(key)
+                    .is_some_and(|step| self.is_above_share_of(step, service, limits, now))
+            });
+            if is_postponed {
+                waiting.push(key);
+                continue;
+            }
             if !self.view(now).has_quota(key, Resources::default()) {
                 fits = false;
                 waiting.push(key);
@@ -145,7 +220,7 @@
                 }
             }
         }
-        waiting
+        (waiting, is_postponed)
     }
 
     /// Steps of a service with ready tasks that may fit on a worker, sorted by rank.
@@ -153,6 +228,7 @@
         &self,
         service: ServiceKey,
         bounds: &RoomBounds,
+        limits: &ShareLimits,
         capacity: Resources,
         now: Millis,
     ) -> Vec<Rank> {
@@ -164,7 +240,7 @@
                 view.step_need(*step)
                     .is_some_and(|need| bounds.may_fit(need))
             })
-            .filter_map(|(step, _)| view.rank(step, capacity))
+            .filter_map(|(step, _)| view.rank(step, limits, capacity))
             .collect();
         ranked.sort_unstable();
         ranked
@@ -203,7 +279,8 @@
         if self.job_table.step_of(key).is_some_and(|step| step.gang) {
             return self.place_gang(key, service, now);
         }
-        let Some(worker) = self.view(now).best_worker(key, service, &[]) else {
+        let held = self.held_room(key, service);
+        let Some(worker) = self.view(now).best_worker(key, service, &held) else {
             return false;
         };
         let number = self.next_run_number(key);
@@ -224,7 +301,8 @@
         {
             return false;
         }
-        let mut planned: Vec<(WorkerKey, Resources)> = Vec::new();
+        let mut planned = self.held_room(key, service);
+        let held_count = planned.len();
         for member in &members {
             let Some(worker) = self.view(now).best_worker(*member, service, &planned) else {
                 return false;
@@ -246,7 +324,10 @@
             .filter_map(|member| self.job_table.tasks.get(*member))
             .max_by_key(|task| (task.last_run_number, !task.checkpoint.is_empty()))
             .map(|task| Arc::clone(&task.checkpoint));
-        for (member, (worker, _)) in members.into_iter().zip(planned) {
+        for (member, (worker, _)) in members
+            .into_iter()
+            .zip(planned.into_iter().skip(held_count))
+        {
             if let (Some(task), Some(checkpoint)) =
                 (self.job_table.tasks.get_mut(member), &checkpoint)
             {
--- a/crates/domain/src/schedule/pressure.rs
+++ b/crates/domain/src/schedule/pressure.rs
@@ -7,18 +7,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Scheduler;
 use super::job_table::{USEFUL_LATENCY_FACTOR, work_ms};
 use crate::job::{JobRecord, JobSpec};
 use crate::placement::Resources;
 use crate::prelude::*;
 
-/// Number of job sizes for which the wait of a service is published.
-const SIZES: usize = 8;
-/// Waiting steps of a service up to which it is under no pressure.
-const WAITING_STEPS_MIN: usize = 32;
-/// Share of a pool that tasks can use, in percent.
-const USABLE_PERCENT: u64 = 85;
 /// Shortest and longest time after which a refused caller is asked to return.
 const RETRY_AFTER_MIN_MS: u64 = 1_000;
 const RETRY_AFTER_MAX_MS: u64 = 8_000;
@@ -43,8 +36,29 @@
     pub service: Arc<str>,
     /// Capacity of the largest worker, the unit of work.
     pub worker: Resources,
-    /// Expected waits, by ascending size.
+    /// Expected waits behind the jobs within the rates of their workspaces, by ascending size.
     pub waits: Vec<SizeWait>,
+    /// Time in which all jobs that wait and are still useful are done.
+    #[serde(default)]
+    pub total_wait_ms: u64,
+    /// Workspaces with waiting or running finite work, those with the largest backlogs; empty from a leader
+    /// without shares.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workspaces: Vec<WorkspacePressure>,
+}
+
+/// Backlog of a workspace on a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WorkspacePressure {
+    /// The workspace.
+    pub workspace: Arc<str>,
+    /// Time in which its guaranteed share works off its useful jobs within its rate.
+    pub wait_ms: u64,
+    /// Time in which its guaranteed share works off all its useful jobs.
+    pub total_wait_ms: u64,
+    /// Whether its next job exceeds its rate.
+    pub is_beyond_rate: bool,
 }
 
 /// Pressure on the services that have more waiting work than they can start soon.
@@ -66,9 +80,75 @@
         retry_after_ms: u64,
         /// Expected time until the job could end.
         expected_ms: u64,
+        /// What it would wait for.
+        cause: RefusalCause,
     },
 }
 
+/// What a refused job would wait for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// The waiting work of all callers.
+    Overload,
+    /// The waiting work of its own workspace.
+    Backlog,
+    /// All waiting work, because its workspace exceeds its rate.
+    Rate,
+}
+
+/// Expected wait of a job.
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    on_time_ms: u64,
+    useful_ms: u64,
+    cause: RefusalCause,
+    /// Time that the backlog of the job's workspace takes, where that exceeds its rate.
+    backlog_ms: u64,
+}
+
+impl ServicePressure {
+    /// Expected wait of a job of this size; `None` if nothing comes before it.
+    fn wait_of(&self, work_ms: u64, workspace: Option<&Arc<str>>) -> Option<Wait> {
+        let sizes = self.waits.iter().rev();
+        let overload = sizes
+            .skip_while(|size| size.work_ms > work_ms)
+            .map(|size| Wait {
+                on_time_ms: size.on_time_wait_ms,
+                useful_ms: size.wait_ms,
+                cause: RefusalCause::Overload,
+                backlog_ms: 0,
+            })
+            .next();
+        let Some(workspace) = workspace.filter(|_| !self.workspaces.is_empty()) else {
+            return overload;
+        };
+        // A workspace that is not listed has no backlog, or a smaller one than those listed.
+        let own = self
+            .workspaces
+            .iter()
+            .find(|own| own.workspace == *workspace)?;
+        if own.is_beyond_rate {
+            return Some(Wait {
+                on_time_ms: self.total_wait_ms,
+                useful_ms: self.total_wait_ms,
+                cause: RefusalCause::Rate,
+                backlog_ms: own.total_wait_ms,
+            });
+        }
+        // Its share is guaranteed, so it waits no longer than for its own backlog.
+        let overload = overload?;
+        if own.wait_ms >= overload.useful_ms {
+            return Some(overload);
+        }
+        Some(Wait {
+            on_time_ms: overload.on_time_ms.min(own.wait_ms),
+            useful_ms: own.wait_ms,
+            cause: RefusalCause::Backlog,
+            backlog_ms: own.wait_ms,
+        })
+    }
+}
+
 impl Pressure {
     /// Decides about a new job. Only work that ends is refused: a long-running job or a later occurrence
     /// is worth as much after the overload.
@@ -84,25 +164,23 @@
             return Admission::Accept;
         };
         let work = spec_work_ms(spec, pressure.worker);
-        let smaller = pressure
-            .waits
-            .iter()
-            .rev()
-            .find(|size| size.work_ms <= work);
-        let Some(smaller) = smaller else {
+        let Some(wait) = pressure.wait_of(work, record.workspace_name()) else {
             return Admission::Accept;
         };
         let path_ms = spec.critical_path_ms();
         let objective_ms = record.objective_ms();
         let useful_ms = objective_ms * USEFUL_LATENCY_FACTOR;
-        let expected_ms = smaller.wait_ms + path_ms;
-        if smaller.on_time_wait_ms + path_ms <= objective_ms || expected_ms <= useful_ms {
+        let expected_ms = wait.useful_ms + path_ms;
+        if wait.on_time_ms + path_ms <= objective_ms || expected_ms <= useful_ms {
             return Admission::Accept;
         }
-        let excess_ms = (expected_ms - useful_ms).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+        let excess_ms = (expected_ms - useful_ms)
+            .max(wait.backlog_ms)
+            .clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
         Admission::Refuse {
             retry_after_ms: excess_ms + spread_ms(id, excess_ms / 2),
             expected_ms,
+            cause: wait.cause,
         }
     }
 }
@@ -119,64 +197,3 @@
     let steps = spec.steps.iter();
     work_ms(steps.map(|step| (step, u64::from(step.count))), worker)
 }
-
-impl Scheduler {
-    /// The current pressure on all services.
-    #[must_use]
-    pub fn pressure(&self, now: Millis) -> Pressure {
-        let worker = self.largest_capacity();
-        let under_pressure = self
-            .services
-            .iter()
-            .filter(|(_, service)| service.ready.step_count() >= WAITING_STEPS_MIN);
-        let services = under_pressure.map(|(key, service)| ServicePressure {
-            service: Arc::clone(&service.name),
-            worker,
-            waits: self.waits(key, worker, now),
-        });
-        Pressure {
-            services: services.collect(),
-        }
-    }
-
-    fn waits(&self, service: ServiceKey, worker: Resources, now: Millis) -> Vec<SizeWait> {
-        let workers_milli = self.workers_for_finite_tasks_milli(service, worker).max(1);
-        let mut jobs: FastMap<JobKey, bool> = FastMap::default();
-        for (step, _) in self.services[service].ready.steps() {
-            let Some(job) = self.job_table.jobs.get(step.job) else {
-                continue;
-            };
-            if !job.long_running() && job.is_useful(now) {
-                *jobs.entry(step.job).or_default() |= self.view(now).is_on_time(step);
-            }
-        }
-        let mut sizes: Vec<(u64, bool)> = jobs
-            .into_iter()
-            .map(|(job, on_time)| (self.job_table.remaining_work(job, worker), on_time))
-            .collect();
-        sizes.sort_unstable();
-        let interval = sizes.len().div_ceil(SIZES).max(1);
-        let (mut on_time_ms, mut all_ms) = (0, 0);
-        let mut waits = Vec::with_capacity(SIZES);
-        for (index, (size, on_time)) in sizes.iter().enumerate() {
-            all_ms += size;
-            on_time_ms += if *on_time { *size } else { 0 };
-            if (index + 1) % interval == 0 || index + 1 == sizes.len() {
-                waits.push(SizeWait {
-                    work_ms: *size,
-                    on_time_wait_ms: on_time_ms * 1_000 / workers_milli,
-                    wait_ms: all_ms * 1_000 / workers_milli,
-                });
-            }
-        }
-        waits
-    }
-
-    /// Workers that the service can use for finite tasks once it has all instances that the other
-    /// services do not need, in thousandths.
-    fn workers_for_finite_tasks_milli(&self, service: ServiceKey, worker: Resources) -> u64 {
-        let usable = self.reachable_workers(service) as u64 * 10 * USABLE_PERCENT;
-        let long_running = self.long_running_demand(service).dominant_share_ppm(worker) / 1_000;
-        usable.saturating_sub(long_running)
-    }
-}
--- a/crates/domain/src/schedule/rank.rs
+++ b/crates/domain/src/schedule/rank.rs
@@ -2,6 +2,8 @@
 
 use super::job_table::{Job, USEFUL_LATENCY_FACTOR};
 use super::order::StepKey;
+use super::share::ShareLimits;
+use super::share_status::WaitingBands;
 use super::view::PlacementView;
 use crate::placement::Resources;
 use crate::prelude::*;
@@ -27,7 +29,11 @@
 /// completes those already started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
+    /// Submitted beyond the rate of its workspace; takes the room that all others leave.
+    is_excess: bool,
     urgency: Urgency,
+    /// Its workspace is above its share; not set for long-running, overdue and excess jobs.
+    is_above_share: bool,
     work_left: u64,
     received_at: Millis,
     job: JobKey,
@@ -43,20 +49,61 @@
             step: self.step,
         }
     }
+
+    /// Whether the step yields to other workspaces once its own is above its share.
+    pub(super) const fn is_shared(&self) -> bool {
+        !self.is_excess && matches!(self.urgency, Urgency::OnTime | Urgency::Late)
+    }
+
+    /// Whether the step must be put off once its workspace is above its share.
+    pub(super) const fn is_below_share(&self) -> bool {
+        self.is_shared() && !self.is_above_share
+    }
+
+    /// Rank of the step once its workspace is above its share.
+    pub(super) const fn above_share(self) -> Self {
+        Self {
+            is_above_share: true,
+            ..self
+        }
+    }
 }
 
 impl PlacementView<'_> {
     /// Rank of a step; `None` if its job is gone.
-    pub(super) fn rank(&self, step: StepKey, capacity: Resources) -> Option<Rank> {
+    pub(super) fn rank(
+        &self,
+        step: StepKey,
+        limits: &ShareLimits,
+        capacity: Resources,
+    ) -> Option<Rank> {
         let job = self.job_table.jobs.get(step.job)?;
-        Some(Rank {
+        let rank = Rank {
+            is_excess: job.is_excess,
             urgency: urgency(step.step, job, self.now),
+            is_above_share: false,
             work_left: self.job_table.remaining_work(step.job, capacity),
             received_at: job.received_at,
             job: step.job,
             occurrence: step.occurrence,
             step: step.step,
-        })
+        };
+        let is_above = rank.is_shared() && limits.was_exceeded(job.workspace);
+        Some(if is_above { rank.above_share() } else { rank })
+    }
+
+    /// Adds waiting tasks of a step to the band that they wait in. Long-running tasks are in none.
+    pub(super) fn count_waiting(&self, step: StepKey, tasks: usize, bands: &mut WaitingBands) {
+        let Some(job) = self.job_table.jobs.get(step.job) else {
+            return;
+        };
+        match urgency(step.step, job, self.now) {
+            Urgency::LongRunning => {}
+            _ if job.is_excess => bands.excess += tasks,
+            Urgency::OnTime => bands.on_time += tasks,
+            Urgency::Late => bands.late += tasks,
+            Urgency::Overdue => bands.overdue += tasks,
+        }
     }
 
     /// Whether the job can still meet its objective if the step starts now.
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -320,6 +320,14 @@
         })
     }
 
+    /// Service of the worker, if the task ends by itself.
+    pub(super) fn finite_in(&self, task: TaskKey, worker: WorkerKey) -> Option<ServiceKey> {
+        let worker = self.workers.get(worker)?;
+        worker
+            .service
+            .filter(|_| !self.job_table.is_long_running(task))
+    }
+
     pub(super) fn service_of(&self, task: TaskKey) -> Option<ServiceKey> {
         let task = self.job_table.tasks.get(task)?;
         Some(self.job_table.jobs.get(task.job)?.service)
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -25,6 +25,8 @@
     pub need: Resources,
     /// Workspace of its job.
     pub workspace: Option<WorkspaceKey>,
+    /// Service of its worker, if its task ends by itself.
+    pub finite_in: Option<ServiceKey>,
     pub fills: bool,
     pub sent_at: Millis,
 }
--- a/crates/domain/src/schedule/run_table.rs
+++ b/crates/domain/src/schedule/run_table.rs
@@ -34,6 +34,8 @@
 pub(super) struct RunTable {
     runs: SlotMap<RunKey, PlacedRun>,
     used: SecondaryMap<WorkspaceKey, Resources>,
+    /// Use by finite tasks, by the service of the worker and the workspace.
+    finite_use: SecondaryMap<ServiceKey, FastMap<Option<WorkspaceKey>, Resources>>,
 }
 
 impl RunTable {
@@ -44,6 +46,10 @@
             let used = self.used_by(workspace).plus(need);
             self.used.insert(workspace, used);
         }
+        if let Some(service) = run.info().finite_in {
+            let used = self.finite_use(service, run.info().workspace).plus(need);
+            self.set_finite_use(service, run.info().workspace, used);
+        }
         let key = self.runs.insert(run);
         worker.bookings.runs.push(key);
         worker.bookings.used = worker.bookings.used.plus(need);
@@ -61,6 +67,10 @@
             let used = self.used_by(workspace).minus(run.info().need);
             self.used.insert(workspace, used);
         }
+        if let Some(service) = run.info().finite_in {
+            let used = self.finite_use(service, run.info().workspace);
+            self.set_finite_use(service, run.info().workspace, used.minus(run.info().need));
+        }
         if let Some(worker) = workers.get_mut(run.info().worker) {
             let bookings = &mut worker.bookings;
             bookings.runs.retain(|run| *run != key);
@@ -74,6 +84,44 @@
         self.used.get(workspace).copied().unwrap_or_default()
     }
 
+    /// What the finite tasks of a workspace, or of all jobs without one, use on the workers of a service.
+    pub(super) fn finite_use(
+        &self,
+        service: ServiceKey,
+        workspace: Option<WorkspaceKey>,
+    ) -> Resources {
+        let uses = self.finite_use.get(service);
+        uses.and_then(|uses| uses.get(&workspace))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// What the finite tasks of each workspace use on the workers of a service.
+    pub(super) fn finite_uses(
+        &self,
+        service: ServiceKey,
+    ) -> impl Iterator<Item = (Option<WorkspaceKey>, Resources)> {
+        let uses = self.finite_use.get(service).into_iter().flatten();
+        uses.map(|(workspace, used)| (*workspace, *used))
+    }
+
+    fn set_finite_use(
+        &mut self,
+        service: ServiceKey,
+        workspace: Option<WorkspaceKey>,
+        used: Resources,
+    ) {
+        let Some(uses) = self.finite_use.entry(service) else {
+            return;
+        };
+        let uses = uses.or_default();
+        if used == Resources::default() {
+            uses.remove(&workspace);
+        } else {
+            uses.insert(workspace, used);
+        }
+    }
+
     pub(super) fn get(&self, key: RunKey) -> Option<&PlacedRun> {
         self.runs.get(key)
     }
--- a/crates/domain/src/schedule/start.rs
+++ b/crates/domain/src/schedule/start.rs
@@ -19,6 +19,7 @@
             worker: worker_key,
             need: step.need(),
             workspace: self.job_table.workspace_of(key),
+            finite_in: self.finite_in(key, worker_key),
             fills: step.fills,
             sent_at: now,
         };
--- a/crates/domain/src/schedule/workspace_table.rs
+++ b/crates/domain/src/schedule/workspace_table.rs
@@ -31,6 +31,10 @@
         }
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     pub(super) fn get(&self, key: WorkspaceKey) -> Option<&Workspace> {
         self.entries.get(key)
     }
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -405,7 +405,8 @@
         self.worker_indices.get(&key).copied()
     }
 
-    fn execute(&mut self, action: Action) {
+    /// Carries out an action of the scheduler.
+    pub(crate) fn execute(&mut self, action: Action) {
         match action {
             Action::Connect(key) => {
                 let id = self
