Report shares and refusals by workspace

Cause: an operator could not see why a workspace waits or is refused.

Change: the leader logs a line "shares" each second for each service on which tasks of workspaces wait, and sets gauges by workspace; refusals are counted by cause and workspace, at most 64 workspaces. The leader restores jobs in the order of receipt, on which the rates depend.

--- a/crates/adapters/src/metrics.rs
+++ b/crates/adapters/src/metrics.rs
@@ -48,7 +48,22 @@
         let _ = self.client.gauge(name, value);
     }
 
+    fn count_of(&self, name: &'static str, workspace: &Arc<str>, value: i64) {
+        let _ = self.client.count(&name_of(name, workspace), value);
+    }
+
+    fn gauge_of(&self, name: &'static str, workspace: &Arc<str>, value: u64) {
+        let _ = self.client.gauge(&name_of(name, workspace), value);
+    }
+
     fn time_ms(&self, name: &'static str, value_ms: u64) {
         let _ = self.client.time(name, value_ms);
     }
 }
+
+/// Name of the metric of a workspace, without characters that have a meaning in statsd.
+fn name_of(name: &str, workspace: &str) -> String {
+    let is_plain = |symbol: char| symbol.is_ascii_alphanumeric() || symbol == '-';
+    let workspace = workspace.replace(|symbol| !is_plain(symbol), "_");
+    format!("{name}.{workspace}")
+}
--- a/crates/adapters/src/metrics_registry.rs
+++ b/crates/adapters/src/metrics_registry.rs
@@ -1,6 +1,6 @@
 //! Implements the metrics port in memory; the metrics are exported as text.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 use std::sync::Arc;
 
@@ -19,6 +19,9 @@
 const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
 /// Maximum duration that a histogram records; longer durations are recorded as this value.
 const TIME_MAX_MS: u64 = 600_000;
+/// Workspaces with values of their own; those of all others are added up as `other`.
+const WORKSPACES_MAX: usize = 64;
+const OTHER_WORKSPACES: &str = "other";
 /// Significant digits of a histogram.
 const SIGNIFICANT_DIGITS: u8 = 2;
 /// Name of the counter of dropped log lines.
@@ -31,6 +34,8 @@
     Count(&'static str, i64),
     Gauge(&'static str, u64),
     TimeMs(&'static str, u64),
+    CountOf(&'static str, Arc<str>, i64),
+    GaugeOf(&'static str, Arc<str>, u64),
 }
 
 struct RegistrySink {
@@ -46,6 +51,16 @@
         let _ = self.records.try_send(Record::Gauge(name, value));
     }
 
+    fn count_of(&self, name: &'static str, workspace: &Arc<str>, value: i64) {
+        let record = Record::CountOf(name, Arc::clone(workspace), value);
+        let _ = self.records.try_send(record);
+    }
+
+    fn gauge_of(&self, name: &'static str, workspace: &Arc<str>, value: u64) {
+        let record = Record::GaugeOf(name, Arc::clone(workspace), value);
+        let _ = self.records.try_send(record);
+    }
+
     fn time_ms(&self, name: &'static str, value_ms: u64) {
         let _ = self.records.try_send(Record::TimeMs(name, value_ms));
     }
@@ -70,6 +85,10 @@
     counters: BTreeMap<&'static str, i64>,
     gauges: BTreeMap<&'static str, u64>,
     times_ms: BTreeMap<&'static str, Histogram<u64>>,
+    /// Names of the workspaces that have values of their own.
+    workspaces: BTreeSet<Arc<str>>,
+    workspace_counters: BTreeMap<(&'static str, Arc<str>), i64>,
+    workspace_gauges: BTreeMap<(&'static str, Arc<str>), u64>,
     dropped_lines: DroppedLines,
 }
 
@@ -98,6 +117,14 @@
             Record::Gauge(name, value) => {
                 self.gauges.insert(name, value);
             }
+            Record::CountOf(name, workspace, value) => {
+                let key = (name, self.listed(workspace));
+                *self.workspace_counters.entry(key).or_default() += value;
+            }
+            Record::GaugeOf(name, workspace, value) => {
+                let key = (name, self.listed(workspace));
+                self.workspace_gauges.insert(key, value);
+            }
             Record::TimeMs(name, value_ms) => {
                 if !self.times_ms.contains_key(name)
                     && let Ok(histogram) = Histogram::new_with_max(TIME_MAX_MS, SIGNIFICANT_DIGITS)
@@ -111,6 +138,15 @@
         }
     }
 
+    /// The workspace, or the name under which further ones are added up.
+    fn listed(&mut self, workspace: Arc<str>) -> Arc<str> {
+        if self.workspaces.len() >= WORKSPACES_MAX && !self.workspaces.contains(&workspace) {
+            return OTHER_WORKSPACES.into();
+        }
+        self.workspaces.insert(Arc::clone(&workspace));
+        workspace
+    }
+
     /// Renders one line per value; dots in names are replaced by underscores.
     fn render(&self) -> String {
         let mut text = String::new();
@@ -122,6 +158,12 @@
         for (name, value) in &self.gauges {
             let _ = writeln!(text, "{} {value}", metric_name(name));
         }
+        for ((name, workspace), value) in &self.workspace_counters {
+            let _ = writeln!(text, "{} {value}", workspace_metric(name, workspace));
+        }
+        for ((name, workspace), value) in &self.workspace_gauges {
+            let _ = writeln!(text, "{} {value}", workspace_metric(name, workspace));
+        }
         for (name, histogram) in &self.times_ms {
             let name = metric_name(name);
             for quantile in QUANTILES {
@@ -137,3 +179,8 @@
 fn metric_name(name: &str) -> String {
     format!("rosemaryscale_{}", name.replace('.', "_"))
 }
+
+fn workspace_metric(name: &str, workspace: &str) -> String {
+    // The escapes of the text format are those of Rust's debug format for the characters that matter.
+    format!("{}{{workspace={workspace:?}}}", metric_name(name))
+}
--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinSet;
 
 use self::inputs::DecisionInputs;
-use self::refusal::{refuse_above_quota, refuse_hopeless, unavailable};
+use self::refusal::{PressureRefusal, refuse_above_quota, refuse_hopeless, unavailable};
 use self::store_calls::{StoreCalls, Submission};
 use super::records::{self, LEADER_KEY, LeaderRecord, PRESSURE_KEY, StateRecord};
 
@@ -357,6 +357,10 @@
                 match Submission::new(&store.clock, &config, id, queue, workspace, spec) {
                     Some(job) => {
                         if let Some(reply) = refuse_above_quota(&job.record) {
+                            if let Some(workspace) = job.record.workspace_name() {
+                                let metrics = &self.options.metrics;
+                                metrics.count_of("submit.refused_quota", workspace, 1);
+                            }
                             info!(self.options.log, "submit"; "job" => &*job.id,
                                 "queue" => &*job.record.queue, "outcome" => %reply, inputs);
                             self.options.metrics.count(submit_metric(&reply), 1);
@@ -442,7 +446,7 @@
         reply: oneshot::Sender<JobReply>,
         store: StoreCalls,
         (job, caller): (Submission, Caller),
-        refusal: Option<JobReply>,
+        refusal: Option<PressureRefusal>,
         inputs: DecisionInputs,
     ) {
         let log = self.options.log.clone();
@@ -450,7 +454,12 @@
         self.calls.spawn(async move {
             let started_at = store.clock.now();
             let outcome = match refusal {
-                Some(refusal) if store.is_absent(&job.id).await => refusal,
+                Some(refusal) if store.is_absent(&job.id).await => {
+                    if let Some(workspace) = job.record.workspace_name() {
+                        metrics.count_of(refusal.metric, workspace, 1);
+                    }
+                    refusal.reply
+                }
                 _ => store.submit(&job, &caller).await,
             };
             metrics.time_ms("submit.ms", store.clock.now().ms_since(started_at));
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -3,6 +3,7 @@
 mod actions;
 mod events;
 mod pressure;
+mod share_status;
 mod start;
 
 use std::net::SocketAddr;
@@ -159,6 +160,8 @@
     next_renewal_at: Millis,
     next_status_at: Millis,
     pressure: PublishedPressure,
+    /// Workspaces whose gauges are set.
+    measured_workspaces: FastSet<Arc<str>>,
     /// When the platform's list of instances was last read.
     instances_listed_at: Option<Millis>,
 }
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -164,7 +164,7 @@
         self.instances_listed_at.map(|at| now.ms_since(at))
     }
 
-    pub(super) fn log_status(&self) {
+    pub(super) fn log_status(&mut self) {
         let awaited: Vec<&str> = self.scheduler.awaited_workers().map(|id| &**id).collect();
         if !awaited.is_empty() {
             let first = &awaited[..awaited.len().min(MAX_AWAITED_NAMES)];
@@ -178,6 +178,7 @@
                 "memory_used_mb" => pool.used.memory_mb, "memory_mb" => pool.capacity.memory_mb,
                 "tasks_waiting" => pool.tasks_waiting);
         }
+        self.log_shares();
     }
 
     pub(super) async fn send(
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -192,6 +192,7 @@
             next_renewal_at: now,
             next_status_at: now,
             pressure: PublishedPressure::default(),
+            measured_workspaces: FastSet::default(),
             instances_listed_at: None,
             options,
             lease,
@@ -305,6 +306,8 @@
             Some(JobKeyKind::Leader) | None => {}
         }
     }
+    // The rates of workspaces depend on the order of receipt.
+    jobs.sort_by_key(|(_, record, _)| record.received_wall_ms);
     let jobs = jobs
         .into_iter()
         .map(|(id, record, acceptance)| StoredJob {
