--- a/crates/daemon/src/jobs/frontend/calls.rs
+++ b/crates/daemon/src/jobs/frontend/calls.rs
@@ -8,7 +8,7 @@
 use slog::info;
 
 use super::inputs::DecisionInputs;
-use super::refusal::{refuse_above_quota, refuse_hopeless, unavailable};
+use super::refusal::{Refusal, refuse_above_quota, refuse_hopeless, unavailable};
 use super::store_calls::{StoreCalls, Submission};
 use super::{JobFrontend, StoreCallResult};
 use crate::jobs::records::StateRecord;
@@ -194,7 +194,7 @@
         reply: oneshot::Sender<JobReply>,
         store: StoreCalls,
         (job, caller): (Submission, Caller),
-        refusal: Option<JobReply>,
+        refusal: Option<Refusal>,
         inputs: DecisionInputs,
     ) {
         let log = self.options.log.clone();
@@ -202,7 +202,12 @@
         self.calls.spawn(async move {
             let started_at = store.clock.now();
             let outcome = match refusal {
-                Some(refusal) if store.is_absent(&job.id).await => refusal,
+                Some(refusal) if store.is_absent(&job.id).await => {
+                    if let Some(workspace) = job.record.workspace_name() {
+                        metrics.count_of(refusal.metric, workspace, 1);
+                    }
+                    refusal.reply
+                }
                 _ => store.submit(&job, &caller).await,
             };
             metrics.time_ms("submit.ms", store.clock.now().ms_since(started_at));
