Add learned run times and speeds, and copies of stragglers

Runs of uneven length make steps end late, and declared run times are wrong. The scheduler learns run times by queue, step and image, the speed of instances, and starts a second run of a straggling task of a speculative step.

--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -119,14 +119,22 @@
     /// Remaining path of each step: the longest declared time from its start to the end of the job.
     #[must_use]
     pub fn remaining_paths_ms(&self) -> Vec<u64> {
-        let mut remaining_paths: Vec<u64> =
-            self.steps.iter().map(|step| step.estimate_ms).collect();
+        self.remaining_paths_with(|_, step| step.estimate_ms)
+    }
+
+    /// Remaining path of each step by the expected run times of its tasks.
+    pub fn remaining_paths_with(&self, expected_ms: impl Fn(u16, &StepSpec) -> u64) -> Vec<u64> {
+        let steps_ms: Vec<u64> = (0_u16..)
+            .zip(&self.steps)
+            .map(|(number, step)| expected_ms(number, step))
+            .collect();
+        let mut remaining_paths = steps_ms.clone();
         for later in (0..self.steps.len()).rev() {
             for earlier in &self.steps[later].after {
                 let earlier = usize::from(*earlier);
                 if earlier < later {
-                    remaining_paths[earlier] = remaining_paths[earlier]
-                        .max(self.steps[earlier].estimate_ms + remaining_paths[later]);
+                    remaining_paths[earlier] =
+                        remaining_paths[earlier].max(steps_ms[earlier] + remaining_paths[later]);
                 }
             }
         }
--- a/crates/domain/src/log_words.rs
+++ b/crates/domain/src/log_words.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use crate::job::JobState;
-use crate::schedule::order::{InstanceOrderResult, InstanceState, RunEndKind};
+use crate::schedule::order::{CopyOutcome, InstanceOrderResult, InstanceState, RunEndKind};
 
 impl fmt::Display for JobState {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -31,6 +31,17 @@
     }
 }
 
+impl fmt::Display for CopyOutcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Won => "Won",
+            Self::TookOver => "TookOver",
+            Self::Lost => "Lost",
+            Self::Ended => "Ended",
+        })
+    }
+}
+
 impl fmt::Display for InstanceState {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -7,7 +7,9 @@
 mod advice;
 mod choice;
 mod configuration;
+mod copies;
 mod crashes;
+mod durations;
 pub mod failure;
 mod fleet;
 mod job_table;
@@ -28,6 +30,7 @@
 mod run;
 mod run_table;
 mod runs;
+mod speed;
 mod start;
 pub mod stop_reason;
 mod unknown_runs;
@@ -40,6 +43,8 @@
 use crate::prelude::*;
 use crate::workspace::Caller;
 use advice::Advice;
+use copies::Copies;
+use durations::Durations;
 use fleet::Fleet;
 pub use fleet::WaveRecord;
 use job_table::{JobOwner, JobTable, TaskStatus};
@@ -52,6 +57,7 @@
 use recovery::Recovery;
 use retention::Retention;
 use run_table::RunTable;
+use speed::Speeds;
 use stop_reason::StopReason;
 use worker::Worker;
 use workspace_table::WorkspaceTable;
@@ -96,6 +102,19 @@
     pub stop_grace_ms: u64,
     /// Number of this leader's term; the first is 1.
     pub term: u32,
+    /// How uneven run times are answered.
+    pub uneven_work: UnevenWork,
+}
+
+/// Switches of the answers to uneven run times. By default all are off.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UnevenWork {
+    /// Whether decisions use learned run times instead of declared ones.
+    pub learned_durations: bool,
+    /// Whether the choice of a worker considers its learned speed.
+    pub learned_speed: bool,
+    /// Share of the running finite tasks that may have a speculative copy; 0 means no copies.
+    pub copy_budget_percent: u32,
 }
 
 /// Whether a job was accepted before or during the term of this leader.
@@ -168,6 +187,9 @@
     retention: Retention,
     runs: RunTable,
     late_starts: LateStarts,
+    durations: Durations,
+    speeds: Speeds,
+    copies: Copies,
     workers: SlotMap<WorkerKey, Worker>,
     workers_by_id: FastMap<Arc<str>, WorkerKey>,
     /// Workers by the name of the instance that they report.
@@ -208,6 +230,9 @@
             retention: Retention::default(),
             runs: RunTable::default(),
             late_starts: LateStarts::default(),
+            durations: Durations::default(),
+            speeds: Speeds::default(),
+            copies: Copies::default(),
             workers: SlotMap::with_key(),
             workers_by_id: FastMap::default(),
             workers_by_instance: FastMap::default(),
@@ -322,14 +347,21 @@
         let Some(job) = self.job_table.jobs.get(key) else {
             return;
         };
-        let finite_steps = job
-            .record
-            .spec
-            .steps
-            .iter()
-            .filter(|step| !step.long_running);
+        let finite_steps = (0_u16..)
+            .zip(&job.record.spec.steps)
+            .filter(|(_, step)| !step.long_running);
+        let run_ms = |number, step| {
+            if self.settings.uneven_work.learned_durations {
+                self.durations.class_mean_ms(job, number, step)
+            } else {
+                step.estimate_ms
+            }
+        };
         let work = finite_steps
-            .map(|step| step.need().times(step.estimate_ms * u64::from(step.count)))
+            .map(|(number, step)| {
+                let run_ms = run_ms(number, step);
+                step.need().times(run_ms * u64::from(step.count))
+            })
             .fold(Resources::default(), Resources::plus);
         self.services[job.service].load.add(work, now);
     }
@@ -390,6 +422,7 @@
             self.resend_stops(now);
         }
         self.place_ready_tasks(now);
+        self.start_copies(now);
         self.advance_fleet(now);
         if check_due {
             self.poll_workers(now);
@@ -468,6 +501,7 @@
             .copied()
             .collect();
         for task in tasks {
+            self.stop_copy(task, StopReason::of_ended_job(state), now);
             let Some(task) = self.job_table.tasks.get_mut(task) else {
                 continue;
             };
@@ -478,6 +512,7 @@
             }
         }
         self.advice.remove_job(key);
+        self.durations.remove_job(key);
         self.request_batch(now.after_ms(JOB_END_BATCH_DELAY_MS));
     }
 
--- a/crates/domain/src/schedule/choice.rs
+++ b/crates/domain/src/schedule/choice.rs
@@ -30,6 +30,7 @@
                 let worker = &self.workers[key];
                 let cost = (
                     worker.exposure(task, self.now),
+                    self.speed_class(worker, step_key),
                     task.avoid_worker == Some(key),
                     is_outside_affinity_rack(step, worker),
                     packing_cost_ppm(step, worker),
--- a/crates/domain/src/schedule/crashes.rs
+++ b/crates/domain/src/schedule/crashes.rs
@@ -81,7 +81,9 @@
         let Some(task) = self.job_table.tasks.get_mut(info.task) else {
             return;
         };
-        if !has_started || task.status != TaskStatus::Placed(key) {
+        let is_of_task =
+            task.status == TaskStatus::Placed(key) || self.copies.is_copy(info.task, key);
+        if !has_started || !is_of_task {
             return;
         }
         task.avoid_worker = Some(info.worker);
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -195,7 +195,8 @@
             .get(task)
             .and_then(|task| self.job_table.jobs.get(task.job))
             .is_none_or(|job| job.state.is_final());
-        let task = &mut self.job_table.tasks[task];
+        let key = task;
+        let task = &mut self.job_table.tasks[key];
         task.last_run_number = task.last_run_number.max(listed_run.number);
         let needed = matches!(
             task.status,
@@ -203,7 +204,7 @@
         );
         if needed && !has_ended && !task.done {
             task.status = TaskStatus::Placed(run);
-        } else {
+        } else if !self.adopt_copy(key, run) {
             self.stop_run(run, StopReason::NotNeeded, now);
         }
         run
@@ -214,6 +215,7 @@
             return;
         };
         run.confirm(now);
+        run.progress.first.get_or_insert((listed_run.percent, now));
         if run.progress.percent != listed_run.percent {
             run.progress.percent = listed_run.percent;
             run.progress.percent_changed_at = now;
@@ -296,7 +298,13 @@
         self.record_end(key, task, end);
         let ended_run = self.run_at(key, task, end.number);
         match end.kind {
-            RunEndKind::Done => self.task_done(task, ended_run, now, wall),
+            RunEndKind::Done => {
+                if let Some(run) = ended_run {
+                    self.learn_end(run, now);
+                }
+                self.hold_end(key, end.sequence, task, ended_run);
+                self.task_done(task, ended_run, now, wall);
+            }
             RunEndKind::Failed => self.task_failed(key, task, end.number, now, wall),
             RunEndKind::Stopped | RunEndKind::Lapsed | RunEndKind::Broken | RunEndKind::Alone => {}
         }
@@ -349,6 +357,7 @@
             if !self.job_table.mark_done(member) {
                 continue;
             }
+            self.settle_copy(member, ended_run, now);
             if let TaskStatus::Placed(run) = previous_status
                 && Some(run) != ended_run
             {
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -326,6 +326,19 @@
     LinkClosed,
 }
 
+/// What became of the second run of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyOutcome {
+    /// It completed the task; the first run is stopped.
+    Won,
+    /// The first run ended without a result, and the second one continues alone.
+    TookOver,
+    /// The first run completed the task; the second one is stopped.
+    Lost,
+    /// It ended without a result, or the job has ended.
+    Ended,
+}
+
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SchedulerEvent {
@@ -358,6 +371,34 @@
         /// Workers that have crashed.
         crashes: u32,
     },
+    /// A second run of a task was started, since the first one is expected to last far longer.
+    CopyStarted {
+        /// The task.
+        task: TaskName,
+        /// Number of the second run.
+        number: u32,
+        /// Its worker.
+        worker: Arc<str>,
+        /// Time since the first run was confirmed.
+        age_ms: u64,
+        /// Expected remaining time of the first run.
+        remaining_ms: u64,
+        /// Expected time of a new run with its start.
+        new_run_ms: u64,
+        /// How far the remaining time rests on observations.
+        confidence_percent: u32,
+    },
+    /// A task with two runs has one or none left.
+    CopySettled {
+        /// The task.
+        task: TaskName,
+        /// Number of the second run.
+        number: u32,
+        /// What became of the second run.
+        outcome: CopyOutcome,
+        /// Time since the second run was started.
+        age_ms: u64,
+    },
     /// The platform lists an instance with another state or worker.
     InstanceChanged {
         /// The instance.
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -224,9 +224,9 @@
                 }
             }
         }
-        for worker in self.workers.values_mut() {
+        for (key, worker) in &mut self.workers {
             while let Some((end, written_in_batch)) = worker.unwritten_ends.front().copied() {
-                if written_in_batch > batch.sequence {
+                if written_in_batch > batch.sequence || self.copies.holds(key, end) {
                     break;
                 }
                 worker.ack_ready = end;
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -45,6 +45,10 @@
             services: &self.services,
             workspaces: &self.workspaces,
             advice: &self.advice,
+            durations: &self.durations,
+            speeds: &self.speeds,
+            copies: &self.copies,
+            uneven_work: self.settings.uneven_work,
             leadership_unconfirmed: self.leadership_unconfirmed,
             now,
         }
@@ -257,7 +261,7 @@
         true
     }
 
-    fn next_run_number(&self, key: TaskKey) -> u32 {
+    pub(super) fn next_run_number(&self, key: TaskKey) -> u32 {
         let first = (self.settings.term.max(1) - 1) * RUN_NUMBERS_PER_TERM + 1;
         let last = self
             .job_table
--- a/crates/domain/src/schedule/rank.rs
+++ b/crates/domain/src/schedule/rank.rs
@@ -50,7 +50,7 @@
     pub(super) fn rank(&self, step: StepKey, capacity: Resources) -> Option<Rank> {
         let job = self.job_table.jobs.get(step.job)?;
         Some(Rank {
-            urgency: urgency(step.step, job, self.now),
+            urgency: self.urgency(step, job),
             work_left: self.job_table.remaining_work(step.job, capacity),
             received_at: job.received_at,
             job: step.job,
@@ -62,21 +62,20 @@
     /// Whether the job can still meet its objective if the step starts now.
     pub(super) fn is_on_time(&self, step: StepKey) -> bool {
         let job = self.job_table.jobs.get(step.job);
-        job.is_some_and(|job| urgency(step.step, job, self.now) == Urgency::OnTime)
+        job.is_some_and(|job| self.urgency(step, job) == Urgency::OnTime)
     }
-}
 
-/// Classifies the tasks of a step. By the declared run times, tasks that can no longer meet the objective of
-/// their job yield to tasks that can.
-fn urgency(step: u16, job: &Job, now: Millis) -> Urgency {
-    if job.long_running() {
-        return Urgency::LongRunning;
+    /// Classifies the tasks of a step. By the expected run times, tasks that can no longer meet the objective of
+    /// their job yield to tasks that can.
+    fn urgency(&self, step: StepKey, job: &Job) -> Urgency {
+        if job.long_running() {
+            return Urgency::LongRunning;
+        }
+        urgency_of(self.remaining_path_ms(step, job), job, self.now)
     }
-    let remaining_ms = job
-        .remaining_paths_ms
-        .get(usize::from(step))
-        .copied()
-        .unwrap_or(0);
+}
+
+fn urgency_of(remaining_ms: u64, job: &Job, now: Millis) -> Urgency {
     let expected_latency_ms = now.after_ms(remaining_ms).ms_since(job.received_at);
     if expected_latency_ms + COMPLETION_DELAY_MS <= job.objective_ms {
         Urgency::OnTime
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -105,6 +105,7 @@
             self.interruptions_allowed_from =
                 now.after_ms(self.settings.stop_grace_ms + STOP_LISTED_MS);
             self.release_recovered();
+            self.release_recovery_holds(now);
             // The next leader need not wait for workers that no longer have runs.
             self.request_batch(now);
         } else if changed {
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -77,6 +77,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunProgress {
     pub percent: u32,
+    /// First reported percentage, and the time of that report.
+    pub first: Option<(u32, Millis)>,
     /// When the percentage last changed.
     pub percent_changed_at: Millis,
     /// Tail latency in milliseconds, or processors in use.
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -158,13 +158,16 @@
     }
 
     pub(super) fn stop_run(&mut self, key: RunKey, reason: StopReason, now: Millis) {
-        let Some(run) = self.runs.get_mut(key) else {
+        let Some(run) = self.runs.get(key) else {
             return;
         };
         if run.is_stopping() {
             return;
         }
-        run.stop(reason, now);
+        self.learn_unfinished(key, now);
+        if let Some(run) = self.runs.get_mut(key) {
+            run.stop(reason, now);
+        }
         self.send_stop(key);
     }
 
@@ -198,6 +201,7 @@
         };
         let info = *run.info();
         self.request_worker_placement(info.worker);
+        self.forget_copy(info.task, key, now);
         let long_running = self.job_table.is_long_running(info.task);
         let Some(task) = self.job_table.tasks.get_mut(info.task) else {
             return;
@@ -214,6 +218,8 @@
             task.not_before = now.after_ms(RESTART_DELAY_MS);
             task.not_running_since = task.not_running_since.or(Some(now));
         }
-        self.release_task(info.task);
+        if !self.promote_copy(info.task, now) {
+            self.release_task(info.task);
+        }
     }
 }
--- a/crates/domain/src/schedule/start.rs
+++ b/crates/domain/src/schedule/start.rs
@@ -10,9 +10,30 @@
 impl Scheduler {
     /// Starts a run of the task on the worker.
     pub(super) fn start(&mut self, key: TaskKey, worker_key: WorkerKey, number: u32, now: Millis) {
-        let Some(step) = self.job_table.step_of(key) else {
+        let Some(run) = self.begin_run(key, worker_key, number, now) else {
             return;
         };
+        let task = &mut self.job_table.tasks[key];
+        task.status = TaskStatus::Placed(run);
+        task.last_run_lost = false;
+        let job_key = task.job;
+        let job = &mut self.job_table.jobs[job_key];
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+            job.dirty = true;
+            self.request_batch(now.after_ms(LOW_PRIORITY_BATCH_DELAY_MS));
+        }
+    }
+
+    /// Creates a run of the task on the worker and sends its start order.
+    pub(super) fn begin_run(
+        &mut self,
+        key: TaskKey,
+        worker_key: WorkerKey,
+        number: u32,
+        now: Millis,
+    ) -> Option<RunKey> {
+        let step = self.job_table.step_of(key)?;
         let info = RunInfo {
             task: key,
             number,
@@ -23,9 +44,7 @@
             sent_at: now,
         };
         let worker = &mut self.workers[worker_key];
-        if worker.clock.is_none() {
-            return;
-        }
+        worker.clock?;
         let run = PlacedRun::new(Phase::Sent(Run::new(info)));
         let run = self.runs.insert(run, worker);
         worker.begin_probation(&self.job_table.tasks[key], now);
@@ -34,18 +53,9 @@
         if !worker.poll_in_flight {
             worker.next_poll_at = worker.next_poll_at.min(now.after_ms(POLL_INTERVAL_MS));
         }
-        let task = &mut self.job_table.tasks[key];
-        task.status = TaskStatus::Placed(run);
-        task.last_run_number = number;
-        task.last_run_lost = false;
-        let job_key = task.job;
+        self.job_table.tasks[key].last_run_number = number;
         self.send_start(run, now);
-        let job = &mut self.job_table.jobs[job_key];
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-            job.dirty = true;
-            self.request_batch(now.after_ms(LOW_PRIORITY_BATCH_DELAY_MS));
-        }
+        Some(run)
     }
 
     /// Sends the start order of a run. It may be sent again: a worker starts a run only once.
--- a/crates/domain/src/schedule/view.rs
+++ b/crates/domain/src/schedule/view.rs
@@ -3,13 +3,16 @@
 //! The order of ready steps ([`super::rank`]) and the choice of a worker ([`super::choice`]) see only this
 //! view and return decisions; [`super::place`] carries them out.
 
-use super::Service;
 use super::advice::Advice;
+use super::copies::Copies;
+use super::durations::Durations;
 use super::job_table::JobTable;
 use super::order::StepKey;
 use super::run_table::RunTable;
+use super::speed::Speeds;
 use super::worker::Worker;
 use super::workspace_table::WorkspaceTable;
+use super::{Service, UnevenWork};
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -22,6 +25,10 @@
     pub services: &'a SlotMap<ServiceKey, Service>,
     pub workspaces: &'a WorkspaceTable,
     pub advice: &'a Advice,
+    pub durations: &'a Durations,
+    pub speeds: &'a Speeds,
+    pub copies: &'a Copies,
+    pub uneven_work: UnevenWork,
     /// Whether another daemon may have become the leader.
     pub leadership_unconfirmed: bool,
     pub now: Millis,
--- a/crates/domain/tests/log_words.rs
+++ b/crates/domain/tests/log_words.rs
@@ -1,7 +1,9 @@
 //! Words of outcomes and states in log lines.
 
 use rosemaryscale_domain::job::JobState;
-use rosemaryscale_domain::schedule::order::{InstanceOrderResult, InstanceState, RunEndKind};
+use rosemaryscale_domain::schedule::order::{
+    CopyOutcome, InstanceOrderResult, InstanceState, RunEndKind,
+};
 
 /// Guards against words that change with the code, so that operators' searches of the logs miss lines.
 #[test]
@@ -18,6 +20,10 @@
         (RunEndKind::Lapsed.to_string(), "Lapsed"),
         (RunEndKind::Broken.to_string(), "Broken"),
         (RunEndKind::Alone.to_string(), "Alone"),
+        (CopyOutcome::Won.to_string(), "Won"),
+        (CopyOutcome::TookOver.to_string(), "TookOver"),
+        (CopyOutcome::Lost.to_string(), "Lost"),
+        (CopyOutcome::Ended.to_string(), "Ended"),
         (InstanceState::Up.to_string(), "Up"),
         (InstanceState::Moving.to_string(), "Moving"),
         (InstanceState::Maintenance.to_string(), "Maintenance"),
--- a/crates/domain/tests/takeover_model/conditions.rs
+++ b/crates/domain/tests/takeover_model/conditions.rs
@@ -1,5 +1,7 @@
 //! Conditions of a schedule that are not drawn from its seed.
 
+use rosemaryscale_domain::schedule::UnevenWork;
+
 /// What may happen in a schedule, and how often.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Conditions {
@@ -17,6 +19,8 @@
     pub(super) restart: Restart,
     /// Time from the restart of a worker until the platform lists its new incarnation.
     pub(super) listing_delay_ms: u64,
+    /// Share of steps that allow two runs of a task.
+    pub(super) speculative_percent: u32,
 }
 
 /// What a worker keeps over a restart, and which orders its next incarnation may receive.
@@ -39,6 +43,7 @@
         restarts_per_mille: 8,
         restart: Restart::OrdersLost,
         listing_delay_ms: 0,
+        speculative_percent: 0,
     };
 
     /// Frequent cancellations of jobs with long runs.
@@ -62,4 +67,25 @@
         listing_delay_ms: 300,
         ..Self::RESTARTS
     };
+
+    /// Copies of long runs.
+    pub(crate) const COPIES: Self = Self {
+        speculative_percent: 60,
+        ..Self::CANCELLATIONS
+    };
+
+    /// Copies of long runs, and frequent restarts over which orders stay on their way.
+    pub(crate) const COPIES_WITH_RESTARTS: Self = Self {
+        speculative_percent: 60,
+        ..Self::RESTARTS
+    };
+
+    pub(super) const fn uneven_work(&self) -> UnevenWork {
+        let has_copies = self.speculative_percent > 0;
+        UnevenWork {
+            learned_durations: has_copies,
+            learned_speed: has_copies,
+            copy_budget_percent: if has_copies { 50 } else { 0 },
+        }
+    }
 }
--- a/crates/domain/tests/takeover_model/faults.rs
+++ b/crates/domain/tests/takeover_model/faults.rs
@@ -52,6 +52,11 @@
         if self.draw_chance(400) {
             steps.push(step(self.rng.random_range(1..3), vec![0]));
         }
+        if self.conditions.speculative_percent > 0 {
+            for step in &mut steps {
+                step.speculative = self.draw_chance(10 * self.conditions.speculative_percent);
+            }
+        }
         JobRecord {
             queue: "queue".into(),
             policy: QueuePolicy {
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -165,6 +165,7 @@
             leader_grace_ms: LEADER_GRACE_MS,
             stop_grace_ms: STOP_GRACE_MS,
             term,
+            uneven_work: self.conditions.uneven_work(),
         };
         let former = FormerTerm::with_workers(self.store.workers.clone());
         let mut scheduler = Scheduler::new(settings, former, self.now);
--- a/crates/domain/tests/takeovers.rs
+++ b/crates/domain/tests/takeovers.rs
@@ -68,6 +68,24 @@
     );
 }
 
+/// Guards against a third run of a speculative task, a second run of another task, a run that starts after the
+/// end of its task was acknowledged, failed ends beyond the limit, and jobs that copies lose.
+#[test]
+fn copies_keep_the_invariants() {
+    play("copies_keep_the_invariants", Conditions::COPIES, &[]);
+}
+
+/// Guards against the same while copies and first runs are lost with their workers, and late starts reach the
+/// next incarnation.
+#[test]
+fn copies_with_restarts_keep_the_invariants() {
+    play(
+        "copies_with_restarts_keep_the_invariants",
+        Conditions::COPIES_WITH_RESTARTS,
+        &[],
+    );
+}
+
 fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
