--- a/crates/daemon/src/jobs/config.rs
+++ b/crates/daemon/src/jobs/config.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use rosemaryscale_adapters::log::LogFormat;
+use rosemaryscale_domain::schedule::UnevenWork;
 use serde::Deserialize;
 
 use crate::config::{ConfigError, parse_fields, problem, read_text};
@@ -54,6 +55,15 @@
     pub status_kept_ms: u64,
     /// Time between SIGTERM and SIGKILL.
     pub stop_ms: u64,
+    /// Whether decisions use run times learned from ends instead of declared ones.
+    #[serde(default)]
+    pub learned_durations: bool,
+    /// Whether instances on which tasks take longer than elsewhere are the last choice.
+    #[serde(default)]
+    pub learned_speed: bool,
+    /// Share of the running finite tasks that may have a speculative copy, in percent; 0 means no copies.
+    #[serde(default)]
+    pub copy_budget_percent: u32,
     /// Format of log lines.
     #[serde(default)]
     pub log_format: LogFormat,
@@ -102,6 +112,21 @@
                 return Err(ConfigError::Invalid { problem });
             }
         }
+        if config.copy_budget_percent > 100 {
+            let reason = format!("{} is more than all tasks", config.copy_budget_percent);
+            let problem = problem("copy_budget_percent", reason, "set a number up to 100");
+            return Err(ConfigError::Invalid { problem });
+        }
         Ok(config)
     }
+
+    /// How uneven run times are answered.
+    #[must_use]
+    pub const fn uneven_work(&self) -> UnevenWork {
+        UnevenWork {
+            learned_durations: self.learned_durations,
+            learned_speed: self.learned_speed,
+            copy_budget_percent: self.copy_budget_percent,
+        }
+    }
 }
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -6,7 +6,7 @@
 use rosemaryscale_domain::job::{JobState, TaskPosition};
 use rosemaryscale_domain::schedule::Batch;
 use rosemaryscale_domain::schedule::order::{
-    Action, AdviceOrder, AdviceResult, RunEndKind, SchedulerEvent, StartOrder,
+    Action, AdviceOrder, AdviceResult, CopyOutcome, RunEndKind, SchedulerEvent, StartOrder,
 };
 use rosemaryscale_ports::instance_order::InstanceOrderCall;
 use rosemaryscale_ports::prelude::*;
@@ -110,6 +110,32 @@
                     warn!(self.options.log, "task given up"; "job" => &*task.job,
                         "at" => %position(task.position), "crashed_workers" => crashes);
                 }
+                SchedulerEvent::CopyStarted {
+                    task,
+                    number,
+                    worker,
+                    age_ms,
+                    remaining_ms,
+                    new_run_ms,
+                    confidence_percent,
+                } => {
+                    self.options.metrics.count("copies.started", 1);
+                    info!(self.options.log, "copy started"; "job" => &*task.job,
+                        "at" => %position(task.position), "run" => number, "worker" => &*worker,
+                        "first_age_ms" => age_ms, "first_remaining_ms" => remaining_ms,
+                        "new_run_ms" => new_run_ms, "confidence_percent" => confidence_percent);
+                }
+                SchedulerEvent::CopySettled {
+                    task,
+                    number,
+                    outcome,
+                    age_ms,
+                } => {
+                    self.options.metrics.count(copy_metric(outcome), 1);
+                    info!(self.options.log, "copy settled"; "job" => &*task.job,
+                        "at" => %position(task.position), "run" => number,
+                        "outcome" => %outcome, "copy_age_ms" => age_ms);
+                }
                 SchedulerEvent::InstanceChanged {
                     instance,
                     state,
@@ -306,6 +332,14 @@
     numbers.join(" ")
 }
 
+/// Metric of the copies with an outcome.
+const fn copy_metric(outcome: CopyOutcome) -> &'static str {
+    match outcome {
+        CopyOutcome::Won | CopyOutcome::TookOver => "copies.won",
+        CopyOutcome::Lost | CopyOutcome::Ended => "copies.thrown_away",
+    }
+}
+
 fn run_end_metric(kind: RunEndKind) -> &'static str {
     match kind {
         RunEndKind::Done => "runs.done",
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -219,6 +219,7 @@
             run_lease_ms: RUN_LEASE_MS.min(settings.run_lease_max_ms),
             poll_wait_ms: POLL_WAIT_MS,
             stop_grace_ms: settings.stop_grace_ms,
+            uneven_work: settings.uneven_work(),
             status_kept_ms: settings.status_kept_ms,
             platform: PLATFORM,
             has_ample_resources: settings.processor_share >= AMPLE_PROCESSOR_SHARE
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -128,6 +128,8 @@
     };
     let before = JobServiceConfig::parse(&with("")).expect("the settings before gateways");
     assert!(before.gateway_address.is_none());
+    assert!(!before.learned_durations && !before.learned_speed);
+    assert_eq!(before.copy_budget_percent, 0);
     for (more, path, reason) in [
         (r#", "processor_share": 0"#, "processor_share", "above 0"),
         (r#", "link_mbps": -1"#, "link_mbps", "above 0"),
@@ -136,6 +138,11 @@
             "gateway_address",
             "address",
         ),
+        (
+            r#", "copy_budget_percent": 101"#,
+            "copy_budget_percent",
+            "up to 100",
+        ),
         (r#", "gateway_port": 1"#, "gateway_port", "unknown"),
     ] {
         let error = JobServiceConfig::parse(&with(more))
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -5,7 +5,9 @@
 mod advisor;
 mod worker;
 
-use rosemaryscale_domain::job::{JobProgress, JobRecord, JobSpec, JobState, QueuePolicy, StepSpec};
+use rosemaryscale_domain::job::{
+    JobProgress, JobRecord, JobSpec, JobState, QueuePolicy, StepSpec, TaskName,
+};
 use rosemaryscale_domain::placement::Resources;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{
@@ -351,6 +353,12 @@
         self.workers[worker].end(|_, _| true, kind);
     }
 
+    /// Ends one run as done.
+    pub(crate) fn end_run(&mut self, worker: usize, task: &TaskName, number: u32) {
+        let is_run = |name: &TaskName, at: u32| name == task && at == number;
+        self.workers[worker].end(is_run, RunEndKind::Done);
+    }
+
     /// Ends the active runs of one job as done.
     pub(crate) fn end_runs_of_job(&mut self, job: &str) {
         for worker in &mut self.workers {
