--- a/crates/domain/src/schedule/copies.rs
+++ b/crates/domain/src/schedule/copies.rs
@@ -160,22 +160,31 @@
             .min()
     }
 
-    /// Worker for a copy; `None` if the room is worth more for a waiting task, or there is none.
-    fn copy_worker(&self, straggler: &Straggler, capacity: Resources) -> Option<WorkerKey> {
+    /// Stragglers whose copies no waiting task of their service precedes.
+    fn preferred_stragglers(&self, capacity: Resources) -> Vec<Straggler> {
+        let mut stragglers = self.stragglers();
+        let mut best_waiting: FastMap<ServiceKey, Option<Rank>> = FastMap::default();
+        stragglers.retain(|straggler| {
+            let waiting = best_waiting
+                .entry(straggler.service)
+                .or_insert_with(|| self.best_waiting(straggler.service, capacity));
+            let rank = self.rank(straggler.step, capacity);
+            rank.is_some_and(|rank| waiting.is_none_or(|waiting| rank < waiting))
+        });
+        stragglers
+    }
+
+    /// Worker for a copy; `None` if the quota or the room is used up, or a third run of the task may exist.
+    fn copy_worker(&self, straggler: &Straggler) -> Option<WorkerKey> {
+        if !self.has_quota(straggler.task, Resources::default()) {
+            return None;
+        }
+        let worker =
+            self.best_other_worker(straggler.task, straggler.service, straggler.worker, &[])?;
         // A former run of the task may still be on its way to its end.
         let runs = self.runs.iter();
         let runs_of_task = runs.filter(|(_, run)| run.info().task == straggler.task);
-        if runs_of_task.count() != 1 {
-            return None;
-        }
-        let rank = self.rank(straggler.step, capacity)?;
-        let waiting = self.best_waiting(straggler.service, capacity);
-        if waiting.is_some_and(|waiting| waiting <= rank)
-            || !self.has_quota(straggler.task, Resources::default())
-        {
-            return None;
-        }
-        self.best_other_worker(straggler.task, straggler.service, straggler.worker, &[])
+        (runs_of_task.count() == 1).then_some(worker)
     }
 }
 
@@ -197,17 +206,17 @@
         if self.recovery.is_some() || self.leadership_unconfirmed {
             return;
         }
-        let stragglers = self.view(now).stragglers();
+        let capacity = self.largest_capacity();
+        let stragglers = self.view(now).preferred_stragglers(capacity);
         if stragglers.is_empty() {
             return;
         }
         let budget = self.view(now).copy_budget();
-        let capacity = self.largest_capacity();
         for straggler in stragglers {
             if self.copies.by_task.len() >= budget {
                 return;
             }
-            if let Some(worker) = self.view(now).copy_worker(&straggler, capacity) {
+            if let Some(worker) = self.view(now).copy_worker(&straggler) {
                 self.start_copy(&straggler, worker, now);
             }
         }
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -196,6 +196,10 @@
 
     /// Removes a run that has certainly ended, and releases its task.
     pub(super) fn drop_run(&mut self, key: RunKey, now: Millis) {
+        // Its result would find no run any more, and the start may still reach the next incarnation.
+        if let Some(run) = self.runs.get(key).filter(|run| run.start_in_flight) {
+            self.record_late_start(run.info().worker, key, now);
+        }
         let Some(run) = self.runs.remove(key, &mut self.workers) else {
             return;
         };
