--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -156,6 +156,7 @@
             stop_grace_ms: options.stop_grace_ms,
             term: former_record.term + 1,
             pools: options.pools,
+            uneven_work: options.uneven_work,
         };
         let former_term = FormerTerm {
             workers: recorded_workers(workers, &options.log)?,
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -265,6 +265,7 @@
             run_lease_ms: RUN_LEASE_MS.min(settings.run_lease_max_ms),
             poll_wait_ms: POLL_WAIT_MS,
             stop_grace_ms: settings.stop_grace_ms,
+            uneven_work: settings.uneven_work(),
             status_kept_ms: settings.status_kept_ms,
             pools: PoolPolicy {
                 instance_idle_ms: settings.instance_idle_ms,
--- a/crates/domain/src/schedule/share.rs
+++ b/crates/domain/src/schedule/share.rs
@@ -32,7 +32,7 @@
 pub(super) type Claimant = Option<WorkspaceKey>;
 
 /// Largest dominant shares of a service up to which workspaces come before the others.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct ShareLimits {
     /// Room for finite tasks.
     room: Resources,
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -5,7 +5,9 @@
 mod advisor;
 mod worker;
 
-use rosemaryscale_domain::job::{JobProgress, JobRecord, JobSpec, JobState, QueuePolicy, StepSpec};
+use rosemaryscale_domain::job::{
+    JobProgress, JobRecord, JobSpec, JobState, QueuePolicy, StepSpec, TaskName,
+};
 use rosemaryscale_domain::placement::Resources;
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{
@@ -15,7 +17,7 @@
 use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
     Acceptance, Batch, FormerTerm, PoolPolicy, RecordedWorker, ScheduleSettings, Scheduler,
-    StoredJob,
+    StoredJob, UnevenWork,
 };
 use rosemaryscale_domain::workspace::Caller;
 
@@ -122,6 +124,7 @@
     pub(crate) progress_reports: FastMap<String, (u32, u64)>,
     pub(crate) concurrent_runs_max: FastMap<String, usize>,
     pub(crate) advisor: Advisor,
+    settings: ScheduleSettings,
 }
 
 impl SchedulerHarness {
@@ -129,6 +132,14 @@
         Self::with_settings(workers, settings(1))
     }
 
+    pub(crate) fn with_uneven_work(workers: usize, uneven_work: UnevenWork) -> Self {
+        let settings = ScheduleSettings {
+            uneven_work,
+            ..settings(1)
+        };
+        Self::with_settings(workers, settings)
+    }
+
     pub(crate) fn with_settings(workers: usize, settings: ScheduleSettings) -> Self {
         let now = Millis::from_ms(100_000);
         let mut harness = Self {
@@ -158,6 +169,7 @@
             progress_reports: FastMap::default(),
             concurrent_runs_max: FastMap::default(),
             advisor: Advisor::default(),
+            settings,
         };
         for index in 0..workers {
             harness.add_worker(&format!("w{index}"), "service");
@@ -260,7 +272,10 @@
         self.term += 1;
         self.worker_indices.clear();
         let recorded = self.store.workers.clone();
-        let mut settings = settings(self.term);
+        let mut settings = ScheduleSettings {
+            term: self.term,
+            ..self.settings
+        };
         if self.store.released {
             settings.leader_grace_ms = 0;
         }
@@ -346,6 +361,12 @@
         self.workers[worker].end(|_, _| true, kind);
     }
 
+    /// Ends one run as done.
+    pub(crate) fn end_run(&mut self, worker: usize, task: &TaskName, number: u32) {
+        let is_run = |name: &TaskName, at: u32| name == task && at == number;
+        self.workers[worker].end(is_run, RunEndKind::Done);
+    }
+
     /// Ends the active runs of one job as done.
     pub(crate) fn end_runs_of_job(&mut self, job: &str) {
         for worker in &mut self.workers {
@@ -658,5 +679,6 @@
         stop_grace_ms: STOP_GRACE_MS,
         term,
         pools: PoolPolicy::default(),
+        uneven_work: UnevenWork::default(),
     }
 }
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -167,6 +167,7 @@
             stop_grace_ms: STOP_GRACE_MS,
             term,
             pools: PoolPolicy::default(),
+            uneven_work: self.conditions.uneven_work(),
         };
         let former = FormerTerm::with_workers(self.store.workers.clone());
         let mut scheduler = Scheduler::new(settings, former, self.now);
