Refuse calls with a key right after a suspension, until the store was heard

A daemon that was frozen answers the calls that waited in its sockets before it hears what it missed, so it accepted keys that were withdrawn meanwhile. Each call to the store ends within 1.7 s, so a gap of 3 s between its answers and failures means a suspension: calls that need a key get 503 until the next answer or failure.

--- a/crates/daemon/src/jobs/config_sync.rs
+++ b/crates/daemon/src/jobs/config_sync.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryscale_domain::config_source::{ConfigPeer, ConfigSource, PeerVerdict};
+use rosemaryscale_domain::config_source::{ConfigPeer, ConfigSource, Confirmation, PeerVerdict};
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::config_link::{
     ConfigAnswer, ConfigLinkError, ConfigPeers, ConfigQuestion, InboundQuestion,
@@ -33,8 +33,8 @@
     pub(super) events: mpsc::Receiver<WatchEvent>,
     /// Receives the newest version.
     pub(super) config: watch::Sender<Arc<QueueConfig>>,
-    /// Receives the time at which that version was last confirmed.
-    pub(super) confirmed: watch::Sender<Option<Millis>>,
+    /// Receives how current that version is.
+    pub(super) confirmation: watch::Sender<Confirmation>,
     /// Peers according to the view.
     pub(super) peers: watch::Receiver<PeerAddresses>,
     /// Questions of peers.
@@ -135,6 +135,7 @@
         }
         self.is_connected = false;
         self.source.store_failed(self.options.clock.now());
+        self.publish_confirmation();
     }
 
     /// Puts newer versions of the store in force. Returns the version that it has.
@@ -186,9 +187,8 @@
     }
 
     fn publish_confirmation(&self) {
-        self.options
-            .confirmed
-            .send_replace(self.source.confirmed_at());
+        let confirmation = self.source.confirmation();
+        self.options.confirmation.send_replace(confirmation);
     }
 
     fn answer(&self, question: InboundQuestion) {
--- a/crates/daemon/src/jobs/frontend.rs
+++ b/crates/daemon/src/jobs/frontend.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use rosemaryscale_domain::config_source::RevocationBound;
+use rosemaryscale_domain::config_source::{Confirmation, RevocationBound};
 use rosemaryscale_domain::job::JobState;
 use rosemaryscale_domain::schedule::pressure::Pressure;
 use rosemaryscale_ports::clock::ClockHandle;
@@ -54,8 +54,8 @@
     pub(super) kv: KeyValue,
     pub(super) clock: ClockHandle,
     pub(super) config: QueueConfigWatch,
-    /// When the configuration was last confirmed.
-    pub(super) confirmed: watch::Receiver<Option<Millis>>,
+    /// How current the configuration is.
+    pub(super) confirmation: watch::Receiver<Confirmation>,
     /// Bound on the time for which keys are honoured without a confirmation.
     pub(super) revocation: RevocationBound,
     /// Receives the daemons that can be asked for the configuration.
@@ -165,7 +165,7 @@
 
     /// Time since the configuration was confirmed, if it has keys that may be withdrawn.
     fn config_age_ms(&self, config: &QueueConfig, now: Millis) -> Option<u64> {
-        let confirmed_at = (*self.options.confirmed.borrow())?;
+        let confirmed_at = self.options.confirmation.borrow().confirmed_at?;
         let has_keys = config.workspaces.is_enabled();
         has_keys.then(|| now.ms_since(confirmed_at))
     }
@@ -203,13 +203,13 @@
             return;
         }
         let now = self.options.clock.now();
-        let confirmed_at = *self.options.confirmed.borrow();
-        let age_ms = confirmed_at.map(|at| now.ms_since(at));
+        let confirmation = *self.options.confirmation.borrow();
+        let age_ms = confirmation.confirmed_at.map(|at| now.ms_since(at));
         if let Some(age_ms) = age_ms {
             self.options.metrics.gauge("config.age_ms", age_ms);
         }
         let log = &self.options.log;
-        let is_confirmed = !self.options.revocation.is_exceeded(confirmed_at, now);
+        let is_confirmed = !self.options.revocation.is_exceeded(confirmation, now);
         if self.was_confirmed && !is_confirmed {
             let consequence = if self.options.revocation.is_strict {
                 "calls that need a key are refused"
--- a/crates/daemon/src/jobs/frontend/calls.rs
+++ b/crates/daemon/src/jobs/frontend/calls.rs
@@ -1,5 +1,6 @@
 //! Calls of callers: who may make them, and what they do.
 
+use rosemaryscale_domain::config_source::KeyRefusal;
 use rosemaryscale_domain::job::{JobRecord, JobSpec, JobState};
 use rosemaryscale_domain::route;
 use rosemaryscale_domain::workspace::{Access, Caller, Workspace};
@@ -8,7 +9,7 @@
 use slog::info;
 
 use super::inputs::DecisionInputs;
-use super::refusal::{refuse_above_quota, refuse_hopeless, unavailable};
+use super::refusal::{refuse_above_quota, refuse_hopeless, unavailable, unconfirmed};
 use super::store_calls::{StoreCalls, Submission};
 use super::{JobFrontend, StoreCallResult};
 use crate::jobs::records::StateRecord;
@@ -93,11 +94,9 @@
         let (route, rest) =
             route::find(&config.routes, &call.host, &call.path).ok_or(JobReply::NoSuchQueue)?;
         let needs_key = config.workspaces.is_enabled() && !route.is_public;
-        if needs_key && self.is_unconfirmed() {
+        if needs_key && let Some(refusal) = self.key_refusal() {
             self.options.metrics.count("calls.unconfirmed", 1);
-            return Err(unavailable(
-                "whether the API key is still valid cannot be confirmed",
-            ));
+            return Err(unconfirmed(refusal));
         }
         let access = config.workspaces.access(route.is_public, call.api_key);
         if access == Access::Denied {
@@ -118,11 +117,11 @@
         })
     }
 
-    /// Whether calls that need a key are refused, since the key may have been withdrawn meanwhile.
-    fn is_unconfirmed(&self) -> bool {
-        let confirmed_at = *self.options.confirmed.borrow();
+    /// Why calls that need a key are refused, if they are: the key may have been withdrawn meanwhile.
+    fn key_refusal(&self) -> Option<KeyRefusal> {
+        let confirmation = *self.options.confirmation.borrow();
         let now = self.options.clock.now();
-        self.options.revocation.refuses(confirmed_at, now)
+        self.options.revocation.refusal(confirmation, now)
     }
 
     fn carry_out(&mut self, request: JobRequest, call: AllowedCall) {
--- a/crates/daemon/src/jobs/frontend/refusal.rs
+++ b/crates/daemon/src/jobs/frontend/refusal.rs
@@ -1,5 +1,6 @@
 //! Refusals that have no effect.
 
+use rosemaryscale_domain::config_source::KeyRefusal;
 use rosemaryscale_domain::job::JobRecord;
 use rosemaryscale_domain::schedule::pressure::{Admission, Pressure};
 use rosemaryscale_ports::job::JobReply;
@@ -36,6 +37,14 @@
     Some(JobReply::AboveQuota(reason.into()))
 }
 
+/// Refusal of a call whose key may have been withdrawn.
+pub(super) fn unconfirmed(refusal: KeyRefusal) -> JobReply {
+    unavailable(match refusal {
+        KeyRefusal::Unconfirmed => "whether the API key is still valid cannot be confirmed",
+        KeyRefusal::Suspended => "the daemon was suspended and is reading the configuration",
+    })
+}
+
 /// Refusal for the given reason, with the shortest time to come back.
 pub(super) fn unavailable(reason: &str) -> JobReply {
     JobReply::Unavailable {
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -8,7 +8,7 @@
 use rosemaryscale_adapters::log::DroppedLines;
 use rosemaryscale_adapters::worker_gateway::{GatewayOptions, GatewayServer};
 use rosemaryscale_adapters::{SystemClock, log, metrics_registry};
-use rosemaryscale_domain::config_source::RevocationBound;
+use rosemaryscale_domain::config_source::{Confirmation, RevocationBound};
 use rosemaryscale_platform::frontend::{FrontendError, FrontendServer};
 use rosemaryscale_platform::{
     CONFIG_KEY, WAVE_PREFIX, WORKER_PREFIX, advisor, instances, queue_config, store, wave,
@@ -216,7 +216,7 @@
             stop: draining_watch.clone(),
             log: log.clone(),
         });
-        let (confirmed, confirmed_watch) = watch::channel(None);
+        let (confirmation, confirmation_watch) = watch::channel(Confirmation::default());
         let (peer_addresses, peer_addresses_watch) = watch::channel(PeerAddresses::default());
         let config = ConfigSync::new(ConfigSyncOptions {
             daemon: Arc::clone(&settings.name),
@@ -224,7 +224,7 @@
             decode: queue_config::decode,
             events: config_events,
             config: config_sender,
-            confirmed,
+            confirmation,
             peers: peer_addresses_watch,
             questions,
             link,
@@ -240,7 +240,7 @@
             kv: kv.clone(),
             clock: Arc::clone(&clock),
             config: config_watch.clone(),
-            confirmed: confirmed_watch,
+            confirmation: confirmation_watch,
             revocation: RevocationBound {
                 revoke_ms: settings.revoke_ms,
                 is_strict: settings.strict_revoke,
--- a/crates/domain/src/config_source.rs
+++ b/crates/domain/src/config_source.rs
@@ -20,6 +20,28 @@
 /// least every 1.2 s.
 const FRESH_AGE_MS: u64 = 2_000;
 
+/// Time without an answer or a failure of the store after which this process must have been suspended: each
+/// call to the store ends within 1.7 s. It is also the time within which a withdrawn key must be refused.
+const SUSPENDED_AFTER_MS: u64 = 3_000;
+
+/// How current the version in force is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Confirmation {
+    /// When the version was last confirmed.
+    pub confirmed_at: Option<Millis>,
+    /// When the store last answered or failed.
+    pub store_event_at: Millis,
+}
+
+/// Why calls that need a key are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyRefusal {
+    /// The last confirmation is too long ago.
+    Unconfirmed,
+    /// The process was suspended, and has not yet tried to learn what it missed.
+    Suspended,
+}
+
 /// Bound on the time for which keys are honoured while the configuration is not confirmed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RevocationBound {
@@ -32,16 +54,21 @@
 impl RevocationBound {
     /// Whether the last confirmation is too long ago.
     #[must_use]
-    pub fn is_exceeded(&self, confirmed_at: Option<Millis>, now: Millis) -> bool {
+    pub fn is_exceeded(&self, confirmation: Confirmation, now: Millis) -> bool {
         self.revoke_ms.is_some_and(|revoke_ms| {
+            let confirmed_at = confirmation.confirmed_at;
             confirmed_at.is_none_or(|confirmed_at| now.ms_since(confirmed_at) > revoke_ms)
         })
     }
 
-    /// Whether calls that need a key are refused.
+    /// Why calls that need a key are refused; `None` if they are not.
     #[must_use]
-    pub fn refuses(&self, confirmed_at: Option<Millis>, now: Millis) -> bool {
-        self.is_strict && self.is_exceeded(confirmed_at, now)
+    pub fn refusal(&self, confirmation: Confirmation, now: Millis) -> Option<KeyRefusal> {
+        if now.ms_since(confirmation.store_event_at) > SUSPENDED_AFTER_MS {
+            return Some(KeyRefusal::Suspended);
+        }
+        let refuses = self.is_strict && self.is_exceeded(confirmation, now);
+        refuses.then_some(KeyRefusal::Unconfirmed)
     }
 }
 
@@ -124,10 +151,13 @@
         }
     }
 
-    /// When the version in force was last confirmed.
+    /// How current the version in force is.
     #[must_use]
-    pub const fn confirmed_at(&self) -> Option<Millis> {
-        self.confirmed_at
+    pub const fn confirmation(&self) -> Confirmation {
+        Confirmation {
+            confirmed_at: self.confirmed_at,
+            store_event_at: self.store_event_at,
+        }
     }
 
     /// What this daemon tells its peers.
--- a/crates/domain/tests/config_source.rs
+++ b/crates/domain/tests/config_source.rs
@@ -2,7 +2,8 @@
 
 use rosemaryscale_domain::Millis;
 use rosemaryscale_domain::config_source::{
-    ASK_INTERVAL_MS, ConfigPeer, ConfigSource, PeerStatement, PeerVerdict, RevocationBound,
+    ASK_INTERVAL_MS, ConfigPeer, ConfigSource, Confirmation, KeyRefusal, PeerStatement,
+    PeerVerdict, RevocationBound,
 };
 
 fn ms(ms: u64) -> Millis {
@@ -88,16 +89,19 @@
 #[test]
 fn a_confirmation_counts_from_the_request() {
     let mut source = source();
-    assert_eq!(source.confirmed_at(), Some(ms(10_000)));
+    assert_eq!(source.confirmation().confirmed_at, Some(ms(10_000)));
     // The process was suspended while the watch waited.
     source.store_answered(None, ms(60_000));
-    assert_eq!(source.confirmed_at(), Some(ms(10_700)));
+    assert_eq!(source.confirmation().confirmed_at, Some(ms(10_700)));
     source.store_failed(ms(60_100));
     let (asked_at, _) = ask(&mut source).expect("a peer");
     let verdict = source.peer_answered(statement(4, 700), asked_at.after_ms(5_000));
     assert_eq!(verdict, PeerVerdict::Same);
-    assert_eq!(source.confirmed_at(), Some(ms(asked_at.as_ms() - 700)));
-    let before = source.confirmed_at();
+    assert_eq!(
+        source.confirmation().confirmed_at,
+        Some(ms(asked_at.as_ms() - 700))
+    );
+    let before = source.confirmation().confirmed_at;
     let statements = [
         statement(4, 50_000),
         statement(3, 0),
@@ -111,7 +115,7 @@
     for statement in statements {
         let (asked_at, _) = ask(&mut source).expect("a peer");
         source.peer_answered(statement, asked_at);
-        assert_eq!(source.confirmed_at(), before, "{statement:?}");
+        assert_eq!(source.confirmation().confirmed_at, before, "{statement:?}");
     }
 }
 
@@ -129,17 +133,21 @@
     for older in [4, 5, 6] {
         assert!(!source.put_in_force(older, None));
     }
-    assert_eq!(source.confirmed_at(), confirmed_at);
+    assert_eq!(source.confirmation().confirmed_at, confirmed_at);
     let (asked_at, _) = ask(&mut source).expect("a peer");
     assert_eq!(
         source.peer_answered(statement(5, 0), asked_at),
         PeerVerdict::Older
     );
     source.store_answered(Some(5), ms(15_000));
-    assert_eq!(source.confirmed_at(), confirmed_at, "the store is behind");
+    assert_eq!(
+        source.confirmation().confirmed_at,
+        confirmed_at,
+        "the store is behind"
+    );
     assert!(source.ask_at() < Some(ms(17_000)), "peers are still asked");
     source.store_answered(Some(6), ms(16_000));
-    assert_eq!(source.confirmed_at(), Some(ms(15_000)));
+    assert_eq!(source.confirmation().confirmed_at, Some(ms(15_000)));
     assert_eq!(source.statement(ms(16_000)), statement(6, 1_000));
 }
 
@@ -151,13 +159,33 @@
         revoke_ms,
         is_strict,
     };
-    let confirmed_at = Some(ms(1_000));
-    let strict = bound(Some(5_000), true);
-    assert!(!strict.refuses(confirmed_at, ms(6_000)));
-    assert!(strict.refuses(confirmed_at, ms(6_001)));
-    assert!(strict.refuses(None, ms(0)), "never confirmed");
+    let confirmed_at = |confirmed_at, now: u64| Confirmation {
+        confirmed_at,
+        store_event_at: ms(now),
+    };
+    let refusal = |bound: RevocationBound, confirmed, now| {
+        bound.refusal(confirmed_at(confirmed, now), ms(now))
+    };
+    let (confirmed, strict) = (Some(ms(1_000)), bound(Some(5_000), true));
+    assert_eq!(refusal(strict, confirmed, 6_000), None);
+    let unconfirmed = Some(KeyRefusal::Unconfirmed);
+    assert_eq!(refusal(strict, confirmed, 6_001), unconfirmed);
+    assert_eq!(refusal(strict, None, 0), unconfirmed, "never confirmed");
     let lenient = bound(Some(5_000), false);
-    assert!(lenient.is_exceeded(confirmed_at, ms(6_001)));
-    assert!(!lenient.refuses(confirmed_at, ms(6_001)));
-    assert!(!bound(None, false).is_exceeded(None, ms(90_000)));
+    assert!(lenient.is_exceeded(confirmed_at(confirmed, 6_001), ms(6_001)));
+    assert_eq!(refusal(lenient, confirmed, 6_001), None);
+    assert_eq!(refusal(bound(None, false), None, 90_000), None);
+}
+
+/// Guards against a withdrawn key that a daemon accepts right after it was suspended, before it has heard of the
+/// withdrawal.
+#[test]
+fn a_suspended_daemon_accepts_keys_after_it_has_heard_of_the_store() {
+    let mut source = source();
+    let lenient = RevocationBound::default();
+    assert_eq!(lenient.refusal(source.confirmation(), ms(13_700)), None);
+    let refusal = lenient.refusal(source.confirmation(), ms(60_000));
+    assert_eq!(refusal, Some(KeyRefusal::Suspended));
+    source.store_failed(ms(60_100));
+    assert_eq!(lenient.refusal(source.confirmation(), ms(60_200)), None);
 }
