--- a/crates/daemon/src/jobs/config.rs
+++ b/crates/daemon/src/jobs/config.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use rosemaryscale_adapters::log::LogFormat;
-use rosemaryscale_domain::schedule::PoolPolicy;
 use rosemaryscale_domain::schedule::UnevenWork;
 use serde::Deserialize;
 
@@ -64,12 +63,6 @@
     pub stop_grace_ms: u64,
     /// Time for which a job's state is retained after the job ends.
     pub status_kept_ms: u64,
-    /// Idle time after which an instance that its pool does not need returns to the spare pool.
-    #[serde(default = "default_instance_idle_ms")]
-    pub instance_idle_ms: u64,
-    /// Whether the growth of a service's demand is expected to continue only while there are instances for it.
-    #[serde(default)]
-    pub forecast_yields: bool,
     /// Time between SIGTERM and SIGKILL.
     pub stop_ms: u64,
     /// Whether decisions use run times learned from ends instead of declared ones.
@@ -90,10 +83,6 @@
     1.0
 }
 
-fn default_instance_idle_ms() -> u64 {
-    PoolPolicy::default().instance_idle_ms
-}
-
 const fn default_link_mbps() -> f64 {
     1_000.0
 }
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -12,7 +12,7 @@
 
 use rosemaryscale_adapters::worker_gateway::ORDER_AGE_MAX_MS;
 use rosemaryscale_domain::schedule::order::{WaveRequest, WorkerReport};
-use rosemaryscale_domain::schedule::{Batch, PoolPolicy, Scheduler, UnevenWork};
+use rosemaryscale_domain::schedule::{Batch, Scheduler, UnevenWork};
 use rosemaryscale_domain::worker_route::{GatewayOffer, LOCAL_WORKERS_MAX};
 use rosemaryscale_ports::advice::{AdviceCalls, AdviceEvents};
 use rosemaryscale_ports::clock::ClockHandle;
@@ -81,7 +81,6 @@
     pub(super) stop_grace_ms: u64,
     pub(super) uneven_work: UnevenWork,
     pub(super) status_kept_ms: u64,
-    pub(super) pools: PoolPolicy,
     pub(super) platform: PlatformAdapters,
     /// Whether the instance has the processor share and bandwidth to lead a large fleet.
     pub(super) has_ample_resources: bool,
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -155,7 +155,6 @@
                 },
             stop_grace_ms: options.stop_grace_ms,
             term: former_record.term + 1,
-            pools: options.pools,
             uneven_work: options.uneven_work,
         };
         let former_term = FormerTerm {
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -9,7 +9,6 @@
 use rosemaryscale_adapters::worker_gateway::{GatewayOptions, GatewayServer};
 use rosemaryscale_adapters::{SystemClock, log, metrics_registry};
 use rosemaryscale_domain::config_source::{Confirmation, RevocationBound};
-use rosemaryscale_domain::schedule::PoolPolicy;
 use rosemaryscale_platform::frontend::{FrontendError, FrontendServer};
 use rosemaryscale_platform::{
     CONFIG_KEY, WAVE_PREFIX, WORKER_PREFIX, advisor, instances, queue_config, store, wave,
@@ -267,10 +266,6 @@
             stop_grace_ms: settings.stop_grace_ms,
             uneven_work: settings.uneven_work(),
             status_kept_ms: settings.status_kept_ms,
-            pools: PoolPolicy {
-                instance_idle_ms: settings.instance_idle_ms,
-                forecast_yields: settings.forecast_yields,
-            },
             platform: PLATFORM,
             has_ample_resources: settings.processor_share >= AMPLE_PROCESSOR_SHARE
                 && settings.link_mbps >= AMPLE_LINK_MBPS,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -51,7 +51,7 @@
 use copies::Copies;
 use durations::Durations;
 use fleet::Fleet;
-pub use fleet::{PoolPolicy, WaveRecord};
+pub use fleet::WaveRecord;
 use job_table::{JobOwner, JobTable, TaskStatus};
 use late_starts::LateStarts;
 use load::LoadForecast;
@@ -108,8 +108,6 @@
     pub stop_grace_ms: u64,
     /// Number of this leader's term; the first is 1.
     pub term: u32,
-    /// How pools follow the demand.
-    pub pools: PoolPolicy,
     /// How uneven run times are answered.
     pub uneven_work: UnevenWork,
 }
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -23,35 +23,15 @@
 const PLAN_INTERVAL_MS: u64 = 100;
 /// Delay before an instance whose order was refused gets another one.
 const REFUSED_RETRY_DELAY_MS: u64 = 1_000;
+/// Idle time after which an instance returns to the spare pool. A move costs about as much as one
+/// second in a pool.
+const IDLE_TIMEOUT_MS: u64 = 2_000;
 /// Time after which an instance of a wave that the list omits counts as removed: ten readings of the
 /// list.
 const ABSENCE_TIMEOUT_MS: u64 = 5_000;
 /// Share of a pool's capacity that tasks can use: tasks of different sizes leave fragments unused.
 const TARGET_UTILIZATION_PERCENT: u64 = 85;
 
-/// Time for which the growth of the demand is taken to continue: moving an instance takes 1.5 s, and its worker
-/// is used a little later.
-const DEMAND_HORIZON_MS: u64 = 2_000;
-
-/// How pools follow the demand.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PoolPolicy {
-    /// Idle time after which an instance in excess of its pool's need returns to the spare pool.
-    pub instance_idle_ms: u64,
-    /// Whether the growth of the demand is expected to continue only while there are instances for it.
-    pub forecast_yields: bool,
-}
-
-impl Default for PoolPolicy {
-    fn default() -> Self {
-        Self {
-            // A move costs about as much as one second in a pool.
-            instance_idle_ms: 2_000,
-            forecast_yields: false,
-        }
-    }
-}
-
 /// An operation that the platform carries out on an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Operation {
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -1,7 +1,7 @@
 //! Moves between pools: how many instances each pool needs, and which instances can be moved.
 
 use super::{
-    DEMAND_HORIZON_MS, Operation, OperationState, TARGET_UTILIZATION_PERCENT, TrackedInstance,
+    IDLE_TIMEOUT_MS, Operation, OperationState, TARGET_UTILIZATION_PERCENT, TrackedInstance,
 };
 use crate::job::StepSpec;
 use crate::placement::Resources;
@@ -49,7 +49,15 @@
 
     /// Moves instances to pools that need more, and returns idle ones to the spare pool.
     pub(super) fn plan_moves(&mut self, now: Millis) {
-        let needs = self.pool_needs(now);
+        let pools: Vec<ServiceKey> = self
+            .services
+            .keys()
+            .filter(|key| !self.fleet.spare_services.contains(key))
+            .collect();
+        let needs: Vec<PoolNeed> = pools
+            .into_iter()
+            .map(|pool| self.pool_need(pool, now))
+            .collect();
         let mut missing: Vec<MissingInstances> = needs
             .iter()
             .filter(|need| need.missing() > 0)
@@ -86,44 +94,11 @@
         }
     }
 
-    /// What each pool needs and has. An instance that only a rising forecast holds may be one that another pool
-    /// has waiting tasks for, so the growth of the demand counts only while there are instances for it.
-    fn pool_needs(&mut self, now: Millis) -> Vec<PoolNeed> {
-        let needs = self.pool_needs_at(DEMAND_HORIZON_MS, now);
-        let needed: usize = needs.iter().map(|need| need.needed).sum();
-        if self.settings.pools.forecast_yields && needed > self.instances_in_service(now) {
-            return self.pool_needs_at(0, now);
-        }
-        needs
-    }
-
-    fn pool_needs_at(&mut self, horizon_ms: u64, now: Millis) -> Vec<PoolNeed> {
-        let pools: Vec<ServiceKey> = self
-            .services
-            .keys()
-            .filter(|key| !self.fleet.spare_services.contains(key))
-            .collect();
-        pools
-            .into_iter()
-            .map(|pool| self.pool_need(pool, horizon_ms, now))
-            .collect()
-    }
-
-    /// Instances that are in a pool, on their way to one, or spare.
-    fn instances_in_service(&self, now: Millis) -> usize {
-        let is_in_service = |instance: &&TrackedInstance| {
-            self.is_usable(instance)
-                || instance.arrival_deadline > now
-                || (self.is_spare(instance) && instance.report.state == InstanceState::Up)
-        };
-        self.fleet.instances.values().filter(is_in_service).count()
-    }
-
-    fn pool_need(&mut self, pool: ServiceKey, horizon_ms: u64, now: Millis) -> PoolNeed {
+    fn pool_need(&mut self, pool: ServiceKey, now: Millis) -> PoolNeed {
         let for_unplaceable = self.instances_missing_for_unplaceable(pool, now);
         PoolNeed {
             pool,
-            needed: self.instances_needed(pool, for_unplaceable, horizon_ms, now),
+            needed: self.instances_needed(pool, for_unplaceable, now),
             present: self.instance_count(pool, now),
             for_unplaceable,
         }
@@ -226,10 +201,9 @@
         &mut self,
         service: ServiceKey,
         missing_for_unplaceable: usize,
-        horizon_ms: u64,
         now: Millis,
     ) -> usize {
-        let forecast = self.services[service].load.forecast(horizon_ms, now);
+        let forecast = self.services[service].load.forecast(now);
         let long_running = self.long_running_demand(service);
         let waiting = self.services[service]
             .ready
@@ -483,9 +457,9 @@
                 self.is_movable(instance, now)
                     && instance.pool == service
                     && self.worker_on(*key).is_some()
-                    && instance.idle_since.is_some_and(|since| {
-                        now.ms_since(since) >= self.settings.pools.instance_idle_ms
-                    })
+                    && instance
+                        .idle_since
+                        .is_some_and(|since| now.ms_since(since) >= IDLE_TIMEOUT_MS)
             })
             .map(|(key, _)| key)
             .take(count_max)
--- a/crates/domain/src/schedule/load.rs
+++ b/crates/domain/src/schedule/load.rs
@@ -10,6 +10,8 @@
 const AVERAGE_BUCKETS: usize = 4;
 /// Buckets in the ring: two averages, to compute the slope between them.
 const BUCKETS: usize = 2 * AVERAGE_BUCKETS;
+/// Forecast horizon: moving an instance takes 1.5 s, and its worker is used a little later.
+const FORECAST_MS: u64 = 2_000;
 
 /// Recently arrived work, in milliseconds of each resource.
 #[derive(Clone, Debug, Default)]
@@ -38,8 +40,9 @@
         self.newest = self.newest.max(current);
     }
 
-    /// Resources that arriving work will need if its growth continues linearly until the horizon.
-    pub(super) fn forecast(&mut self, horizon_ms: u64, now: Millis) -> Resources {
+    /// Resources that arriving work will need at the forecast horizon, if its growth continues
+    /// linearly.
+    pub(super) fn forecast(&mut self, now: Millis) -> Resources {
         self.rotate(now);
         let average = |first: u64| {
             let sum = (first..first + AVERAGE_BUCKETS as u64)
@@ -50,10 +53,8 @@
         };
         let (recent, before) = (average(0), average(AVERAGE_BUCKETS as u64));
         let growth = recent.minus(before);
-        recent.plus(divide(
-            growth.times(horizon_ms),
-            AVERAGE_BUCKETS as u64 * BUCKET_MS,
-        ))
+        let steps = FORECAST_MS / (AVERAGE_BUCKETS as u64 * BUCKET_MS);
+        recent.plus(growth.times(steps))
     }
 }
 
--- a/crates/domain/tests/pool_moves.rs
+++ b/crates/domain/tests/pool_moves.rs
@@ -5,20 +5,11 @@
 use rosemaryscale_domain::job::{JobRecord, StepSpec};
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::WaveRequest;
-use rosemaryscale_domain::schedule::{PoolPolicy, ScheduleSettings};
-use scheduler_harness::{SchedulerHarness, job, settings, step};
+use scheduler_harness::{SchedulerHarness, job, step};
 
 /// A harness whose pools have workers on instances: pool and number of workers of each.
 fn harness(pools: &[(&str, usize)], spares: usize) -> SchedulerHarness {
-    harness_with(PoolPolicy::default(), pools, spares)
-}
-
-fn harness_with(policy: PoolPolicy, pools: &[(&str, usize)], spares: usize) -> SchedulerHarness {
-    let settings = ScheduleSettings {
-        pools: policy,
-        ..settings(1)
-    };
-    let mut harness = SchedulerHarness::with_settings(0, settings);
+    let mut harness = SchedulerHarness::new(0);
     harness.scheduler.set_spare_services(&["spare".into()]);
     for (pool, count) in pools {
         for index in 0..*count {
@@ -108,54 +99,3 @@
     }
     assert_eq!(moves_to(&harness, "a"), 2, "in the first planning pass");
 }
-
-/// Moves to a pool with waiting tasks, while the demand of another one has just begun to rise and its idle
-/// instances are all that is left.
-fn moves_while_another_pool_rises(forecast_yields: bool) -> usize {
-    let policy = PoolPolicy {
-        forecast_yields,
-        ..PoolPolicy::default()
-    };
-    let mut harness = harness_with(policy, &[("a", 1), ("b", 12)], 0);
-    let task = StepSpec {
-        processors_milli: 4_000,
-        estimate_ms: 1_000,
-        ..step(1)
-    };
-    for index in 0..6 {
-        let rising = job_of("b", vec![task.clone()]);
-        harness.submit(&format!("rising{index}"), rising);
-        harness.run_for(50);
-    }
-    harness.submit("waiting", job_of("a", vec![StepSpec { count: 6, ..task }]));
-    harness.run_for(200);
-    moves_to(&harness, "a")
-}
-
-/// Load pattern: the bursts of two queues overlap and there are too few instances for both. Guards against
-/// instances that stay idle in one pool, for tasks that may come, while tasks of another pool wait.
-#[test]
-fn a_forecast_holds_no_instances_that_waiting_tasks_need() {
-    let (kept, yielded) = (
-        moves_while_another_pool_rises(false),
-        moves_while_another_pool_rises(true),
-    );
-    assert_eq!(kept, 0, "the forecast holds all idle instances");
-    assert!(yielded >= 4, "{yielded} of 5 idle instances");
-}
-
-/// Load pattern: the burst of a queue has ended. Guards against instances that are paid for while nothing
-/// may use them, and against a setting without effect.
-#[test]
-fn an_idle_instance_returns_after_the_configured_time() {
-    let policy = PoolPolicy {
-        instance_idle_ms: 600,
-        ..PoolPolicy::default()
-    };
-    let mut harness = harness_with(policy, &[("a", 2)], 0);
-    let begin = harness.now;
-    while moves_to(&harness, "spare") == 0 {
-        harness.run_for(10);
-        assert!(harness.now.ms_since(begin) <= 1_000, "not returned");
-    }
-}
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -16,8 +16,8 @@
 };
 use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
-    Acceptance, Batch, FormerTerm, PoolPolicy, RecordedWorker, ScheduleSettings, Scheduler,
-    StoredJob, UnevenWork,
+    Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
+    UnevenWork,
 };
 use rosemaryscale_domain::workspace::Caller;
 
@@ -678,7 +678,6 @@
         leader_grace_ms: LEADER_GRACE_MS,
         stop_grace_ms: STOP_GRACE_MS,
         term,
-        pools: PoolPolicy::default(),
         uneven_work: UnevenWork::default(),
     }
 }
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -21,8 +21,7 @@
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{Action, OrderResult, PollResult, Refusal, RunEndKind};
 use rosemaryscale_domain::schedule::{
-    Acceptance, Batch, FormerTerm, PoolPolicy, RecordedWorker, ScheduleSettings, Scheduler,
-    StoredJob,
+    Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
 use worker::{ModelWorker, instance_report};
 
@@ -166,7 +165,6 @@
             leader_grace_ms: LEADER_GRACE_MS,
             stop_grace_ms: STOP_GRACE_MS,
             term,
-            pools: PoolPolicy::default(),
             uneven_work: self.conditions.uneven_work(),
         };
         let former = FormerTerm::with_workers(self.store.workers.clone());
