Count everything that may run of a workspace against its quota

A quota held only for runs in the run table. A start without an answer that the next incarnation of a worker could carry out, and runs of the former leader on workers not heard yet, were not counted, and a gang was admitted by one of its tasks.

Both are now counted: pending late starts of workers that have not answered, and per workspace the smaller of the needs of the tasks that the former leader may have started and the capacity of the awaited workers, renewed when the recovery changes and otherwise every 100 ms. Steps without quota are left out of a placement pass and of calls to the advisor before they are ranked. Waiting and forecast demand asks for instances only as far as the quotas allow.

--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -59,6 +59,13 @@
             accelerators: self.accelerators,
         }
     }
+
+    /// Resources that a start needs: those of one task, or of the whole gang.
+    #[must_use]
+    pub const fn need_at_once(&self) -> Resources {
+        let tasks = if self.gang { self.count as u64 } else { 1 };
+        self.need().times(tasks)
+    }
 }
 
 /// Repetition schedule of a job.
--- a/crates/domain/src/placement/resources.rs
+++ b/crates/domain/src/placement/resources.rs
@@ -63,6 +63,16 @@
         }
     }
 
+    /// The smaller amount of each resource.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            processors_milli: self.processors_milli.min(other.processors_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// The dominant share of `whole`: the largest share of any resource, in parts per million.
     #[must_use]
     pub fn dominant_share_ppm(self, whole: Self) -> u64 {
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -5,6 +5,7 @@
 //! must be stored before the end of a run is acknowledged.
 
 mod advice;
+mod arrivals;
 mod choice;
 mod configuration;
 mod crashes;
@@ -40,14 +41,17 @@
 use crate::prelude::*;
 use crate::workspace::Caller;
 use advice::Advice;
+use arrivals::Arrivals;
 use fleet::Fleet;
 pub use fleet::WaveRecord;
 use job_table::{JobOwner, JobTable, TaskStatus};
 use late_starts::LateStarts;
 use load::LoadForecast;
-use order::{Action, SchedulerEvent};
+use order::{Action, SchedulerEvent, StepKey};
 use persist::BatchQueue;
 pub use persist::{Batch, JobWrite, RecordedWorker};
+pub use quota::WorkspaceUse;
+use quota::{QuotaBudget, UnseenUse};
 use ready::ReadyQueue;
 use recovery::Recovery;
 use retention::Retention;
@@ -152,6 +156,7 @@
     name: Arc<str>,
     workers: Vec<WorkerKey>,
     load: LoadForecast,
+    arrivals: Arrivals,
     ready: ReadyQueue,
     /// Whether tasks or room have been added since the last placement pass.
     placement_due: bool,
@@ -175,6 +180,7 @@
     services: SlotMap<ServiceKey, Service>,
     services_by_name: FastMap<Arc<str>, ServiceKey>,
     workspaces: WorkspaceTable,
+    unseen_use: UnseenUse,
     fleet: Fleet,
     advice: Advice,
     recovery: Option<Recovery>,
@@ -214,6 +220,7 @@
             services: SlotMap::with_key(),
             services_by_name: FastMap::default(),
             workspaces: WorkspaceTable::default(),
+            unseen_use: UnseenUse::default(),
             fleet: Fleet::default(),
             advice: Advice::default(),
             recovery: None,
@@ -245,6 +252,8 @@
             return;
         };
         let restored = stored.acceptance == Acceptance::BeforeTerm;
+        let unseen_ms =
+            self.settings.leader_grace_ms + self.settings.run_lease_ms + LEASE_MARGIN_MS;
         let is_final = stored.progress.as_ref().is_some_and(|p| p.state.is_final());
         if !is_final && self.job_table.jobs[key].record.spec.repeat.is_none() {
             self.job_table.create_occurrence(key, restored);
@@ -252,6 +261,9 @@
         }
         if let Some(progress) = stored.progress {
             self.job_table.restore(key, &progress);
+            if wall.ms_since(Millis::from_ms(progress.ended_wall_ms)) <= unseen_ms {
+                self.record_ended_job(key);
+            }
         }
         if self.job_table.jobs[key].record.spec.repeat.is_some() {
             self.repeated.push(key);
@@ -311,10 +323,7 @@
     fn owner_of(&mut self, record: &JobRecord) -> JobOwner {
         JobOwner {
             service: self.service_key(&record.policy.service),
-            workspace: record
-                .workspace
-                .as_ref()
-                .map(|workspace| self.workspaces.key_of(workspace)),
+            workspace: self.workspaces.key_of(record),
         }
     }
 
@@ -322,16 +331,24 @@
         let Some(job) = self.job_table.jobs.get(key) else {
             return;
         };
-        let finite_steps = job
-            .record
-            .spec
-            .steps
-            .iter()
-            .filter(|step| !step.long_running);
+        let view = self.view(now);
+        let steps = job.record.spec.steps.iter().zip(0_u16..);
+        let finite_steps = steps.filter(|(step, _)| !step.long_running);
         let work = finite_steps
-            .map(|step| step.need().times(step.estimate_ms * u64::from(step.count)))
+            .map(|(spec, step)| {
+                let step = StepKey {
+                    job: key,
+                    occurrence: 0,
+                    step,
+                };
+                // Work that the quota holds back needs no instances yet.
+                let count = QuotaBudget::new(view).grant(step, u64::from(spec.count));
+                spec.need().times(spec.estimate_ms * count)
+            })
             .fold(Resources::default(), Resources::plus);
-        self.services[job.service].load.add(work, now);
+        let (service, workspace) = (job.service, job.workspace);
+        self.services[service].load.add(work, now);
+        self.services[service].arrivals.add(workspace, now);
     }
 
     /// Cancels a job, also one that becomes known later, unless the caller may not access it.
@@ -440,6 +457,7 @@
         let mut status = self.job_table.status_without_run(key);
         if status == TaskStatus::Ready && self.former_leader_may_start(key) {
             status = TaskStatus::AwaitingRecovery;
+            self.unseen_use.request_renewal();
         }
         if let Some(task) = self.job_table.tasks.get_mut(key) {
             task.status = status;
@@ -478,6 +496,7 @@
             }
         }
         self.advice.remove_job(key);
+        self.record_ended_job(key);
         self.request_batch(now.after_ms(JOB_END_BATCH_DELAY_MS));
     }
 
--- a/crates/domain/src/schedule/advice.rs
+++ b/crates/domain/src/schedule/advice.rs
@@ -142,7 +142,7 @@
         let mut ranked: Vec<_> = steps
             .filter(|(step, _)| {
                 let job = self.job_table.jobs.get(step.job);
-                job.is_some_and(|job| job.policy.advice.is_some())
+                job.is_some_and(|job| job.policy.advice.is_some()) && view.has_quota(*step)
             })
             .filter_map(|(step, _)| view.rank(step, capacity))
             .collect();
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 use crate::schedule::Scheduler;
 use crate::schedule::order::{InstanceState, StepKey};
+use crate::schedule::quota::QuotaBudget;
 use crate::schedule::worker::Worker;
 
 /// Time in which an instance is emptied, its long-running tasks start elsewhere, and it is maintained.
@@ -203,15 +204,19 @@
         missing_for_unplaceable: usize,
         now: Millis,
     ) -> usize {
-        let forecast = self.services[service].load.forecast(now);
+        let forecast = self.forecast_within_quotas(service, now);
         let long_running = self.long_running_demand(service);
+        let mut budget = QuotaBudget::new(self.view(now));
         let waiting = self.services[service]
             .ready
             .steps()
             .filter(|(step, _)| self.is_still_useful(*step, now))
             .filter_map(|(step, tasks)| {
                 let spec = self.job_table.jobs.get(step.job)?.step(step.step)?;
-                Some(spec.need().times(self.ready_count(tasks)))
+                Some(
+                    spec.need()
+                        .times(budget.grant(step, self.ready_count(tasks))),
+                )
             })
             .fold(Resources::default(), Resources::plus);
         let running = self.finite_demand(service);
@@ -272,6 +277,7 @@
             .unzip();
         let capacity = self.largest_capacity();
         let mut additional: Vec<Resources> = Vec::new();
+        let mut budget = QuotaBudget::new(self.view(now));
         for (step, tasks) in self.services[service].ready.steps() {
             let job = self.job_table.jobs.get(step.job);
             let Some(spec) = job.and_then(|job| job.step(step.step)) else {
@@ -289,7 +295,7 @@
             if !fits_nowhere || !is_pool_usable {
                 continue;
             }
-            for _ in 0..self.ready_count(tasks) {
+            for _ in 0..budget.grant(step, self.ready_count(tasks)) {
                 match additional.iter_mut().find(|free| need.fits(**free)) {
                     Some(free) => *free = free.minus(need),
                     None => additional.push(capacity.minus(need)),
@@ -307,10 +313,8 @@
             if spec.per_worker_max == 0 || !self.is_still_useful(step, now) {
                 return None;
             }
-            Some(
-                self.ready_count(tasks)
-                    .div_ceil(u64::from(spec.per_worker_max)),
-            )
+            let count = QuotaBudget::new(self.view(now)).grant(step, self.ready_count(tasks));
+            Some(count.div_ceil(u64::from(spec.per_worker_max)))
         });
         let Some(additional) = additional.max().filter(|count| *count > 0) else {
             return 0;
--- a/crates/domain/src/schedule/late_starts.rs
+++ b/crates/domain/src/schedule/late_starts.rs
@@ -7,6 +7,7 @@
 use super::Scheduler;
 use super::run::{Phase, PlacedRun, Run, RunInfo};
 use super::stop_reason::StopReason;
+use crate::placement::Resources;
 use crate::prelude::*;
 
 /// Time for which a start without an answer may still be carried out. The platform says only that this may
@@ -46,6 +47,29 @@
 }
 
 impl Scheduler {
+    /// Needs of the starts that the next incarnation of their worker may carry out although no run stands for
+    /// them, with their workspaces. An incarnation that has answered this leader has been told to stop them.
+    pub(super) fn late_start_needs(
+        &self,
+        now: Millis,
+    ) -> impl Iterator<Item = (WorkspaceKey, Resources)> {
+        let unheard = self.late_starts.by_worker.iter().filter(|(id, _)| {
+            let worker = self.workers_by_id.get(*id);
+            let worker = worker.and_then(|key| self.workers.get(*key));
+            worker.is_none_or(|worker| !worker.synced)
+        });
+        unheard.flat_map(move |(id, starts)| {
+            let worker = self.workers_by_id.get(id).copied();
+            let pending = starts.iter().filter(move |start| start.expires_at > now);
+            pending.filter_map(move |LateStart { info, .. }| {
+                let run = worker.and_then(|key| self.run_at(key, info.task, info.number));
+                info.workspace
+                    .filter(|_| run.is_none())
+                    .map(|workspace| (workspace, info.need))
+            })
+        })
+    }
+
     /// Records that a start got no answer.
     pub(super) fn record_late_start(&mut self, worker: WorkerKey, run: RunKey, now: Millis) {
         if let (Some(worker), Some(run)) = (self.workers.get(worker), self.runs.get(run)) {
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -154,6 +154,7 @@
     /// Finds a task in an occurrence that this leader has not created yet, and creates it.
     pub(super) fn find_in_new_occurrence(&mut self, listed_run: &ListedRun) -> Option<TaskKey> {
         let job = *self.job_table.jobs_by_id.get(&listed_run.task.job)?;
+        self.unseen_use.request_renewal();
         self.job_table
             .create_occurrences_up_to(job, listed_run.task.position.occurrence);
         self.job_table.find(&listed_run.task)
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -44,6 +44,7 @@
             workers: &self.workers,
             services: &self.services,
             workspaces: &self.workspaces,
+            unseen_use: &self.unseen_use,
             advice: &self.advice,
             leadership_unconfirmed: self.leadership_unconfirmed,
             now,
@@ -67,6 +68,7 @@
         if due.is_empty() {
             return;
         }
+        self.renew_unseen_use(now);
         let capacity = self.largest_capacity();
         for key in due {
             self.services[key].placement_due = false;
@@ -92,7 +94,7 @@
             let Some(need) = self
                 .view(now)
                 .step_need(step)
-                .filter(|need| bounds.may_fit(*need))
+                .filter(|need| bounds.may_fit(*need) && self.view(now).has_quota(step))
             else {
                 continue;
             };
@@ -132,7 +134,8 @@
                 continue;
             }
             let is_isolated = task.is_isolated();
-            if !self.view(now).has_quota(key, Resources::default()) {
+            let step = self.job_table.step_key(key);
+            if step.is_some_and(|step| !self.view(now).has_quota(step)) {
                 fits = false;
                 waiting.push(key);
                 continue;
@@ -148,7 +151,8 @@
         waiting
     }
 
-    /// Steps of a service with ready tasks that may fit on a worker, sorted by rank.
+    /// Steps of a service with ready tasks that may fit on a worker and the quota of their workspace, sorted by
+    /// rank.
     fn ranked_steps(
         &self,
         service: ServiceKey,
@@ -162,7 +166,7 @@
             .steps()
             .filter(|(step, _)| {
                 view.step_need(*step)
-                    .is_some_and(|need| bounds.may_fit(need))
+                    .is_some_and(|need| bounds.may_fit(need) && view.has_quota(*step))
             })
             .filter_map(|(step, _)| view.rank(step, capacity))
             .collect();
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -6,6 +6,7 @@
 
 use super::job_table::{Job, TaskStatus};
 use super::{FormerTerm, LEASE_MARGIN_MS, RecordedWorker, Scheduler};
+use crate::placement::Resources;
 use crate::prelude::*;
 
 /// Time for a poll to report the end of a run that was stopped, beyond the time a worker takes to stop
@@ -40,6 +41,7 @@
             }
             awaited.insert(key);
         }
+        self.unseen_use.request_renewal();
         self.recovery = Some(Recovery {
             recorded: awaited.clone(),
             awaited,
@@ -80,9 +82,20 @@
             && recovery.recorded.contains(&key)
         {
             recovery.awaited.insert(key);
+            self.unseen_use.request_renewal();
         }
     }
 
+    /// Capacity of the workers that may still have unknown runs of the former leader; `None` if that of one of
+    /// them is not known.
+    pub(super) fn awaited_capacity(&self) -> Option<Resources> {
+        let awaited = self.recovery.iter().flat_map(|recovery| &recovery.awaited);
+        awaited
+            .filter_map(|key| self.workers.get(*key))
+            .map(|worker| Some(worker.full_capacity).filter(|full| *full != Resources::default()))
+            .try_fold(Resources::default(), |sum, full| Some(sum.plus(full?)))
+    }
+
     pub(super) fn recheck_recovery(&mut self) {
         if let Some(recovery) = &mut self.recovery {
             recovery.changed = true;
@@ -108,6 +121,7 @@
             // The next leader need not wait for workers that no longer have runs.
             self.request_batch(now);
         } else if changed {
+            self.unseen_use.request_renewal();
             self.release_recovered();
         }
     }
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -1,5 +1,6 @@
 //! Workers and services: membership, polling and loss.
 
+use super::arrivals::Arrivals;
 use super::load::LoadForecast;
 use super::order::{Action, PollOrder, SchedulerEvent, WorkerReport};
 use super::ready::ReadyQueue;
@@ -146,6 +147,7 @@
             name: Arc::clone(name),
             workers: Vec::new(),
             load: LoadForecast::default(),
+            arrivals: Arrivals::default(),
             ready: ReadyQueue::default(),
             placement_due: false,
             next_placement_at: Millis::ZERO,
--- a/crates/domain/src/schedule/view.rs
+++ b/crates/domain/src/schedule/view.rs
@@ -7,6 +7,7 @@
 use super::advice::Advice;
 use super::job_table::JobTable;
 use super::order::StepKey;
+use super::quota::UnseenUse;
 use super::run_table::RunTable;
 use super::worker::Worker;
 use super::workspace_table::WorkspaceTable;
@@ -21,6 +22,7 @@
     pub workers: &'a SlotMap<WorkerKey, Worker>,
     pub services: &'a SlotMap<ServiceKey, Service>,
     pub workspaces: &'a WorkspaceTable,
+    pub unseen_use: &'a UnseenUse,
     pub advice: &'a Advice,
     /// Whether another daemon may have become the leader.
     pub leadership_unconfirmed: bool,
--- a/crates/domain/src/workspace.rs
+++ b/crates/domain/src/workspace.rs
@@ -55,14 +55,54 @@
             && is_within(used.accelerators, self.quota.accelerators)
     }
 
+    /// The part of an amount that the quota allows.
+    #[must_use]
+    pub fn limit_within(&self, amount: Resources) -> Resources {
+        let limit = |amount: u64, limit: u64| {
+            if limit == 0 {
+                amount
+            } else {
+                amount.min(limit)
+            }
+        };
+        Resources {
+            processors_milli: limit(amount.processors_milli, self.quota.processors_milli),
+            memory_mb: limit(amount.memory_mb, self.quota.memory_mb),
+            accelerators: limit(amount.accelerators, self.quota.accelerators),
+        }
+    }
+
     /// Index of the first step that can never run within the quota: one of its tasks, or all tasks of a gang
     /// together, need more.
     #[must_use]
     pub fn step_above_quota(&self, spec: &JobSpec) -> Option<usize> {
-        spec.steps.iter().position(|step| {
-            let tasks = if step.gang { u64::from(step.count) } else { 1 };
-            !self.permits(step.need().times(tasks))
-        })
+        let mut steps = spec.steps.iter();
+        steps.position(|step| !self.permits(step.need_at_once()))
+    }
+
+    /// How many tasks of this need, at most `count_max`, the quota allows beside an amount in use.
+    #[must_use]
+    pub fn count_within(&self, used: Resources, need: Resources, count_max: u64) -> u64 {
+        let count = |used: u64, need: u64, limit: u64| {
+            if limit == 0 || need == 0 {
+                count_max
+            } else {
+                limit.saturating_sub(used) / need
+            }
+        };
+        let quota = self.quota;
+        count(
+            used.processors_milli,
+            need.processors_milli,
+            quota.processors_milli,
+        )
+        .min(count(used.memory_mb, need.memory_mb, quota.memory_mb))
+        .min(count(
+            used.accelerators,
+            need.accelerators,
+            quota.accelerators,
+        ))
+        .min(count_max)
     }
 }
 
--- a/crates/domain/tests/takeover_model/conditions.rs
+++ b/crates/domain/tests/takeover_model/conditions.rs
@@ -17,6 +17,10 @@
     pub(super) restart: Restart,
     /// Time from the restart of a worker until the platform lists its new incarnation.
     pub(super) listing_delay_ms: u64,
+    /// Number of workspaces that the jobs belong to; without any, jobs have no workspace.
+    pub(super) workspace_count: usize,
+    /// Probability that the quota of one of the workspaces changes, for each tick.
+    pub(super) quota_changes_per_mille: u32,
 }
 
 /// What a worker keeps over a restart, and which orders its next incarnation may receive.
@@ -39,6 +43,8 @@
         restarts_per_mille: 8,
         restart: Restart::OrdersLost,
         listing_delay_ms: 0,
+        workspace_count: 0,
+        quota_changes_per_mille: 0,
     };
 
     /// Frequent cancellations of jobs with long runs.
@@ -62,4 +68,13 @@
         listing_delay_ms: 300,
         ..Self::RESTARTS
     };
+
+    /// Jobs of a few workspaces with tight quotas, which are raised and lowered.
+    pub(crate) const QUOTAS: Self = Self {
+        workspace_count: 3,
+        quota_changes_per_mille: 10,
+        crashes_per_mille: 2,
+        long_runs_percent: 10,
+        ..Self::RESTARTS
+    };
 }
--- a/crates/domain/tests/takeover_model/faults.rs
+++ b/crates/domain/tests/takeover_model/faults.rs
@@ -40,9 +40,10 @@
     }
 
     fn draw_job(&mut self) -> JobRecord {
+        let (workspace, processors_milli) = self.draw_workspace();
         let step = |count, after: Vec<u16>| StepSpec {
             count,
-            processors_milli: 1_000,
+            processors_milli,
             memory_mb: 100,
             estimate_ms: 500,
             after,
@@ -63,7 +64,7 @@
                 advice: None,
             },
             received_wall_ms: self.now.as_ms(),
-            workspace: None,
+            workspace,
             spec: JobSpec {
                 text: "text".into(),
                 steps,
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -7,6 +7,7 @@
 mod conditions;
 mod faults;
 mod messages;
+mod quotas;
 mod worker;
 
 use std::ops::Range;
@@ -15,6 +16,7 @@
 pub(crate) use conditions::Conditions;
 use conditions::Restart;
 use messages::{Answer, Delivery, Event, InTransit, Order, Reception};
+use quotas::Quotas;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rosemaryscale_domain::job::{JobProgress, JobRecord};
@@ -77,6 +79,7 @@
     loss_percent: u32,
     conditions: Conditions,
     checks: Checks,
+    quotas: Quotas,
 }
 
 /// Runs the schedule of a seed; `Err` describes the violated invariant.
@@ -107,7 +110,9 @@
             loss_percent,
             conditions,
             checks: Checks::default(),
+            quotas: Quotas::default(),
         };
+        model.draw_quotas();
         model.start_leader();
         model
     }
@@ -122,8 +127,10 @@
         if faults_active {
             self.submit_and_cancel();
             self.inject_faults();
+            self.change_quota();
         } else {
             self.clear_faults();
+            self.raise_quotas();
         }
         for index in 0..self.workers.len() {
             for end in self.workers[index].advance(self.now) {
@@ -178,6 +185,7 @@
             };
             scheduler.restore(stored, self.now, self.now);
         }
+        scheduler.configure(&FastMap::default(), &self.quotas.configured());
         self.leaders.push(Leader {
             scheduler,
             fencing_token: u64::from(term),
@@ -267,6 +275,12 @@
         {
             self.checks.start_sent(&start.task);
         }
+        if let Order::Start(start) = &order {
+            // A change in the tick in which the leader lost the store has not reached it.
+            let lost_at_ms = self.leaders[index].lost_store_at.as_ms();
+            let known_until = Millis::from_ms(lost_at_ms - TICK_MS);
+            self.quotas.start_sent(start, self.now.min(known_until));
+        }
         let delay_ms = self.rng.random_range(0..4) * TICK_MS;
         let delivery = self.draw_delivery(index, worker);
         let (arrives_ms, is_answered) = match delivery {
@@ -409,6 +423,8 @@
                 if run_started {
                     self.checks
                         .run_started(&self.workers, worker.1, start, &self.store.jobs)?;
+                    self.quotas
+                        .run_started(&self.workers, start, &self.store.jobs)?;
                 }
                 Answer::Order(result)
             }
--- a/crates/domain/tests/takeovers.rs
+++ b/crates/domain/tests/takeovers.rs
@@ -68,6 +68,12 @@
     );
 }
 
+/// Guards against starts that raise what the tasks of a workspace use on the workers above its quota.
+#[test]
+fn quotas_hold_in_every_schedule() {
+    play("quotas_hold_in_every_schedule", Conditions::QUOTAS, &[]);
+}
+
 fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
