Report what workspaces use and which of them their quotas hold back

Operators could not see why a workspace waits. The scheduler now reports for each workspace with jobs its use, quota, ready tasks and those that the quota holds back.

--- a/crates/adapters/src/metrics.rs
+++ b/crates/adapters/src/metrics.rs
@@ -6,7 +6,7 @@
 use cadence::{
     Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
 };
-use rosemaryscale_ports::metric::{MetricSink, Metrics};
+use rosemaryscale_ports::metric::{GaugeFamily, MetricSink, Metrics};
 
 const PREFIX: &str = "rosemaryscale";
 
@@ -48,6 +48,16 @@
         let _ = self.client.gauge(name, value);
     }
 
+    /// Statsd has no labels; the value of the label is the last part of the name, without the characters that
+    /// separate fields.
+    fn gauge_family(&self, family: GaugeFamily) {
+        for (label, value) in family.values {
+            let label = label.replace(|c: char| !c.is_alphanumeric() && c != '-', "_");
+            let name = format!("{}.{label}", family.name);
+            let _ = self.client.gauge(&name, value);
+        }
+    }
+
     fn time_ms(&self, name: &'static str, value_ms: u64) {
         let _ = self.client.time(name, value_ms);
     }
--- a/crates/adapters/src/metrics_registry.rs
+++ b/crates/adapters/src/metrics_registry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use hdrhistogram::Histogram;
-use rosemaryscale_ports::metric::{MetricSink, Metrics};
+use rosemaryscale_ports::metric::{GaugeFamily, MetricSink, Metrics};
 use rosemaryscale_ports::prelude::*;
 use tokio::task::JoinHandle;
 
@@ -30,6 +30,7 @@
 enum Record {
     Count(&'static str, i64),
     Gauge(&'static str, u64),
+    Family(GaugeFamily),
     TimeMs(&'static str, u64),
 }
 
@@ -46,6 +47,10 @@
         let _ = self.records.try_send(Record::Gauge(name, value));
     }
 
+    fn gauge_family(&self, family: GaugeFamily) {
+        let _ = self.records.try_send(Record::Family(family));
+    }
+
     fn time_ms(&self, name: &'static str, value_ms: u64) {
         let _ = self.records.try_send(Record::TimeMs(name, value_ms));
     }
@@ -69,6 +74,7 @@
 struct MetricsRegistry {
     counters: BTreeMap<&'static str, i64>,
     gauges: BTreeMap<&'static str, u64>,
+    families: BTreeMap<&'static str, GaugeFamily>,
     times_ms: BTreeMap<&'static str, Histogram<u64>>,
     dropped_lines: DroppedLines,
 }
@@ -98,6 +104,9 @@
             Record::Gauge(name, value) => {
                 self.gauges.insert(name, value);
             }
+            Record::Family(family) => {
+                self.families.insert(family.name, family);
+            }
             Record::TimeMs(name, value_ms) => {
                 if !self.times_ms.contains_key(name)
                     && let Ok(histogram) = Histogram::new_with_max(TIME_MAX_MS, SIGNIFICANT_DIGITS)
@@ -122,6 +131,13 @@
         for (name, value) in &self.gauges {
             let _ = writeln!(text, "{} {value}", metric_name(name));
         }
+        for family in self.families.values() {
+            let (name, label) = (metric_name(family.name), family.label);
+            for (label_value, value) in &family.values {
+                let label_value = escaped(label_value);
+                let _ = writeln!(text, "{name}{{{label}=\"{label_value}\"}} {value}");
+            }
+        }
         for (name, histogram) in &self.times_ms {
             let name = metric_name(name);
             for quantile in QUANTILES {
@@ -137,3 +153,17 @@
 fn metric_name(name: &str) -> String {
     format!("rosemaryscale_{}", name.replace('.', "_"))
 }
+
+/// Escapes the value of a label: it is text from a configuration and must not end the line.
+fn escaped(label_value: &str) -> String {
+    let mut text = String::with_capacity(label_value.len());
+    for character in label_value.chars() {
+        match character {
+            '\\' => text.push_str("\\\\"),
+            '"' => text.push_str("\\\""),
+            '\n' => text.push_str("\\n"),
+            other => text.push(other),
+        }
+    }
+    text
+}
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -4,6 +4,7 @@
 mod events;
 mod pressure;
 mod start;
+mod workspaces;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -222,6 +223,7 @@
                 break self.lost(reason);
             }
         };
+        self.clear_workspace_gauges();
         if let LeaderEnd::Stopped = end {
             self.write_final_batch().await;
         }
@@ -255,6 +257,7 @@
         if now >= self.next_status_at {
             self.next_status_at = now.after_ms(STATUS_INTERVAL_MS);
             self.log_status();
+            self.report_workspaces();
         }
         let recovering = self.scheduler.is_recovering();
         let actions = self.scheduler.advance(now, wall);
--- a/crates/daemon/tests/reference.rs
+++ b/crates/daemon/tests/reference.rs
@@ -191,6 +191,7 @@
     let sources = [
         include_str!("../src/jobs/frontend.rs"),
         include_str!("../src/jobs/leader/actions.rs"),
+        include_str!("../src/jobs/leader/workspaces.rs"),
         include_str!("../../adapters/src/metrics_registry.rs"),
         include_str!("../../adapters/src/worker_gateway/router.rs"),
         include_str!("../../adapters/src/worker_gateway/server.rs"),
--- a/crates/domain/src/placement/resources.rs
+++ b/crates/domain/src/placement/resources.rs
@@ -73,6 +73,15 @@
         }
     }
 
+    /// The largest share of any limited resource, in parts per million; a limit of 0 means no limit.
+    #[must_use]
+    pub fn dominant_share_of_limits_ppm(self, limits: Self) -> u64 {
+        let share = |part: u64, limit: u64| (part * 1_000_000).checked_div(limit).unwrap_or(0);
+        share(self.processors_milli, limits.processors_milli)
+            .max(share(self.memory_mb, limits.memory_mb))
+            .max(share(self.accelerators, limits.accelerators))
+    }
+
     /// The dominant share of `whole`: the largest share of any resource, in parts per million.
     #[must_use]
     pub fn dominant_share_ppm(self, whole: Self) -> u64 {
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -47,11 +47,11 @@
 use job_table::{JobOwner, JobTable, TaskStatus};
 use late_starts::LateStarts;
 use load::LoadForecast;
-use order::{Action, SchedulerEvent, StepKey};
+use order::{Action, SchedulerEvent};
 use persist::BatchQueue;
 pub use persist::{Batch, JobWrite, RecordedWorker};
+use quota::UnseenUse;
 pub use quota::WorkspaceUse;
-use quota::{QuotaBudget, UnseenUse};
 use ready::ReadyQueue;
 use recovery::Recovery;
 use retention::Retention;
@@ -327,30 +327,6 @@
         }
     }
 
-    fn record_arrival(&mut self, key: JobKey, now: Millis) {
-        let Some(job) = self.job_table.jobs.get(key) else {
-            return;
-        };
-        let view = self.view(now);
-        let steps = job.record.spec.steps.iter().zip(0_u16..);
-        let finite_steps = steps.filter(|(step, _)| !step.long_running);
-        let work = finite_steps
-            .map(|(spec, step)| {
-                let step = StepKey {
-                    job: key,
-                    occurrence: 0,
-                    step,
-                };
-                // Work that the quota holds back needs no instances yet.
-                let count = QuotaBudget::new(view).grant(step, u64::from(spec.count));
-                spec.need().times(spec.estimate_ms * count)
-            })
-            .fold(Resources::default(), Resources::plus);
-        let (service, workspace) = (job.service, job.workspace);
-        self.services[service].load.add(work, now);
-        self.services[service].arrivals.add(workspace, now);
-    }
-
     /// Cancels a job, also one that becomes known later, unless the caller may not access it.
     pub fn cancel(&mut self, id: &str, caller: &Caller, now: Millis, wall: Millis) {
         match self.job_table.jobs_by_id.get(id).copied() {
--- a/crates/domain/src/schedule/arrivals.rs
+++ b/crates/domain/src/schedule/arrivals.rs
@@ -2,6 +2,8 @@
 //! that is forecast.
 
 use super::Scheduler;
+use super::order::StepKey;
+use super::quota::QuotaBudget;
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -15,7 +17,7 @@
 }
 
 impl Arrivals {
-    pub(super) fn add(&mut self, workspace: Option<WorkspaceKey>, now: Millis) {
+    fn add(&mut self, workspace: Option<WorkspaceKey>, now: Millis) {
         self.last.insert(workspace, now);
     }
 
@@ -26,6 +28,31 @@
 }
 
 impl Scheduler {
+    /// Adds the work of a new job to the forecast of its service.
+    pub(super) fn record_arrival(&mut self, key: JobKey, now: Millis) {
+        let Some(job) = self.job_table.jobs.get(key) else {
+            return;
+        };
+        let view = self.view(now);
+        let steps = job.record.spec.steps.iter().zip(0_u16..);
+        let finite_steps = steps.filter(|(step, _)| !step.long_running);
+        let work = finite_steps
+            .map(|(spec, step)| {
+                let step = StepKey {
+                    job: key,
+                    occurrence: 0,
+                    step,
+                };
+                // Work that the quota holds back needs no instances yet.
+                let count = QuotaBudget::new(view).grant(step, u64::from(spec.count));
+                spec.need().times(spec.estimate_ms * count)
+            })
+            .fold(Resources::default(), Resources::plus);
+        let (service, workspace) = (job.service, job.workspace);
+        self.services[service].load.add(work, now);
+        self.services[service].arrivals.add(workspace, now);
+    }
+
     /// Demand that is forecast for a service, up to what the quotas of the workspaces allow whose work arrives.
     pub(super) fn forecast_within_quotas(&mut self, service: ServiceKey, now: Millis) -> Resources {
         let service = &mut self.services[service];
