--- a/crates/adapters/src/metrics.rs
+++ b/crates/adapters/src/metrics.rs
@@ -6,7 +6,7 @@
 use cadence::{
     Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
 };
-use rosemaryscale_ports::metric::{MetricSink, Metrics};
+use rosemaryscale_ports::metric::{GaugeFamily, MetricSink, Metrics};
 
 const PREFIX: &str = "rosemaryscale";
 
@@ -52,8 +52,10 @@
         let _ = self.client.count(&name_of(name, workspace), value);
     }
 
-    fn gauge_of(&self, name: &'static str, workspace: &Arc<str>, value: u64) {
-        let _ = self.client.gauge(&name_of(name, workspace), value);
+    fn gauge_family(&self, family: GaugeFamily) {
+        for (label, value) in family.values {
+            let _ = self.client.gauge(&name_of(family.name, &label), value);
+        }
     }
 
     fn time_ms(&self, name: &'static str, value_ms: u64) {
--- a/crates/adapters/src/metrics_registry.rs
+++ b/crates/adapters/src/metrics_registry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use hdrhistogram::Histogram;
-use rosemaryscale_ports::metric::{MetricSink, Metrics};
+use rosemaryscale_ports::metric::{GaugeFamily, MetricSink, Metrics};
 use rosemaryscale_ports::prelude::*;
 use tokio::task::JoinHandle;
 
@@ -33,9 +33,9 @@
 enum Record {
     Count(&'static str, i64),
     Gauge(&'static str, u64),
+    Family(GaugeFamily),
     TimeMs(&'static str, u64),
     CountOf(&'static str, Arc<str>, i64),
-    GaugeOf(&'static str, Arc<str>, u64),
 }
 
 struct RegistrySink {
@@ -56,9 +56,8 @@
         let _ = self.records.try_send(record);
     }
 
-    fn gauge_of(&self, name: &'static str, workspace: &Arc<str>, value: u64) {
-        let record = Record::GaugeOf(name, Arc::clone(workspace), value);
-        let _ = self.records.try_send(record);
+    fn gauge_family(&self, family: GaugeFamily) {
+        let _ = self.records.try_send(Record::Family(family));
     }
 
     fn time_ms(&self, name: &'static str, value_ms: u64) {
@@ -84,11 +83,11 @@
 struct MetricsRegistry {
     counters: BTreeMap<&'static str, i64>,
     gauges: BTreeMap<&'static str, u64>,
+    families: BTreeMap<&'static str, GaugeFamily>,
     times_ms: BTreeMap<&'static str, Histogram<u64>>,
     /// Names of the workspaces that have values of their own.
     workspaces: BTreeSet<Arc<str>>,
     workspace_counters: BTreeMap<(&'static str, Arc<str>), i64>,
-    workspace_gauges: BTreeMap<(&'static str, Arc<str>), u64>,
     dropped_lines: DroppedLines,
 }
 
@@ -121,9 +120,8 @@
                 let key = (name, self.listed(workspace));
                 *self.workspace_counters.entry(key).or_default() += value;
             }
-            Record::GaugeOf(name, workspace, value) => {
-                let key = (name, self.listed(workspace));
-                self.workspace_gauges.insert(key, value);
+            Record::Family(family) => {
+                self.families.insert(family.name, family);
             }
             Record::TimeMs(name, value_ms) => {
                 if !self.times_ms.contains_key(name)
@@ -159,10 +157,13 @@
             let _ = writeln!(text, "{} {value}", metric_name(name));
         }
         for ((name, workspace), value) in &self.workspace_counters {
-            let _ = writeln!(text, "{} {value}", workspace_metric(name, workspace));
+            let _ = writeln!(text, "{} {value}", labelled(name, "workspace", workspace));
         }
-        for ((name, workspace), value) in &self.workspace_gauges {
-            let _ = writeln!(text, "{} {value}", workspace_metric(name, workspace));
+        for family in self.families.values() {
+            for (label_value, value) in &family.values {
+                let name = labelled(family.name, family.label, label_value);
+                let _ = writeln!(text, "{name} {value}");
+            }
         }
         for (name, histogram) in &self.times_ms {
             let name = metric_name(name);
@@ -180,7 +181,20 @@
     format!("rosemaryscale_{}", name.replace('.', "_"))
 }
 
-fn workspace_metric(name: &str, workspace: &str) -> String {
-    // The escapes of the text format are those of Rust's debug format for the characters that matter.
-    format!("{}{{workspace={workspace:?}}}", metric_name(name))
+fn labelled(name: &str, label: &str, value: &str) -> String {
+    format!("{}{{{label}=\"{}\"}}", metric_name(name), escaped(value))
+}
+
+/// Escapes the value of a label: it is text from a configuration and must not end the line.
+fn escaped(label_value: &str) -> String {
+    let mut text = String::with_capacity(label_value.len());
+    for character in label_value.chars() {
+        match character {
+            '\\' => text.push_str("\\\\"),
+            '"' => text.push_str("\\\""),
+            '\n' => text.push_str("\\n"),
+            other => text.push(other),
+        }
+    }
+    text
 }
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -5,6 +5,7 @@
 mod pressure;
 mod share_status;
 mod start;
+mod workspaces;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -161,8 +162,6 @@
     next_renewal_at: Millis,
     next_status_at: Millis,
     pressure: PublishedPressure,
-    /// Workspaces whose gauges are set.
-    measured_workspaces: FastSet<Arc<str>>,
     /// When the platform's list of instances was last read.
     instances_listed_at: Option<Millis>,
 }
@@ -226,6 +225,7 @@
                 break self.lost(reason);
             }
         };
+        self.clear_workspace_gauges();
         if let LeaderEnd::Stopped = end {
             self.write_final_batch().await;
         }
@@ -259,6 +259,7 @@
         if now >= self.next_status_at {
             self.next_status_at = now.after_ms(STATUS_INTERVAL_MS);
             self.log_status();
+            self.report_workspaces();
         }
         let recovering = self.scheduler.is_recovering();
         let actions = self.scheduler.advance(now, wall);
--- a/crates/daemon/src/jobs/leader/share_status.rs
+++ b/crates/daemon/src/jobs/leader/share_status.rs
@@ -1,27 +1,28 @@
 //! Use and shares of the workspaces, in the log and as metrics.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use rosemaryscale_domain::schedule::share_status::ShareStatus;
-use rosemaryscale_ports::prelude::*;
+use rosemaryscale_ports::metric::GaugeFamily;
 use slog::info;
 
 use super::Leader;
+use super::workspaces::WORKSPACES_IN_METRICS_MAX;
 
 /// Workspaces of a service that a status names; those with the most waiting tasks come first.
 const WORKSPACES_MAX: usize = 16;
 
-/// Sums of a workspace over all services.
+/// Largest use and share that a workspace has of a service.
 #[derive(Clone, Copy, Debug, Default)]
-struct Sum {
-    waiting: usize,
+struct Use {
     used_ppm: u64,
     share_ppm: u64,
 }
 
 impl Leader {
     /// Logs the shares of each service on which tasks of workspaces wait.
-    pub(super) fn log_shares(&mut self) {
+    pub(super) fn log_shares(&self) {
         let statuses = self.scheduler.share_statuses(self.options.clock.now());
         for service in statuses.chunk_by(|a, b| a.service == b.service) {
             let waiting: usize = service.iter().map(|status| status.waiting.total()).sum();
@@ -36,26 +37,28 @@
         self.publish_share_gauges(&statuses);
     }
 
-    /// Sets the gauges of all workspaces that have work, and clears those of workspaces that no longer have any.
-    fn publish_share_gauges(&mut self, statuses: &[ShareStatus]) {
-        let mut sums: FastMap<Arc<str>, Sum> = FastMap::default();
-        for workspace in self.measured_workspaces.drain() {
-            sums.insert(workspace, Sum::default());
-        }
+    /// Sets the gauges of the workspaces that have work.
+    fn publish_share_gauges(&self, statuses: &[ShareStatus]) {
+        let mut uses: BTreeMap<Arc<str>, Use> = BTreeMap::new();
         for status in statuses {
-            let sum = sums.entry(Arc::clone(&status.workspace)).or_default();
-            sum.waiting += status.waiting.total();
-            sum.used_ppm = sum.used_ppm.max(status.used_ppm);
-            sum.share_ppm = sum.share_ppm.max(status.share_ppm.unwrap_or(0));
-            self.measured_workspaces
-                .insert(Arc::clone(&status.workspace));
+            let entry = uses.entry(Arc::clone(&status.workspace)).or_default();
+            entry.used_ppm = entry.used_ppm.max(status.used_ppm);
+            entry.share_ppm = entry.share_ppm.max(status.share_ppm.unwrap_or(0));
         }
+        let family = |name, value: fn(&Use) -> u64| GaugeFamily {
+            name,
+            label: "workspace",
+            values: uses
+                .iter()
+                .take(WORKSPACES_IN_METRICS_MAX)
+                .map(|(workspace, entry)| (Arc::clone(workspace), value(entry)))
+                .collect(),
+        };
         let metrics = &self.options.metrics;
-        for (workspace, sum) in &sums {
-            metrics.gauge_of("workspace.tasks_waiting", workspace, sum.waiting as u64);
-            metrics.gauge_of("workspace.used_ppm", workspace, sum.used_ppm);
-            metrics.gauge_of("workspace.share_ppm", workspace, sum.share_ppm);
-        }
+        metrics.gauge_family(family("workspace.service_used_ppm", |entry| entry.used_ppm));
+        metrics.gauge_family(family("workspace.service_share_ppm", |entry| {
+            entry.share_ppm
+        }));
     }
 }
 
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -195,7 +195,6 @@
             next_renewal_at: now,
             next_status_at: now,
             pressure: PublishedPressure::default(),
-            measured_workspaces: FastSet::default(),
             instances_listed_at: None,
             options,
             lease,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -5,6 +5,7 @@
 //! must be stored before the end of a run is acknowledged.
 
 mod advice;
+mod arrivals;
 mod backlog;
 mod choice;
 mod configuration;
@@ -48,6 +49,7 @@
 use crate::prelude::*;
 use crate::workspace::Caller;
 use advice::Advice;
+use arrivals::Arrivals;
 use copies::Copies;
 use durations::Durations;
 use fleet::Fleet;
@@ -58,6 +60,8 @@
 use order::{Action, SchedulerEvent};
 use persist::BatchQueue;
 pub use persist::{Batch, JobWrite, RecordedWorker};
+use quota::UnseenUse;
+pub use quota::WorkspaceUse;
 use ready::ReadyQueue;
 use recovery::Recovery;
 use retention::Retention;
@@ -177,6 +181,7 @@
     name: Arc<str>,
     workers: Vec<WorkerKey>,
     load: LoadForecast,
+    arrivals: Arrivals,
     ready: ReadyQueue,
     /// Whether tasks or room have been added since the last placement pass.
     placement_due: bool,
@@ -204,6 +209,7 @@
     services_by_name: FastMap<Arc<str>, ServiceKey>,
     workspaces: WorkspaceTable,
     shares: Shares,
+    unseen_use: UnseenUse,
     fleet: Fleet,
     advice: Advice,
     recovery: Option<Recovery>,
@@ -247,6 +253,7 @@
             services_by_name: FastMap::default(),
             workspaces: WorkspaceTable::default(),
             shares: Shares::default(),
+            unseen_use: UnseenUse::default(),
             fleet: Fleet::default(),
             advice: Advice::default(),
             recovery: None,
@@ -279,6 +286,8 @@
         };
         self.check_rate(key, now, wall);
         let restored = stored.acceptance == Acceptance::BeforeTerm;
+        let unseen_ms =
+            self.settings.leader_grace_ms + self.settings.run_lease_ms + LEASE_MARGIN_MS;
         let is_final = stored.progress.as_ref().is_some_and(|p| p.state.is_final());
         if !is_final && self.job_table.jobs[key].record.spec.repeat.is_none() {
             self.job_table.create_occurrence(key, restored);
@@ -286,6 +295,9 @@
         }
         if let Some(progress) = stored.progress {
             self.job_table.restore(key, &progress);
+            if wall.ms_since(Millis::from_ms(progress.ended_wall_ms)) <= unseen_ms {
+                self.record_ended_job(key);
+            }
         }
         if self.job_table.jobs[key].record.spec.repeat.is_some() {
             self.repeated.push(key);
@@ -348,36 +360,10 @@
     fn owner_of(&mut self, record: &JobRecord) -> JobOwner {
         JobOwner {
             service: self.service_key(&record.policy.service),
-            workspace: record
-                .workspace
-                .as_ref()
-                .map(|workspace| self.workspaces.key_of(workspace)),
+            workspace: self.workspaces.key_of(record),
         }
     }
 
-    fn record_arrival(&mut self, key: JobKey, now: Millis) {
-        let Some(job) = self.job_table.jobs.get(key) else {
-            return;
-        };
-        let finite_steps = (0_u16..)
-            .zip(&job.record.spec.steps)
-            .filter(|(_, step)| !step.long_running);
-        let run_ms = |number, step| {
-            if self.settings.uneven_work.learned_durations {
-                self.durations.class_mean_ms(job, number, step)
-            } else {
-                step.estimate_ms
-            }
-        };
-        let work = finite_steps
-            .map(|(number, step)| {
-                let run_ms = run_ms(number, step);
-                step.need().times(run_ms * u64::from(step.count))
-            })
-            .fold(Resources::default(), Resources::plus);
-        self.services[job.service].load.add(work, now);
-    }
-
     /// Cancels a job, also one that becomes known later, unless the caller may not access it.
     pub fn cancel(&mut self, id: &str, caller: &Caller, now: Millis, wall: Millis) {
         match self.job_table.jobs_by_id.get(id).copied() {
@@ -485,6 +471,7 @@
         let mut status = self.job_table.status_without_run(key);
         if status == TaskStatus::Ready && self.former_leader_may_start(key) {
             status = TaskStatus::AwaitingRecovery;
+            self.unseen_use.request_renewal();
         }
         if let Some(task) = self.job_table.tasks.get_mut(key) {
             task.status = status;
@@ -525,6 +512,7 @@
         }
         self.advice.remove_job(key);
         self.durations.remove_job(key);
+        self.record_ended_job(key);
         self.request_batch(now.after_ms(JOB_END_BATCH_DELAY_MS));
     }
 
--- a/crates/domain/src/schedule/copies.rs
+++ b/crates/domain/src/schedule/copies.rs
@@ -187,7 +187,7 @@
 
     /// Worker for a copy; `None` if the quota or the room is used up, or a third run of the task may exist.
     fn copy_worker(&self, straggler: &Straggler) -> Option<WorkerKey> {
-        if !self.has_quota(straggler.task, Resources::default()) {
+        if !self.has_quota(straggler.step) {
             return None;
         }
         let worker =
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -81,6 +81,7 @@
             services: &self.services,
             workspaces: &self.workspaces,
             shares: &self.shares,
+            unseen_use: &self.unseen_use,
             advice: &self.advice,
             durations: &self.durations,
             speeds: &self.speeds,
@@ -108,6 +109,7 @@
         if due.is_empty() {
             return;
         }
+        self.renew_unseen_use(now);
         let capacity = self.largest_capacity();
         for key in due {
             self.services[key].placement_due = false;
@@ -138,6 +140,7 @@
                 .view(now)
                 .step_need(step)
                 .filter(|need| bounds.may_fit(*need) || self.shares.held.is_for(service, step))
+                .filter(|_| self.view(now).has_quota(step))
             else {
                 continue;
             };
@@ -212,7 +215,8 @@
                 waiting.push(key);
                 continue;
             }
-            if !self.view(now).has_quota(key, Resources::default()) {
+            let step = self.job_table.step_key(key);
+            if step.is_some_and(|step| !self.view(now).has_quota(step)) {
                 fits = false;
                 waiting.push(key);
                 continue;
@@ -228,7 +232,8 @@
         (waiting, is_postponed)
     }
 
-    /// Steps of a service with ready tasks that may fit on a worker, sorted by rank.
+    /// Steps of a service with ready tasks that may fit on a worker and the quota of their workspace, sorted by
+    /// rank.
     fn ranked_steps(
         &self,
         service: ServiceKey,
@@ -243,7 +248,7 @@
             .steps()
             .filter(|(step, _)| {
                 view.step_need(*step)
-                    .is_some_and(|need| bounds.may_fit(need))
+                    .is_some_and(|need| bounds.may_fit(need) && view.has_quota(*step))
             })
             .filter_map(|(step, _)| view.rank(step, limits, capacity))
             .collect();
--- a/crates/domain/src/schedule/view.rs
+++ b/crates/domain/src/schedule/view.rs
@@ -8,6 +8,7 @@
 use super::durations::Durations;
 use super::job_table::JobTable;
 use super::order::StepKey;
+use super::quota::UnseenUse;
 use super::run_table::RunTable;
 use super::share::Shares;
 use super::speed::Speeds;
@@ -26,6 +27,7 @@
     pub services: &'a SlotMap<ServiceKey, Service>,
     pub workspaces: &'a WorkspaceTable,
     pub shares: &'a Shares,
+    pub unseen_use: &'a UnseenUse,
     pub advice: &'a Advice,
     pub durations: &'a Durations,
     pub speeds: &'a Speeds,
--- a/crates/domain/tests/takeover_model/conditions.rs
+++ b/crates/domain/tests/takeover_model/conditions.rs
@@ -21,6 +21,10 @@
     pub(super) listing_delay_ms: u64,
     /// Share of steps that allow two runs of a task.
     pub(super) speculative_percent: u32,
+    /// Number of workspaces that the jobs belong to; without any, jobs have no workspace.
+    pub(super) workspace_count: usize,
+    /// Probability that the quota of one of the workspaces changes, for each tick.
+    pub(super) quota_changes_per_mille: u32,
 }
 
 /// What a worker keeps over a restart, and which orders its next incarnation may receive.
@@ -44,6 +48,8 @@
         restart: Restart::OrdersLost,
         listing_delay_ms: 0,
         speculative_percent: 0,
+        workspace_count: 0,
+        quota_changes_per_mille: 0,
     };
 
     /// Frequent cancellations of jobs with long runs.
@@ -88,4 +94,12 @@
             copy_budget_percent: if has_copies { 50 } else { 0 },
         }
     }
+    /// Jobs of a few workspaces with tight quotas, which are raised and lowered.
+    pub(crate) const QUOTAS: Self = Self {
+        workspace_count: 3,
+        quota_changes_per_mille: 10,
+        crashes_per_mille: 2,
+        long_runs_percent: 10,
+        ..Self::RESTARTS
+    };
 }
