Wait for the rack of a task's data or group while that pays

Tasks with affinity and gangs with same_rack run slower elsewhere, by the new setting remote_factor; so far affinity only broke ties, and gangs were placed without their rack. A placement pass now compares the expected wait for room in the rack with the time lost elsewhere. A gang is planned as a whole on the rack with the least free room among those that hold it.

Without the setting nothing waits.

--- a/crates/daemon/src/jobs/config.rs
+++ b/crates/daemon/src/jobs/config.rs
@@ -48,6 +48,10 @@
     pub link_mbps: f64,
     /// Maximum lease that a worker grants to a run.
     pub run_lease_max_ms: u64,
+    /// Run time of a task outside its preferred rack in relation to the run time there. Without it, or with 1,
+    /// tasks do not wait for their rack.
+    #[serde(default)]
+    pub remote_factor: Option<f64>,
     /// Time within which a worker stops a run.
     pub stop_grace_ms: u64,
     /// Time for which a job's state is retained after the job ends.
@@ -102,6 +106,17 @@
                 return Err(ConfigError::Invalid { problem });
             }
         }
+        if let Some(factor) = config.remote_factor
+            && !(factor.is_finite() && factor >= 1.0)
+        {
+            let reason = format!("{factor} would make tasks faster outside their rack");
+            let problem = problem(
+                "remote_factor",
+                reason,
+                "set a number above 1, or leave it out",
+            );
+            return Err(ConfigError::Invalid { problem });
+        }
         Ok(config)
     }
 }
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use rosemaryscale_adapters::worker_gateway::ORDER_AGE_MAX_MS;
+use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_domain::schedule::order::{WaveRequest, WorkerReport};
 use rosemaryscale_domain::schedule::{Batch, Scheduler};
 use rosemaryscale_domain::worker_route::{GatewayOffer, LOCAL_WORKERS_MAX};
@@ -78,6 +79,7 @@
     pub(super) run_lease_ms: u64,
     pub(super) poll_wait_ms: u64,
     pub(super) stop_grace_ms: u64,
+    pub(super) placement_wait: PlacementWait,
     pub(super) status_kept_ms: u64,
     pub(super) platform: PlatformAdapters,
     /// Whether the instance has the processor share and bandwidth to lead a large fleet.
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -110,6 +110,20 @@
                     warn!(self.options.log, "task given up"; "job" => &*task.job,
                         "at" => %position(task.position), "crashed_workers" => crashes);
                 }
+                SchedulerEvent::PlacementWaitBegan {
+                    task,
+                    rack,
+                    expected_ms,
+                    loss_ms,
+                    load_percent,
+                    until_ms,
+                    counts,
+                } => {
+                    info!(self.options.log, "placement wait"; "job" => &*task.job,
+                        "at" => %position(task.position), "rack" => &*rack, "expected_ms" => expected_ms,
+                        "loss_ms" => loss_ms, "load_percent" => load_percent, "until_ms" => until_ms, "begun" => counts.begun,
+                        "paid" => counts.paid, "expired" => counts.expired);
+                }
                 SchedulerEvent::InstanceChanged {
                     instance,
                     state,
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -155,6 +155,7 @@
                 },
             stop_grace_ms: options.stop_grace_ms,
             term: former_record.term + 1,
+            placement_wait: options.placement_wait,
         };
         let former_term = FormerTerm {
             workers: recorded_workers(workers, &options.log)?,
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -7,6 +7,7 @@
 use rosemaryscale_adapters::log::DroppedLines;
 use rosemaryscale_adapters::worker_gateway::{GatewayOptions, GatewayServer};
 use rosemaryscale_adapters::{SystemClock, log, metrics_registry};
+use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_platform::frontend::{FrontendError, FrontendServer};
 use rosemaryscale_platform::{
     CONFIG_KEY, WAVE_PREFIX, WORKER_PREFIX, advisor, instances, queue_config, store, wave,
@@ -219,6 +220,9 @@
             run_lease_ms: RUN_LEASE_MS.min(settings.run_lease_max_ms),
             poll_wait_ms: POLL_WAIT_MS,
             stop_grace_ms: settings.stop_grace_ms,
+            placement_wait: settings
+                .remote_factor
+                .map_or(PlacementWait::Off, PlacementWait::from_factor),
             status_kept_ms: settings.status_kept_ms,
             platform: PLATFORM,
             has_ample_resources: settings.processor_share >= AMPLE_PROCESSOR_SHARE
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -10,9 +10,11 @@
 mod crashes;
 pub mod failure;
 mod fleet;
+mod gang;
 mod job_table;
 mod late_starts;
 mod load;
+pub mod locality;
 mod observe;
 pub mod order;
 mod pace;
@@ -45,6 +47,7 @@
 use job_table::{JobOwner, JobTable, TaskStatus};
 use late_starts::LateStarts;
 use load::LoadForecast;
+use locality::{Locality, PlacementWait};
 use order::{Action, SchedulerEvent};
 use persist::BatchQueue;
 pub use persist::{Batch, JobWrite, RecordedWorker};
@@ -96,6 +99,8 @@
     pub stop_grace_ms: u64,
     /// Number of this leader's term; the first is 1.
     pub term: u32,
+    /// How long tasks wait for a place near their data or group.
+    pub placement_wait: PlacementWait,
 }
 
 /// Whether a job was accepted before or during the term of this leader.
@@ -177,6 +182,7 @@
     workspaces: WorkspaceTable,
     fleet: Fleet,
     advice: Advice,
+    locality: Locality,
     recovery: Option<Recovery>,
     rerouted: FastSet<Arc<str>>,
     /// Polls wait for a shorter time until then, because answers were lost.
@@ -216,6 +222,7 @@
             workspaces: WorkspaceTable::default(),
             fleet: Fleet::default(),
             advice: Advice::default(),
+            locality: Locality::new(settings.placement_wait),
             recovery: None,
             rerouted: former.rerouted.into_iter().collect(),
             short_polls_until: Millis::ZERO,
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -272,8 +272,11 @@
                 continue;
             }
             let has_ended = self.runs.get(run).is_some_and(|run| {
-                run.confirmed_since().is_some_and(|since| since < sent_at)
-                    || run.stop_accepted_at.is_some_and(|at| at < sent_at)
+                // A start in flight, or answered after the poll was sent, may have begun a run since.
+                let is_settled = !run.start_in_flight && run.settled_at < sent_at;
+                is_settled
+                    && (run.confirmed_since().is_some_and(|since| since < sent_at)
+                        || run.stop_accepted_at.is_some_and(|at| at < sent_at))
             });
             if has_ended {
                 self.drop_run(run, now);
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::locality::PlacementWaitCounts;
 use super::stop_reason::StopCause;
 use crate::job::TaskName;
 use crate::placement::Resources;
@@ -358,6 +359,23 @@
         /// Workers that have crashed.
         crashes: u32,
     },
+    /// A task with room elsewhere waits for its rack. At most one event a second.
+    PlacementWaitBegan {
+        /// The task; the first one of a gang.
+        task: TaskName,
+        /// The rack.
+        rack: Arc<str>,
+        /// Expected wait; `None` with a fixed wait.
+        expected_ms: Option<u64>,
+        /// Time lost by running elsewhere.
+        loss_ms: u64,
+        /// Share of the rack that is used by the tasks that prefer it.
+        load_percent: u64,
+        /// Longest wait.
+        until_ms: u64,
+        /// Waits of this term so far.
+        counts: PlacementWaitCounts,
+    },
     /// The platform lists an instance with another state or worker.
     InstanceChanged {
         /// The instance.
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -1,11 +1,11 @@
 //! Placement: selects a worker for each ready task.
 
+use super::gang::GangDecision;
 use super::job_table::{Task, TaskStatus};
 use super::rank::Rank;
 use super::view::PlacementView;
 use super::worker::Worker;
 use super::{RUN_NUMBERS_PER_TERM, Scheduler};
-use crate::job::StepSpec;
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -26,6 +26,15 @@
     unplaceable: Option<Resources>,
 }
 
+/// What a placement pass did with a task or a gang.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Placement {
+    Started,
+    /// Keeps waiting for its rack; the room elsewhere is left to others.
+    WaitsForRack,
+    NoRoom,
+}
+
 impl RoomBounds {
     fn may_fit(&self, need: Resources) -> bool {
         need.fits(self.free_max)
@@ -87,6 +96,8 @@
             free_max: self.largest_free(service, now),
             unplaceable: None,
         };
+        self.locality
+            .begin_pass(|task| self.job_table.is_ready(task));
         for rank in self.ranked_steps(service, &bounds, capacity, now) {
             let step = rank.step();
             let Some(need) = self
@@ -137,11 +148,19 @@
                 waiting.push(key);
                 continue;
             }
-            if !self.place_task(key, service, now) {
-                fits = is_isolated;
-                waiting.push(key);
-                if self.is_unconstrained(key) {
-                    bounds.unplaceable = Some(need);
+            match self.place_task(key, service, now) {
+                Placement::Started => {}
+                Placement::WaitsForRack => {
+                    // The other members of a gang wait with it.
+                    fits = self.job_table.step_of(key).is_none_or(|step| !step.gang);
+                    waiting.push(key);
+                }
+                Placement::NoRoom => {
+                    fits = is_isolated;
+                    waiting.push(key);
+                    if self.is_unconstrained(key) {
+                        bounds.unplaceable = Some(need);
+                    }
                 }
             }
         }
@@ -199,20 +218,23 @@
             .fold(Resources::default(), Resources::max)
     }
 
-    fn place_task(&mut self, key: TaskKey, service: ServiceKey, now: Millis) -> bool {
+    fn place_task(&mut self, key: TaskKey, service: ServiceKey, now: Millis) -> Placement {
         if self.job_table.step_of(key).is_some_and(|step| step.gang) {
             return self.place_gang(key, service, now);
         }
         let Some(worker) = self.view(now).best_worker(key, service, &[]) else {
-            return false;
+            return Placement::NoRoom;
         };
+        if self.waits_for_rack(key, worker, service, now) {
+            return Placement::WaitsForRack;
+        }
         let number = self.next_run_number(key);
         self.start(key, worker, number, now);
-        true
+        Placement::Started
     }
 
     /// Starts all tasks of a gang, or none if any of them has no worker.
-    fn place_gang(&mut self, key: TaskKey, service: ServiceKey, now: Millis) -> bool {
+    fn place_gang(&mut self, key: TaskKey, service: ServiceKey, now: Millis) -> Placement {
         let task = &self.job_table.tasks[key];
         let (job, position) = (task.job, task.position);
         let members = self.job_table.jobs[job].occurrences[position.occurrence as usize]
@@ -222,20 +244,13 @@
             .iter()
             .all(|member| self.job_table.is_ready(*member))
         {
-            return false;
-        }
-        let mut planned: Vec<(WorkerKey, Resources)> = Vec::new();
-        for member in &members {
-            let Some(worker) = self.view(now).best_worker(*member, service, &planned) else {
-                return false;
-            };
-            let need = self
-                .job_table
-                .step_of(*member)
-                .map(StepSpec::need)
-                .unwrap_or_default();
-            planned.push((worker, need));
+            return Placement::NoRoom;
         }
+        let planned = match self.plan_gang(&members, service, now) {
+            GangDecision::Start(planned) => planned,
+            GangDecision::Wait => return Placement::WaitsForRack,
+            GangDecision::NoRoom => return Placement::NoRoom,
+        };
         let number = members
             .iter()
             .map(|member| self.next_run_number(*member))
@@ -254,7 +269,7 @@
             }
             self.start(member, worker, number, now);
         }
-        true
+        Placement::Started
     }
 
     fn next_run_number(&self, key: TaskKey) -> u32 {
--- a/crates/domain/src/schedule/rank.rs
+++ b/crates/domain/src/schedule/rank.rs
@@ -8,7 +8,7 @@
 
 /// Time from the end of a run until callers see its job as completed: a poll, a batch in the store, and
 /// the watch of the daemon that is asked.
-const COMPLETION_DELAY_MS: u64 = 150;
+pub(super) const COMPLETION_DELAY_MS: u64 = 150;
 /// Urgency class of a ready task; smaller values are placed first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -4,6 +4,7 @@
 use super::order::{Action, OrderResult, Refusal, StopOrder};
 use super::recovery::STOP_LISTED_MS;
 use super::stop_reason::{StopCause, StopReason};
+use super::worker::Worker;
 use super::{RESTART_DELAY_MS, STOP_RESEND_DELAY_MS, Scheduler};
 use crate::prelude::*;
 
@@ -18,6 +19,9 @@
         };
         placed.start_in_flight = false;
         placed.settled_at = now;
+        let is_known_to_run = placed.is_listed && result == OrderResult::Unanswered;
+        // A start that was sent again may have reached the next incarnation after the former one listed the run.
+        placed.is_listed &= placed.start_attempts == 1;
         let sent_at = placed.start_sent_at;
         if result == OrderResult::Unanswered {
             self.record_late_start(worker, run, now);
@@ -49,6 +53,7 @@
                 self.start_not_carried_out(run, now);
             }
             OrderResult::NotSent => self.start_not_carried_out(run, now),
+            OrderResult::Unanswered if is_known_to_run => {}
             OrderResult::Unanswered if self.resend_start(worker, run, now) => {}
             OrderResult::Unanswered => {
                 if let Some(worker) = self.workers.get_mut(worker) {
@@ -184,6 +189,10 @@
         };
         let info = *run.info();
         self.request_worker_placement(info.worker);
+        if run.is_answered {
+            let rack = self.workers.get(info.worker).and_then(Worker::rack);
+            self.locality.record_end(rack, info.need, now);
+        }
         let long_running = self.job_table.is_long_running(info.task);
         let Some(task) = self.job_table.tasks.get_mut(info.task) else {
             return;
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -8,6 +8,7 @@
 use rosemaryscale_domain::job::{JobProgress, JobRecord, JobSpec, JobState, QueuePolicy, StepSpec};
 use rosemaryscale_domain::placement::Resources;
 use rosemaryscale_domain::prelude::*;
+use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_domain::schedule::order::{
     Action, InstanceOrderResult, InstanceReport, InstanceState, ListedRun, Listing, OrderResult,
     PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder, WorkerReport,
@@ -190,6 +191,24 @@
         });
     }
 
+    /// One worker for each named rack, and tasks that wait for a place by this policy.
+    pub(crate) fn with_racks(racks: &[&str], placement_wait: PlacementWait) -> Self {
+        let mut harness = Self::new(0);
+        let settings = ScheduleSettings {
+            placement_wait,
+            ..settings(1)
+        };
+        harness.scheduler = Scheduler::new(settings, FormerTerm::default(), harness.now);
+        for (index, rack) in racks.iter().enumerate() {
+            harness.add_worker(&format!("w{index}"), "service");
+            let report = &mut harness.workers[index].report;
+            report.labels = vec!["kind".into(), (*rack).into()];
+            harness.scheduler.worker_listed(report.clone(), harness.now);
+        }
+        harness.run_for(100);
+        harness
+    }
+
     pub(crate) fn submit(&mut self, id: &str, record: JobRecord) {
         self.submit_with(id, record, Acceptance::InTerm);
     }
@@ -650,5 +669,6 @@
         leader_grace_ms: LEADER_GRACE_MS,
         stop_grace_ms: STOP_GRACE_MS,
         term,
+        placement_wait: PlacementWait::Off,
     }
 }
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -19,6 +19,7 @@
 use rand::{Rng, SeedableRng};
 use rosemaryscale_domain::job::{JobProgress, JobRecord};
 use rosemaryscale_domain::prelude::*;
+use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_domain::schedule::order::{Action, OrderResult, PollResult, Refusal, RunEndKind};
 use rosemaryscale_domain::schedule::{
     Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
@@ -165,6 +166,7 @@
             leader_grace_ms: LEADER_GRACE_MS,
             stop_grace_ms: STOP_GRACE_MS,
             term,
+            placement_wait: PlacementWait::Off,
         };
         let former = FormerTerm::with_workers(self.store.workers.clone());
         let mut scheduler = Scheduler::new(settings, former, self.now);
