--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -179,6 +179,11 @@
     }
 
     pub(super) fn log_status(&self) {
+        let waits = self.scheduler.placement_wait_counts();
+        let metrics = &self.options.metrics;
+        metrics.gauge("placement.waits_begun", waits.begun);
+        metrics.gauge("placement.waits_paid", waits.paid);
+        metrics.gauge("placement.waits_expired", waits.expired);
         let awaited: Vec<&str> = self.scheduler.awaited_workers().map(|id| &**id).collect();
         if !awaited.is_empty() {
             let first = &awaited[..awaited.len().min(MAX_AWAITED_NAMES)];
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -131,6 +131,7 @@
     for (more, path, reason) in [
         (r#", "processor_share": 0"#, "processor_share", "above 0"),
         (r#", "link_mbps": -1"#, "link_mbps", "above 0"),
+        (r#", "remote_factor": 0.5"#, "remote_factor", "faster"),
         (
             r#", "gateway_address": "here""#,
             "gateway_address",
