--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -136,6 +136,20 @@
                         "at" => %position(task.position), "run" => number,
                         "outcome" => %outcome, "copy_age_ms" => age_ms);
                 }
+                SchedulerEvent::PlacementWaitBegan {
+                    task,
+                    rack,
+                    expected_ms,
+                    loss_ms,
+                    load_percent,
+                    until_ms,
+                    counts,
+                } => {
+                    info!(self.options.log, "placement wait"; "job" => &*task.job,
+                        "at" => %position(task.position), "rack" => &*rack, "expected_ms" => expected_ms,
+                        "loss_ms" => loss_ms, "load_percent" => load_percent, "until_ms" => until_ms, "begun" => counts.begun,
+                        "paid" => counts.paid, "expired" => counts.expired);
+                }
                 SchedulerEvent::InstanceChanged {
                     instance,
                     state,
@@ -190,7 +204,12 @@
         self.instances_listed_at.map(|at| now.ms_since(at))
     }
 
-    pub(super) fn log_status(&mut self) {
+    pub(super) fn log_status(&self) {
+        let waits = self.scheduler.placement_wait_counts();
+        let metrics = &self.options.metrics;
+        metrics.gauge("placement.waits_begun", waits.begun);
+        metrics.gauge("placement.waits_paid", waits.paid);
+        metrics.gauge("placement.waits_expired", waits.expired);
         let awaited: Vec<&str> = self.scheduler.awaited_workers().map(|id| &**id).collect();
         if !awaited.is_empty() {
             let first = &awaited[..awaited.len().min(MAX_AWAITED_NAMES)];
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -156,6 +156,7 @@
             stop_grace_ms: options.stop_grace_ms,
             term: former_record.term + 1,
             uneven_work: options.uneven_work,
+            placement_wait: options.placement_wait,
         };
         let former_term = FormerTerm {
             workers: recorded_workers(workers, &options.log)?,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -14,10 +14,12 @@
 mod durations;
 pub mod failure;
 mod fleet;
+mod gang;
 mod hold;
 mod job_table;
 mod late_starts;
 mod load;
+pub mod locality;
 mod observe;
 pub mod order;
 mod pace;
@@ -25,6 +27,7 @@
 mod place;
 pub mod pressure;
 mod quota;
+mod rack_room;
 mod rank;
 mod rate;
 mod ready;
@@ -57,6 +60,7 @@
 use job_table::{JobOwner, JobTable, TaskStatus};
 use late_starts::LateStarts;
 use load::LoadForecast;
+use locality::{Locality, PlacementWait};
 use order::{Action, SchedulerEvent};
 use persist::BatchQueue;
 pub use persist::{Batch, JobWrite, RecordedWorker};
@@ -114,6 +118,8 @@
     pub term: u32,
     /// How uneven run times are answered.
     pub uneven_work: UnevenWork,
+    /// How long tasks wait for a place near their data or group.
+    pub placement_wait: PlacementWait,
 }
 
 /// Switches of the answers to uneven run times. By default all are off.
@@ -212,6 +218,7 @@
     unseen_use: UnseenUse,
     fleet: Fleet,
     advice: Advice,
+    locality: Locality,
     recovery: Option<Recovery>,
     rerouted: FastSet<Arc<str>>,
     /// Polls wait for a shorter time until then, because answers were lost.
@@ -256,6 +263,7 @@
             unseen_use: UnseenUse::default(),
             fleet: Fleet::default(),
             advice: Advice::default(),
+            locality: Locality::new(settings.placement_wait),
             recovery: None,
             rerouted: former.rerouted.into_iter().collect(),
             short_polls_until: Millis::ZERO,
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -4,6 +4,7 @@
 use std::iter::Peekable;
 use std::vec;
 
+use super::gang::GangDecision;
 use super::job_table::{Task, TaskStatus};
 use super::order::StepKey;
 use super::rank::Rank;
@@ -11,7 +12,6 @@
 use super::view::PlacementView;
 use super::worker::Worker;
 use super::{RUN_NUMBERS_PER_TERM, Scheduler};
-use crate::job::StepSpec;
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -32,6 +32,15 @@
     unplaceable: Option<Resources>,
 }
 
+/// What a placement pass did with a task or a gang.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Placement {
+    Started,
+    /// Keeps waiting for its rack; the room elsewhere is left to others.
+    WaitsForRack,
+    NoRoom,
+}
+
 impl RoomBounds {
     fn may_fit(&self, need: Resources) -> bool {
         need.fits(self.free_max)
@@ -132,6 +141,8 @@
         };
         let limits = self.take_share_limits(service, now);
         self.update_hold(service, &limits, now);
+        self.locality
+            .begin_pass(|task| self.job_table.is_ready(task));
         let ranked = self.ranked_steps(service, &bounds, &limits, capacity, now);
         let mut order = PassOrder::new(ranked);
         while let Some(rank) = order.next() {
@@ -221,11 +232,19 @@
                 waiting.push(key);
                 continue;
             }
-            if !self.place_task(key, service, now) {
-                fits = is_isolated;
-                waiting.push(key);
-                if self.is_unconstrained(key) {
-                    bounds.unplaceable = Some(need);
+            match self.place_task(key, service, now) {
+                Placement::Started => {}
+                Placement::WaitsForRack => {
+                    // The other members of a gang wait with it.
+                    fits = self.job_table.step_of(key).is_none_or(|step| !step.gang);
+                    waiting.push(key);
+                }
+                Placement::NoRoom => {
+                    fits = is_isolated;
+                    waiting.push(key);
+                    if self.is_unconstrained(key) {
+                        bounds.unplaceable = Some(need);
+                    }
                 }
             }
         }
@@ -285,21 +304,24 @@
             .fold(Resources::default(), Resources::max)
     }
 
-    fn place_task(&mut self, key: TaskKey, service: ServiceKey, now: Millis) -> bool {
+    fn place_task(&mut self, key: TaskKey, service: ServiceKey, now: Millis) -> Placement {
         if self.job_table.step_of(key).is_some_and(|step| step.gang) {
             return self.place_gang(key, service, now);
         }
         let held = self.held_room(key, service);
         let Some(worker) = self.view(now).best_worker(key, service, &held) else {
-            return false;
+            return Placement::NoRoom;
         };
+        if self.waits_for_rack(key, worker, service, now) {
+            return Placement::WaitsForRack;
+        }
         let number = self.next_run_number(key);
         self.start(key, worker, number, now);
-        true
+        Placement::Started
     }
 
     /// Starts all tasks of a gang, or none if any of them has no worker.
-    fn place_gang(&mut self, key: TaskKey, service: ServiceKey, now: Millis) -> bool {
+    fn place_gang(&mut self, key: TaskKey, service: ServiceKey, now: Millis) -> Placement {
         let task = &self.job_table.tasks[key];
         let (job, position) = (task.job, task.position);
         let members = self.job_table.jobs[job].occurrences[position.occurrence as usize]
@@ -309,21 +331,14 @@
             .iter()
             .all(|member| self.job_table.is_ready(*member))
         {
-            return false;
-        }
-        let mut planned = self.held_room(key, service);
-        let held_count = planned.len();
-        for member in &members {
-            let Some(worker) = self.view(now).best_worker(*member, service, &planned) else {
-                return false;
-            };
-            let need = self
-                .job_table
-                .step_of(*member)
-                .map(StepSpec::need)
-                .unwrap_or_default();
-            planned.push((worker, need));
+            return Placement::NoRoom;
         }
+        let held = self.held_room(key, service);
+        let planned = match self.plan_gang(&members, service, &held, now) {
+            GangDecision::Start(planned) => planned,
+            GangDecision::Wait => return Placement::WaitsForRack,
+            GangDecision::NoRoom => return Placement::NoRoom,
+        };
         let number = members
             .iter()
             .map(|member| self.next_run_number(*member))
@@ -334,10 +349,7 @@
             .filter_map(|member| self.job_table.tasks.get(*member))
             .max_by_key(|task| (task.last_run_number, !task.checkpoint.is_empty()))
             .map(|task| Arc::clone(&task.checkpoint));
-        for (member, (worker, _)) in members
-            .into_iter()
-            .zip(planned.into_iter().skip(held_count))
-        {
+        for (member, (worker, _)) in members.into_iter().zip(planned) {
             if let (Some(task), Some(checkpoint)) =
                 (self.job_table.tasks.get_mut(member), &checkpoint)
             {
@@ -345,7 +357,7 @@
             }
             self.start(member, worker, number, now);
         }
-        true
+        Placement::Started
     }
 
     pub(super) fn next_run_number(&self, key: TaskKey) -> u32 {
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -10,6 +10,7 @@
 };
 use rosemaryscale_domain::placement::Resources;
 use rosemaryscale_domain::prelude::*;
+use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_domain::schedule::order::{
     Action, InstanceOrderResult, InstanceReport, InstanceState, ListedRun, Listing, OrderResult,
     PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder, WorkerReport,
@@ -208,6 +209,24 @@
         });
     }
 
+    /// One worker for each named rack, and tasks that wait for a place by this policy.
+    pub(crate) fn with_racks(racks: &[&str], placement_wait: PlacementWait) -> Self {
+        let mut harness = Self::new(0);
+        let settings = ScheduleSettings {
+            placement_wait,
+            ..settings(1)
+        };
+        harness.scheduler = Scheduler::new(settings, FormerTerm::default(), harness.now);
+        for (index, rack) in racks.iter().enumerate() {
+            harness.add_worker(&format!("w{index}"), "service");
+            let report = &mut harness.workers[index].report;
+            report.labels = vec!["kind".into(), (*rack).into()];
+            harness.scheduler.worker_listed(report.clone(), harness.now);
+        }
+        harness.run_for(100);
+        harness
+    }
+
     pub(crate) fn submit(&mut self, id: &str, record: JobRecord) {
         self.submit_with(id, record, Acceptance::InTerm);
     }
@@ -679,5 +698,6 @@
         stop_grace_ms: STOP_GRACE_MS,
         term,
         uneven_work: UnevenWork::default(),
+        placement_wait: PlacementWait::Off,
     }
 }
