--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -37,6 +37,7 @@
 mod run;
 mod run_table;
 mod runs;
+mod settings;
 mod share;
 pub mod share_status;
 mod speed;
@@ -60,7 +61,7 @@
 use job_table::{JobOwner, JobTable, TaskStatus};
 use late_starts::LateStarts;
 use load::LoadForecast;
-use locality::{Locality, PlacementWait};
+use locality::Locality;
 use order::{Action, SchedulerEvent};
 use persist::BatchQueue;
 pub use persist::{Batch, JobWrite, RecordedWorker};
@@ -70,6 +71,7 @@
 use recovery::Recovery;
 use retention::Retention;
 use run_table::RunTable;
+pub use settings::{ScheduleSettings, UnevenWork};
 use share::Shares;
 use speed::Speeds;
 use stop_reason::StopReason;
@@ -103,36 +105,6 @@
 /// Batching delay of changes that end a job.
 const JOB_END_BATCH_DELAY_MS: u64 = 15;
 
-/// Settings of a scheduler, fixed for its term.
-#[derive(Clone, Copy, Debug)]
-pub struct ScheduleSettings {
-    /// Duration of the lease that each poll renews for all runs of a worker.
-    pub run_lease_ms: u64,
-    /// Longest time that a poll waits for a run to end.
-    pub poll_wait_ms: u64,
-    /// Time for which a former leader may still send orders.
-    pub leader_grace_ms: u64,
-    /// Time that a worker may take to stop a run.
-    pub stop_grace_ms: u64,
-    /// Number of this leader's term; the first is 1.
-    pub term: u32,
-    /// How uneven run times are answered.
-    pub uneven_work: UnevenWork,
-    /// How long tasks wait for a place near their data or group.
-    pub placement_wait: PlacementWait,
-}
-
-/// Switches of the answers to uneven run times. By default all are off.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct UnevenWork {
-    /// Whether decisions use learned run times instead of declared ones.
-    pub learned_durations: bool,
-    /// Whether the choice of a worker considers its learned speed.
-    pub learned_speed: bool,
-    /// Share of the running finite tasks that may have a speculative copy; 0 means no copies.
-    pub copy_budget_percent: u32,
-}
-
 /// Whether a job was accepted before or during the term of this leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Acceptance {
--- /dev/null
+++ b/crates/domain/src/schedule/settings.rs
@@ -0,0 +1,33 @@
+//! Settings of a scheduler.
+
+use super::locality::PlacementWait;
+
+/// Settings of a scheduler, fixed for its term.
+#[derive(Clone, Copy, Debug)]
+pub struct ScheduleSettings {
+    /// Duration of the lease that each poll renews for all runs of a worker.
+    pub run_lease_ms: u64,
+    /// Longest time that a poll waits for a run to end.
+    pub poll_wait_ms: u64,
+    /// Time for which a former leader may still send orders.
+    pub leader_grace_ms: u64,
+    /// Time that a worker may take to stop a run.
+    pub stop_grace_ms: u64,
+    /// Number of this leader's term; the first is 1.
+    pub term: u32,
+    /// How uneven run times are answered.
+    pub uneven_work: UnevenWork,
+    /// How long tasks wait for a place near their data or group.
+    pub placement_wait: PlacementWait,
+}
+
+/// Switches of the answers to uneven run times. By default all are off.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UnevenWork {
+    /// Whether decisions use learned run times instead of declared ones.
+    pub learned_durations: bool,
+    /// Whether the choice of a worker considers its learned speed.
+    pub learned_speed: bool,
+    /// Share of the running finite tasks that may have a speculative copy; 0 means no copies.
+    pub copy_budget_percent: u32,
+}
