Do not await workers that have left during a recovery

Cause: since runs that may have reached a worker's next incarnation are kept, a new leader awaited the next incarnation of every recorded worker that had ended for 1 s, also of those whose instances had been moved.

Change: a worker that has ended is no longer awaited once the platform's complete list is known and lacks it.

--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -24,6 +24,8 @@
     awaited: FastSet<WorkerKey>,
     /// Awaited workers whose process has ended, and until when their next incarnation is awaited.
     ended: FastMap<WorkerKey, Millis>,
+    /// Whether the platform's complete list of workers has been applied.
+    is_list_known: bool,
     /// All workers that the former leader stored.
     recorded: FastSet<WorkerKey>,
     /// End of the last lease that such a run can have.
@@ -51,6 +53,7 @@
             recorded: awaited.clone(),
             awaited,
             ended: FastMap::default(),
+            is_list_known: false,
             until: lease_end,
             changed: true,
         });
@@ -86,6 +89,13 @@
         }
     }
 
+    /// Notes that the platform's complete list of workers has been applied.
+    pub(super) const fn worker_list_known(&mut self) {
+        if let Some(recovery) = &mut self.recovery {
+            recovery.is_list_known = true;
+        }
+    }
+
     /// Whether the recovery waits for the next incarnation of a worker whose process has ended.
     pub(super) fn awaits_next_incarnation(&self, key: WorkerKey) -> bool {
         let recovery = self.recovery.as_ref();
@@ -128,7 +138,12 @@
         let before = recovery.awaited.len();
         recovery.awaited.retain(|key| {
             let worker = workers.get(*key);
-            let is_over = recovery.ended.get(key).is_some_and(|until| *until <= now);
+            // A worker that the platform no longer lists has left, or its instance was moved.
+            let has_left = recovery.is_list_known && worker.is_some_and(|worker| !worker.listed);
+            let is_over = recovery
+                .ended
+                .get(key)
+                .is_some_and(|until| has_left || *until <= now);
             !is_over
                 && worker.is_some_and(|worker| !worker.synced || !worker.unknown_runs.is_empty())
         });
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -92,6 +92,7 @@
         for worker in self.workers.values_mut() {
             worker.listed &= listed.contains(&worker.report.id);
         }
+        self.worker_list_known();
     }
 
     pub(super) fn insert_worker(&mut self, report: WorkerReport, lease_end: Millis) -> WorkerKey {
--- a/crates/domain/tests/recovery.rs
+++ b/crates/domain/tests/recovery.rs
@@ -3,6 +3,7 @@
 mod scheduler_harness;
 
 use rosemaryscale_domain::job::{JobState, StepSpec};
+use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{InstanceState, RunEndKind, WaveRequest};
 use scheduler_harness::{SchedulerHarness, job, step};
 
@@ -353,3 +354,20 @@
     harness.run_for(300);
     assert_eq!(harness.start_count("a.0.0.0"), 2);
 }
+
+/// Load pattern: the leader changes after a burst in which instances were moved, so that many recorded workers
+/// have left the platform's list. Guards against a recovery that waits for their next incarnations, and delays
+/// all older work by a second.
+#[test]
+fn a_recovery_does_not_wait_for_workers_that_have_left() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.submit("a", job(vec![step(8)], 3));
+    harness.run_for(200);
+    harness.workers[1].running.clear();
+    harness.workers[1].listening = false;
+    harness.change_leader();
+    let listed = [Arc::from("w0")].into_iter().collect();
+    harness.scheduler.workers_listed(&listed);
+    harness.run_for(300);
+    assert!(!harness.scheduler.is_recovering());
+}
