Recognize workers of moved instances during a recovery by the list of instances

Change: a worker that has ended has also left if the list of instances shows its instance moving, under maintenance or with another worker; one whose instance is down may restart and is awaited.

--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -6,7 +6,7 @@
 
 use crate::prelude::*;
 use crate::schedule::Scheduler;
-use crate::schedule::order::InstanceReport;
+use crate::schedule::order::{InstanceReport, InstanceState, WorkerReport};
 use crate::schedule::run::EndEvidence;
 
 /// Time for which the list must omit the instance of an unresponsive worker before the worker counts as
@@ -84,6 +84,16 @@
         listed.len() > unlisted.len()
     }
 
+    /// Whether the list shows the instance of a worker without it, for another reason than that it is down.
+    pub(in crate::schedule) fn is_instance_without(&self, worker: &WorkerReport) -> bool {
+        let key = self.fleet.by_name.get(&worker.instance);
+        let instance = key.and_then(|key| self.fleet.instances.get(*key));
+        instance.is_some_and(|instance| {
+            instance.report.state != InstanceState::Down
+                && instance.report.worker.as_ref() != Some(&worker.id)
+        })
+    }
+
     fn may_have_runs(&self, key: WorkerKey) -> bool {
         let has_runs = self
             .workers
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -130,7 +130,24 @@
         }
     }
 
+    /// Workers whose process has ended and that have left: the platform no longer lists them, or lists their
+    /// instance as moving, under maintenance, or with another worker. The list of workers keeps one that has left
+    /// for some seconds.
+    fn left_workers(&self) -> FastSet<WorkerKey> {
+        let Some(recovery) = &self.recovery else {
+            return FastSet::default();
+        };
+        let has_left = |key: &&WorkerKey| {
+            self.workers.get(**key).is_some_and(|worker| {
+                (recovery.is_list_known && !worker.listed)
+                    || self.is_instance_without(&worker.report)
+            })
+        };
+        recovery.ended.keys().filter(has_left).copied().collect()
+    }
+
     pub(super) fn check_recovery(&mut self, now: Millis) {
+        let left = self.left_workers();
         let Some(recovery) = &mut self.recovery else {
             return;
         };
@@ -138,12 +155,8 @@
         let before = recovery.awaited.len();
         recovery.awaited.retain(|key| {
             let worker = workers.get(*key);
-            // A worker that the platform no longer lists has left, or its instance was moved.
-            let has_left = recovery.is_list_known && worker.is_some_and(|worker| !worker.listed);
-            let is_over = recovery
-                .ended
-                .get(key)
-                .is_some_and(|until| has_left || *until <= now);
+            let is_over =
+                left.contains(key) || recovery.ended.get(key).is_some_and(|until| *until <= now);
             !is_over
                 && worker.is_some_and(|worker| !worker.synced || !worker.unknown_runs.is_empty())
         });
--- a/crates/domain/tests/recovery.rs
+++ b/crates/domain/tests/recovery.rs
@@ -371,3 +371,19 @@
     harness.run_for(300);
     assert!(!harness.scheduler.is_recovering());
 }
+
+/// Load pattern: as above, while the platform still lists the workers of instances that have been moved. Guards
+/// against a recovery that waits for them although the list of instances shows other workers there.
+#[test]
+fn a_recovery_does_not_wait_for_workers_of_moved_instances() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.add_instance("machine-w1", "service", Some("w1"));
+    harness.submit("a", job(vec![step(8)], 3));
+    harness.run_for(1_200);
+    harness.workers[1].running.clear();
+    harness.workers[1].listening = false;
+    harness.instances[0].worker = Some("w2".into());
+    harness.change_leader();
+    harness.run_for(500);
+    assert!(!harness.scheduler.is_recovering());
+}
