Show why workers take no work, and what holds up the scheduler as a whole

Change: the pool line names the excluded workers by reason, and is also written for a service that has waiting tasks and no worker. Five gauges of the leader show the age of the batch in flight, overdue starts, tasks that wait for the recovery and the capacity by which pools are sized. A worker takes work exactly if no reason excludes it.

--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use rosemaryscale_domain::job::{JobState, TaskPosition};
-use rosemaryscale_domain::schedule::Batch;
 use rosemaryscale_domain::schedule::order::{
     Action, AdviceOrder, AdviceResult, CopyOutcome, RunEndKind, SchedulerEvent, StartOrder,
 };
+use rosemaryscale_domain::schedule::{Batch, PoolUse};
 use rosemaryscale_ports::instance_order::InstanceOrderCall;
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::WorkerCall;
@@ -216,12 +216,34 @@
             info!(self.options.log, "recovery waits"; "workers" => awaited.len(),
                 "first" => first.join(" "), "lease_age_ms" => self.lease_age_ms());
         }
-        for pool in self.scheduler.pool_uses().filter(|pool| pool.workers > 0) {
+        let now = self.options.clock.now();
+        let status = self.scheduler.status(now);
+        metrics.gauge("scheduler.batch_age_ms", status.batch_age_ms);
+        metrics.gauge("scheduler.overdue_starts", status.overdue_starts as u64);
+        metrics.gauge(
+            "scheduler.tasks_awaiting_recovery",
+            status.tasks_awaiting_recovery as u64,
+        );
+        metrics.gauge(
+            "scheduler.worker_processors_milli",
+            status.worker_capacity.processors_milli,
+        );
+        metrics.gauge(
+            "scheduler.worker_memory_mb",
+            status.worker_capacity.memory_mb,
+        );
+        let is_active = |pool: &PoolUse| pool.workers > 0 || pool.tasks_waiting > 0;
+        for pool in self.scheduler.pool_uses(now).filter(is_active) {
+            let excluded: Vec<String> = pool
+                .excluded
+                .iter()
+                .map(|(reason, workers)| format!("{workers} {reason}"))
+                .collect();
             info!(self.options.log, "pool"; "service" => &*pool.service, "workers" => pool.workers,
                 "processors_used_milli" => pool.used.processors_milli,
                 "processors_milli" => pool.capacity.processors_milli,
                 "memory_used_mb" => pool.used.memory_mb, "memory_mb" => pool.capacity.memory_mb,
-                "tasks_waiting" => pool.tasks_waiting);
+                "tasks_waiting" => pool.tasks_waiting, "excluded" => excluded.join(", "));
         }
         self.log_shares();
     }
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -42,6 +42,7 @@
 pub mod share_status;
 mod speed;
 mod start;
+pub mod status;
 pub mod stop_reason;
 mod unknown_runs;
 mod view;
@@ -74,6 +75,7 @@
 pub use settings::{ScheduleSettings, UnevenWork};
 use share::Shares;
 use speed::Speeds;
+use status::Exclusion;
 use stop_reason::StopReason;
 use worker::Worker;
 use workspace_table::WorkspaceTable;
@@ -151,6 +153,8 @@
     pub used: Resources,
     /// Ready tasks that wait for a worker.
     pub tasks_waiting: usize,
+    /// Workers that take no work, by reason.
+    pub excluded: Vec<(Exclusion, usize)>,
 }
 
 /// A service, its workers, its ready tasks and its recent load.
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -83,7 +83,8 @@
 pub(super) struct BatchQueue {
     /// Sequence number of the newest batch.
     sequence: u64,
-    in_flight: bool,
+    /// Since when a batch is in flight.
+    in_flight_since: Option<Millis>,
     /// When the next batch is due; `None` if nothing is to be stored.
     due: Option<Millis>,
     /// Workers named in the newest batch that listed them.
@@ -96,7 +97,7 @@
     pub(super) const fn new(due: Millis) -> Self {
         Self {
             sequence: 0,
-            in_flight: false,
+            in_flight_since: None,
             due: Some(due),
             written_workers: None,
             released: false,
@@ -113,13 +114,18 @@
         self.sequence + 1
     }
 
+    /// Time for which the batch in flight has not been stored.
+    pub(super) fn age_ms(&self, now: Millis) -> u64 {
+        self.in_flight_since.map_or(0, |since| now.ms_since(since))
+    }
+
     /// Begins a batch if one is due and none is in flight.
     fn begin(&mut self, now: Millis) -> bool {
-        if self.in_flight || self.due.is_none_or(|due| due > now) {
+        if self.in_flight_since.is_some() || self.due.is_none_or(|due| due > now) {
             return false;
         }
         self.due = None;
-        self.in_flight = true;
+        self.in_flight_since = Some(now);
         self.sequence += 1;
         true
     }
@@ -210,7 +216,7 @@
 
     /// Applies the completed write of a batch.
     pub fn batch_written(&mut self, batch: &Batch, now: Millis) {
-        self.batches.in_flight = false;
+        self.batches.in_flight_since = None;
         for recorded in batch.workers.iter().flatten() {
             let key = self.workers_by_id.get(&recorded.id).copied();
             if let Some(worker) = key.and_then(|key| self.workers.get_mut(key))
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -351,8 +351,8 @@
     }
 
     /// Resource usage of each pool, for reports.
-    pub fn pool_uses(&self) -> impl Iterator<Item = PoolUse> {
-        self.services.values().map(|service| {
+    pub fn pool_uses(&self, now: Millis) -> impl Iterator<Item = PoolUse> {
+        self.services.iter().map(move |(key, service)| {
             let workers = service
                 .workers
                 .iter()
@@ -372,6 +372,7 @@
                 capacity: sum(|worker| worker.report.capacity),
                 used: sum(|worker| worker.bookings.used()),
                 tasks_waiting: service.ready.task_count(),
+                excluded: self.exclusions(key, now),
             }
         })
     }
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -149,15 +149,7 @@
     }
 
     pub(super) fn takes_work(&self, now: Millis) -> bool {
-        self.listed
-            && self.synced
-            && self.recorded
-            && !self.unresponsive
-            && !self.report.draining
-            && !self.cordoned
-            && self.unknown_runs.is_empty()
-            && self.paused_until <= now
-            && self.isolated_until <= now
+        self.exclusion(now).is_none()
     }
 
     /// Estimates the worker's clock.
