Report a result for calls to workers without a link

A task stayed placed for good, and its worker was never polled again, if a call went to a worker that had no link: the client of the workers and the router dropped such calls without a result, while the scheduler keeps a run whose start is in flight and sends no poll while one is. A link is missing when the address of the worker cannot be parsed or its id is no header value, on the leader and on gateways, and after it was closed.

Such calls now end at once: orders as not sent, polls as unanswered, so that the worker counts as unresponsive and its tasks start elsewhere.

--- a/crates/adapters/src/worker_gateway/router.rs
+++ b/crates/adapters/src/worker_gateway/router.rs
@@ -289,6 +289,10 @@
     async fn forward(&mut self, worker: WorkerKey, call: WorkerCall) {
         let (Some(link), Some(route)) = (self.links.get_mut(&worker), self.plan.route(worker))
         else {
+            // The scheduler waits for one result of each call.
+            if let Some(event) = call.ended_with(OrderResult::NotSent) {
+                let _ = self.events.send(event);
+            }
             return;
         };
         link.outstanding += 1;
--- a/crates/adapters/tests/worker_gateway.rs
+++ b/crates/adapters/tests/worker_gateway.rs
@@ -335,3 +335,12 @@
     let ended = tokio::time::timeout(TIMEOUT, gateway.task).await;
     ended.expect("the gateway ends").expect("without a failure");
 }
+
+/// Guards against a run that the scheduler keeps for good because its start was sent after the link of the
+/// worker had been closed and never got a result.
+#[tokio::test]
+async fn a_start_without_a_link_gets_a_result() {
+    let mut leader = Leader::start(1).await;
+    leader.call(WorkerCall::Close(leader.worker)).await;
+    assert_eq!(leader.start_run().await, OrderResult::NotSent);
+}
--- a/crates/ports/src/worker.rs
+++ b/crates/ports/src/worker.rs
@@ -37,6 +37,36 @@
     Poll(WorkerKey, PollOrder),
 }
 
+impl WorkerCall {
+    /// The event that reports the result of an order; a poll counts as unanswered. `None` for calls that
+    /// have no result.
+    #[must_use]
+    pub fn ended_with(self, result: OrderResult) -> Option<WorkerEvent> {
+        Some(match self {
+            Self::Start(worker, order) => WorkerEvent::Started {
+                worker,
+                run: order.run,
+                result,
+            },
+            Self::Stop(worker, order) => WorkerEvent::Stopped {
+                worker,
+                run: order.run,
+                result,
+            },
+            Self::Pace(worker, order) => WorkerEvent::Paced {
+                worker,
+                order,
+                result,
+            },
+            Self::Poll(worker, _) => WorkerEvent::Polled {
+                worker,
+                result: PollResult::Unanswered,
+            },
+            Self::Open { .. } | Self::Close(_) => return None,
+        })
+    }
+}
+
 /// Result of an order.
 #[derive(Debug)]
 pub enum WorkerEvent {
