Mark workers as recorded that an unchanged list names

A worker took no tasks for good although it was idle and answered: its entry expired and came back before the next batch was taken. The new entry of the worker table is not recorded, the list of workers to be recorded is the same as the last one, so the batch omits it, and only the workers of a batch with a list were marked. It ended when another worker joined or left.

Each written batch now marks the workers that the store names: the newest list that was taken, which the store holds as soon as the batch in flight is written. The list is not compared while all workers are recorded.

Without the change a_worker_that_is_listed_again_before_the_next_batch_takes_work fails: 0 of 2 tasks run 1 s after the worker came back.

--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -86,7 +86,8 @@
     in_flight: bool,
     /// When the next batch is due; `None` if nothing is to be stored.
     due: Option<Millis>,
-    /// Workers named in the newest batch that listed them.
+    /// Workers named in the newest batch that listed them. The store holds this list once the batch in
+    /// flight is written.
     written_workers: Option<Vec<RecordedWorker>>,
     /// Whether the next batch is the last one.
     released: bool,
@@ -208,10 +209,13 @@
         })
     }
 
-    /// Applies the completed write of a batch.
-    pub fn batch_written(&mut self, batch: &Batch, now: Millis) {
-        self.batches.in_flight = false;
-        for recorded in batch.workers.iter().flatten() {
+    /// Marks the workers that the store names. A worker may have been added under the id of a removed one
+    /// since the list was last written, so that an unchanged list names it too.
+    fn mark_recorded_workers(&mut self) {
+        if self.workers.values().all(|worker| worker.recorded) {
+            return;
+        }
+        for recorded in self.batches.written_workers.iter().flatten() {
             let key = self.workers_by_id.get(&recorded.id).copied();
             if let Some(worker) = key.and_then(|key| self.workers.get_mut(key))
                 && worker.report.address == recorded.address
@@ -224,6 +228,12 @@
                 }
             }
         }
+    }
+
+    /// Applies the completed write of a batch.
+    pub fn batch_written(&mut self, batch: &Batch, now: Millis) {
+        self.batches.in_flight = false;
+        self.mark_recorded_workers();
         for (key, worker) in &mut self.workers {
             while let Some((end, written_in_batch)) = worker.unwritten_ends.front().copied() {
                 if written_in_batch > batch.sequence || self.copies.holds(key, end) {
