Release an instance whose accepted move has no effect

An instance stayed reserved and its worker cordoned for good if its move was accepted but the instance is up in another pool: the platform also accepts an order that was carried out before, and a late order of a former leader can move the instance again. An order that was accepted is never abandoned, and the operation ended only in its target pool, which also counted the instance as present.

A list that was requested after the order was accepted, and later than the list may lag, shows the state after it. If the instance is up in another pool there, the operation ends and the instance is planned anew after the usual delay. Maintenance uses the same list as evidence.

Without the change an_accepted_move_without_effect_releases_the_instance fails: 4 of 8 tasks run 3 s later, since one of two workers stays cordoned.

--- a/crates/domain/src/schedule/fleet/orders.rs
+++ b/crates/domain/src/schedule/fleet/orders.rs
@@ -35,24 +35,30 @@
         let list_is_current = accepted_at.is_some_and(|at| now.ms_since(at) > LIST_LAG_MS);
         let list_was_requested_later =
             accepted_at.is_some_and(|at| self.fleet.list_requested_at > at.after_ms(LIST_LAG_MS));
-        let done = match operation {
+        let (done, has_effect) = match operation {
             // A repeated order of maintenance that a former leader had carried out is accepted without
             // effect, so that the worker stays the same.
             Operation::Maintain(_) => {
-                list_is_current
+                let done = list_is_current
                     && up
                     && (previous_worker.is_none()
                         || report.worker != *previous_worker
-                        || list_was_requested_later)
+                        || list_was_requested_later);
+                (done, true)
+            }
+            // An accepted order may have been carried out before, or be followed by a late one of a former
+            // leader, so that the instance is up in another pool.
+            Operation::Move(service) => {
+                let done = up && instance.pool == *service;
+                (done, !(up && list_was_requested_later))
             }
-            Operation::Move(service) => up && instance.pool == *service,
         };
         if done {
             self.release_instance(key, now);
             let instance = &mut self.fleet.instances[key];
             instance.not_before = instance.in_doubt_until.max(now);
             instance.arrival_deadline = now.after_ms(WORKER_ARRIVAL_TIMEOUT_MS);
-        } else if accepted_at.is_none() && *abandoned_at < now {
+        } else if !has_effect || (accepted_at.is_none() && *abandoned_at < now) {
             self.release_instance(key, now);
         }
     }
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -117,6 +117,8 @@
     pub(crate) instances: Vec<InstanceReport>,
     /// Whether orders of maintenance are accepted without effect, as if it had been carried out before.
     pub(crate) maintained_before: bool,
+    /// Whether moves are accepted without effect, as if they had been carried out and reverted before.
+    pub(crate) moved_before: bool,
     /// Whether orders to instances complete; otherwise they stay in progress.
     pub(crate) complete_orders: bool,
     /// Orders to instances: name, and target pool of a move (`None` for maintenance).
@@ -165,6 +167,7 @@
             stop_causes: Vec::new(),
             instances: Vec::new(),
             maintained_before: false,
+            moved_before: false,
             complete_orders: true,
             instance_orders: Vec::new(),
             progress_reports: FastMap::default(),
@@ -518,7 +521,12 @@
                 .instance_ordered(key, InstanceOrderResult::Unanswered, self.now);
             return;
         }
-        if self.maintained_before && pool.is_none() {
+        let had_taken_effect = if pool.is_some() {
+            self.moved_before
+        } else {
+            self.maintained_before
+        };
+        if had_taken_effect {
             let name = Arc::clone(&self.instances[index].name);
             self.instance_orders.push((name, pool));
             self.scheduler
--- a/crates/domain/tests/stuck_tasks.rs
+++ b/crates/domain/tests/stuck_tasks.rs
@@ -2,8 +2,22 @@
 
 mod scheduler_harness;
 
+use rosemaryscale_domain::job::{JobRecord, StepSpec};
 use scheduler_harness::{SchedulerHarness, job, step};
 
+/// A harness of one pool whose workers are on instances.
+fn fleet(workers: usize) -> SchedulerHarness {
+    let mut harness = SchedulerHarness::new(0);
+    for index in 0..workers {
+        let worker = format!("w{index}");
+        harness.add_instance(&format!("machine-{worker}"), "service", Some(&worker));
+        harness.add_worker(&worker, "service");
+    }
+    // The list of instances is read once a second while none of them changes.
+    harness.run_for(1_100);
+    harness
+}
+
 /// Guards against a worker that takes no work for good: its entry expired and came back before the next
 /// batch, so that the list of workers to record was the same as before and the batch omitted it.
 #[test]
@@ -19,3 +33,26 @@
     harness.run_for(500);
     assert_eq!(harness.running().len(), 2);
 }
+
+/// Guards against an instance that stays reserved for good: its move was accepted, but the list goes on to
+/// show it in its former pool, since the order had taken effect before and the instance was moved back.
+#[test]
+fn an_accepted_move_without_effect_releases_the_instance() {
+    let mut harness = fleet(2);
+    harness.moved_before = true;
+    harness.submit("moving", job_of("other", vec![step(1)]));
+    harness.run_for(100);
+    assert_eq!(harness.instance_orders.len(), 1, "one instance is moved");
+    harness.cancel("moving");
+    harness.run_for(500);
+    harness.submit("job", job(vec![step(8)], 3));
+    harness.run_for(3_000);
+    assert_eq!(harness.running().len(), 8, "both workers take tasks");
+}
+
+fn job_of(service: &str, steps: Vec<StepSpec>) -> JobRecord {
+    let mut record = job(steps, 3);
+    record.queue = service.into();
+    record.policy.service = service.into();
+    record
+}
