Keep the operation on an instance that one list lacks

A worker stayed cordoned for good, and took no tasks, if one reading of the list lacked its instance while the instance was being emptied or ordered: the instance was forgotten with its operation but not the cordon of its worker, and came back without an operation that would end it. The pool counted the cordoned worker as present and got no other instance for it.

An instance with an operation in progress is now kept until lists have lacked it for as long as the instances of a wave; no order is sent to it meanwhile, and it is no evidence that its worker still runs. When it is removed, its worker is uncordoned.

Without the change an_instance_that_one_list_lacks_takes_tasks_again fails: the next task is not started within 6 s although the only worker is empty.

--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -26,8 +26,8 @@
 /// Idle time after which an instance returns to the spare pool. A move costs about as much as one
 /// second in a pool.
 const IDLE_TIMEOUT_MS: u64 = 2_000;
-/// Time after which an instance of a wave that the list omits counts as removed: ten readings of the
-/// list.
+/// Time after which an instance that the list omits counts as removed while a wave or an operation waits for
+/// it: ten readings of the list.
 const ABSENCE_TIMEOUT_MS: u64 = 5_000;
 /// Share of a pool's capacity that tasks can use: tasks of different sizes leave fragments unused.
 const TARGET_UTILIZATION_PERCENT: u64 = 85;
@@ -79,6 +79,8 @@
     arrival_deadline: Millis,
     /// Earliest time of the next check whether its long-running tasks fit elsewhere.
     next_evacuation_check_at: Millis,
+    /// Since when the list lacks it. It is then only kept for the operation in progress.
+    unlisted_since: Option<Millis>,
 }
 
 /// A maintenance wave in progress.
@@ -129,6 +131,13 @@
 }
 
 impl Fleet {
+    /// The instance with this name, if the latest list has it.
+    fn listed(&self, name: &str) -> Option<&TrackedInstance> {
+        let key = self.by_name.get(name)?;
+        let instance = self.instances.get(*key)?;
+        instance.unlisted_since.is_none().then_some(instance)
+    }
+
     /// Number of instances that are in maintenance or are about to enter it for the wave.
     fn down_count(&self, wave: u64) -> usize {
         let down = |instance: &&TrackedInstance| match instance.operation_state {
@@ -237,6 +246,7 @@
                     idle_since: None,
                     arrival_deadline: Millis::ZERO,
                     next_evacuation_check_at: Millis::ZERO,
+                    unlisted_since: None,
                 });
                 self.fleet.by_name.insert(name, key);
                 continue;
@@ -246,6 +256,7 @@
             let instance = &mut self.fleet.instances[key];
             instance.report = report;
             instance.pool = pool;
+            instance.unlisted_since = None;
             self.settle_operation(key, now);
         }
         let unlisted: Vec<FleetInstanceKey> = self
@@ -256,16 +267,29 @@
             .map(|(key, _)| key)
             .collect();
         for key in unlisted {
-            if let Some(instance) = self.fleet.instances.remove(key) {
-                self.fleet.by_name.remove(&instance.report.name);
-                self.events.push(SchedulerEvent::InstanceUnlisted {
-                    instance: instance.report.name,
-                });
-            }
+            self.instance_unlisted(key, now);
         }
         self.end_unlisted_incarnations(now);
     }
 
+    /// Removes an instance that the list lacks. One reading may lack an instance that still exists, so an
+    /// operation on it is kept for [`ABSENCE_TIMEOUT_MS`].
+    fn instance_unlisted(&mut self, key: FleetInstanceKey, now: Millis) {
+        let instance = &mut self.fleet.instances[key];
+        let since = *instance.unlisted_since.get_or_insert(now);
+        let is_in_operation = instance.operation_state != OperationState::Inactive;
+        if is_in_operation && now.ms_since(since) < ABSENCE_TIMEOUT_MS {
+            return;
+        }
+        self.set_cordon(key, false);
+        if let Some(instance) = self.fleet.instances.remove(key) {
+            self.fleet.by_name.remove(&instance.report.name);
+            self.events.push(SchedulerEvent::InstanceUnlisted {
+                instance: instance.report.name,
+            });
+        }
+    }
+
     fn log_instance_change(&mut self, key: FleetInstanceKey, report: &InstanceReport) {
         let before = &self.fleet.instances[key].report;
         if before.state != report.state || before.worker != report.worker {
@@ -389,7 +413,9 @@
             .instances
             .iter()
             .filter_map(|(key, instance)| match instance.operation_state {
-                OperationState::Evacuating(operation) => Some((key, operation)),
+                OperationState::Evacuating(operation) if instance.unlisted_since.is_none() => {
+                    Some((key, operation))
+                }
                 _ => None,
             })
             .collect();
--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -50,8 +50,7 @@
             if worker.unresponsive_since > self.fleet.list_requested_at {
                 continue;
             }
-            let instance = self.fleet.by_name.get(&worker.report.instance);
-            match instance.and_then(|key| self.fleet.instances.get(*key)) {
+            match self.fleet.listed(&worker.report.instance) {
                 Some(instance) if instance.report.worker.as_ref() == Some(&worker.report.id) => {
                     worker.unlisted_since = None;
                 }
@@ -80,7 +79,7 @@
             .values()
             .filter(|worker| worker.synced && !worker.unresponsive);
         let (listed, unlisted): (Vec<_>, Vec<_>) =
-            responsive.partition(|worker| self.fleet.by_name.contains_key(&worker.report.instance));
+            responsive.partition(|worker| self.fleet.listed(&worker.report.instance).is_some());
         listed.len() > unlisted.len()
     }
 
--- a/crates/domain/tests/stuck_tasks.rs
+++ b/crates/domain/tests/stuck_tasks.rs
@@ -3,6 +3,7 @@
 mod scheduler_harness;
 
 use rosemaryscale_domain::job::{JobRecord, StepSpec};
+use rosemaryscale_domain::schedule::order::RunEndKind;
 use scheduler_harness::{SchedulerHarness, job, step};
 
 /// A harness of one pool whose workers are on instances.
@@ -34,6 +35,29 @@
     assert_eq!(harness.running().len(), 2);
 }
 
+/// Guards against a worker that stays cordoned for good: one reading of the list lacked its instance while the
+/// instance was being emptied for another pool, and the operation was forgotten without the cordon.
+#[test]
+fn an_instance_that_one_list_lacks_takes_tasks_again() {
+    let mut harness = fleet(1);
+    harness.submit("job", job(vec![step(4)], 3));
+    let service = StepSpec {
+        long_running: true,
+        ..step(1)
+    };
+    harness.submit("service", job_of("other", vec![service]));
+    harness.run_for(500);
+    let instances = std::mem::take(&mut harness.instances);
+    harness.run_for(400);
+    harness.instances = instances;
+    harness.cancel("service");
+    harness.run_for(400);
+    harness.end_all_runs(RunEndKind::Done);
+    harness.submit("next", job(vec![step(1)], 3));
+    harness.run_for(6_000);
+    assert_eq!(harness.running(), ["next.0.0.0"]);
+}
+
 /// Guards against an instance that stays reserved for good: its move was accepted, but the list goes on to
 /// show it in its former pool, since the order had taken effect before and the instance was moved back.
 #[test]
