--- /dev/null
+++ b/crates/domain/tests/stuck_tasks.rs
@@ -0,0 +1,82 @@
+//! States from which a task that could run must not stay unplaced.
+
+mod scheduler_harness;
+
+use rosemaryscale_domain::job::{JobRecord, StepSpec};
+use rosemaryscale_domain::schedule::order::RunEndKind;
+use scheduler_harness::{SchedulerHarness, job, step};
+
+/// A harness of one pool whose workers are on instances.
+fn fleet(workers: usize) -> SchedulerHarness {
+    let mut harness = SchedulerHarness::new(0);
+    for index in 0..workers {
+        let worker = format!("w{index}");
+        harness.add_instance(&format!("machine-{worker}"), "service", Some(&worker));
+        harness.add_worker(&worker, "service");
+    }
+    // The list of instances is read once a second while none of them changes.
+    harness.run_for(1_100);
+    harness
+}
+
+/// Guards against a worker that takes no work for good: its entry expired and came back before the next
+/// batch, so that the list of workers to record was the same as before and the batch omitted it.
+#[test]
+fn a_worker_that_is_listed_again_before_the_next_batch_takes_work() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.run_for(1_000);
+    harness.scheduler.worker_unlisted("w0");
+    harness.run_for(50);
+    let report = harness.workers[0].report.clone();
+    harness.scheduler.worker_listed(report, harness.now);
+    harness.run_for(500);
+    harness.submit("job", job(vec![step(2)], 3));
+    harness.run_for(500);
+    assert_eq!(harness.running().len(), 2);
+}
+
+/// Guards against a worker that stays cordoned for good: one reading of the list lacked its instance while the
+/// instance was being emptied for another pool, and the operation was forgotten without the cordon.
+#[test]
+fn an_instance_that_one_list_lacks_takes_tasks_again() {
+    let mut harness = fleet(1);
+    harness.submit("job", job(vec![step(4)], 3));
+    let service = StepSpec {
+        long_running: true,
+        ..step(1)
+    };
+    harness.submit("service", job_of("other", vec![service]));
+    harness.run_for(500);
+    let instances = std::mem::take(&mut harness.instances);
+    harness.run_for(400);
+    harness.instances = instances;
+    harness.cancel("service");
+    harness.run_for(400);
+    harness.end_all_runs(RunEndKind::Done);
+    harness.submit("next", job(vec![step(1)], 3));
+    harness.run_for(6_000);
+    assert_eq!(harness.running(), ["next.0.0.0"]);
+}
+
+/// Guards against an instance that stays reserved for good: its move was accepted, but the list goes on to
+/// show it in its former pool, since the order had taken effect before and the instance was moved back.
+#[test]
+fn an_accepted_move_without_effect_releases_the_instance() {
+    let mut harness = fleet(2);
+    harness.moved_before = true;
+    harness.submit("moving", job_of("other", vec![step(1)]));
+    harness.run_for(100);
+    assert_eq!(harness.instance_orders.len(), 1, "one instance is moved");
+    harness.cancel("moving");
+    harness.run_for(500);
+    harness.submit("job", job(vec![step(8)], 3));
+    harness.run_for(3_000);
+    assert_eq!(harness.running().len(), 8, "both workers take tasks");
+}
+
+fn job_of(service: &str, steps: Vec<StepSpec>) -> JobRecord {
+    let mut record = job(steps, 3);
+    record.queue = service.into();
+    record.policy.service = service.into();
+    record
+}
