Saturate sums and shares of resources

Callers would see a leader that ends again and again (debug build) or pools sized by wrapped numbers (release build): Resources::plus, times and the dominant shares overflowed u64 with an amount that parses but that no machine has, such as the capacity in a worker entry of another writer, and so did the work of a job and the waits of the published pressure.

Sums and products of resources now saturate, and shares are computed in 128 bits. A saturated amount only means "more than fits", which is what every comparison with it needs.

--- a/crates/domain/src/placement/resources.rs
+++ b/crates/domain/src/placement/resources.rs
@@ -23,23 +23,23 @@
             && self.accelerators <= available.accelerators
     }
 
-    /// The sum of two amounts.
+    /// The saturating sum of two amounts.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
         Self {
-            processors_milli: self.processors_milli + other.processors_milli,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            processors_milli: self.processors_milli.saturating_add(other.processors_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
-    /// The amount multiplied by a number.
+    /// The saturating product of an amount and a number.
     #[must_use]
     pub const fn times(self, factor: u64) -> Self {
         Self {
-            processors_milli: self.processors_milli * factor,
-            memory_mb: self.memory_mb * factor,
-            accelerators: self.accelerators * factor,
+            processors_milli: self.processors_milli.saturating_mul(factor),
+            memory_mb: self.memory_mb.saturating_mul(factor),
+            accelerators: self.accelerators.saturating_mul(factor),
         }
     }
 
@@ -76,7 +76,7 @@
     /// The largest share of any limited resource, in parts per million; a limit of 0 means no limit.
     #[must_use]
     pub fn dominant_share_of_limits_ppm(self, limits: Self) -> u64 {
-        let share = |part: u64, limit: u64| (part * 1_000_000).checked_div(limit).unwrap_or(0);
+        let share = |part, limit| if limit == 0 { 0 } else { share_ppm(part, limit) };
         share(self.processors_milli, limits.processors_milli)
             .max(share(self.memory_mb, limits.memory_mb))
             .max(share(self.accelerators, limits.accelerators))
@@ -85,9 +85,14 @@
     /// The dominant share of `whole`: the largest share of any resource, in parts per million.
     #[must_use]
     pub fn dominant_share_ppm(self, whole: Self) -> u64 {
-        let share = |part: u64, whole: u64| part * 1_000_000 / whole.max(1);
-        share(self.processors_milli, whole.processors_milli)
-            .max(share(self.memory_mb, whole.memory_mb))
-            .max(share(self.accelerators, whole.accelerators))
+        share_ppm(self.processors_milli, whole.processors_milli)
+            .max(share_ppm(self.memory_mb, whole.memory_mb))
+            .max(share_ppm(self.accelerators, whole.accelerators))
     }
 }
+
+/// Share of `whole`, in parts per million, up to the largest number. A whole of 0 counts as 1.
+fn share_ppm(part: u64, whole: u64) -> u64 {
+    let ppm = u128::from(part) * 1_000_000 / u128::from(whole.max(1));
+    u64::try_from(ppm).unwrap_or(u64::MAX)
+}
--- a/crates/domain/src/schedule/arrivals.rs
+++ b/crates/domain/src/schedule/arrivals.rs
@@ -50,7 +50,7 @@
                 } else {
                     spec.estimate_ms
                 };
-                spec.need().times(run_ms * count)
+                spec.need().times(run_ms.saturating_mul(count))
             })
             .fold(Resources::default(), Resources::plus);
         let (service, workspace) = (job.service, job.workspace);
--- a/crates/domain/src/schedule/backlog.rs
+++ b/crates/domain/src/schedule/backlog.rs
@@ -55,16 +55,17 @@
     ) -> ServicePressure {
         let workers_milli = self.workers_for_finite_tasks_milli(service, worker).max(1);
         let jobs = self.waiting_jobs(service, worker, now);
-        let total_ms: u64 = if self.workspaces.is_empty() {
+        let total_ms = if self.workspaces.is_empty() {
             0
         } else {
-            jobs.iter().map(|job| job.work_ms).sum()
+            let works = jobs.iter().map(|job| job.work_ms);
+            works.fold(0, u64::saturating_add)
         };
         ServicePressure {
             service: Arc::clone(&self.services[service].name),
             worker,
             waits: waits(&jobs, workers_milli),
-            total_wait_ms: total_ms * 1_000 / workers_milli,
+            total_wait_ms: wait_ms(total_ms, workers_milli),
             workspaces: self.workspace_pressures(service, &jobs, workers_milli, now),
         }
     }
@@ -111,8 +112,9 @@
         }
         for job in jobs {
             let (within_ms, all_ms) = backlogs.entry(job.claimant).or_default();
-            *within_ms += if job.is_excess { 0 } else { job.work_ms };
-            *all_ms += job.work_ms;
+            let within_rate_ms = if job.is_excess { 0 } else { job.work_ms };
+            *within_ms = within_ms.saturating_add(within_rate_ms);
+            *all_ms = all_ms.saturating_add(job.work_ms);
         }
         let weights = backlogs.keys().map(|claimant| view.weight_milli(*claimant));
         let weight_sum_milli = weights.sum::<u64>().max(1);
@@ -125,8 +127,8 @@
                 let share_milli = (workers_milli * weight_milli / weight_sum_milli).max(1);
                 Some(WorkspacePressure {
                     workspace: Arc::clone(&workspace.name),
-                    wait_ms: within_ms * 1_000 / share_milli,
-                    total_wait_ms: all_ms * 1_000 / share_milli,
+                    wait_ms: wait_ms(within_ms, share_milli),
+                    total_wait_ms: wait_ms(all_ms, share_milli),
                     is_beyond_rate: self.shares.rates.is_exhausted(key, weight_milli, now),
                 })
             })
@@ -148,6 +150,11 @@
     }
 }
 
+/// Time in which this many thousandths of workers do the work.
+const fn wait_ms(work_ms: u64, workers_milli: u64) -> u64 {
+    work_ms.saturating_mul(1_000) / workers_milli
+}
+
 /// Expected waits by size. Jobs beyond the rates come after all others, so that nobody waits for them.
 fn waits(jobs: &[WaitingJob], workers_milli: u64) -> Vec<SizeWait> {
     let within_rate = jobs.iter().filter(|job| !job.is_excess);
@@ -156,16 +163,16 @@
         .collect();
     sizes.sort_unstable();
     let interval = sizes.len().div_ceil(SIZES).max(1);
-    let (mut on_time_ms, mut all_ms) = (0, 0);
+    let (mut on_time_ms, mut all_ms) = (0_u64, 0_u64);
     let mut waits = Vec::with_capacity(SIZES);
     for (index, (size, on_time)) in sizes.iter().enumerate() {
-        all_ms += size;
-        on_time_ms += if *on_time { *size } else { 0 };
+        all_ms = all_ms.saturating_add(*size);
+        on_time_ms = on_time_ms.saturating_add(if *on_time { *size } else { 0 });
         if (index + 1) % interval == 0 || index + 1 == sizes.len() {
             waits.push(SizeWait {
                 work_ms: *size,
-                on_time_wait_ms: on_time_ms * 1_000 / workers_milli,
-                wait_ms: all_ms * 1_000 / workers_milli,
+                on_time_wait_ms: wait_ms(on_time_ms, workers_milli),
+                wait_ms: wait_ms(all_ms, workers_milli),
             });
         }
     }
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -448,11 +448,12 @@
     steps: impl Iterator<Item = (&'a StepSpec, u64)>,
     worker: Resources,
 ) -> u64 {
-    let work_ppm: u64 = steps
+    let work_ppm = steps
         .map(|(step, count)| {
             let share_ppm = step.need().dominant_share_ppm(worker);
-            count * share_ppm * step.estimate_ms.max(ESTIMATE_MIN_MS)
+            let task_ppm = share_ppm.saturating_mul(step.estimate_ms.max(ESTIMATE_MIN_MS));
+            task_ppm.saturating_mul(count)
         })
-        .sum();
+        .fold(0, u64::saturating_add);
     work_ppm / 1_000_000
 }
--- a/crates/domain/src/schedule/pressure.rs
+++ b/crates/domain/src/schedule/pressure.rs
@@ -177,9 +177,10 @@
         };
         let path_ms = spec.critical_path_ms();
         let objective_ms = record.objective_ms();
-        let useful_ms = objective_ms * USEFUL_LATENCY_FACTOR;
-        let expected_ms = wait.useful_ms + path_ms;
-        if wait.on_time_ms + path_ms <= objective_ms || expected_ms <= useful_ms {
+        let useful_ms = objective_ms.saturating_mul(USEFUL_LATENCY_FACTOR);
+        let expected_ms = wait.useful_ms.saturating_add(path_ms);
+        let on_time_ms = wait.on_time_ms.saturating_add(path_ms);
+        if on_time_ms <= objective_ms || expected_ms <= useful_ms {
             return Admission::Accept;
         }
         let excess_ms = (expected_ms - useful_ms)
