Leave out a change that the store rejects for good

Callers saw no job ended, and workers that registered later got no work, as soon as one record of a batch was rejected (status 400, such as a value above 1 MiB): the writer repeated the transaction for ever, and the next leader met the same record.

A rejected transaction is now divided until the change at fault stands alone. It is left out only if the store accepts the lane's record without it; a store that rejects everything is asked again as before. Every part has the same conditions, so a late earlier attempt either is the whole of which the parts are made, or fails. If the record of workers is rejected, its workers do not count as recorded. Transactions of several jobs are bounded to 256 KiB.

--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -5,6 +5,12 @@
 //! are acknowledged only when they are stored. The transactions of a large batch are therefore spread over
 //! lanes, each with a record of its own that every transaction of the lane compares and rewrites. A batch
 //! begins only after the one before has been written on all lanes, so that any job may use any lane.
+//!
+//! A change that the store rejects for good, such as a value above its limit, is written without: everything
+//! else of the fleet waits for the batch. The ends of a job whose progress was rejected are acknowledged
+//! nevertheless. After a change of the leader its completed tasks run again; without the acknowledgement they
+//! would fill the list of ends of each worker that ran them, which shows 500 at a time, and hide the ends of
+//! all other jobs.
 
 use std::time::Duration;
 
@@ -12,6 +18,7 @@
 use rosemaryscale_domain::schedule::{Batch, JobWrite};
 use rosemaryscale_ports::kv::{Change, Compare, KeyValue, KvEntry, KvError, Transaction};
 use rosemaryscale_ports::prelude::*;
+use slog::{Logger, warn};
 
 use super::records::{
     self, LANE_PREFIX, LEADER_KEY, SCHEDULER_RECORD_KEY, SchedulerRecord, StateRecord, WORKERS_KEY,
@@ -19,6 +26,9 @@
 
 /// The store accepts 32 entries per transaction: two conditions, the record of the lane, and the changes.
 const CHANGES_PER_TRANSACTION: usize = 29;
+/// Bound on the keys and values of a transaction that writes several jobs. The store accepts values of 1 MiB,
+/// and 29 of them would take longer than the time limit of a call, however often it is repeated.
+const BYTES_PER_TRANSACTION: usize = 256 * 1024;
 /// Number of lanes. With answers in 4 to 6 ms they write up to 1,300 transactions a second, about as many
 /// as the store of a fleet with 350 workers accepts; a smaller fleet has too few changes to use them all.
 const LANES: usize = 8;
@@ -28,8 +38,10 @@
 /// Encodes the state of a maintenance wave, given its number and whether it is complete.
 pub(super) type WaveStateFormat = fn(u64, bool) -> (Arc<str>, Bytes);
 
+/// Changes that are stored together, such as those of a job, unless the store rejects one of them.
+type ChangeGroup = Vec<Change>;
+
 /// Writes batches on the condition that nobody else has written since the last write.
-#[derive(Clone, Debug)]
 pub(super) struct BatchWriter {
     /// Number of the term.
     term: u32,
@@ -42,7 +54,6 @@
 }
 
 /// A chain of transactions, each conditional on the previous one.
-#[derive(Clone, Debug)]
 struct Lane {
     /// Key of the record that every transaction rewrites.
     record_key: Arc<str>,
@@ -50,6 +61,15 @@
     revision: u64,
     /// Fencing token of the term: the revision at which the leader key was created.
     fencing_token: u64,
+    /// Keys of the changes that the store has rejected.
+    rejected: Vec<Arc<str>>,
+    metrics: Metrics,
+    log: Logger,
+}
+
+/// Why the store rejected a transaction.
+struct Rejection {
+    reason: String,
 }
 
 /// Revisions of the lanes' records as of the start of a term, by key.
@@ -82,6 +102,7 @@
         daemon: Arc<str>,
         order_age_max_ms: u64,
         revisions: &LaneRevisions,
+        (metrics, log): (&Metrics, &Logger),
     ) -> Self {
         let keys = std::iter::once(Arc::from(SCHEDULER_RECORD_KEY))
             .chain((1..LANES).map(|lane| Arc::from(format!("{LANE_PREFIX}{lane}"))));
@@ -89,6 +110,9 @@
             revision: revisions.get(&record_key).copied().unwrap_or(0),
             record_key,
             fencing_token,
+            rejected: Vec::new(),
+            metrics: Arc::clone(metrics),
+            log: log.clone(),
         });
         Self {
             term,
@@ -116,10 +140,10 @@
         if let Some(workers) = &batch.workers {
             let workers = records::put(WORKERS_KEY.into(), records::encode(workers));
             let lane = &mut self.lanes[0];
-            lane.write(kv, vec![workers], record.clone()).await?;
+            lane.write(kv, vec![vec![workers]], &record).await?;
         }
         let chunks = chunks(batch, wave_state);
-        let mut assigned: Vec<Vec<Vec<Change>>> = vec![Vec::new(); LANES];
+        let mut assigned: Vec<Vec<Vec<ChangeGroup>>> = vec![Vec::new(); LANES];
         for (index, chunk) in chunks.into_iter().enumerate() {
             assigned[index % LANES].push(chunk);
         }
@@ -140,6 +164,14 @@
         Ok(self)
     }
 
+    /// Returns the keys of the changes that the store has rejected since the last call.
+    pub(super) fn take_rejected(&mut self) -> Vec<Arc<str>> {
+        let lanes = self.lanes.iter_mut();
+        lanes
+            .flat_map(|lane| std::mem::take(&mut lane.rejected))
+            .collect()
+    }
+
     /// Deletes all records of the given jobs, and cancellations without a job.
     pub(super) async fn delete_expired(
         mut self,
@@ -159,17 +191,17 @@
                 records::progress_key(id),
             ]
         };
+        let delete = |key| Change::Delete { key };
         let jobs = expired
             .jobs
             .chunks(CHANGES_PER_TRANSACTION / KEYS_PER_JOB)
-            .map(|ids| ids.iter().flat_map(job_keys).collect::<Vec<_>>());
-        let cancellations = expired
-            .cancellations
-            .chunks(CHANGES_PER_TRANSACTION)
-            .map(|ids| ids.iter().map(|id| records::cancel_key(id)).collect());
-        for keys in jobs.chain(cancellations) {
-            let changes = keys.into_iter().map(|key| Change::Delete { key }).collect();
-            lane.write(kv, changes, record.value.clone()).await?;
+            .map(|ids| ids.iter().map(|id| job_keys(id).map(delete).into()));
+        for groups in jobs {
+            lane.write(kv, groups.collect(), &record.value).await?;
+        }
+        for ids in expired.cancellations.chunks(CHANGES_PER_TRANSACTION) {
+            let groups = ids.iter().map(|id| vec![delete(records::cancel_key(id))]);
+            lane.write(kv, groups.collect(), &record.value).await?;
         }
         Ok(self)
     }
@@ -180,36 +212,91 @@
     async fn write_all(
         mut self,
         kv: &KeyValue,
-        chunks: Vec<Vec<Change>>,
+        chunks: Vec<Vec<ChangeGroup>>,
         record: &Bytes,
     ) -> Result<Self, LeadershipLost> {
-        for changes in chunks {
-            self.write(kv, changes, record.clone()).await?;
+        for groups in chunks {
+            self.write(kv, groups, record).await?;
         }
         Ok(self)
     }
 
-    /// Writes changes together with the lane's record, retrying until the store answers.
+    /// Writes changes together with the lane's record. Changes that the store rejects are divided until the
+    /// one at fault stands alone, which is left out.
     async fn write(
         &mut self,
         kv: &KeyValue,
-        mut changes: Vec<Change>,
-        record: Bytes,
+        groups: Vec<ChangeGroup>,
+        record: &Bytes,
     ) -> Result<(), LeadershipLost> {
-        changes.push(records::put(Arc::clone(&self.record_key), record));
+        let mut pending = vec![groups];
+        let mut attempts = 0_u64;
+        while let Some(mut groups) = pending.pop() {
+            let Err(rejection) = self.transact(kv, &groups, record).await? else {
+                continue;
+            };
+            if let [group] = &mut groups[..]
+                && group.len() > 1
+            {
+                groups = group.drain(..).map(|change| vec![change]).collect();
+            }
+            if groups.len() > 1 {
+                let later = groups.split_off(groups.len() / 2);
+                pending.extend([later, groups]);
+                continue;
+            }
+            // A store that also rejects the record alone rejects every write, for whatever reason.
+            if let Some(change) = groups.first().and_then(|group| group.first())
+                && self.transact(kv, &[], record).await?.is_ok()
+            {
+                self.leave_out(change, &rejection);
+                continue;
+            }
+            attempts += 1;
+            if attempts.is_power_of_two() {
+                warn!(self.log, "writes rejected"; "key" => &*self.record_key, "attempts" => attempts,
+                    "reason" => rejection.reason);
+            }
+            pending.push(groups);
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+        Ok(())
+    }
+
+    fn leave_out(&mut self, change: &Change, rejection: &Rejection) {
+        let (key, bytes) = match change {
+            Change::Put { key, value, .. } => (key, value.len()),
+            Change::Delete { key } => (key, 0),
+        };
+        self.metrics.count("batches.changes_rejected", 1);
+        warn!(self.log, "change not stored"; "key" => &**key, "bytes" => bytes,
+            "reason" => &*rejection.reason);
+        self.rejected.push(Arc::clone(key));
+    }
+
+    /// Runs a transaction, retrying until the store commits or rejects it.
+    async fn transact(
+        &mut self,
+        kv: &KeyValue,
+        groups: &[ChangeGroup],
+        record: &Bytes,
+    ) -> Result<Result<(), Rejection>, LeadershipLost> {
+        let mut changes: Vec<Change> = groups.iter().flatten().cloned().collect();
+        changes.push(records::put(Arc::clone(&self.record_key), record.clone()));
         loop {
             match kv.transact(self.transaction(&changes)).await {
                 Ok(result) if result.succeeded => {
                     self.revision = result.revision;
-                    return Ok(());
+                    return Ok(Ok(()));
                 }
                 // An earlier attempt was committed, or the leader key was deleted.
                 Ok(_) | Err(KvError::OutcomeUnknown { .. }) => {
                     if self.was_committed(kv).await? {
-                        return Ok(());
+                        return Ok(Ok(()));
                     }
                 }
-                Err(_) => {}
+                Err(KvError::Rejected { reason }) => return Ok(Err(Rejection { reason })),
+                Err(KvError::Unavailable { .. } | KvError::LeaseExpired { .. }) => {}
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
@@ -257,7 +344,7 @@
 }
 
 /// The changes of a batch by transaction. Jobs that have ended come first, since callers wait for them.
-fn chunks(batch: &Batch, wave_state: WaveStateFormat) -> Vec<Vec<Change>> {
+fn chunks(batch: &Batch, wave_state: WaveStateFormat) -> Vec<Vec<ChangeGroup>> {
     let is_final = |job: &&JobWrite| job.state.is_some_and(JobState::is_final);
     let (ended, others): (Vec<&JobWrite>, Vec<&JobWrite>) = batch.jobs.iter().partition(is_final);
     let waves = batch.wave_states.iter().map(|(number, completed)| {
@@ -265,19 +352,33 @@
         vec![records::put(key, value)]
     });
     let jobs = ended.into_iter().chain(others);
-    let mut chunks: Vec<Vec<Change>> = Vec::new();
+    let mut chunks: Vec<Vec<ChangeGroup>> = Vec::new();
+    let (mut count, mut bytes) = (0, 0);
     // The changes of one job stay together.
     for group in waves.chain(jobs.map(|job| changes(job).collect())) {
+        let group_bytes: usize = group.iter().map(change_bytes).sum();
+        count += group.len();
+        bytes += group_bytes;
         match chunks.last_mut() {
-            Some(chunk) if chunk.len() + group.len() <= CHANGES_PER_TRANSACTION => {
-                chunk.extend(group);
+            Some(chunk) if count <= CHANGES_PER_TRANSACTION && bytes <= BYTES_PER_TRANSACTION => {
+                chunk.push(group);
+            }
+            _ => {
+                (count, bytes) = (group.len(), group_bytes);
+                chunks.push(vec![group]);
             }
-            _ => chunks.push(group),
         }
     }
     chunks
 }
 
+fn change_bytes(change: &Change) -> usize {
+    match change {
+        Change::Put { key, value, .. } => key.len() + value.len(),
+        Change::Delete { key } => key.len(),
+    }
+}
+
 fn changes(write: &JobWrite) -> impl Iterator<Item = Change> {
     let progress = records::put_progress(&write.id, &write.progress);
     let state = write.state.map(|state| {
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -32,7 +32,7 @@
 use self::pressure::PublishedPressure;
 use super::batch::{BatchWriter, ExpiredRecords, LeadershipLost, WaveStateFormat};
 use super::lease::{self, LEADER_GRACE_MS, LEADER_TTL_MS, LeaderLease, RENEW_INTERVAL_MS, Renewal};
-use super::records::LeaderRecord;
+use super::records::{LeaderRecord, WORKERS_KEY};
 
 /// Interval at which time-driven work runs when no event arrives.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -352,10 +352,15 @@
             BackgroundResult::Written(Err(LeadershipLost), _) => {
                 return Err("this daemon no longer holds the scheduler key");
             }
-            BackgroundResult::Written(Ok(writer), batch) => {
+            BackgroundResult::Written(Ok(mut writer), batch) => {
                 let now = self.options.clock.now();
                 let wall = self.options.clock.wall();
-                if let Some(batch) = batch {
+                let rejected = writer.take_rejected();
+                if let Some(mut batch) = batch {
+                    if rejected.iter().any(|key| &**key == WORKERS_KEY) {
+                        batch.workers = None;
+                        self.scheduler.workers_not_stored(now);
+                    }
                     self.scheduler.batch_written(&batch, now);
                 }
                 self.delete_expired(writer, now, wall);
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -191,6 +191,7 @@
             // one as soon as they are used.
             former_record.order_age_max_ms,
             &revisions,
+            (&options.metrics, &options.log),
         );
         Some(Self {
             next_renewal_at: now,
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Scheduler;
 use super::fleet::WaveRecord;
 use super::order::WorkerReport;
+use super::{LOW_PRIORITY_BATCH_DELAY_MS, Scheduler};
 use crate::job::{JobProgress, JobState};
 use crate::placement::Resources;
 use crate::prelude::*;
@@ -193,6 +193,13 @@
         recorded
     }
 
+    /// Offers the workers of the last batch again, because the store has rejected their record. The next
+    /// leader would not know of them, so they get no work before it is stored.
+    pub fn workers_not_stored(&mut self, now: Millis) {
+        self.batches.written_workers = None;
+        self.request_batch(now.after_ms(LOW_PRIORITY_BATCH_DELAY_MS));
+    }
+
     fn job_write(&mut self, key: JobKey) -> Option<JobWrite> {
         let progress = self.job_table.progress(key)?;
         let job = self.job_table.jobs.get_mut(key)?;
