--- a/crates/domain/tests/odd_entries.rs
+++ b/crates/domain/tests/odd_entries.rs
@@ -48,6 +48,6 @@
         harness.run_for(100);
         let pressure = harness.scheduler.pressure(harness.now);
         assert_eq!(pressure.services.len(), 1);
-        assert_eq!(harness.scheduler.pool_uses().count(), 1);
+        assert_eq!(harness.scheduler.pool_uses(harness.now).count(), 1);
     }
 }
