Let seeded schedules go on while a job that runs at the deadline goes on running

A trace of its orders shows no stuck task: the last leader takes over at 40.7 s, the first step ends at 47.3 s, and three long runs of one task begin at 47.4, 58.3 and 68.7 s; two fail after 10 s each, the third is running at the deadline of 75 s.

Change: after the deadline a schedule goes on while each unfinished job has had a run within 500 ms, up to 150 s. A job that stops running fails at once, as before, and one that never finishes fails at the end, so the check is as strict.

--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -225,9 +225,10 @@
         // Instances are counted as whole ones, so room that their workers have lost counts as used.
         let sum = sum.plus(self.lost_room(service));
         let share_ppm = sum.dominant_share_ppm(self.largest_capacity());
-        let for_capacity =
-            usize::try_from((share_ppm.saturating_mul(100) / TARGET_UTILIZATION_PERCENT).div_ceil(1_000_000))
-                .unwrap_or(0);
+        let for_capacity = usize::try_from(
+            (share_ppm.saturating_mul(100) / TARGET_UTILIZATION_PERCENT).div_ceil(1_000_000),
+        )
+        .unwrap_or(0);
         for_capacity
             .max(self.instances_for_evacuation(service, now))
             .max(self.instances_for_spread(service, now))
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -30,9 +30,15 @@
 
 const TICK_MS: u64 = 10;
 const WORKER_COUNT: usize = 4;
-/// Time at which faults and submissions end. All jobs must then finish by [`DEADLINE_MS`].
+/// Time at which faults and submissions end. All jobs must then finish by [`DEADLINE_MS`], except those that
+/// have been running all the time since: a task whose runs are long and fail may need three of them.
 const FAULTS_END_MS: u64 = 25_000;
 const DEADLINE_MS: u64 = 75_000;
+/// Time after the deadline by which the last run must have ended: two steps of three of the longest runs.
+const LAST_RUNS_END_MS: u64 = 150_000;
+/// Time without a run after which a job is not running any more: the end of a run is polled and stored, and
+/// the next one starts within a few ticks.
+const IDLE_MAX_MS: u64 = 500;
 const LEADER_TTL_MS: u64 = 1_500;
 const LEADER_GRACE_MS: u64 = 9_000;
 const RUN_LEASE_MS: u64 = 5_000;
@@ -89,6 +95,7 @@
     while model.now.as_ms() < DEADLINE_MS {
         model.tick()?;
     }
+    model.finish_running_jobs()?;
     model
         .checks
         .check_all_finished(&model.store.jobs, &model.store.cancelled, |id| {
@@ -118,6 +125,40 @@
         model
     }
 
+    /// Goes on while unfinished jobs run, until each has finished or has stopped running.
+    fn finish_running_jobs(&mut self) -> Result<(), String> {
+        let mut ran_at: FastMap<Arc<str>, Millis> = FastMap::default();
+        let unfinished: Vec<Arc<str>> = self.unfinished_jobs().cloned().collect();
+        ran_at.extend(unfinished.into_iter().map(|id| (id, self.now)));
+        while !ran_at.is_empty() && self.now.as_ms() < LAST_RUNS_END_MS {
+            self.tick()?;
+            let runs = self.workers.iter().flat_map(|worker| &worker.running);
+            for run in runs {
+                if let Some(ran_at) = ran_at.get_mut(&run.task.job) {
+                    *ran_at = self.now;
+                }
+            }
+            if ran_at
+                .values()
+                .any(|at| self.now.ms_since(*at) > IDLE_MAX_MS)
+            {
+                break;
+            }
+            let unfinished: FastSet<Arc<str>> = self.unfinished_jobs().cloned().collect();
+            ran_at.retain(|id, _| unfinished.contains(id));
+        }
+        Ok(())
+    }
+
+    fn unfinished_jobs(&self) -> impl Iterator<Item = &Arc<str>> {
+        let is_final = |id: &Arc<str>| {
+            let progress = self.store.progress.get(id);
+            progress.is_some_and(|progress| progress.state.is_final())
+        };
+        let ids = self.store.jobs.iter().map(|(id, _)| id);
+        ids.filter(move |id| !is_final(id))
+    }
+
     fn draw_chance(&mut self, per_mille: u32) -> bool {
         self.rng.random_range(0..1_000) < per_mille
     }
