Release the tasks of an occurrence that a worker named

An occurrence never ended if a worker listed a run of it before the leader's clock had reached its time, for instance a run of a former leader with an earlier clock: the occurrence was created with all tasks waiting for the recovery of the former leader's runs, and nothing releases them once that recovery has ended.

The tasks of such an occurrence are now released like others that wait for the recovery: those that a former leader may still start keep waiting, the rest become ready.

Without the change tasks_of_an_occurrence_that_a_worker_named_start fails: only the listed task runs, not the second one of the step.

--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -146,12 +146,14 @@
         listed
     }
 
-    /// Finds a task in an occurrence that this leader has not created yet, and creates it.
+    /// Finds a task in an occurrence that this leader has not created yet, and creates it. The other tasks of
+    /// the occurrence wait only while the former leader may have started them.
     pub(super) fn find_in_new_occurrence(&mut self, listed_run: &ListedRun) -> Option<TaskKey> {
         let job = *self.job_table.jobs_by_id.get(&listed_run.task.job)?;
         self.unseen_use.request_renewal();
         self.job_table
             .create_occurrences_up_to(job, listed_run.task.position.occurrence);
+        self.release_job(job);
         self.job_table.find(&listed_run.task)
     }
 
--- a/crates/domain/tests/stuck_tasks.rs
+++ b/crates/domain/tests/stuck_tasks.rs
@@ -2,7 +2,7 @@
 
 mod scheduler_harness;
 
-use rosemaryscale_domain::job::{JobRecord, StepSpec};
+use rosemaryscale_domain::job::{JobRecord, Repeat, StepSpec, TaskName, TaskPosition};
 use rosemaryscale_domain::schedule::order::RunEndKind;
 use scheduler_harness::{SchedulerHarness, job, step};
 
@@ -80,3 +80,31 @@
     record.policy.service = service.into();
     record
 }
+
+/// Guards against an occurrence that never ends: a worker listed a run of it before this leader's clock had
+/// reached its time, and the other tasks of the occurrence then waited for a recovery that had ended.
+#[test]
+fn tasks_of_an_occurrence_that_a_worker_named_start() {
+    let mut harness = SchedulerHarness::new(1);
+    let mut record = job(vec![step(2)], 3);
+    record.spec.repeat = Some(Repeat {
+        count: 1,
+        start_wall_ms: harness.now.as_ms() + 60_000,
+        interval_ms: 1_000,
+    });
+    harness.submit("repeated", record);
+    harness.submit("job", job(vec![step(1)], 3));
+    harness.run_for(100);
+    let listed = TaskName {
+        job: "repeated".into(),
+        position: TaskPosition {
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+    };
+    harness.workers[0].running.push((listed, 1));
+    harness.run_for(500);
+    let expected = ["job.0.0.0", "repeated.0.0.0", "repeated.0.0.1"];
+    assert_eq!(harness.running(), expected);
+}
