Quarantine only a part of the workers of a service

Tasks waited for up to 30 s at a time beside free room if one task failed soon after each of its starts. A worker on which three tasks in a row fail for the first time is quarantined, then after each single failure for twice as long, up to 30 s. A long-running task has no count of failed runs, so each of its failures is a first one; it restarts on another worker after 50 ms, and one such task has all workers of its service quarantined in turn. A finite job with as many failing tasks does the same for 4 s. No success ends it while nothing can start.

A quarantine means that a worker is worse than others, so at most a quarter of the workers of a service, and at least one beside a usable one, is now quarantined at a time. The rule stands in a module of its own.

Without the change a_task_that_fails_on_all_workers_does_not_quarantine_them_all fails: with four workers, the other task starts after 9,550 ms.

--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -26,6 +26,7 @@
 mod persist;
 mod place;
 pub mod pressure;
+mod quarantine;
 mod quota;
 mod rack_room;
 mod rank;
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -259,7 +259,7 @@
             if let Some(task) = self.job_table.tasks.get_mut(task) {
                 task.avoid_worker = Some(key);
             }
-            self.workers[key].count_failure(now);
+            self.count_worker_failure(key, now);
             self.stop_run(run, StopReason::NoProgress, now);
         }
     }
@@ -336,7 +336,7 @@
             }
         }
         if end.kind == RunEndKind::Done {
-            self.workers[key].count_success();
+            self.workers[key].quarantine.count_success();
         }
     }
 
@@ -432,13 +432,15 @@
         if task.done || task.failed_runs.contains(&number) {
             return;
         }
-        if task.failed_runs.is_empty() {
-            self.workers[worker].count_failure(now);
-        }
+        let is_first = task.failed_runs.is_empty();
         task.avoid_worker = Some(worker);
+        if is_first {
+            self.count_worker_failure(worker, now);
+        }
         if long_running {
             return;
         }
+        let task = &mut self.job_table.tasks[key];
         task.failed_runs.push(number);
         let (job, failures) = (task.job, task.failed_runs.len());
         let Some(entry) = self.job_table.jobs.get_mut(job) else {
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -3,17 +3,11 @@
 use std::collections::VecDeque;
 
 use super::order::{ListedRun, WorkerReport};
+use super::quarantine::Quarantine;
 use super::run_table::Bookings;
 use crate::placement::Resources;
 use crate::prelude::*;
 
-/// Consecutive first failures of tasks, with no success between them, after which a worker is
-/// quarantined.
-const FAILURES_IN_ROW_MAX: u32 = 3;
-/// Duration of the first quarantine; each further one doubles it.
-const QUARANTINE_MS: u64 = 4_000;
-/// Longest quarantine; a working day is well over ten times as long.
-const QUARANTINE_MAX_MS: u64 = 30_000;
 /// Consecutive polls without an answer after which a worker is unresponsive; a single answer may be
 /// lost.
 const FAILED_POLLS_MAX: u32 = 2;
@@ -93,8 +87,8 @@
     pub paced_at: Millis,
     /// Whether it accepts no new runs because its instance is being drained.
     pub cordoned: bool,
-    failures_in_row: u32,
-    quarantine_count: u32,
+    /// Failures of tasks, and the quarantine that follows them.
+    pub quarantine: Quarantine,
 }
 
 impl Worker {
@@ -130,8 +124,7 @@
             backfill_percent: 100,
             paced_at: Millis::ZERO,
             cordoned: false,
-            failures_in_row: 0,
-            quarantine_count: 0,
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -158,6 +151,7 @@
             && self.unknown_runs.is_empty()
             && self.paused_until <= now
             && self.isolated_until <= now
+            && !self.quarantine.is_active(now)
     }
 
     /// Estimates the worker's clock.
@@ -189,19 +183,6 @@
         self.paused_until = self.paused_until.max(now.after_ms(UNHEALTHY_PAUSE_MS));
     }
 
-    /// Counts the first failure of a task; several in a row quarantine the worker.
-    pub(super) fn count_failure(&mut self, now: Millis) {
-        self.failures_in_row += 1;
-        if self.failures_in_row < FAILURES_IN_ROW_MAX {
-            return;
-        }
-        let pause_ms = (QUARANTINE_MS << self.quarantine_count.min(8)).min(QUARANTINE_MAX_MS);
-        self.paused_until = self.paused_until.max(now.after_ms(pause_ms));
-        self.quarantine_count += 1;
-        // A single failure after the quarantine starts the next one.
-        self.failures_in_row = FAILURES_IN_ROW_MAX - 1;
-    }
-
     /// What the end of its process means now.
     pub(super) const fn process_end(&self) -> IncarnationEnd {
         if self.report.draining || self.cordoned {
@@ -211,10 +192,6 @@
         }
     }
 
-    pub(super) fn count_success(&mut self) {
-        self.failures_in_row = 0;
-    }
-
     /// Resets the state that belongs to the previous process of the worker.
     pub(super) fn begin_incarnation(&mut self, report: WorkerReport, now: Millis) {
         let (listed, service) = (self.listed, self.service);
--- a/crates/domain/tests/stuck_tasks.rs
+++ b/crates/domain/tests/stuck_tasks.rs
@@ -108,3 +108,27 @@
     let expected = ["job.0.0.0", "repeated.0.0.0", "repeated.0.0.1"];
     assert_eq!(harness.running(), expected);
 }
+
+/// Guards against a service without usable workers: a long-running task that fails soon after each start had
+/// all of them quarantined one after another, each for up to 30 s, and other tasks waited beside free room.
+#[test]
+fn a_task_that_fails_on_all_workers_does_not_quarantine_them_all() {
+    let mut harness = SchedulerHarness::new(4);
+    let failing = StepSpec {
+        long_running: true,
+        ..step(1)
+    };
+    harness.submit("failing", job(vec![failing], 3));
+    for _ in 0..100 {
+        harness.run_for(200);
+        harness.end_all_runs(RunEndKind::Failed);
+    }
+    harness.submit("job", job(vec![step(2)], 3));
+    let mut started_after_ms = 0;
+    while harness.start_count("job.0.0.1") == 0 && started_after_ms < 60_000 {
+        started_after_ms += 50;
+        harness.run_for(50);
+        harness.end_task("failing.0.0.0", RunEndKind::Failed);
+    }
+    assert!(started_after_ms <= 1_000, "{started_after_ms} ms");
+}
