Release an instance that cannot be emptied any more

A long-running task waited for good beside room on a worker of its service. The instance of that worker was being emptied for maintenance: one task of a step had been stopped there, the room that it was to get elsewhere was taken before it restarted, and the other task of the step may not be stopped while the first one is missing. The cordoned worker was the only one with room for it. Whether the tasks of an instance fit elsewhere was only checked before it was reserved.

The same check is now made, at the same interval, while a task that may not be interrupted keeps an instance reserved. If the tasks no longer fit elsewhere, the instance takes tasks again and is planned anew later.

--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -434,6 +434,9 @@
                     self.stop_run(run, StopReason::Evacuation, now);
                 }
             }
+            if self.is_evacuation_blocked(key, now) {
+                self.release_instance(key, now);
+            }
         }
     }
 
--- a/crates/domain/src/schedule/fleet/waves.rs
+++ b/crates/domain/src/schedule/fleet/waves.rs
@@ -173,6 +173,21 @@
         true
     }
 
+    /// Whether an instance that is being emptied has a long-running task that may not be interrupted and that
+    /// no other worker has room for any more. The task that it waits for may need the room of this instance.
+    pub(super) fn is_evacuation_blocked(&mut self, key: FleetInstanceKey, now: Millis) -> bool {
+        let runs = self.long_running_runs(key);
+        let is_waiting = runs
+            .iter()
+            .any(|run| self.runs.get(*run).is_some_and(|run| !run.is_stopping()));
+        let instance = &mut self.fleet.instances[key];
+        if !is_waiting || instance.next_evacuation_check_at > now {
+            return false;
+        }
+        instance.next_evacuation_check_at = now.after_ms(EVACUATION_CHECK_INTERVAL_MS);
+        !self.can_evacuate(key, now)
+    }
+
     /// Whether planned maintenance may stop the run now: enough other tasks of its step are serving.
     pub(super) fn may_interrupt(&self, key: RunKey) -> bool {
         let Some(run) = self.runs.get(key) else {
--- a/crates/domain/tests/stuck_tasks.rs
+++ b/crates/domain/tests/stuck_tasks.rs
@@ -3,7 +3,8 @@
 mod scheduler_harness;
 
 use rosemaryscale_domain::job::{JobRecord, Repeat, StepSpec, TaskName, TaskPosition};
-use rosemaryscale_domain::schedule::order::RunEndKind;
+use rosemaryscale_domain::prelude::*;
+use rosemaryscale_domain::schedule::order::{RunEndKind, WaveRequest};
 use scheduler_harness::{SchedulerHarness, job, step};
 
 /// A harness of one pool whose workers are on instances.
@@ -132,3 +133,37 @@
     }
     assert!(started_after_ms <= 1_000, "{started_after_ms} ms");
 }
+
+/// Guards against a task that waits for good beside room: the only worker with room for it is being emptied
+/// for maintenance, which waits for the task, since its step may miss no other one.
+#[test]
+fn an_instance_that_cannot_be_emptied_takes_tasks_again() {
+    let mut harness = fleet(2);
+    let service = StepSpec {
+        long_running: true,
+        may_miss: Some(1),
+        processors_milli: 1_500,
+        ..step(2)
+    };
+    harness.submit("service", job(vec![service], 3));
+    harness.run_for(500);
+    let wave = WaveRequest {
+        number: 1,
+        instances: vec!["machine-w0".into()],
+        duration_ms: 60_000,
+        down_max: 1,
+    };
+    harness.scheduler.wave_requested(wave, harness.now);
+    while harness.stop_causes.is_empty() {
+        harness.run_for(10);
+    }
+    let large = StepSpec {
+        long_running: true,
+        processors_milli: 4_000,
+        ..step(1)
+    };
+    harness.submit("large", job(vec![large], 3));
+    harness.run_for(3_000);
+    let expected = ["large.0.0.0", "service.0.0.0", "service.0.0.1"];
+    assert_eq!(harness.running(), expected);
+}
