Apply the policy in force to jobs that are accepted later

A job was not started until the next change of the configuration if the daemon that accepted it had an older one, in which the queue was routed to another service: the record of a job holds the policy that it was accepted with, and the leader compared it with the one in force only when a configuration arrived, so that a job submitted after that waited for the workers of the former service.

The scheduler keeps the policies in force and applies them to each new job, in the same way as to known jobs when the configuration changes. The queue is recorded as rerouted then too, so that the next leader looks for runs of the job on all workers.

Without the change a_job_accepted_with_an_older_route_runs_on_the_service_of_its_queue fails: no task runs 500 ms after the submission.

--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -49,7 +49,7 @@
 mod worker;
 mod workspace_table;
 
-use crate::job::{JobProgress, JobRecord, JobState};
+use crate::job::{JobProgress, JobRecord, JobState, QueuePolicy};
 use crate::placement::Resources;
 use crate::prelude::*;
 use crate::workspace::Caller;
@@ -194,6 +194,8 @@
     locality: Locality,
     recovery: Option<Recovery>,
     rerouted: FastSet<Arc<str>>,
+    /// Policies in force, by queue.
+    policies: FastMap<Arc<str>, QueuePolicy>,
     /// Polls wait for a shorter time until then, because answers were lost.
     short_polls_until: Millis,
     /// Whether another daemon may have become the leader.
@@ -239,6 +241,7 @@
             locality: Locality::new(settings.placement_wait),
             recovery: None,
             rerouted: former.rerouted.into_iter().collect(),
+            policies: FastMap::default(),
             short_polls_until: Millis::ZERO,
             leadership_unconfirmed: false,
             interruptions_allowed_from: Millis::ZERO,
@@ -309,6 +312,7 @@
         else {
             return;
         };
+        self.apply_policy(key);
         self.check_rate(key, now, wall);
         let cancelled_by = self.retention.claim_cancellation(&id);
         let record = &self.job_table.jobs[key].record;
--- a/crates/domain/src/schedule/configuration.rs
+++ b/crates/domain/src/schedule/configuration.rs
@@ -15,21 +15,11 @@
         workspaces: &Workspaces,
     ) {
         self.workspaces.configure(workspaces);
-        let services: FastMap<Arc<str>, ServiceKey> = policies
-            .iter()
-            .map(|(queue, policy)| (Arc::clone(queue), self.service_key(&policy.service)))
-            .collect();
+        self.policies.clone_from(policies);
+        let jobs: Vec<JobKey> = self.job_table.jobs.keys().collect();
         let mut any_rerouted = false;
-        for job in self.job_table.jobs.values_mut() {
-            if let Some(policy) = policies.get(&job.record.queue) {
-                if job.policy.service != policy.service {
-                    self.rerouted.insert(Arc::clone(&job.record.queue));
-                    job.service = services[&job.record.queue];
-                    any_rerouted = true;
-                }
-                job.policy = policy.clone();
-                self.job_table.has_advised_jobs |= policy.advice.is_some();
-            }
+        for job in jobs {
+            any_rerouted |= self.apply_policy(job);
         }
         if any_rerouted {
             self.requeue_ready_tasks();
@@ -37,6 +27,30 @@
         self.request_full_placement();
     }
 
+    /// Applies the policy in force of a job's queue; the daemon that accepted the job may have had another
+    /// one. Returns whether the job now belongs to another service.
+    pub(super) fn apply_policy(&mut self, key: JobKey) -> bool {
+        let job = self.job_table.jobs.get(key);
+        let Some(policy) = job
+            .and_then(|job| self.policies.get(&job.record.queue))
+            .cloned()
+        else {
+            return false;
+        };
+        let service = self.service_key(&policy.service);
+        self.job_table.has_advised_jobs |= policy.advice.is_some();
+        let Some(job) = self.job_table.jobs.get_mut(key) else {
+            return false;
+        };
+        let is_rerouted = job.policy.service != policy.service;
+        if is_rerouted {
+            self.rerouted.insert(Arc::clone(&job.record.queue));
+            job.service = service;
+        }
+        job.policy = policy;
+        is_rerouted
+    }
+
     /// Moves all ready tasks to the queues of the services that their jobs now belong to.
     fn requeue_ready_tasks(&mut self) {
         let ready: Vec<(StepKey, Vec<TaskKey>)> = self
--- a/crates/domain/tests/stuck_tasks.rs
+++ b/crates/domain/tests/stuck_tasks.rs
@@ -5,6 +5,7 @@
 use rosemaryscale_domain::job::{JobRecord, Repeat, StepSpec, TaskName, TaskPosition};
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{RunEndKind, WaveRequest};
+use rosemaryscale_domain::workspace::Workspaces;
 use scheduler_harness::{SchedulerHarness, job, step};
 
 /// A harness of one pool whose workers are on instances.
@@ -134,6 +135,24 @@
     assert!(started_after_ms <= 1_000, "{started_after_ms} ms");
 }
 
+/// Guards against a job that waits for the next change of the configuration: a daemon with an older
+/// configuration accepted it for a service that the queue no longer names and that has no worker.
+#[test]
+fn a_job_accepted_with_an_older_route_runs_on_the_service_of_its_queue() {
+    let mut harness = SchedulerHarness::new(1);
+    let record = job(vec![step(1)], 3);
+    let policies = [(Arc::clone(&record.queue), record.policy.clone())];
+    let policies = policies.into_iter().collect();
+    harness
+        .scheduler
+        .configure(&policies, &Workspaces::default());
+    let mut accepted = record;
+    accepted.policy.service = "former".into();
+    harness.submit("job", accepted);
+    harness.run_for(500);
+    assert_eq!(harness.running(), ["job.0.0.0"]);
+}
+
 /// Guards against a task that waits for good beside room: the only worker with room for it is being emptied
 /// for maintenance, which waits for the task, since its step may miss no other one.
 #[test]
