Try workers that do not answer through other daemons

The room of workers stood unused, and their runs were lost with their leases, while callers and the leader saw the workers at work: a gateway that cannot reach some workers kept their links as long as it stayed connected, since a link moved only when its gateway was lost, stopping or far above the load of others.

The route plan now counts the polls of each worker that got no answer. After two in a row, as for an unresponsive worker, the link moves to the best gateway on which the worker has not failed, then to the leader. Routes on which it failed are left out of later moves until the gateway connects again or the worker answers nowhere, so that a worker does not return to a gateway that does not reach it, and one that is really cut off is tried on all routes in turn. As before, a link moves only while no call is outstanding. The end of a link counts as no answer of the worker.

--- a/crates/adapters/src/worker_gateway/router.rs
+++ b/crates/adapters/src/worker_gateway/router.rs
@@ -176,8 +176,7 @@
                     }
                 }
                 Some(event) = sources.local_events.recv() => {
-                    self.count_result(worker_of(&event));
-                    let _ = self.events.send(event);
+                    self.report(worker_of(&event), event);
                 }
                 Some((key, event)) = sources.session_events.recv() => {
                     self.apply_session_event(key, event).await;
@@ -384,6 +383,13 @@
 
     fn report(&mut self, worker: WorkerKey, event: WorkerEvent) {
         self.count_result(worker);
+        // The end of a link says nothing about the worker.
+        if let WorkerEvent::Polled { result, .. } = &event
+            && *result != PollResult::LinkClosed
+        {
+            let is_answered = *result != PollResult::Unanswered;
+            self.plan.polled(worker, is_answered);
+        }
         let _ = self.events.send(event);
     }
 
--- a/crates/adapters/tests/worker_gateway.rs
+++ b/crates/adapters/tests/worker_gateway.rs
@@ -344,3 +344,36 @@
     leader.call(WorkerCall::Close(leader.worker)).await;
     assert_eq!(leader.start_run().await, OrderResult::NotSent);
 }
+
+/// Links of a daemon that reaches no worker: no start and no poll is answered.
+fn cut_off_links() -> (WorkerCalls, WorkerEvents, JoinHandle<()>) {
+    let (calls, mut receiver) = mpsc::channel::<WorkerCall>(64);
+    let (events, results) = mpsc::unbounded_channel();
+    let task = tokio::spawn(async move {
+        while let Some(call) = receiver.recv().await {
+            if let Some(event) = call.ended_with(OrderResult::Unanswered) {
+                let _ = events.send(event);
+            }
+        }
+    });
+    (calls, results, task)
+}
+
+/// Guards against workers that count as unresponsive for good because their gateway does not reach them,
+/// while the leader does.
+#[tokio::test]
+async fn a_worker_that_its_gateway_does_not_reach_is_polled_by_the_leader() {
+    let gateway = start_gateway(cut_off_links).await;
+    let mut leader = Leader::start(5).await;
+    let offers = vec![gateway.offer.clone()];
+    leader.router.offers.send_replace(offers);
+    while leader.poll().await != PollResult::Unanswered {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    leader.poll_until(LOCAL).await;
+    let local = OrderResult::Accepted { clock_ms: LOCAL };
+    for _ in 0..10 {
+        leader.poll_until(LOCAL).await;
+        assert_eq!(leader.start_run().await, local, "the leader goes on");
+    }
+}
--- a/crates/domain/src/worker_route.rs
+++ b/crates/domain/src/worker_route.rs
@@ -18,6 +18,8 @@
 const OTHER_ZONE_LOAD_PERCENT: u64 = 150;
 /// Workers above twice the load of the least loaded gateway after which a gateway hands some over.
 const IMBALANCE_WORKERS: usize = 16;
+/// Unanswered polls in a row after which another daemon is tried; a single answer may be lost.
+const UNANSWERED_POLLS_MAX: u32 = 2;
 
 /// A daemon that offers to hold links.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -88,6 +90,20 @@
 struct RoutedWorker {
     route: Route,
     availability_zone: Arc<str>,
+    /// Polls in a row that got no answer on the current route.
+    unanswered_polls: u32,
+    /// Routes on which the worker did not answer. They are tried again once it answers on none.
+    failed_routes: Vec<Route>,
+}
+
+impl RoutedWorker {
+    const fn is_unreachable(&self) -> bool {
+        self.unanswered_polls >= UNANSWERED_POLLS_MAX
+    }
+
+    fn has_failed(&self, route: Route) -> bool {
+        self.failed_routes.contains(&route)
+    }
 }
 
 /// Routes of all workers of a leader.
@@ -149,6 +165,11 @@
         if let Some(gateway) = self.gateways.get_mut(key) {
             gateway.state = GatewayState::Connected;
         }
+        for worker in self.workers.values_mut() {
+            worker
+                .failed_routes
+                .retain(|route| *route != Route::Gateway(key));
+        }
     }
 
     /// Marks a gateway that is about to stop, so that its workers are handed over.
@@ -179,17 +200,39 @@
 
     /// Chooses the route of a new worker.
     pub fn open(&mut self, worker: WorkerKey, availability_zone: Arc<str>) -> Route {
+        self.insert(worker, availability_zone, Vec::new())
+    }
+
+    fn insert(
+        &mut self,
+        worker: WorkerKey,
+        availability_zone: Arc<str>,
+        failed_routes: Vec<Route>,
+    ) -> Route {
         self.close(worker);
-        let route = self.best_route(&availability_zone);
+        let route = self.best_route(&availability_zone, &failed_routes);
         self.count(route, 1);
         let routed = RoutedWorker {
             route,
             availability_zone,
+            unanswered_polls: 0,
+            failed_routes,
         };
         self.workers.insert(worker, routed);
         route
     }
 
+    /// Notes whether a worker has answered a poll on its current route.
+    pub fn polled(&mut self, worker: WorkerKey, is_answered: bool) {
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            worker.unanswered_polls = if is_answered {
+                0
+            } else {
+                worker.unanswered_polls.saturating_add(1)
+            };
+        }
+    }
+
     /// Forgets a worker.
     pub fn close(&mut self, worker: WorkerKey) {
         if let Some(worker) = self.workers.remove(&worker) {
@@ -209,23 +252,47 @@
         let Some(routed) = self.workers.get(&worker) else {
             return false;
         };
-        let mut available = self.gateways.values().filter(|g| g.takes_workers());
+        let mut available = self
+            .gateways
+            .iter()
+            .filter(|(key, gateway)| {
+                gateway.takes_workers() && Route::Gateway(*key) != routed.route
+            })
+            .map(|(key, gateway)| (Route::Gateway(key), gateway.workers));
+        if routed.is_unreachable() {
+            return routed.route != Route::Local || available.next().is_some();
+        }
+        let mut untried = available.filter(|(route, _)| !routed.has_failed(*route));
         match routed.route {
-            Route::Local => available.next().is_some(),
+            Route::Local => untried.next().is_some(),
             Route::Gateway(key) => self.gateways.get(key).is_none_or(|gateway| {
                 gateway.state != GatewayState::Connected
-                    || available
-                        .map(|other| other.workers)
+                    || untried
+                        .map(|(_, workers)| workers)
                         .min()
                         .is_some_and(|least| gateway.workers > 2 * least + IMBALANCE_WORKERS)
             }),
         }
     }
 
-    /// Chooses a new route for a worker and returns it.
+    /// Chooses a new route for a worker and returns it. A route on which it did not answer is chosen only if
+    /// it answered on no other one either.
     pub fn reroute(&mut self, worker: WorkerKey) -> Option<Route> {
-        let zone = Arc::clone(&self.workers.get(&worker)?.availability_zone);
-        Some(self.open(worker, zone))
+        let routed = self.workers.get(&worker)?;
+        let zone = Arc::clone(&routed.availability_zone);
+        let mut failed = routed.failed_routes.clone();
+        if routed.is_unreachable() && !routed.has_failed(routed.route) {
+            failed.push(routed.route);
+        }
+        let is_untried = |route: Route| !failed.contains(&route);
+        let mut gateways = self.gateways.iter().filter(|(_, g)| g.takes_workers());
+        if routed.is_unreachable()
+            && !is_untried(Route::Local)
+            && !gateways.any(|(key, _)| is_untried(Route::Gateway(key)))
+        {
+            failed = vec![routed.route];
+        }
+        Some(self.insert(worker, zone, failed))
     }
 
     /// Number of workers on each connected gateway, for reports.
@@ -236,7 +303,7 @@
             .map(|gateway| (&gateway.offer.name, gateway.workers))
     }
 
-    fn best_route(&self, availability_zone: &Arc<str>) -> Route {
+    fn best_route(&self, availability_zone: &Arc<str>, failed: &[Route]) -> Route {
         let load = |gateway: &Gateway| {
             let load_ppm = gateway.load_ppm() + 1;
             if gateway.offer.availability_zone == *availability_zone {
@@ -247,7 +314,9 @@
         };
         self.gateways
             .iter()
-            .filter(|(_, gateway)| gateway.takes_workers())
+            .filter(|(key, gateway)| {
+                gateway.takes_workers() && !failed.contains(&Route::Gateway(*key))
+            })
             .min_by_key(|(key, gateway)| (load(gateway), *key))
             .map_or(Route::Local, |(key, _)| Route::Gateway(key))
     }
--- a/crates/domain/tests/worker_route.rs
+++ b/crates/domain/tests/worker_route.rs
@@ -146,3 +146,50 @@
     assert!(plan.should_reroute(worker));
     assert_eq!(plan.reroute(worker), Some(Route::Gateway(keys[1])));
 }
+
+/// Polls without an answer until the worker's route changes, and returns the new route.
+fn next_route(plan: &mut RoutePlan, worker: WorkerKey) -> Option<Route> {
+    plan.polled(worker, false);
+    assert!(!plan.should_reroute(worker), "a single answer may be lost");
+    plan.polled(worker, false);
+    assert!(plan.should_reroute(worker));
+    plan.reroute(worker)
+}
+
+/// Guards against a worker that stays with a gateway that does not reach it, that returns there while another
+/// daemon reaches it, and that is not tried again after a cut from all daemons.
+#[test]
+fn a_worker_that_does_not_answer_is_tried_on_all_routes_in_turn() {
+    let (mut plan, keys) = connected(vec![offer("g1", "a", 500), offer("g2", "b", 500)]);
+    let worker = open(&mut plan, 1, "a")[0];
+    let [first, second] = [keys[0], keys[1]].map(Route::Gateway);
+    assert_eq!(plan.route(worker), Some(first));
+    assert_eq!(next_route(&mut plan, worker), Some(second));
+    assert_eq!(next_route(&mut plan, worker), Some(Route::Local));
+    plan.polled(worker, true);
+    assert!(!plan.should_reroute(worker), "the leader reaches it");
+    assert_eq!(next_route(&mut plan, worker), Some(first));
+    assert_eq!(next_route(&mut plan, worker), Some(second));
+    assert_eq!(loads(&plan), [0, 1]);
+}
+
+/// Guards against a leader that opens its own link again and again while it has no gateway, and against one
+/// that never returns a link to a gateway that has connected again.
+#[test]
+fn a_route_is_left_only_for_another_one() {
+    let mut plan = RoutePlan::default();
+    let worker = open(&mut plan, 1, "a")[0];
+    for _ in 0..5 {
+        plan.polled(worker, false);
+        assert!(!plan.should_reroute(worker));
+    }
+    let (mut plan, keys) = connected(vec![offer("g1", "a", 500)]);
+    let worker = open(&mut plan, 1, "a")[0];
+    assert_eq!(next_route(&mut plan, worker), Some(Route::Local));
+    plan.polled(worker, true);
+    assert!(!plan.should_reroute(worker));
+    plan.lost(keys[0]);
+    plan.connected(keys[0]);
+    assert!(plan.should_reroute(worker));
+    assert_eq!(plan.reroute(worker), Some(Route::Gateway(keys[0])));
+}
