--- a/crates/domain/src/schedule/status.rs
+++ b/crates/domain/src/schedule/status.rs
@@ -29,8 +29,10 @@
     Cordoned,
     /// It lists runs of unknown jobs.
     UnknownRuns,
-    /// It has refused or failed orders, or runs a task that may crash it.
+    /// It has refused or not answered orders, or runs a task that may crash it.
     Paused,
+    /// Task after task has failed on it.
+    Quarantined,
 }
 
 /// Writes the words of log lines, which operators search for.
@@ -45,6 +47,7 @@
             Self::Cordoned => "cordoned",
             Self::UnknownRuns => "unknown-runs",
             Self::Paused => "paused",
+            Self::Quarantined => "quarantined",
         })
     }
 }
@@ -77,6 +80,7 @@
                 self.paused_until > now || self.isolated_until > now,
                 Exclusion::Paused,
             ),
+            (self.quarantine.is_active(now), Exclusion::Quarantined),
         ];
         let excluding = reasons.into_iter().find(|(applies, _)| *applies);
         excluding.map(|(_, reason)| reason)
