Size work and pools by workers that have answered

Callers would see accepted jobs that nobody runs: the unit in which work is measured, and by which pools are sized, was the largest capacity over all entries. One entry of another writer with a huge capacity made every need a share of about nothing, so that pools got no instances and the published pressure counted jobs as no work. The same under the id of a live worker left room that counted as lost for good, and its pool took all spare instances.

The unit is now the largest capacity of the workers that have answered this leader (of all entries until one has, as before). Lost room is bounded by the capacity that the list of instances shows for the worker's instance.

--- a/crates/domain/src/placement/resources.rs
+++ b/crates/domain/src/placement/resources.rs
@@ -76,7 +76,13 @@
     /// The largest share of any limited resource, in parts per million; a limit of 0 means no limit.
     #[must_use]
     pub fn dominant_share_of_limits_ppm(self, limits: Self) -> u64 {
-        let share = |part, limit| if limit == 0 { 0 } else { share_ppm(part, limit) };
+        let share = |part, limit| {
+            if limit == 0 {
+                0
+            } else {
+                share_ppm(part, limit)
+            }
+        };
         share(self.processors_milli, limits.processors_milli)
             .max(share(self.memory_mb, limits.memory_mb))
             .max(share(self.accelerators, limits.accelerators))
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -225,9 +225,10 @@
         // Instances are counted as whole ones, so room that their workers have lost counts as used.
         let sum = sum.plus(self.lost_room(service));
         let share_ppm = sum.dominant_share_ppm(self.largest_capacity());
-        let for_capacity =
-            usize::try_from((share_ppm.saturating_mul(100) / TARGET_UTILIZATION_PERCENT).div_ceil(1_000_000))
-                .unwrap_or(0);
+        let for_capacity = usize::try_from(
+            (share_ppm.saturating_mul(100) / TARGET_UTILIZATION_PERCENT).div_ceil(1_000_000),
+        )
+        .unwrap_or(0);
         for_capacity
             .max(self.instances_for_evacuation(service, now))
             .max(self.instances_for_spread(service, now))
@@ -250,12 +251,18 @@
         reachable.max(self.services[service].workers.len())
     }
 
+    /// Room that the workers of a pool have lost: what they had of the capacity of their instances, and no longer
+    /// report.
     fn lost_room(&self, service: ServiceKey) -> Resources {
-        let workers = self.services[service].workers.iter();
-        workers
-            .filter_map(|key| self.workers.get(*key))
-            .filter(|worker| worker.listed)
-            .map(Worker::lost_room)
+        let of_pool = self.fleet.instances.iter();
+        of_pool
+            .filter(|(_, instance)| instance.pool == service)
+            .filter_map(|(key, instance)| {
+                let worker = self.workers.get(self.worker_on(key)?)?;
+                worker
+                    .listed
+                    .then(|| worker.lost_room(instance.report.capacity))
+            })
             .fold(Resources::default(), Resources::plus)
     }
 
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -296,12 +296,17 @@
             .fold(Resources::default(), Resources::max)
     }
 
-    /// Per-resource maximum of the capacities of all workers.
+    /// Per-resource maximum of the capacities of the workers that have answered this leader; of all workers until
+    /// one has. An entry that no worker stands behind must not set the size by which work and pools are measured.
     pub(super) fn largest_capacity(&self) -> Resources {
-        self.workers
-            .values()
-            .map(|worker| worker.report.capacity)
-            .fold(Resources::default(), Resources::max)
+        let workers = self.workers.values();
+        let answered = workers.clone().filter(|worker| worker.synced);
+        let largest_of =
+            |capacity: Resources, worker: &Worker| capacity.max(worker.report.capacity);
+        match answered.fold(Resources::default(), largest_of) {
+            capacity if capacity == Resources::default() => workers.fold(capacity, largest_of),
+            capacity => capacity,
+        }
     }
 
     fn place_task(&mut self, key: TaskKey, service: ServiceKey, now: Millis) -> Placement {
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -143,9 +143,11 @@
         self.report.capacity.minus(self.bookings.used())
     }
 
-    /// Room that it has lost since its capacity has shrunk.
-    pub(super) fn lost_room(&self) -> Resources {
-        self.full_capacity.minus(self.report.capacity)
+    /// Room that it has lost since its capacity has shrunk. The list of instances bounds what it had: an entry of
+    /// another writer may have named any capacity.
+    pub(super) fn lost_room(&self, of_instance: Resources) -> Resources {
+        let full = self.full_capacity.min(of_instance);
+        full.minus(self.report.capacity)
     }
 
     pub(super) fn takes_work(&self, now: Millis) -> bool {
