Let a worker's answers decide about entries that contradict them

Callers would see two runs of a task at a time. An entry of another writer under the id of a live worker, with a start in the future or another address, ended the worker's runs on its own evidence, or on that of a refused connect at an address where the worker never was, while the worker still had them. With a start in the future all later answers of the worker were ignored as late, without a next time to poll, so that it was polled in every cycle, got no work and held up a recovery until the end of all leases.

Such an entry is now a claim: it ends nothing. The worker takes no tasks and gets polls without an acknowledgement until an answer to a poll sent since then confirms or refutes the claim; where the claim has another address, polls try both in turn, and a refused connect counts only at the known one. An answer to a poll that was sent after the leader knew of the current incarnation replaces the known start, also by an earlier one; answers to older polls of an earlier process are still ignored. A task whose run was lost with its worker now avoids that worker also if its crash is not counted, since the worker is found again sooner than before.

--- a/crates/domain/src/schedule/crashes.rs
+++ b/crates/domain/src/schedule/crashes.rs
@@ -83,10 +83,13 @@
         };
         let is_of_task =
             task.status == TaskStatus::Placed(key) || self.copies.is_copy(info.task, key);
-        if !has_started || !is_of_task {
+        if !is_of_task {
             return;
         }
         task.avoid_worker = Some(info.worker);
+        if !has_started {
+            return;
+        }
         task.early_crashes = if was_sound { 0 } else { task.early_crashes + 1 };
         if !long_running {
             task.crashes += 1;
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -6,6 +6,7 @@
 };
 use super::run::{EndEvidence, Phase, PlacedRun, Run, RunInfo};
 use super::stop_reason::StopReason;
+use super::worker::Claim;
 use super::{
     JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, RUN_END_BATCH_DELAY_MS, Scheduler,
     UNRESPONSIVE_POLL_INTERVAL_MS, UNWRITTEN_ENDS_POLL_INTERVAL_MS,
@@ -35,6 +36,7 @@
             PollResult::Refused(Refusal::OtherIncarnation) | PollResult::NotListening => {
                 worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
                 self.order_found_no_process(key, Some(sent_at), now);
+                self.try_other_address(key, now);
             }
             PollResult::Refused(refusal) => {
                 worker.ack_sent = 0;
@@ -56,26 +58,40 @@
                 if became_unresponsive {
                     self.request_instance_list(now);
                 }
+                self.try_other_address(key, now);
             }
         }
     }
 
     fn apply_listing(&mut self, key: WorkerKey, listing: &Listing, now: Millis, wall: Millis) {
-        let worker = &self.workers[key];
+        let worker = &mut self.workers[key];
         let known_start_ms = worker.report.started_wall_ms;
         let started_ms = listing.started_wall_ms;
-        if started_ms != 0 && started_ms < known_start_ms {
-            // Late answer of an earlier process of the worker.
+        let sent_at = worker.poll_sent_at;
+        let is_other = started_ms != 0 && known_start_ms != 0 && started_ms != known_start_ms;
+        // An earlier process may answer a poll that was sent before this leader knew of the current one. Later
+        // polls are answered by the current process, whatever start its entry names.
+        let is_late =
+            is_other && started_ms < known_start_ms && sent_at <= worker.incarnation_since;
+        let claim = worker.claim.as_ref();
+        if is_late || claim.is_some_and(|claim| sent_at <= claim.connected_at) {
+            worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
             return;
         }
-        if started_ms != 0 && known_start_ms != 0 && started_ms > known_start_ms {
+        let names_other_start = |claim: &Claim| claim.report.started_wall_ms != known_start_ms;
+        // An answer without a start does not refute a claim of another one.
+        let is_refuted = !is_other && (started_ms != 0 || !claim.is_some_and(names_other_start));
+        if is_refuted {
+            if let Some(claim) = worker.refute_claim(now).filter(|claim| claim.is_connected) {
+                worker.report.address = claim.report.address;
+            }
+        } else {
+            let report = worker.link_report().clone();
+            worker.take_claim();
             self.process_ended(key, EndEvidence::Listing, now);
-            let worker = &mut self.workers[key];
-            let report = worker.report.clone();
-            worker.begin_incarnation(report, now);
+            self.begin_incarnation(key, report, now);
         }
         let worker = &mut self.workers[key];
-        let sent_at = worker.poll_sent_at;
         if started_ms != 0 {
             worker.report.started_wall_ms = started_ms;
         }
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -5,7 +5,7 @@
 use super::order::{Action, PollOrder, SchedulerEvent, WorkerReport};
 use super::ready::ReadyQueue;
 use super::run::EndEvidence;
-use super::worker::{IncarnationEnd, Worker};
+use super::worker::{Claim, IncarnationEnd, Worker};
 use super::{
     LEASE_MARGIN_MS, LOW_PRIORITY_BATCH_DELAY_MS, PoolUse, Scheduler, Service,
     UNRESPONSIVE_POLL_INTERVAL_MS,
@@ -38,35 +38,99 @@
         if other_incarnation && report.started_wall_ms < known_start_ms {
             return;
         }
-        let service_changed = worker.report.service != report.service;
-        let address_changed = worker.report.address != report.address;
         let report = WorkerReport {
             started_wall_ms: report.started_wall_ms.max(known_start_ms),
             ..report
         };
-        let former_instance = Arc::clone(&worker.report.instance);
-        let end = worker.process_end();
-        worker.report = report.clone();
-        worker.full_capacity = worker.full_capacity.max(report.capacity);
+        let has_answered = worker.synced || worker.claim.is_some();
+        if has_answered && (other_incarnation || worker.report.address != report.address) {
+            self.claim_listed(key, report, now);
+            return;
+        }
+        let is_link_wrong = worker.link_report().address != report.address;
+        worker.refute_claim(now);
         if other_incarnation {
-            self.end_incarnation(key, end, EndEvidence::Listing, now);
-            if let Some(worker) = self.workers.get_mut(key) {
-                worker.begin_incarnation(report.clone(), now);
-            }
+            self.process_ended(key, EndEvidence::Listing, now);
+            self.begin_incarnation(key, report, now);
             self.await_next_incarnation(key);
+        } else {
+            worker.full_capacity = worker.full_capacity.max(report.capacity);
+            self.replace_report(key, report);
+        }
+        if is_link_wrong || other_incarnation {
+            self.reconnect(key);
         }
+        self.request_worker_placement(key);
+    }
+
+    /// Notes an entry that contradicts the answers of a worker. The worker takes no tasks until it has answered
+    /// again.
+    fn claim_listed(&mut self, key: WorkerKey, report: WorkerReport, now: Millis) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if let Some(claim) = &mut worker.claim
+            && claim.report.address == report.address
+            && claim.report.started_wall_ms == report.started_wall_ms
+        {
+            claim.report = report;
+            return;
+        }
+        worker.claim = Some(Claim {
+            report,
+            is_connected: true,
+            connected_at: now,
+        });
+        worker.synced = false;
+        worker.next_poll_at = now;
+        self.await_next_incarnation(key);
+        self.reconnect(key);
+    }
+
+    /// After a poll that got no answer from one of the addresses of a worker, tries the other one.
+    pub(super) fn try_other_address(&mut self, key: WorkerKey, now: Millis) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let known_address = &worker.report.address;
+        if let Some(claim) = &mut worker.claim
+            && claim.report.address != *known_address
+        {
+            claim.is_connected = !claim.is_connected;
+            claim.connected_at = now;
+            self.reconnect(key);
+        }
+    }
+
+    fn reconnect(&mut self, key: WorkerKey) {
+        self.actions.push(Action::Disconnect(key));
+        self.actions.push(Action::Connect(key));
+    }
+
+    /// Resets a worker whose process has ended to the state of its next one.
+    pub(super) fn begin_incarnation(&mut self, key: WorkerKey, report: WorkerReport, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            let former = worker.report.clone();
+            worker.begin_incarnation(former, now);
+            worker.full_capacity = report.capacity;
+        }
+        self.replace_report(key, report);
+    }
+
+    fn replace_report(&mut self, key: WorkerKey, report: WorkerReport) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let former = std::mem::replace(&mut worker.report, report);
+        let service_changed = former.service != worker.report.service;
+        let instance_changed = former.instance != worker.report.instance;
         if service_changed {
             self.join_service(key);
         }
-        if former_instance != report.instance {
-            self.leave_instance(key, &former_instance);
+        if instance_changed {
+            self.leave_instance(key, &former.instance);
             self.join_instance(key);
         }
-        if address_changed || other_incarnation {
-            self.actions.push(Action::Disconnect(key));
-            self.actions.push(Action::Connect(key));
-        }
-        self.request_worker_placement(key);
     }
 
     /// Requests a placement pass for the service of a worker whose room may have grown.
@@ -167,7 +231,7 @@
     /// The listed data of a worker, for its connection.
     #[must_use]
     pub fn worker(&self, key: WorkerKey) -> Option<&WorkerReport> {
-        self.workers.get(key).map(|worker| &worker.report)
+        self.workers.get(key).map(Worker::link_report)
     }
 
     /// Ends the runs of unresponsive workers whose lease has expired, and removes workers that
@@ -240,7 +304,7 @@
             // A poll without an answer may have reached the next incarnation. A cursor of the former one
             // would make it drop ends that this leader has not seen.
             let last_poll_answered = worker.last_answer_at >= worker.poll_sent_at;
-            worker.ack_sent = if last_poll_answered {
+            worker.ack_sent = if last_poll_answered && worker.claim.is_none() {
                 worker.ack_ready
             } else {
                 0
@@ -266,8 +330,13 @@
         sent_at: Option<Millis>,
         now: Millis,
     ) {
-        let since = self.workers.get(key).map(|worker| worker.incarnation_since);
-        if let Some(sent_at) = sent_at.filter(|sent_at| Some(*sent_at) >= since) {
+        let worker = self.workers.get(key);
+        let is_of_current = |sent_at: &Millis| {
+            worker.is_some_and(|worker| {
+                *sent_at >= worker.incarnation_since && !worker.may_have_missed(*sent_at)
+            })
+        };
+        if let Some(sent_at) = sent_at.filter(is_of_current) {
             self.process_ended(key, EndEvidence::Order { sent_at }, now);
         }
     }
@@ -293,6 +362,7 @@
             return;
         };
         // The order that ends an empty instance is logged separately.
+        let claim = worker.take_claim();
         if worker.synced && !(worker.cordoned && worker.runs().is_empty()) {
             self.events.push(SchedulerEvent::WorkerLost {
                 worker: Arc::clone(&worker.report.id),
@@ -320,6 +390,12 @@
         }
         self.stop_awaiting(key, now);
         self.advice.remove_worker(key);
+        if let Some(claim) = claim {
+            self.begin_incarnation(key, claim.report, now);
+            if !claim.is_connected {
+                self.reconnect(key);
+            }
+        }
     }
 
     fn drop_lost_run(&mut self, run: RunKey, now: Millis) {
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -31,10 +31,23 @@
     LeaseExpired,
 }
 
+/// An entry that names another incarnation, or another address, than the worker has answered with. It may be of
+/// another writer, so it ends nothing until an answer or an order shows which of the two is right.
+#[derive(Debug)]
+pub(super) struct Claim {
+    pub report: WorkerReport,
+    /// Whether the link leads to the claimed address.
+    pub is_connected: bool,
+    /// When the link was last opened. What orders before that met says nothing.
+    pub connected_at: Millis,
+}
+
 /// A worker: one process of an instance.
 #[derive(Debug)]
 pub(super) struct Worker {
     pub report: WorkerReport,
+    /// An entry that contradicts its answers.
+    pub claim: Option<Claim>,
     /// Largest capacity that it has reported.
     pub full_capacity: Resources,
     /// Since when this leader knows of the current incarnation.
@@ -102,6 +115,7 @@
         Self {
             full_capacity: report.capacity,
             report,
+            claim: None,
             incarnation_since: Millis::ZERO,
             service: None,
             listed: true,
@@ -139,6 +153,35 @@
         self.bookings.runs()
     }
 
+    /// The data with which its link is opened.
+    pub(super) fn link_report(&self) -> &WorkerReport {
+        let claim = self.claim.as_ref().filter(|claim| claim.is_connected);
+        claim.map_or(&self.report, |claim| &claim.report)
+    }
+
+    /// Removes the claim, which kept the worker from counting as synced.
+    pub(super) fn take_claim(&mut self) -> Option<Claim> {
+        let claim = self.claim.take()?;
+        self.synced = true;
+        Some(claim)
+    }
+
+    /// Drops a claim that an answer or a later entry has refuted. Orders that were sent before may have met
+    /// nobody at the claimed address.
+    pub(super) fn refute_claim(&mut self, now: Millis) -> Option<Claim> {
+        let claim = self.claim.take()?;
+        self.incarnation_since = now;
+        Some(claim)
+    }
+
+    /// Whether an order that was sent at this time may have gone to an address that only a claim names.
+    pub(super) fn may_have_missed(&self, sent_at: Millis) -> bool {
+        self.claim.as_ref().is_some_and(|claim| {
+            claim.report.address != self.report.address
+                && (claim.is_connected || sent_at <= claim.connected_at)
+        })
+    }
+
     pub(super) fn free(&self) -> Resources {
         self.report.capacity.minus(self.bookings.used())
     }
--- a/crates/domain/tests/odd_entries.rs
+++ b/crates/domain/tests/odd_entries.rs
@@ -2,9 +2,9 @@
 
 mod scheduler_harness;
 
-use rosemaryscale_domain::job::StepSpec;
+use rosemaryscale_domain::job::{JobState, StepSpec};
 use rosemaryscale_domain::placement::Resources;
-use rosemaryscale_domain::schedule::order::WorkerReport;
+use rosemaryscale_domain::schedule::order::{RunEndKind, WorkerReport};
 use scheduler_harness::{SchedulerHarness, job, step};
 
 const HUGE: Resources = Resources {
@@ -118,3 +118,120 @@
     let mut pools = harness.instance_orders.iter().map(|(_, pool)| pool);
     assert!(pools.all(|pool| pool.as_deref() != Some("service")));
 }
+
+/// Guards against a worker whose answers are ignored for good, and that is polled without pause, after an entry
+/// with a start in the future; and against a second run of the task that it runs.
+#[test]
+fn a_start_in_the_future_does_not_end_a_live_worker() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(500);
+    let worker = harness.worker_running("a.0.0.0").expect("it runs");
+    let polls = harness.polls;
+    list_odd(&mut harness, worker, |report| {
+        report.started_wall_ms = u64::MAX
+    });
+    harness.run_for(2_000);
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+    assert_eq!(harness.start_count("a.0.0.0"), 1);
+    assert!(
+        harness.polls - polls < 150,
+        "{} polls",
+        harness.polls - polls
+    );
+    harness.submit("b", job(vec![step(8)], 3));
+    harness.run_for(200);
+    assert_eq!(harness.running().len(), 8, "both workers take tasks");
+    list_odd(&mut harness, worker, |_| ());
+    harness.end_all_runs(RunEndKind::Done);
+    harness.run_for(500);
+    assert_eq!(harness.state("a"), JobState::Completed);
+}
+
+/// Guards against a worker that is never used since its first entry was an odd one.
+#[test]
+fn a_worker_whose_first_entry_names_a_start_in_the_future_is_used() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.store.workers.clear();
+    harness.workers[0].report.started_wall_ms = u64::MAX;
+    harness.change_leader();
+    harness.workers[0].report.started_wall_ms = 1;
+    harness.submit("a", job(vec![step(4)], 3));
+    harness.run_for(1_000);
+    assert_eq!(harness.running().len(), 4);
+}
+
+/// Guards against a run that counts as ended because nobody listens at the address of an odd entry, while its
+/// worker still has it.
+#[test]
+fn an_odd_address_does_not_end_a_live_worker() {
+    for start in [1, u64::MAX] {
+        for is_refused in [true, false] {
+            let mut harness = SchedulerHarness::new(2);
+            harness.submit("a", job(vec![step(1)], 3));
+            harness.run_for(500);
+            let worker = harness.worker_running("a.0.0.0").expect("it runs");
+            harness.dead_address = Some(("10.0.0.250:1".into(), is_refused));
+            list_odd(&mut harness, worker, |report| {
+                report.started_wall_ms = start;
+                report.address = "10.0.0.250:1".into();
+            });
+            harness.run_for(3_000);
+            assert_eq!(harness.running(), ["a.0.0.0"]);
+            assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+            assert_eq!(harness.start_count("a.0.0.0"), 1);
+            harness.submit("b", job(vec![step(7)], 3));
+            harness.run_for(500);
+            assert_eq!(harness.running().len(), 8, "both workers take tasks");
+        }
+    }
+}
+
+/// Guards against a restarted worker that is not found, or whose runs are kept, when it also has another address.
+#[test]
+fn a_worker_that_restarts_at_another_address_is_found() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(500);
+    harness.dead_address = Some((harness.workers[0].report.address.clone(), true));
+    harness.workers[0].report.address = "10.0.0.251:1".into();
+    harness.lose_next_polls = 1;
+    harness.restart(0);
+    harness.run_for(1_500);
+    assert_eq!(harness.start_count("a.0.0.0"), 2);
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+}
+
+/// Guards against a recovery that waits for the end of all leases because an entry names a start that its worker
+/// does not have.
+#[test]
+fn a_start_in_the_future_does_not_stop_a_recovery() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(500);
+    let worker = harness.worker_running("a.0.0.0").expect("it runs");
+    harness.change_leader();
+    list_odd(&mut harness, worker, |report| {
+        report.started_wall_ms = u64::MAX
+    });
+    harness.submit_before_term("b", job(vec![step(1)], 3));
+    harness.run_for(1_500);
+    assert!(!harness.scheduler.is_recovering());
+    assert_eq!(harness.start_count("a.0.0.0"), 1, "its run is adopted");
+    assert_eq!(harness.start_count("b.0.0.0"), 1);
+}
+
+/// Guards against a recovery, or work, that waits for an entry without a worker.
+#[test]
+fn a_recovery_does_not_wait_for_an_entry_without_a_worker() {
+    let mut harness = SchedulerHarness::new(1);
+    let entry = silent_entry("odd", HUGE);
+    harness.scheduler.worker_listed(entry.clone(), harness.now);
+    harness.run_for(1_500);
+    harness.change_leader();
+    harness.scheduler.worker_listed(entry, harness.now);
+    harness.submit_before_term("a", job(vec![step(4)], 3));
+    harness.run_for(500);
+    assert!(!harness.scheduler.is_recovering());
+    assert_eq!(harness.running().len(), 4);
+}
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -111,6 +111,10 @@
     pub(crate) lose_next_orders: usize,
     /// Time, task and run number of each start order.
     pub(crate) starts: Vec<(Millis, String, u32)>,
+    /// An address at which no worker answers, and whether it refuses connects.
+    pub(crate) dead_address: Option<(Arc<str>, bool)>,
+    /// Number of polls sent.
+    pub(crate) polls: usize,
     pub(crate) pace_orders: Vec<(String, u32)>,
     /// Task and cause of each stop order.
     pub(crate) stop_causes: Vec<(String, StopCause)>,
@@ -161,6 +165,8 @@
             close_next_polls: 0,
             lose_next_orders: 0,
             starts: Vec::new(),
+            dead_address: None,
+            polls: 0,
             pace_orders: Vec::new(),
             stop_causes: Vec::new(),
             instances: Vec::new(),
@@ -494,7 +500,8 @@
                 .pace_orders
                 .push((task_path(&order.task), order.percent)),
             Action::Poll(key, order) => {
-                let result = self.poll(key, order);
+                self.polls += 1;
+                let result = self.poll_address(key, order);
                 self.scheduler.poll_ended(key, result, self.now, self.now);
             }
         }
@@ -630,6 +637,15 @@
         self.accepted()
     }
 
+    fn poll_address(&mut self, key: WorkerKey, order: PollOrder) -> PollResult {
+        let address = self.scheduler.worker(key).map(|report| &report.address);
+        match &self.dead_address {
+            Some((dead, true)) if Some(dead) == address => PollResult::NotListening,
+            Some((dead, false)) if Some(dead) == address => PollResult::Unanswered,
+            _ => self.poll(key, order),
+        }
+    }
+
     fn poll(&mut self, key: WorkerKey, order: PollOrder) -> PollResult {
         if self.refuse_fencing_token {
             return PollResult::Refused(Refusal::Fenced);
