Unlist a worker whose changed entry cannot be read

The protocol says that such an entry names no worker to use. It now unlists the worker in both cases; its runs go on, and the next readable entry lists it again.

Operators saw a debug line for each write of such an entry. The leader now warns once for each entry until it is readable again or deleted.

--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -164,6 +164,8 @@
     next_renewal_at: Millis,
     next_status_at: Millis,
     pressure: PublishedPressure,
+    /// Ids of the worker entries that could not be read last, each of which has been logged.
+    refused_workers: FastSet<Arc<str>>,
     /// When the platform's list of instances was last read.
     instances_listed_at: Option<Millis>,
 }
--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -179,6 +179,12 @@
     pub(super) fn apply_worker_changes(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Snapshot { entries, .. } => {
+                let prefix = self.options.platform.worker_prefix;
+                let ids = entries
+                    .iter()
+                    .filter_map(|entry| entry.key.strip_prefix(prefix));
+                let ids: FastSet<&str> = ids.collect();
+                self.refused_workers.retain(|id| ids.contains(&**id));
                 let mut listed = FastSet::default();
                 for entry in &entries {
                     if let Some(id) = self.apply_worker_entry(entry) {
@@ -197,6 +203,7 @@
                             if let Some(id) = key.strip_prefix(self.options.platform.worker_prefix)
                             {
                                 info!(self.options.log, "worker unlisted"; "worker" => id);
+                                self.refused_workers.remove(id);
                                 self.scheduler.worker_unlisted(id);
                             }
                         }
@@ -209,6 +216,8 @@
         }
     }
 
+    /// Applies the entry of a worker, and returns its id. An entry that cannot be read names no worker: a known one
+    /// is unlisted until its next readable entry. It is logged once, however often it is rewritten.
     pub(super) fn apply_worker_entry(&mut self, entry: &KvEntry) -> Option<Arc<str>> {
         let id = entry
             .key
@@ -216,12 +225,18 @@
         match (self.options.platform.read_worker)(id, &entry.value) {
             Ok(report) => {
                 let id = Arc::clone(&report.id);
+                if self.refused_workers.remove(&id) {
+                    info!(self.options.log, "worker entry readable again"; "worker" => &*id);
+                }
                 self.scheduler
                     .worker_listed(report, self.options.clock.now());
                 Some(id)
             }
             Err(reason) => {
-                debug!(self.options.log, "worker entry skipped"; "worker" => id, "reason" => &*reason);
+                if self.refused_workers.insert(id.into()) {
+                    warn!(self.options.log, "worker entry refused"; "worker" => id, "reason" => &*reason);
+                }
+                self.scheduler.worker_unlisted(id);
                 None
             }
         }
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -196,6 +196,7 @@
             next_renewal_at: now,
             next_status_at: now,
             pressure: PublishedPressure::default(),
+            refused_workers: FastSet::default(),
             instances_listed_at: None,
             options,
             lease,
