--- a/crates/domain/tests/odd_entries.rs
+++ b/crates/domain/tests/odd_entries.rs
@@ -2,8 +2,9 @@
 
 mod scheduler_harness;
 
-use rosemaryscale_domain::job::StepSpec;
+use rosemaryscale_domain::job::{JobState, StepSpec};
 use rosemaryscale_domain::placement::Resources;
+use rosemaryscale_domain::schedule::order::{RunEndKind, WorkerReport};
 use scheduler_harness::{SchedulerHarness, job, step};
 
 const HUGE: Resources = Resources {
@@ -12,6 +13,40 @@
     accelerators: u64::MAX,
 };
 
+/// A well-formed entry of a worker that answers no poll.
+fn silent_entry(id: &str, capacity: Resources) -> WorkerReport {
+    WorkerReport {
+        id: id.into(),
+        service: "service".into(),
+        address: "10.0.0.250:1".into(),
+        availability_zone: "zone".into(),
+        labels: vec!["kind".into(), "rack".into()],
+        capacity,
+        instance: "".into(),
+        started_wall_ms: 1,
+        draining: false,
+    }
+}
+
+/// One worker on an instance of its own, and four spare instances.
+fn harness_with_spare_instances() -> SchedulerHarness {
+    let mut harness = SchedulerHarness::new(1);
+    harness.scheduler.set_spare_services(&["spare".into()]);
+    harness.add_instance("machine-w0", "service", Some("w0"));
+    for index in 0..4 {
+        harness.add_instance(&format!("spare{index}"), "spare", None);
+    }
+    harness.run_for(500);
+    harness
+}
+
+/// Applies the entry of a worker with a change that the worker itself knows nothing of.
+fn list_odd(harness: &mut SchedulerHarness, worker: usize, change: impl Fn(&mut WorkerReport)) {
+    let mut report = harness.workers[worker].report.clone();
+    change(&mut report);
+    harness.scheduler.worker_listed(report, harness.now);
+}
+
 /// Guards against sums and shares that wrap around, or end the process in a debug build.
 #[test]
 fn sums_and_shares_of_huge_amounts_saturate() {
@@ -51,3 +86,152 @@
         assert_eq!(harness.scheduler.pool_uses(harness.now).count(), 1);
     }
 }
+
+/// Guards against pools that get next to no instances, and against jobs that count as no work, since an entry that
+/// no worker stands behind names a huge capacity.
+#[test]
+fn a_capacity_without_a_worker_sizes_nothing() {
+    let mut harness = harness_with_spare_instances();
+    let entry = silent_entry("odd", HUGE);
+    harness.scheduler.worker_listed(entry, harness.now);
+    for index in 0..40 {
+        harness.submit(&format!("job{index}"), job(vec![step(1)], 3));
+    }
+    harness.run_for(50);
+    let pressure = harness.scheduler.pressure(harness.now);
+    assert_eq!(pressure.services[0].worker.processors_milli, 4_000);
+    harness.run_for(5_000);
+    assert_eq!(harness.instance_orders.len(), 4, "all spare instances move");
+}
+
+/// Guards against room that counts as lost for good after one odd entry under the id of a live worker: its pool
+/// would take all instances.
+#[test]
+fn a_capacity_that_no_instance_has_is_no_lost_room() {
+    let mut harness = harness_with_spare_instances();
+    list_odd(&mut harness, 0, |report| {
+        report.capacity.processors_milli = 64_000;
+        report.capacity.memory_mb = 64_000;
+    });
+    list_odd(&mut harness, 0, |_| ());
+    harness.run_for(5_000);
+    let mut pools = harness.instance_orders.iter().map(|(_, pool)| pool);
+    assert!(pools.all(|pool| pool.as_deref() != Some("service")));
+}
+
+/// Guards against a worker whose answers are ignored for good, and that is polled without pause, after an entry
+/// with a start in the future; and against a second run of the task that it runs.
+#[test]
+fn a_start_in_the_future_does_not_end_a_live_worker() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(500);
+    let worker = harness.worker_running("a.0.0.0").expect("it runs");
+    let polls = harness.polls;
+    list_odd(&mut harness, worker, |report| {
+        report.started_wall_ms = u64::MAX
+    });
+    harness.run_for(2_000);
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+    assert_eq!(harness.start_count("a.0.0.0"), 1);
+    assert!(
+        harness.polls - polls < 150,
+        "{} polls",
+        harness.polls - polls
+    );
+    harness.submit("b", job(vec![step(8)], 3));
+    harness.run_for(200);
+    assert_eq!(harness.running().len(), 8, "both workers take tasks");
+    list_odd(&mut harness, worker, |_| ());
+    harness.end_all_runs(RunEndKind::Done);
+    harness.run_for(500);
+    assert_eq!(harness.state("a"), JobState::Completed);
+}
+
+/// Guards against a worker that is never used since its first entry was an odd one.
+#[test]
+fn a_worker_whose_first_entry_names_a_start_in_the_future_is_used() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.store.workers.clear();
+    harness.workers[0].report.started_wall_ms = u64::MAX;
+    harness.change_leader();
+    harness.workers[0].report.started_wall_ms = 1;
+    harness.submit("a", job(vec![step(4)], 3));
+    harness.run_for(1_000);
+    assert_eq!(harness.running().len(), 4);
+}
+
+/// Guards against a run that counts as ended because nobody listens at the address of an odd entry, while its
+/// worker still has it.
+#[test]
+fn an_odd_address_does_not_end_a_live_worker() {
+    for start in [1, u64::MAX] {
+        for is_refused in [true, false] {
+            let mut harness = SchedulerHarness::new(2);
+            harness.submit("a", job(vec![step(1)], 3));
+            harness.run_for(500);
+            let worker = harness.worker_running("a.0.0.0").expect("it runs");
+            harness.dead_address = Some(("10.0.0.250:1".into(), is_refused));
+            list_odd(&mut harness, worker, |report| {
+                report.started_wall_ms = start;
+                report.address = "10.0.0.250:1".into();
+            });
+            harness.run_for(3_000);
+            assert_eq!(harness.running(), ["a.0.0.0"]);
+            assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+            assert_eq!(harness.start_count("a.0.0.0"), 1);
+            harness.submit("b", job(vec![step(7)], 3));
+            harness.run_for(500);
+            assert_eq!(harness.running().len(), 8, "both workers take tasks");
+        }
+    }
+}
+
+/// Guards against a restarted worker that is not found, or whose runs are kept, when it also has another address.
+#[test]
+fn a_worker_that_restarts_at_another_address_is_found() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(500);
+    harness.dead_address = Some((harness.workers[0].report.address.clone(), true));
+    harness.workers[0].report.address = "10.0.0.251:1".into();
+    harness.lose_next_polls = 1;
+    harness.restart(0);
+    harness.run_for(1_500);
+    assert_eq!(harness.start_count("a.0.0.0"), 2);
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+}
+
+/// Guards against a recovery that waits for the end of all leases because an entry names a start that its worker
+/// does not have.
+#[test]
+fn a_start_in_the_future_does_not_stop_a_recovery() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(500);
+    let worker = harness.worker_running("a.0.0.0").expect("it runs");
+    harness.change_leader();
+    list_odd(&mut harness, worker, |report| {
+        report.started_wall_ms = u64::MAX
+    });
+    harness.submit_before_term("b", job(vec![step(1)], 3));
+    harness.run_for(1_500);
+    assert!(!harness.scheduler.is_recovering());
+    assert_eq!(harness.start_count("a.0.0.0"), 1, "its run is adopted");
+    assert_eq!(harness.start_count("b.0.0.0"), 1);
+}
+
+/// Guards against a recovery, or work, that waits for an entry without a worker.
+#[test]
+fn a_recovery_does_not_wait_for_an_entry_without_a_worker() {
+    let mut harness = SchedulerHarness::new(1);
+    let entry = silent_entry("odd", HUGE);
+    harness.scheduler.worker_listed(entry.clone(), harness.now);
+    harness.run_for(1_500);
+    harness.change_leader();
+    harness.scheduler.worker_listed(entry, harness.now);
+    harness.submit_before_term("a", job(vec![step(4)], 3));
+    harness.run_for(500);
+    assert!(!harness.scheduler.is_recovering());
+    assert_eq!(harness.running().len(), 4);
+}
