End the term of a leader that has lost one of its tasks

Nothing was stored any more, in the whole fleet, if the task with the batch writer panicked: the result was ignored, and the leader kept renewing its key. A lost renewal or write of the pressure was never repeated. If the leader itself panicked, the election ended with it, so that the daemon was never a candidate again; likewise if a watch ended.

A background task without a result now ends the term, a term runs in a task of its own, and the lease is revoked in both cases, so that a daemon takes over at once.

--- a/crates/daemon/src/jobs/config_sync.rs
+++ b/crates/daemon/src/jobs/config_sync.rs
@@ -95,7 +95,11 @@
                     None => break,
                 },
                 Some(question) = self.options.questions.recv() => self.answer(question),
-                Some(Ok(answered)) = self.asking.join_next() => self.apply_answer(answered),
+                Some(finished) = self.asking.join_next() => match finished {
+                    Ok(answered) => self.apply_answer(answered),
+                    // Otherwise the question stays open, and no peer is asked again.
+                    Err(_) => self.source.peer_failed(),
+                },
                 Ok(()) = self.options.peers.changed() => self.apply_peers(),
                 () = sleep_until(until_question) => self.ask(),
                 _ = stop.wait_for(|stop| *stop) => break,
--- a/crates/daemon/src/jobs/election.rs
+++ b/crates/daemon/src/jobs/election.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rustc_hash::FxHasher;
-use slog::{info, warn};
+use slog::{error, info, warn};
 use tokio::sync::watch;
 
 use super::frontend::LeaderStatus;
@@ -56,13 +56,20 @@
             Ok(Some(lease)) => {
                 info!(options.log, "scheduler key taken"; "fence" => lease.fencing_token,
                     "lease_age_ms" => options.clock.now().ms_since(lease.confirmed_at));
-                let end = Leader::recover(options.clone(), lease, stop.clone()).await;
-                match end {
-                    LeaderEnd::Stopped => return,
-                    LeaderEnd::Lost {
+                let lease_id = lease.id;
+                // A task of its own, so that this daemon remains a candidate if the term panics.
+                let term = tokio::spawn(Leader::recover(options.clone(), lease, stop.clone()));
+                match term.await {
+                    Err(error) => {
+                        error!(options.log, "term ended by a fault"; "reason" => %error);
+                        // The tasks of its ports end with their handles.
+                        let _ = options.kv.revoke(lease_id).await;
+                    }
+                    Ok(LeaderEnd::Stopped) => return,
+                    Ok(LeaderEnd::Lost {
                         reason,
                         lease_age_ms,
-                    } => {
+                    }) => {
                         warn!(options.log, "scheduler key lost"; "reason" => reason,
                             "lease_age_ms" => lease_age_ms);
                     }
--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -23,9 +23,9 @@
 use rosemaryscale_ports::kv::{KeyValue, WatchEvent};
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::{StartLinks, WorkerCalls, WorkerEvents};
-use slog::{Logger, info};
+use slog::{Logger, error, info};
 use tokio::sync::watch;
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::{JoinError, JoinHandle, JoinSet};
 use tokio::time::MissedTickBehavior;
 
 use self::actions::StartedRuns;
@@ -43,6 +43,9 @@
 /// Time limit for the final batch of a stopping leader, and for the revocation of its lease.
 const FINAL_WRITE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Reason of the end of a term without a watch. The daemon may lead again with new watches.
+const WATCH_ENDED: &str = "a watch of the store has ended";
+
 /// Handle and event stream of the instance order port, and the task that serves them.
 type InstanceOrderPort = (InstanceOrderCalls, InstanceOrderEvents, JoinHandle<()>);
 
@@ -185,19 +188,19 @@
                             break self.lost(reason);
                         }
                     }
-                    None => break LeaderEnd::Stopped,
+                    None => break self.lost(WATCH_ENDED),
                 },
                 event = sources.workers.recv() => match event {
                     Some(event) => self.apply_worker_changes(event),
-                    None => break LeaderEnd::Stopped,
+                    None => break self.lost(WATCH_ENDED),
                 },
                 event = sources.waves.recv() => match event {
                     Some(event) => self.apply_wave_changes(event),
-                    None => break LeaderEnd::Stopped,
+                    None => break self.lost(WATCH_ENDED),
                 },
                 event = sources.gateways.recv() => match event {
                     Some(event) => self.apply_gateway_changes(event),
-                    None => break LeaderEnd::Stopped,
+                    None => break self.lost(WATCH_ENDED),
                 },
                 Some(event) = sources.instance_events.recv() => self.apply_instance_event(event),
                 Some(result) = sources.advice_events.recv() => self.apply_advice(result),
@@ -213,9 +216,7 @@
                     apply_config(&mut self.scheduler, &latest);
                 }
                 Some(finished) = self.background.join_next() => {
-                    if let Ok(finished) = finished
-                        && let Err(reason) = self.apply_background(finished)
-                    {
+                    if let Err(reason) = self.apply_background(finished) {
                         break self.lost(reason);
                     }
                     self.allow_gateways();
@@ -317,7 +318,7 @@
         self.scheduler.release(self.options.clock.now());
         let write = async {
             while self.writer.is_none() {
-                let Some(Ok(finished)) = self.background.join_next().await else {
+                let Some(finished) = self.background.join_next().await else {
                     return;
                 };
                 if self.apply_background(finished).is_err() {
@@ -336,7 +337,16 @@
         let _ = tokio::time::timeout(FINAL_WRITE_TIMEOUT, write).await;
     }
 
-    fn apply_background(&mut self, finished: BackgroundResult) -> Result<(), &'static str> {
+    /// Applies the result of a background task. Without one, the batch writer or the state of a renewal is
+    /// lost with the task, so that the term cannot go on.
+    fn apply_background(
+        &mut self,
+        finished: Result<BackgroundResult, JoinError>,
+    ) -> Result<(), &'static str> {
+        let finished = finished.map_err(|error| {
+            error!(self.options.log, "background task of the leader failed"; "reason" => %error);
+            "a background task of the leader failed"
+        })?;
         match finished {
             BackgroundResult::Renewed(renewal) => {
                 self.is_renewing = false;
