Bound submissions, and create due occurrences in portions

A job within the 256 KB of a body could declare 20,000 steps of 10,000 tasks, or four billion occurrences that are due at once: each leader in turn ran out of memory or time. Numbers near 2^64 overflowed in sums of estimates and times of occurrences. Independently of absurd numbers, each new occurrence queued all ready tasks of its job again: 2,000 occurrences that were due together made 1,805,950 entries in the ready queue.

Submissions beyond the limits in docs/platform.md are refused. A stored job of an earlier version beyond them ends as failed before its tasks exist. Occurrences are created in portions, and only the tasks of the new one are queued.

Without the change, a_backlog_of_occurrences_is_created_in_portions finds 1,805,950 waiting tasks in the first cycle, a_stored_job_beyond_the_limits_fails_alone finds the job queued instead of failed, and jobs_beyond_the_limits_are_refused_by_name accepts a job of 1,001 steps.

--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -105,6 +105,10 @@
                     warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
                         "silent" => unresponsive, "lease_age_ms" => self.lease_age_ms());
                 }
+                SchedulerEvent::JobRefused { job, reason } => {
+                    warn!(self.options.log, "job beyond the limits"; "job" => &*job,
+                        "reason" => reason);
+                }
                 SchedulerEvent::TaskGivenUp { task, crashes } => {
                     self.options.metrics.count("tasks.given_up", 1);
                     warn!(self.options.log, "task given up"; "job" => &*task.job,
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -80,6 +80,36 @@
     pub interval_ms: u64,
 }
 
+impl Repeat {
+    /// Why the schedule is invalid for occurrences of this number of tasks; `None` if it is valid.
+    fn validation_error(self, tasks: u64) -> Option<&'static str> {
+        if self.count > OCCURRENCES_MAX {
+            return Some("a job may have at most 1,000,000 occurrences");
+        }
+        if self.interval_ms < OCCURRENCE_INTERVAL_MIN_MS
+            && u64::from(self.count) * tasks > JOB_TASKS_MAX
+        {
+            return Some(
+                "occurrences less than 100 ms apart may have at most 5,000 tasks together",
+            );
+        }
+        let length_ms = self.interval_ms.checked_mul(u64::from(self.count));
+        if length_ms
+            .and_then(|ms| self.start_wall_ms.checked_add(ms))
+            .is_none()
+        {
+            return Some("the last occurrence is due at a time that cannot be represented");
+        }
+        None
+    }
+
+    /// Wall-clock time at which an occurrence is due.
+    pub(crate) const fn due_wall_ms(self, occurrence: u32) -> u64 {
+        self.start_wall_ms
+            .saturating_add(self.interval_ms.saturating_mul(occurrence as u64))
+    }
+}
+
 /// A job as submitted by a caller.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -93,18 +123,34 @@
 }
 
 impl JobSpec {
-    /// Why the specification is invalid; `None` if it is valid.
+    /// Why the specification is invalid or exceeds a limit; `None` if it is valid.
     #[must_use]
     pub fn validation_error(&self) -> Option<&'static str> {
         if self.steps.is_empty() {
             return Some("a job needs at least one step");
         }
-        let counts_valid = self
+        if self.steps.len() > STEPS_MAX {
+            return Some("a job may have at most 1,000 steps");
+        }
+        if self.steps.iter().any(|step| step.count == 0) {
+            return Some("a step needs at least one task");
+        }
+        if self.task_count() > JOB_TASKS_MAX {
+            return Some("the steps of a job may have at most 5,000 tasks together");
+        }
+        let is_within = |step: &StepSpec| {
+            let amounts = [step.processors_milli, step.memory_mb, step.accelerators];
+            amounts.iter().all(|amount| *amount <= AMOUNT_MAX)
+        };
+        if !self.steps.iter().all(is_within) {
+            return Some("a task may need at most 1,000,000,000 of each resource");
+        }
+        if self
             .steps
             .iter()
-            .all(|step| (1..=STEP_TASKS_MAX).contains(&step.count));
-        if !counts_valid {
-            return Some("a step needs between 1 and 10,000 tasks");
+            .any(|step| step.estimate_ms > ESTIMATE_MAX_MS)
+        {
+            return Some("the estimated run time of a task may be at most 31 days");
         }
         let order_valid = self.steps.iter().enumerate().all(|(number, step)| {
             step.after
@@ -114,7 +160,13 @@
         if !order_valid {
             return Some("a step may only come after earlier steps");
         }
-        None
+        self.repeat
+            .and_then(|repeat| repeat.validation_error(self.task_count()))
+    }
+
+    /// Number of tasks of one occurrence.
+    fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 
     /// Length of the critical path in declared run time.
@@ -131,17 +183,17 @@
 
     /// Remaining path of each step by the expected run times of its tasks.
     pub fn remaining_paths_with(&self, expected_ms: impl Fn(u16, &StepSpec) -> u64) -> Vec<u64> {
-        let steps_ms: Vec<u64> = (0_u16..)
+        let steps_ms: Vec<u64> = (0..=u16::MAX)
             .zip(&self.steps)
             .map(|(number, step)| expected_ms(number, step))
             .collect();
         let mut remaining_paths = steps_ms.clone();
-        for later in (0..self.steps.len()).rev() {
+        for later in (0..steps_ms.len()).rev() {
             for earlier in &self.steps[later].after {
                 let earlier = usize::from(*earlier);
                 if earlier < later {
-                    remaining_paths[earlier] =
-                        remaining_paths[earlier].max(steps_ms[earlier] + remaining_paths[later]);
+                    let path_ms = steps_ms[earlier].saturating_add(remaining_paths[later]);
+                    remaining_paths[earlier] = remaining_paths[earlier].max(path_ms);
                 }
             }
         }
@@ -149,9 +201,19 @@
     }
 }
 
-/// Limit on the tasks of a step. A job record of 1 MB, the largest value that the store accepts,
-/// cannot usefully describe more.
-const STEP_TASKS_MAX: u32 = 10_000;
+/// Limit on the steps of a job. The placement ranks the ready tasks by step.
+const STEPS_MAX: usize = 1_000;
+/// Limit on the tasks of a job, or of one occurrence. Its progress must fit into a value of 1 MiB, the largest
+/// that the store accepts, with 200 bytes for a task with a checkpoint and failed runs.
+pub(crate) const JOB_TASKS_MAX: u64 = 5_000;
+/// Limit on each resource that a task needs: a million processors, or a petabyte of memory.
+const AMOUNT_MAX: u64 = 1_000_000_000;
+/// Limit on a declared run time.
+const ESTIMATE_MAX_MS: u64 = 31 * 24 * 60 * 60 * 1_000;
+/// Limit on the occurrences of a job, of which the leader keeps those that have come due in memory.
+const OCCURRENCES_MAX: u32 = 1_000_000;
+/// Below this interval, all occurrences count as one, since they come due before the first of them has ended.
+const OCCURRENCE_INTERVAL_MIN_MS: u64 = 100;
 
 /// Configuration of a queue.
 #[derive(Clone, Debug, PartialEq)]
@@ -213,7 +275,7 @@
     #[must_use]
     pub fn objective_ms(&self) -> u64 {
         let critical_path_ms = self.spec.critical_path_ms() as f64;
-        (critical_path_ms * self.policy.stretch) as u64 + self.policy.objective_ms
+        ((critical_path_ms * self.policy.stretch) as u64).saturating_add(self.policy.objective_ms)
     }
 }
 
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -48,7 +48,7 @@
 mod worker;
 mod workspace_table;
 
-use crate::job::{JobProgress, JobRecord, JobState};
+use crate::job::{JOB_TASKS_MAX, JobProgress, JobRecord, JobState};
 use crate::placement::Resources;
 use crate::prelude::*;
 use crate::workspace::Caller;
@@ -98,6 +98,9 @@
 /// Interval between passes over all workers and runs. An event arrives up to a thousand times a second
 /// in a large fleet, and these passes read the state of every worker.
 const CHECK_INTERVAL_MS: u64 = 5;
+/// Tasks of a repeated job that are created at once. A schedule that begins long ago has a backlog of
+/// occurrences, and all other work waits while their tasks are created.
+const TASKS_CREATED_PER_CHECK: usize = 200;
 /// Batching delay of changes that nothing waits for, such as the first start of a job.
 const LOW_PRIORITY_BATCH_DELAY_MS: u64 = 400;
 /// Batching delay of run ends that do not end a job.
@@ -269,7 +272,13 @@
         let unseen_ms =
             self.settings.leader_grace_ms + self.settings.run_lease_ms + LEASE_MARGIN_MS;
         let is_final = stored.progress.as_ref().is_some_and(|p| p.state.is_final());
-        if !is_final && self.job_table.jobs[key].record.spec.repeat.is_none() {
+        if !is_final && !stored.cancelled && self.end_refused_job(key, now, wall) {
+            return;
+        }
+        if !is_final
+            && self.job_table.jobs[key].refusal.is_none()
+            && self.job_table.jobs[key].record.spec.repeat.is_none()
+        {
             self.job_table.create_occurrence(key, restored);
             self.queue_ready(key);
         }
@@ -318,6 +327,9 @@
             self.finish_job(key, JobState::Cancelled, now, wall);
             return;
         }
+        if self.end_refused_job(key, now, wall) {
+            return;
+        }
         if repeated {
             self.repeated.push(key);
             return;
@@ -408,28 +420,50 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Creates the occurrences that are due, a backlog of them in portions.
     fn create_due_occurrences(&mut self, wall: Millis) {
         let mut repeated = std::mem::take(&mut self.repeated);
         repeated.retain(|key| {
-            while let Some(due) = self
-                .job_table
-                .jobs
-                .get(*key)
-                .and_then(job_table::Job::next_due_wall_ms)
+            let mut created_tasks = 0;
+            while let Some(job) = self.job_table.jobs.get(*key)
+                && let Some(due) = job.next_due_wall_ms()
             {
-                if due > wall.as_ms() {
+                if due > wall.as_ms()
+                    || created_tasks >= TASKS_CREATED_PER_CHECK
+                    || job.unfinished_tasks as u64 >= JOB_TASKS_MAX
+                {
                     return true;
                 }
                 let restored = self.recovery.is_some();
                 self.job_table.create_occurrence(*key, restored);
                 self.recheck_recovery();
-                self.queue_ready(*key);
+                let tasks = self.job_table.newest_tasks(*key);
+                created_tasks += tasks.len();
+                for task in tasks {
+                    if self.job_table.is_ready(task) {
+                        self.push_ready(task);
+                    }
+                }
             }
             false
         });
         self.repeated = repeated;
     }
 
+    /// Ends a job that is beyond the limits before any of its tasks exist. Returns whether it is.
+    fn end_refused_job(&mut self, key: JobKey, now: Millis, wall: Millis) -> bool {
+        let job = &self.job_table.jobs[key];
+        let Some(reason) = job.refusal.filter(|_| !job.state.is_final()) else {
+            return false;
+        };
+        self.events.push(SchedulerEvent::JobRefused {
+            job: Arc::clone(&job.id),
+            reason,
+        });
+        self.finish_job(key, JobState::Failed, now, wall);
+        true
+    }
+
     pub(super) fn queue_ready(&mut self, key: JobKey) {
         for task in self.job_table.tasks_with_status(key, TaskStatus::Ready) {
             self.push_ready(task);
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -85,6 +85,8 @@
     /// When it was received, on this process's clock; the clock's origin if that was before the
     /// process started.
     pub received_at: Millis,
+    /// Why it gets no tasks: an earlier version has accepted it beyond the limits of this one.
+    pub refusal: Option<&'static str>,
     /// Latency objective of the job.
     pub objective_ms: u64,
     /// Declared time from the start of each step to the end of the job.
@@ -114,9 +116,8 @@
         if self.state.is_final() || created >= self.occurrences_total() {
             return None;
         }
-        Some(self.record.spec.repeat.map_or(0, |repeat| {
-            repeat.start_wall_ms + u64::from(created) * repeat.interval_ms
-        }))
+        let repeat = self.record.spec.repeat;
+        Some(repeat.map_or(0, |repeat| repeat.due_wall_ms(created)))
     }
 
     pub(super) fn task_at(&self, position: TaskPosition) -> Option<TaskKey> {
@@ -127,8 +128,8 @@
 
     /// Whether the result would still be useful if the job completed now.
     pub(super) fn is_useful(&self, now: Millis) -> bool {
-        self.long_running()
-            || now.ms_since(self.received_at) <= self.objective_ms * USEFUL_LATENCY_FACTOR
+        let useful_ms = self.objective_ms.saturating_mul(USEFUL_LATENCY_FACTOR);
+        self.long_running() || now.ms_since(self.received_at) <= useful_ms
     }
 
     pub(super) fn long_running(&self) -> bool {
@@ -163,6 +164,7 @@
         let key = self.jobs.insert(Job {
             id: Arc::clone(&id),
             policy: record.policy.clone(),
+            refusal: record.spec.validation_error(),
             objective_ms: record.objective_ms(),
             remaining_paths_ms: record.spec.remaining_paths_ms(),
             unfinished_by_step: vec![0; record.spec.steps.len()],
@@ -258,7 +260,7 @@
     pub(super) fn create_occurrences_up_to(&mut self, key: JobKey, occurrence: u32) {
         while let Some(job) = self.jobs.get(key) {
             let created = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
-            if created > occurrence || created >= job.occurrences_total() {
+            if created > occurrence || created >= job.occurrences_total() || job.refusal.is_some() {
                 return;
             }
             self.create_occurrence(key, true);
@@ -316,6 +318,12 @@
         task.is_some_and(|task| task.status == TaskStatus::Ready)
     }
 
+    /// Tasks of the newest occurrence.
+    pub(super) fn newest_tasks(&self, key: JobKey) -> Vec<TaskKey> {
+        let newest = self.jobs.get(key).and_then(|job| job.occurrences.last());
+        newest.into_iter().flatten().flatten().copied().collect()
+    }
+
     /// Tasks of a job with the given status.
     pub(super) fn tasks_with_status(&self, key: JobKey, status: TaskStatus) -> Vec<TaskKey> {
         let occurrences = self.jobs.get(key).map(|job| &job.occurrences);
--- a/crates/domain/src/schedule/locality.rs
+++ b/crates/domain/src/schedule/locality.rs
@@ -205,7 +205,8 @@
             PlacementWait::Expected {
                 remote_factor_permille,
             } => {
-                expected_run_ms * remote_factor_permille.saturating_sub(FACTOR_NONE_PERMILLE)
+                expected_run_ms
+                    .saturating_mul(remote_factor_permille.saturating_sub(FACTOR_NONE_PERMILLE))
                     / 1_000
             }
             PlacementWait::Off | PlacementWait::Fixed { .. } => 0,
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -343,6 +343,13 @@
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SchedulerEvent {
+    /// A stored job is beyond the limits and has ended as failed.
+    JobRefused {
+        /// The job.
+        job: Arc<str>,
+        /// The limit.
+        reason: &'static str,
+    },
     /// A run has ended.
     RunEnded {
         /// The task.
--- a/crates/domain/src/schedule/rack_room.rs
+++ b/crates/domain/src/schedule/rack_room.rs
@@ -121,11 +121,11 @@
         let remaining_ms = job.remaining_paths_ms.get(usize::from(step.step))?;
         let deadline = job.received_at.after_ms(job.objective_ms);
         let slack_ms = |path_ms: u64| {
-            let path_end = self.now.after_ms(path_ms + COMPLETION_DELAY_MS);
+            let path_end = self.now.after_ms(path_ms).after_ms(COMPLETION_DELAY_MS);
             (path_end <= deadline).then(|| deadline.ms_since(path_end))
         };
         // Elsewhere it must still be on time if the wait fails; otherwise only the rack can make it so.
-        slack_ms(remaining_ms + loss_ms).or_else(|| slack_ms(*remaining_ms))
+        slack_ms(remaining_ms.saturating_add(loss_ms)).or_else(|| slack_ms(*remaining_ms))
     }
 
     /// Whether no unfinished step of the job has a longer path to the end of the job.
--- a/crates/domain/src/schedule/rank.rs
+++ b/crates/domain/src/schedule/rank.rs
@@ -124,9 +124,9 @@
 
 fn urgency_of(remaining_ms: u64, job: &Job, now: Millis) -> Urgency {
     let expected_latency_ms = now.after_ms(remaining_ms).ms_since(job.received_at);
-    if expected_latency_ms + COMPLETION_DELAY_MS <= job.objective_ms {
+    if expected_latency_ms.saturating_add(COMPLETION_DELAY_MS) <= job.objective_ms {
         Urgency::OnTime
-    } else if expected_latency_ms <= job.objective_ms * USEFUL_LATENCY_FACTOR {
+    } else if expected_latency_ms <= job.objective_ms.saturating_mul(USEFUL_LATENCY_FACTOR) {
         Urgency::Late
     } else {
         Urgency::Overdue
