--- a/crates/domain/tests/job_limits.rs
+++ b/crates/domain/tests/job_limits.rs
@@ -26,7 +26,7 @@
     harness.run_for(10);
     let waiting: usize = harness
         .scheduler
-        .pool_uses()
+        .pool_uses(harness.now)
         .map(|pool| pool.tasks_waiting)
         .sum();
     assert!(
