Keep the recorded address of a worker during a recovery

Callers would see two runs of a task after a takeover. Until a recorded worker has answered the new leader, an entry with another address replaced the recorded one, and a refused connect there ended the wait for the worker although it still ran the task.

A recorded worker counts as known as one that has answered, so that such an entry is a claim: both addresses are tried in turn, and a refused connect counts only at the recorded one.

Evidence: an_odd_address_does_not_end_a_worker_of_the_former_leader sees two concurrent runs without the change.

--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -26,6 +26,7 @@
             self.request_batch(now);
             return;
         };
+        let is_awaited = self.is_awaited(key);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -42,8 +43,9 @@
             started_wall_ms: report.started_wall_ms.max(known_start_ms),
             ..report
         };
-        let has_answered = worker.synced || worker.claim.is_some();
-        if has_answered && (other_incarnation || worker.report.address != report.address) {
+        // The former leader recorded a worker with the address at which it was polled.
+        let is_known = worker.synced || worker.claim.is_some() || is_awaited;
+        if is_known && (other_incarnation || worker.report.address != report.address) {
             self.claim_listed(key, report, now);
             return;
         }
--- a/crates/domain/tests/odd_entries.rs
+++ b/crates/domain/tests/odd_entries.rs
@@ -221,6 +221,27 @@
     assert_eq!(harness.start_count("b.0.0.0"), 1);
 }
 
+/// Guards against a recovery that counts a run as ended because nobody listens at the address of an odd entry.
+#[test]
+fn an_odd_address_does_not_end_a_worker_of_the_former_leader() {
+    for start in [1, u64::MAX] {
+        let mut harness = SchedulerHarness::new(2);
+        harness.submit("a", job(vec![step(1)], 3));
+        harness.run_for(500);
+        let worker = harness.worker_running("a.0.0.0").expect("it runs");
+        harness.change_leader();
+        harness.dead_address = Some(("10.0.0.250:1".into(), true));
+        list_odd(&mut harness, worker, |report| {
+            report.started_wall_ms = start;
+            report.address = "10.0.0.250:1".into();
+        });
+        harness.run_for(3_000);
+        assert!(!harness.scheduler.is_recovering());
+        assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+        assert_eq!(harness.start_count("a.0.0.0"), 1, "its run is adopted");
+    }
+}
+
 /// Guards against a recovery, or work, that waits for an entry without a worker.
 #[test]
 fn a_recovery_does_not_wait_for_an_entry_without_a_worker() {
