Store a long list of completed tasks as blocks

The progress of a job takes 40 bytes for each completed task, so that a repeated job exceeded the store's limit of 1 MiB for a value after some 26,000 tasks. Its progress could then no longer be stored, and a new leader would run completed tasks again.

From 5,000 tasks on, the list holds the same tasks of a step in consecutive occurrences as one block. A shorter list is stored as before, so that daemons of both versions read it while a fleet is upgraded; a daemon of an earlier version does not read blocks.

--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -1,5 +1,7 @@
 //! Job specifications as submitted by callers, and the stored records of jobs.
 
+mod done;
+
 use serde::{Deserialize, Serialize};
 
 use crate::placement::Resources;
@@ -356,6 +358,7 @@
     /// When the job ended, in milliseconds since the Unix epoch; 0 while it has not.
     pub ended_wall_ms: u64,
     /// Completed tasks.
+    #[serde(with = "done")]
     pub done: Vec<TaskPosition>,
     /// Unfinished tasks with failures, crashes or a checkpoint.
     pub tasks: Vec<TaskProgress>,
