Log the leader's time by part of its work, and its searches for workers

Change: a line `leader load` each second with the time of each part, the cycles, the longest one and the searches of placement that found a worker or none; three of them as metrics.

--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod events;
+mod load;
 mod pressure;
 mod share_status;
 mod start;
@@ -29,6 +30,7 @@
 use tokio::time::MissedTickBehavior;
 
 use self::actions::StartedRuns;
+use self::load::{LeaderLoad, LeaderWork};
 use self::pressure::PublishedPressure;
 use super::batch::{BatchWriter, ExpiredRecords, LeadershipLost, WaveStateFormat};
 use super::lease::{self, LEADER_GRACE_MS, LEADER_TTL_MS, LeaderLease, RENEW_INTERVAL_MS, Renewal};
@@ -167,6 +169,7 @@
     next_renewal_at: Millis,
     next_status_at: Millis,
     pressure: PublishedPressure,
+    load: LeaderLoad,
     /// Ids of the worker entries that could not be read last, each of which has been logged.
     refused_workers: FastSet<Arc<str>>,
     /// When the platform's list of instances was last read.
@@ -183,9 +186,11 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut config = self.options.config.clone();
         let end = loop {
+            self.load.enter(LeaderWork::Waiting);
             tokio::select! {
                 event = sources.jobs.recv() => match event {
                     Some(event) => {
+                        self.load.enter(LeaderWork::Changes);
                         if let Err(reason) = self.apply_job_changes(event) {
                             break self.lost(reason);
                         }
@@ -193,7 +198,10 @@
                     None => break self.lost(WATCH_ENDED),
                 },
                 event = sources.workers.recv() => match event {
-                    Some(event) => self.apply_worker_changes(event),
+                    Some(event) => {
+                        self.load.enter(LeaderWork::Changes);
+                        self.apply_worker_changes(event);
+                    }
                     None => break self.lost(WATCH_ENDED),
                 },
                 event = sources.waves.recv() => match event {
@@ -204,9 +212,13 @@
                     Some(event) => self.apply_gateway_changes(event),
                     None => break self.lost(WATCH_ENDED),
                 },
-                Some(event) = sources.instance_events.recv() => self.apply_instance_event(event),
+                Some(event) = sources.instance_events.recv() => {
+                    self.load.enter(LeaderWork::Changes);
+                    self.apply_instance_event(event);
+                }
                 Some(result) = sources.advice_events.recv() => self.apply_advice(result),
                 Some(event) = sources.worker_events.recv() => {
+                    self.load.enter(LeaderWork::WorkerEvents);
                     self.apply_worker_event(event);
                     for _ in 0..MAX_EVENTS_PER_CYCLE {
                         let Ok(event) = sources.worker_events.try_recv() else { break };
@@ -218,6 +230,7 @@
                     apply_config(&mut self.scheduler, &latest);
                 }
                 Some(finished) = self.background.join_next() => {
+                    self.load.enter(LeaderWork::Changes);
                     if let Err(reason) = self.apply_background(finished) {
                         break self.lost(reason);
                     }
@@ -264,19 +277,25 @@
         if now >= self.next_status_at {
             self.next_status_at = now.after_ms(STATUS_INTERVAL_MS);
             self.log_status();
+            let effort = self.scheduler.placement_effort();
+            self.load
+                .report(effort, &self.options.metrics, &self.options.log);
             self.report_workspaces();
         }
         let recovering = self.scheduler.is_recovering();
+        self.load.enter(LeaderWork::Scheduling);
         let actions = self.scheduler.advance(now, wall);
         self.log_scheduler_events();
         if recovering && !self.scheduler.is_recovering() {
             info!(self.options.log, "recovery ended"; "lease_age_ms" => self.lease_age_ms());
         }
+        self.load.enter(LeaderWork::Orders);
         let mut started = StartedRuns::new(self.lease_age_ms());
         for action in actions {
             self.send(action, &mut started).await?;
         }
         started.flush(&self.options);
+        self.load.enter(LeaderWork::Batches);
         self.write_batch(now);
         self.publish_pressure(now);
         if !self.is_renewing && now >= self.next_renewal_at {
--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -243,6 +243,7 @@
     }
 
     pub(super) fn apply_worker_event(&mut self, event: WorkerEvent) {
+        self.load.count_worker_event();
         let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
         match event {
             WorkerEvent::Started {
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
+use super::load::LeaderLoad;
 use super::pressure::PublishedPressure;
 use super::{
     EventSources, FINAL_WRITE_TIMEOUT, GatewayOffers, Leader, LeaderEnd, LeaderOptions,
@@ -197,6 +198,7 @@
             next_renewal_at: now,
             next_status_at: now,
             pressure: PublishedPressure::default(),
+            load: LeaderLoad::new(),
             refused_workers: FastSet::default(),
             instances_listed_at: None,
             options,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -67,6 +67,7 @@
 use order::{Action, SchedulerEvent};
 use persist::BatchQueue;
 pub use persist::{Batch, JobWrite, RecordedWorker};
+pub use place::PlacementEffort;
 use quota::UnseenUse;
 pub use quota::WorkspaceUse;
 use ready::ReadyQueue;
@@ -199,6 +200,7 @@
     fleet: Fleet,
     advice: Advice,
     locality: Locality,
+    placement_effort: PlacementEffort,
     recovery: Option<Recovery>,
     rerouted: FastSet<Arc<str>>,
     /// Policies in force, by queue.
@@ -246,6 +248,7 @@
             fleet: Fleet::default(),
             advice: Advice::default(),
             locality: Locality::new(settings.placement_wait),
+            placement_effort: PlacementEffort::default(),
             recovery: None,
             rerouted: former.rerouted.into_iter().collect(),
             policies: FastMap::default(),
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -32,6 +32,15 @@
     unplaceable: Option<Resources>,
 }
 
+/// Searches for a worker since the start of the term. Each reads the state of all workers of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlacementEffort {
+    /// All searches.
+    pub searches: u64,
+    /// Those that found no worker.
+    pub failed_searches: u64,
+}
+
 /// What a placement pass did with a task or a gang.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Placement {
@@ -81,6 +90,12 @@
 }
 
 impl Scheduler {
+    /// Searches for a worker in this term.
+    #[must_use]
+    pub const fn placement_effort(&self) -> PlacementEffort {
+        self.placement_effort
+    }
+
     /// What placement decisions may see.
     pub(super) const fn view(&self, now: Millis) -> PlacementView<'_> {
         PlacementView {
@@ -314,7 +329,9 @@
             return self.place_gang(key, service, now);
         }
         let held = self.held_room(key, service);
+        self.placement_effort.searches += 1;
         let Some(worker) = self.view(now).best_worker(key, service, &held) else {
+            self.placement_effort.failed_searches += 1;
             return Placement::NoRoom;
         };
         if self.waits_for_rack(key, worker, service, now) {
