Show that placement searches all workers for each waiting step

Cause: a placement pass passes over a step if one that needed no more of any resource has found no room in the same pass. It remembers the need of the last such step only. With needs that differ in two resources few steps are passed over, and each of the others reads the state of all workers of its service. Steps with a limit for each worker are never remembered.

--- a/crates/domain/examples/burst_cost.rs
+++ b/crates/domain/examples/burst_cost.rs
@@ -22,9 +22,9 @@
 /// Submits a job. `spread_percent` of the jobs allow only one task on each worker.
 fn submit(harness: &mut SchedulerHarness, index: usize, spread_percent: usize) {
     let spread = index % 100 < spread_percent;
-    let size = 900 + (index * 37 % 400) as u64;
     let spec = StepSpec {
-        processors_milli: size.min(1_000),
+        processors_milli: 801 + (index * 37 % 200) as u64,
+        memory_mb: 801 + (index * 53 % 200) as u64,
         per_worker_max: u32::from(spread),
         ..step(TASKS_PER_JOB)
     };
