Lead with an unreadable record of workers

Callers see: no job starts or ends under any daemon once the record `scheduler-workers` cannot be decoded, until an operator deletes it.

Cause: a new leader that could not decode the record ended its term, since work might still run on any of the workers that it named. So did the next one.

Fix: such a leader leads. It reckons with runs on unknown workers: all work accepted before its term waits for the longest time that former runs may last (the time that a lost leader goes on, the lease of a run and the margin), as if an unresponsive worker of an unknown service were awaited. Work accepted in the term starts at once. The first batch replaces the record. Its list names only the workers that this leader knows, so the scheduler record, which is written in the same transaction, says until the end of the recovery that the list is not complete (`unknown_workers`), and a next leader waits again.

--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -136,6 +136,7 @@
             daemon: Arc::clone(&self.daemon),
             released: batch.released,
             order_age_max_ms: self.order_age_max_ms,
+            unknown_workers: batch.unknown_workers,
         });
         if let Some(workers) = &batch.workers {
             let workers = records::put(WORKERS_KEY.into(), records::encode(workers));
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -215,10 +215,12 @@
         metrics.gauge("placement.waits_paid", waits.paid);
         metrics.gauge("placement.waits_expired", waits.expired);
         let awaited: Vec<&str> = self.scheduler.awaited_workers().map(|id| &**id).collect();
-        if !awaited.is_empty() {
+        let unknown_workers = self.scheduler.awaits_unknown_workers();
+        if !awaited.is_empty() || unknown_workers {
             let first = &awaited[..awaited.len().min(MAX_AWAITED_NAMES)];
             info!(self.options.log, "recovery waits"; "workers" => awaited.len(),
-                "first" => first.join(" "), "lease_age_ms" => self.lease_age_ms());
+                "first" => first.join(" "), "unknown_workers" => unknown_workers,
+                "lease_age_ms" => self.lease_age_ms());
         }
         let now = self.options.clock.now();
         let status = self.scheduler.status(now);
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -115,7 +115,7 @@
         end
     }
 
-    /// Loads all records. Returns `None` if the watch of jobs ends or the record of workers is unreadable.
+    /// Loads all records. Returns `None` if the watch of jobs ends.
     async fn load(
         options: LeaderOptions,
         mut lease: LeaderLease,
@@ -158,8 +158,10 @@
             uneven_work: options.uneven_work,
             placement_wait: options.placement_wait,
         };
+        let workers = recorded_workers(workers, &options.log);
         let former_term = FormerTerm {
-            workers: recorded_workers(workers, &options.log)?,
+            unknown_workers: workers.is_none() || former_record.unknown_workers,
+            workers: workers.unwrap_or_default(),
             rerouted: former_record.rerouted,
         };
         let mut scheduler = Scheduler::new(settings, former_term, now);
@@ -261,8 +263,8 @@
     }
 }
 
-/// Workers that the former leader recorded. `None` if the record cannot be decoded: work may still run
-/// on any of them, so the term must not start without it.
+/// Workers that the former leader recorded. `None` if the record cannot be decoded: work may then run on any
+/// worker until the last lease of the former term has ended.
 fn recorded_workers(entries: Vec<KvEntry>, log: &Logger) -> Option<Vec<RecordedWorker>> {
     let Some(entry) = entries.into_iter().next() else {
         return Some(Vec::new());
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -144,6 +144,9 @@
     /// no gateways.
     #[serde(default)]
     pub(super) order_age_max_ms: u64,
+    /// Whether workers that the record of workers does not name may have runs.
+    #[serde(default)]
+    pub(super) unknown_workers: bool,
 }
 
 /// Offer of a daemon to hold links to workers for the leader. Its key names the daemon.
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -125,6 +125,8 @@
 pub struct FormerTerm {
     /// Workers that may have runs.
     pub workers: Vec<RecordedWorker>,
+    /// Whether other workers may have runs, too, because the record of the workers could not be read.
+    pub unknown_workers: bool,
     /// Queues that have been routed to more than one service.
     pub rerouted: Vec<Arc<str>>,
 }
@@ -261,7 +263,7 @@
             batches: BatchQueue::new(now),
             fenced: false,
         };
-        scheduler.begin_recovery(former.workers, now);
+        scheduler.begin_recovery(former.workers, former.unknown_workers, now);
         scheduler
     }
 
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -67,6 +67,9 @@
     pub jobs: Vec<JobWrite>,
     /// Workers that may have runs, if they differ from the previous batch.
     pub workers: Option<Vec<RecordedWorker>>,
+    /// Whether other workers may have runs of a former leader. The next leader must wait for them as well, since
+    /// the stored list now names only the workers that this leader knows.
+    pub unknown_workers: bool,
     /// Queues that have been routed to more than one service.
     pub rerouted: Vec<Arc<str>>,
     /// The maintenance waves.
@@ -170,6 +173,7 @@
             sequence: self.batches.sequence,
             jobs,
             workers: self.batches.changed_workers(workers),
+            unknown_workers: self.awaits_unknown_workers(),
             rerouted: self.rerouted_queues(),
             waves: self.wave_records(),
             wave_states: self.take_wave_states(),
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -26,6 +26,8 @@
     ended: FastMap<WorkerKey, Millis>,
     /// Whether the platform's complete list of workers has been applied.
     is_list_known: bool,
+    /// Whether workers that are not recorded may have such runs. Nothing but time shows that they are over.
+    unknown_workers: bool,
     /// All workers that the former leader stored.
     recorded: FastSet<WorkerKey>,
     /// End of the last lease that such a run can have.
@@ -35,7 +37,12 @@
 }
 
 impl Scheduler {
-    pub(super) fn begin_recovery(&mut self, recorded: Vec<RecordedWorker>, now: Millis) {
+    pub(super) fn begin_recovery(
+        &mut self,
+        recorded: Vec<RecordedWorker>,
+        unknown_workers: bool,
+        now: Millis,
+    ) {
         let lease_end = now
             .after_ms(self.settings.leader_grace_ms)
             .after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
@@ -54,6 +61,7 @@
             awaited,
             ended: FastMap::default(),
             is_list_known: false,
+            unknown_workers,
             until: lease_end,
             changed: true,
         });
@@ -65,6 +73,13 @@
         self.recovery.is_some()
     }
 
+    /// Whether workers that are not recorded may have runs of a former leader.
+    #[must_use]
+    pub fn awaits_unknown_workers(&self) -> bool {
+        let recovery = self.recovery.as_ref();
+        recovery.is_some_and(|recovery| recovery.unknown_workers)
+    }
+
     /// Ids of the workers that the recovery still waits for.
     pub fn awaited_workers(&self) -> impl Iterator<Item = &Arc<str>> {
         let awaited = self.recovery.iter().flat_map(|recovery| &recovery.awaited);
@@ -117,6 +132,9 @@
     /// Capacity of the workers that may still have unknown runs of the former leader; `None` if that of one of
     /// them is not known.
     pub(super) fn awaited_capacity(&self) -> Option<Resources> {
+        if self.awaits_unknown_workers() {
+            return None;
+        }
         let awaited = self.recovery.iter().flat_map(|recovery| &recovery.awaited);
         awaited
             .filter_map(|key| self.workers.get(*key))
@@ -164,7 +182,8 @@
             .ended
             .retain(|key, _| recovery.awaited.contains(key));
         let changed = std::mem::take(&mut recovery.changed) || recovery.awaited.len() != before;
-        if recovery.awaited.is_empty() || now >= recovery.until {
+        let all_known = recovery.awaited.is_empty() && !recovery.unknown_workers;
+        if all_known || now >= recovery.until {
             self.recovery = None;
             self.interruptions_allowed_from =
                 now.after_ms(self.settings.stop_grace_ms + STOP_LISTED_MS);
@@ -227,14 +246,15 @@
             .collect()
     }
 
-    /// Whether tasks of the job may have started on workers of these services.
+    /// Whether tasks of the job may have started on workers of these services, or on unknown ones.
     fn may_have_run_on(&self, job: &Job, services: &FastSet<Arc<str>>) -> bool {
-        !services.is_empty()
+        let may_have_run = !services.is_empty()
             && (services.contains(&job.policy.service)
                 || services.contains(&job.record.policy.service)
                 || self.rerouted.contains(&job.record.queue)
                 // An empty name is a worker whose service is unknown; it may run any job.
-                || services.iter().any(|service| service.is_empty()))
+                || services.iter().any(|service| service.is_empty()));
+        may_have_run || self.awaits_unknown_workers()
     }
 
     pub(super) fn rerouted_queues(&self) -> Vec<Arc<str>> {
--- a/crates/domain/tests/recovery.rs
+++ b/crates/domain/tests/recovery.rs
@@ -387,3 +387,37 @@
     harness.run_for(500);
     assert!(!harness.scheduler.is_recovering());
 }
+
+/// Guards against a second run of a task after the record of the workers was lost: the task runs on a worker that
+/// neither the store nor the platform's list names. The next leader finds a record of this one, which does not
+/// name that worker either. Work accepted in the term does not wait.
+#[test]
+fn a_leader_without_the_record_of_workers_waits_for_the_longest_lease() {
+    const LONGEST_MS: u64 = 9_000 + 5_000 + 500;
+    let mut harness = SchedulerHarness::new(2);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    let worker = harness.worker_running("a.0.0.0").expect("it runs");
+    let lost = harness.workers.remove(worker);
+    harness.store.workers.clear();
+    harness.store.unknown_workers = true;
+    harness.change_leader();
+    harness.submit("b", job(vec![step(1)], 3));
+    harness.run_for(200);
+    assert_eq!(harness.start_count("b.0.0.0"), 1);
+    assert_eq!(
+        harness.store.workers.len(),
+        1,
+        "the workers that the leader knows"
+    );
+    harness.run_for(1_000);
+    harness.change_leader();
+    harness.workers.push(lost);
+    harness.partition(1);
+    harness.run_for(LONGEST_MS - 100);
+    assert_eq!(harness.start_count("a.0.0.0"), 1);
+    harness.run_for(300);
+    assert_eq!(harness.start_count("a.0.0.0"), 2);
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+    assert!(!harness.store.unknown_workers);
+}
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -70,6 +70,8 @@
     pub(crate) cancelled: FastSet<Arc<str>>,
     pub(crate) progress: FastMap<Arc<str>, JobProgress>,
     pub(crate) workers: Vec<RecordedWorker>,
+    /// Whether other workers may have runs of a former leader.
+    pub(crate) unknown_workers: bool,
     pub(crate) released: bool,
 }
 
@@ -307,7 +309,10 @@
         if self.store.released {
             settings.leader_grace_ms = 0;
         }
-        let former = FormerTerm::with_workers(recorded);
+        let former = FormerTerm {
+            unknown_workers: self.store.unknown_workers,
+            ..FormerTerm::with_workers(recorded)
+        };
         self.scheduler = Scheduler::new(settings, former, self.now);
         for (id, record) in self.store.jobs.clone() {
             let stored = StoredJob {
@@ -438,6 +443,7 @@
         if let Some(workers) = &batch.workers {
             self.store.workers.clone_from(workers);
         }
+        self.store.unknown_workers = batch.unknown_workers;
         self.store.released = batch.released;
         self.scheduler.batch_written(batch, self.now);
     }
