Keep term numbers rising after an unreadable scheduler record

Callers see: after the record `scheduler` cannot be decoded, a task may run twice at a time, and a task whose run has ended before is refused by its worker.

Cause: such a record counted as none. The term began at 1 again, so that run numbers were used twice, and a worker refuses numbers up to that of a run that has ended. The recovery assumed no gateway and no queue whose service had changed, so that it could end while a gateway held orders, or release a task that ran on the former service of its queue.

Fix: such a record counts as one of a leader that used gateways, had not released its role, had changed the service of every queue with a job, and had runs on workers that are not recorded. The first batch of a term also writes the term to the record of the second lane, at the cost of one transaction a term; the next leader takes the term from the lanes, plus 1,000 since leaders of earlier versions wrote lanes only with large batches. Run numbers have room for 4.29 million terms. The fencing token was weighed as the term: it is unique, but a store with more than 4.29 million revisions leaves no room for it in a run number. A readable record never leads to a term below that of the lanes.

--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -51,6 +51,8 @@
     pub(super) order_age_max_ms: u64,
     /// The lanes. The first one writes the scheduler record.
     lanes: Vec<Lane>,
+    /// Whether the record of the second lane holds the term.
+    is_term_on_second_lane: bool,
 }
 
 /// A chain of transactions, each conditional on the previous one.
@@ -119,6 +121,7 @@
             daemon,
             order_age_max_ms,
             lanes: lanes.collect(),
+            is_term_on_second_lane: false,
         }
     }
 
@@ -151,6 +154,10 @@
         if assigned[0].is_empty() && batch.workers.is_none() {
             assigned[0].push(Vec::new());
         }
+        // The next leader takes the term from there if it cannot read the scheduler record.
+        if !std::mem::replace(&mut self.is_term_on_second_lane, true) && assigned[1].is_empty() {
+            assigned[1].push(Vec::new());
+        }
         let term = records::encode(&self.term);
         let writes = std::mem::take(&mut self.lanes)
             .into_iter()
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryscale_adapters::worker_gateway::{Router, RouterOptions};
+use rosemaryscale_adapters::worker_gateway::{ORDER_AGE_MAX_MS, Router, RouterOptions};
 use rosemaryscale_domain::job::{JobProgress, JobRecord};
 use rosemaryscale_domain::schedule::{
     FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
@@ -38,6 +38,9 @@
 const GATEWAY_WATCH_INTERVAL_MS: u64 = 1_000;
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Terms by which the record of a lane may lag behind. Leaders of earlier versions wrote it only with large
+/// batches.
+const LANE_TERMS_BEHIND_MAX: u32 = 1_000;
 
 impl Leader {
     /// Restores the former leader's state, then runs the scheduler until the key is lost or the daemon
@@ -124,12 +127,23 @@
     ) -> Option<Self> {
         // Concurrent reads: a single call to a slow store takes hundreds of milliseconds.
         let (former, lanes, workers, progress) = tokio::join!(
-            read_former_record(&options.kv, &mut calls.gateways),
+            read_former_record(&options.kv, &mut calls.gateways, &options.log),
             read_with_retries(&options.kv, prefix_range(LANE_PREFIX)),
             read_with_retries(&options.kv, KeyRange::Key(WORKERS_KEY.into())),
             read_with_retries(&options.kv, prefix_range(PROGRESS_PREFIX)),
         );
-        let (former_record, record_revision) = former;
+        let FormerRecord {
+            record: mut former_record,
+            revision: record_revision,
+            is_unreadable,
+        } = former;
+        let lane_term = last_lane_term(&lanes);
+        former_record.term = if is_unreadable {
+            lane_term.saturating_add(LANE_TERMS_BEHIND_MAX)
+        } else {
+            former_record.term.max(lane_term)
+        };
+        let term = former_record.term.saturating_add(1);
         let (revision, entries) = loop {
             match jobs.recv().await? {
                 WatchEvent::Snapshot { revision, entries } => break (revision, entries),
@@ -154,20 +168,26 @@
                     LEADER_GRACE_MS
                 },
             stop_grace_ms: options.stop_grace_ms,
-            term: former_record.term + 1,
+            term,
             uneven_work: options.uneven_work,
             placement_wait: options.placement_wait,
         };
         let workers = recorded_workers(workers, &options.log);
+        let (stored, early_cancellations) =
+            stored_jobs(entries, progress, lease.fencing_token, &options.log);
+        if is_unreadable {
+            // Which queues have changed their service is not known.
+            let queues = stored.iter().map(|job| Arc::clone(&job.record.queue));
+            let queues: FastSet<Arc<str>> = queues.collect();
+            former_record.rerouted.extend(queues);
+        }
         let former_term = FormerTerm {
             unknown_workers: workers.is_none() || former_record.unknown_workers,
             workers: workers.unwrap_or_default(),
             rerouted: former_record.rerouted,
         };
         let mut scheduler = Scheduler::new(settings, former_term, now);
-        let (stored, early_cancellations) =
-            stored_jobs(entries, progress, lease.fencing_token, &options.log);
-        info!(options.log, "recovery began"; "term" => former_record.term + 1, "jobs" => stored.len(),
+        info!(options.log, "recovery began"; "term" => term, "jobs" => stored.len(),
             "former_over" => former_term_ended, "revision" => revision,
             "lease_age_ms" => now.ms_since(lease.confirmed_at));
         for job in stored {
@@ -187,7 +207,7 @@
         revisions.insert(SCHEDULER_RECORD_KEY.into(), record_revision);
         let writer = BatchWriter::new(
             lease.fencing_token,
-            former_record.term + 1,
+            term,
             Arc::clone(&options.identity.daemon),
             // Gateways may hold orders of the former term until its runs are accounted for, and of this
             // one as soon as they are used.
@@ -212,14 +232,41 @@
     }
 }
 
-/// Reads the record of the former term and its revision. If that term used gateways, this one connects to
-/// them at once, so that its first polls go through them.
-async fn read_former_record(kv: &KeyValue, gateways: &mut GatewayOffers) -> (SchedulerRecord, u64) {
+/// The scheduler record of the former term.
+struct FormerRecord {
+    record: SchedulerRecord,
+    /// Its revision; 0 if there is none.
+    revision: u64,
+    /// Whether it could not be decoded. What it would have said is then assumed, as far as a mistake is harmful.
+    is_unreadable: bool,
+}
+
+/// Reads the record of the former term. If that term used gateways, this one connects to them at once, so
+/// that its first polls go through them. A record that cannot be decoded counts as one of a term that used
+/// gateways, was not released, and had runs on workers that are not recorded.
+async fn read_former_record(
+    kv: &KeyValue,
+    gateways: &mut GatewayOffers,
+    log: &Logger,
+) -> FormerRecord {
     let entries = read_with_retries(kv, KeyRange::Key(SCHEDULER_RECORD_KEY.into())).await;
     let Some(entry) = entries.into_iter().next() else {
-        return (SchedulerRecord::default(), 0);
+        return FormerRecord {
+            record: SchedulerRecord::default(),
+            revision: 0,
+            is_unreadable: false,
+        };
     };
-    let record: SchedulerRecord = records::decode(&entry.value).unwrap_or_default();
+    let decoded = records::decode::<SchedulerRecord>(&entry.value);
+    let is_unreadable = decoded.is_err();
+    let record = decoded.unwrap_or_else(|error| {
+        error!(log, "scheduler record not read"; "reason" => %error);
+        SchedulerRecord {
+            order_age_max_ms: ORDER_AGE_MAX_MS,
+            unknown_workers: true,
+            ..SchedulerRecord::default()
+        }
+    });
     if record.order_age_max_ms > 0 {
         let entries = read_with_retries(kv, prefix_range(GATEWAY_PREFIX)).await;
         let offers = entries
@@ -231,7 +278,19 @@
         gateways.allowed = true;
         gateways.publish();
     }
-    (record, entry.mod_revision)
+    FormerRecord {
+        record,
+        revision: entry.mod_revision,
+        is_unreadable,
+    }
+}
+
+/// Highest term that the record of any lane names.
+fn last_lane_term(lanes: &[KvEntry]) -> u32 {
+    let terms = lanes
+        .iter()
+        .filter_map(|entry| records::decode::<u32>(&entry.value).ok());
+    terms.max().unwrap_or(0)
 }
 
 /// Starts the client of the advisor, if one is configured.
