Bound what the entry of a live worker changes by the list of instances

Callers would see starts that the worker refuses, or more tasks on it than it has room for, tasks on a worker of another service or without the label that they require, and two runs of a task at a time. An entry of another writer under the id of a live worker that keeps its start and address was believed whole until the worker's next entry. One that named another instance made the list of instances end the runs of a worker that was only cut off, as if the list showed another worker in its place.

The newest entry is now kept beside what is in force, and each list of instances compares the two. - Capacity: at most that of the instance that last showed the worker; a process has no room beyond it. - Service and instance of a process that has answered stay while the list confirms the known ones; a process is not moved. The worker goes on with its own service. - A service that a list requested 1.5 s or more after the entry contradicts takes no tasks until the two agree (`other-pool` in the `pool` line). The list lags by up to a second or so, so that a worker that has just been moved does not wait; an instance that the list lacks decides nothing. - Labels: only those of the first answer that the newest entry names as well; a process does not change them, and a missing label only costs a place. - Draining: obeyed at once as before, since a true one must get no more work.

The worker is looked up by its id in the list, not by the instance that its entry names, so the entry cannot choose what bounds it. A list that lacks the instance once does not lift the bound.

--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -12,6 +12,7 @@
 mod copies;
 mod crashes;
 mod durations;
+mod entry;
 pub mod failure;
 mod fleet;
 mod gang;
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -270,6 +270,15 @@
             self.instance_unlisted(key, now);
         }
         self.end_unlisted_incarnations(now);
+        self.compare_entries_with_list(self.fleet.list_requested_at, now);
+    }
+
+    /// The instances of the latest list.
+    pub(super) fn listed_instances(&self) -> impl Iterator<Item = &InstanceReport> {
+        let instances = self.fleet.instances.values();
+        instances
+            .filter(|instance| instance.unlisted_since.is_none())
+            .map(|instance| &instance.report)
     }
 
     /// Removes an instance that the list lacks. One reading may lack an instance that still exists, so an
--- a/crates/domain/src/schedule/fleet/moves.rs
+++ b/crates/domain/src/schedule/fleet/moves.rs
@@ -194,7 +194,12 @@
             .and_then(|id| self.workers_by_id.get(id));
         worker
             .and_then(|key| self.workers.get(*key))
-            .is_some_and(|worker| worker.listed && !worker.unresponsive && !worker.report.draining)
+            .is_some_and(|worker| {
+                worker.listed
+                    && !worker.unresponsive
+                    && !worker.report.draining
+                    && !worker.entry.is_in_other_pool
+            })
     }
 
     /// Number of instances that a service needs for its running, waiting and expected tasks.
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -105,6 +105,7 @@
         worker.unresponsive = false;
         worker.failed_polls = 0;
         worker.last_answer_at = now;
+        worker.keep_labels();
         worker.update_clock(listing.clock_ms, now);
         let recorded = worker.recorded;
         if !was_usable || self.leadership_unconfirmed {
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -22,7 +22,8 @@
     pub fn worker_listed(&mut self, report: WorkerReport, now: Millis) {
         let Some(key) = self.workers_by_id.get(&report.id).copied() else {
             let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
-            self.insert_worker(report, lease_end);
+            let key = self.insert_worker(report, lease_end);
+            self.workers[key].entry.service_since = now;
             self.request_batch(now);
             return;
         };
@@ -37,6 +38,7 @@
             && known_start_ms != report.started_wall_ms;
         // The entry is older than what the worker has reported itself.
         let has_answered = worker.last_answer_at != Millis::ZERO;
+        let is_of_lifetime = known_start_ms != 0 && report.started_wall_ms == known_start_ms;
         if other_incarnation && report.started_wall_ms < known_start_ms && has_answered {
             return;
         }
@@ -62,8 +64,7 @@
             self.begin_incarnation(key, report, now);
             self.await_next_incarnation(key);
         } else {
-            worker.full_capacity = worker.full_capacity.max(report.capacity);
-            self.replace_report(key, report);
+            self.apply_entry(key, report, is_of_lifetime && has_answered, now);
         }
         if is_link_wrong || other_incarnation {
             self.reconnect(key);
@@ -121,11 +122,12 @@
             let former = worker.report.clone();
             worker.begin_incarnation(former, now);
             worker.full_capacity = report.capacity;
+            worker.entry.service_since = now;
         }
-        self.replace_report(key, report);
+        self.apply_entry(key, report, false, now);
     }
 
-    fn replace_report(&mut self, key: WorkerKey, report: WorkerReport) {
+    pub(super) fn replace_report(&mut self, key: WorkerKey, report: WorkerReport) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
--- a/crates/domain/src/schedule/status.rs
+++ b/crates/domain/src/schedule/status.rs
@@ -23,6 +23,8 @@
     Unrecorded,
     /// It does not answer.
     Unresponsive,
+    /// The list of instances shows it in the pool of another service than its entry names.
+    OtherPool,
     /// It is about to end.
     Draining,
     /// Its instance is reserved for a move or for maintenance.
@@ -43,6 +45,7 @@
             Self::Unsynced => "unsynced",
             Self::Unrecorded => "unrecorded",
             Self::Unresponsive => "unresponsive",
+            Self::OtherPool => "other-pool",
             Self::Draining => "draining",
             Self::Cordoned => "cordoned",
             Self::UnknownRuns => "unknown-runs",
@@ -73,6 +76,7 @@
             (!self.synced, Exclusion::Unsynced),
             (!self.recorded, Exclusion::Unrecorded),
             (self.unresponsive, Exclusion::Unresponsive),
+            (self.entry.is_in_other_pool, Exclusion::OtherPool),
             (self.report.draining, Exclusion::Draining),
             (self.cordoned, Exclusion::Cordoned),
             (!self.unknown_runs.is_empty(), Exclusion::UnknownRuns),
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::entry::Entry;
 use super::order::{ListedRun, WorkerReport};
 use super::quarantine::Quarantine;
 use super::run_table::Bookings;
@@ -39,7 +40,10 @@
 /// A worker: one process of an instance.
 #[derive(Debug)]
 pub(super) struct Worker {
+    /// What is in force of its entries.
     pub report: WorkerReport,
+    /// Its newest entry that is not a claim.
+    pub entry: Entry,
     /// An entry that contradicts its answers.
     pub claim: Option<Claim>,
     /// Largest capacity that it has reported.
@@ -108,6 +112,7 @@
     pub(super) fn new(report: WorkerReport, lease_end: Millis) -> Self {
         Self {
             full_capacity: report.capacity,
+            entry: Entry::new(report.clone()),
             report,
             claim: None,
             incarnation_since: Millis::ZERO,
@@ -243,6 +248,10 @@
             service,
             // Only runs that may have reached this incarnation are left.
             bookings: std::mem::take(&mut self.bookings),
+            entry: Entry {
+                instance: self.entry.instance.take(),
+                ..Entry::new(report.clone())
+            },
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
             cordoned: self.cordoned,
@@ -250,8 +259,4 @@
             ..Self::new(report, Millis::ZERO)
         };
     }
-
-    pub(super) fn rack(&self) -> Option<&Arc<str>> {
-        self.report.labels.last()
-    }
 }
