Keep the known address of a worker until one of its addresses answers

Callers would see room that is not used until the worker's next entry. If the process of a worker had ended and an odd entry with another address and start replaced the true one before the next process listened, the refused connect at the known address made the claimed one the only address. Nobody listens there, and the next process at the known address was never polled. The same happened without a refused connect if the true entry of the next process was replaced before that process had answered.

A claim of another address now stays a claim when the known process ends, and an entry that names another address is always a claim: polls go on trying both until one answers. The claim notes whether its worker still counts as alive, so that its end is logged once. An answer without a start belongs to the next process if the known one has ended, so that its ends are counted anew. A new address that an odd entry overwrites before anyone has answered there is still lost until the worker's next entry.

--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -80,8 +80,9 @@
             return;
         }
         let names_other_start = |claim: &Claim| claim.report.started_wall_ms != known_start_ms;
+        let is_of_next = |claim: &Claim| !claim.is_known_alive || names_other_start(claim);
         // An answer without a start does not refute a claim of another one.
-        let is_refuted = !is_other && (started_ms != 0 || !claim.is_some_and(names_other_start));
+        let is_refuted = !is_other && (started_ms != 0 || !claim.is_some_and(is_of_next));
         if is_refuted {
             if let Some(claim) = worker.refute_claim(now).filter(|claim| claim.is_connected) {
                 worker.report.address = claim.report.address;
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -53,7 +53,7 @@
         // evidence of an answer or an order, also after an entry has refuted a claim.
         let is_known =
             worker.synced || worker.claim.is_some() || is_awaited || !worker.runs().is_empty();
-        if is_known && (other_incarnation || worker.report.address != report.address) {
+        if worker.report.address != report.address || (is_known && other_incarnation) {
             self.claim_listed(key, report, now);
             return;
         }
@@ -89,6 +89,10 @@
             report,
             is_connected: true,
             connected_at: now,
+            is_known_alive: worker
+                .claim
+                .as_ref()
+                .map_or(worker.synced, |former| former.is_known_alive),
         });
         worker.synced = false;
         worker.next_poll_at = now;
@@ -360,7 +364,7 @@
 
     /// Ends the runs of a worker whose process has ended or whose lease has expired. A run whose start may have
     /// reached the next incarnation is kept until that incarnation lists its runs, or the lease of the run
-    /// would have ended.
+    /// would have ended. A claim of another address stays one until an answer decides: nobody has been seen there.
     pub(super) fn end_incarnation(
         &mut self,
         key: WorkerKey,
@@ -400,11 +404,20 @@
         }
         self.stop_awaiting(key, now);
         self.advice.remove_worker(key);
-        if let Some(claim) = claim {
+        let Some(claim) = claim else {
+            return;
+        };
+        let is_at_known_address = self
+            .workers
+            .get(key)
+            .is_some_and(|worker| worker.report.address == claim.report.address);
+        if is_at_known_address {
             self.begin_incarnation(key, claim.report, now);
-            if !claim.is_connected {
-                self.reconnect(key);
-            }
+        } else if let Some(worker) = self.workers.get_mut(key) {
+            worker.claim = Some(Claim {
+                is_known_alive: false,
+                ..claim
+            });
         }
     }
 
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -35,6 +35,9 @@
     pub is_connected: bool,
     /// When the link was last opened. What orders before that met says nothing.
     pub connected_at: Millis,
+    /// Whether the process that the worker is known as has answered this leader and has not ended. If not, its
+    /// current one may listen at either address.
+    pub is_known_alive: bool,
 }
 
 /// A worker: one process of an instance.
@@ -167,7 +170,7 @@
     /// Removes the claim, which kept the worker from counting as synced.
     pub(super) fn take_claim(&mut self) -> Option<Claim> {
         let claim = self.claim.take()?;
-        self.synced = true;
+        self.synced = claim.is_known_alive;
         Some(claim)
     }
 
--- a/crates/domain/tests/odd_entries.rs
+++ b/crates/domain/tests/odd_entries.rs
@@ -231,6 +231,63 @@
     }
 }
 
+/// Guards against a worker that is never used: its process ends, an odd entry with another address and start replaces
+/// its own, and a refused connect at its address ends all attempts there, where its next process listens.
+#[test]
+fn an_odd_address_between_two_processes_does_not_hide_the_next_one() {
+    for is_refused in [true, false] {
+        for is_listed_first in [true, false] {
+            let mut harness = SchedulerHarness::new(1);
+            harness.submit("a", job(vec![step(1)], 3));
+            harness.run_for(500);
+            harness.workers[0].running.clear();
+            harness.workers[0].listening = false;
+            if is_listed_first {
+                harness.workers[0].report.started_wall_ms = 2;
+                list_odd(&mut harness, 0, |_| ());
+                harness.workers[0].report.started_wall_ms = 1;
+                harness.run_for(20);
+            }
+            harness.dead_address = Some(("10.0.0.250:1".into(), is_refused));
+            list_odd(&mut harness, 0, |report| {
+                report.started_wall_ms = u64::MAX;
+                report.address = "10.0.0.250:1".into();
+            });
+            harness.run_for(1_000);
+            harness.restart_unlisted(0);
+            harness.submit("b", job(vec![step(3)], 3));
+            harness.run_for(1_500);
+            assert_eq!(harness.running().len(), 4, "the next process is used");
+            assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+            assert_eq!(harness.start_count("a.0.0.0"), 2);
+        }
+    }
+}
+
+/// Guards against ends of a process without a start that are ignored since the former one at another address had
+/// reported more of them.
+#[test]
+fn the_next_process_at_another_address_counts_its_ends_anew() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.submit("a", job(vec![step(4)], 3));
+    harness.run_for(500);
+    harness.end_all_runs(RunEndKind::Done);
+    harness.run_for(500);
+    harness.workers[0].listening = false;
+    harness.dead_address = Some((harness.workers[0].report.address.clone(), true));
+    harness.workers[0].report.address = "10.0.0.251:1".into();
+    list_odd(&mut harness, 0, |report| report.started_wall_ms = 0);
+    harness.run_for(1_000);
+    harness.restart_unlisted(0);
+    harness.workers[0].report.started_wall_ms = 0;
+    harness.submit("b", job(vec![step(1)], 3));
+    harness.run_for(1_500);
+    assert_eq!(harness.running(), ["b.0.0.0"]);
+    harness.end_all_runs(RunEndKind::Done);
+    harness.run_for(500);
+    assert_eq!(harness.state("b"), JobState::Completed);
+}
+
 /// Guards against a restarted worker that is not found, or whose runs are kept, when it also has another address.
 #[test]
 fn a_worker_that_restarts_at_another_address_is_found() {
