--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -22,7 +22,8 @@
     pub fn worker_listed(&mut self, report: WorkerReport, now: Millis) {
         let Some(key) = self.workers_by_id.get(&report.id).copied() else {
             let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
-            self.insert_worker(report, lease_end);
+            let key = self.insert_worker(report, lease_end);
+            self.workers[key].entry.service_since = now;
             self.request_batch(now);
             return;
         };
@@ -37,6 +38,7 @@
             && known_start_ms != report.started_wall_ms;
         // The entry is older than what the worker has reported itself.
         let has_answered = worker.last_answer_at != Millis::ZERO;
+        let is_of_lifetime = known_start_ms != 0 && report.started_wall_ms == known_start_ms;
         if other_incarnation && report.started_wall_ms < known_start_ms && has_answered {
             return;
         }
@@ -51,7 +53,7 @@
         // evidence of an answer or an order, also after an entry has refuted a claim.
         let is_known =
             worker.synced || worker.claim.is_some() || is_awaited || !worker.runs().is_empty();
-        if is_known && (other_incarnation || worker.report.address != report.address) {
+        if worker.report.address != report.address || (is_known && other_incarnation) {
             self.claim_listed(key, report, now);
             return;
         }
@@ -62,8 +64,7 @@
             self.begin_incarnation(key, report, now);
             self.await_next_incarnation(key);
         } else {
-            worker.full_capacity = worker.full_capacity.max(report.capacity);
-            self.replace_report(key, report);
+            self.apply_entry(key, report, is_of_lifetime && has_answered, now);
         }
         if is_link_wrong || other_incarnation {
             self.reconnect(key);
@@ -88,6 +89,10 @@
             report,
             is_connected: true,
             connected_at: now,
+            is_known_alive: worker
+                .claim
+                .as_ref()
+                .map_or(worker.synced, |former| former.is_known_alive),
         });
         worker.synced = false;
         worker.next_poll_at = now;
@@ -121,11 +126,12 @@
             let former = worker.report.clone();
             worker.begin_incarnation(former, now);
             worker.full_capacity = report.capacity;
+            worker.entry.service_since = now;
         }
-        self.replace_report(key, report);
+        self.apply_entry(key, report, false, now);
     }
 
-    fn replace_report(&mut self, key: WorkerKey, report: WorkerReport) {
+    pub(super) fn replace_report(&mut self, key: WorkerKey, report: WorkerReport) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -358,7 +364,7 @@
 
     /// Ends the runs of a worker whose process has ended or whose lease has expired. A run whose start may have
     /// reached the next incarnation is kept until that incarnation lists its runs, or the lease of the run
-    /// would have ended.
+    /// would have ended. A claim of another address stays one until an answer decides: nobody has been seen there.
     pub(super) fn end_incarnation(
         &mut self,
         key: WorkerKey,
@@ -398,11 +404,20 @@
         }
         self.stop_awaiting(key, now);
         self.advice.remove_worker(key);
-        if let Some(claim) = claim {
+        let Some(claim) = claim else {
+            return;
+        };
+        let is_at_known_address = self
+            .workers
+            .get(key)
+            .is_some_and(|worker| worker.report.address == claim.report.address);
+        if is_at_known_address {
             self.begin_incarnation(key, claim.report, now);
-            if !claim.is_connected {
-                self.reconnect(key);
-            }
+        } else if let Some(worker) = self.workers.get_mut(key) {
+            worker.claim = Some(Claim {
+                is_known_alive: false,
+                ..claim
+            });
         }
     }
 
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::entry::Entry;
 use super::order::{ListedRun, WorkerReport};
 use super::quarantine::Quarantine;
 use super::run_table::Bookings;
@@ -34,12 +35,18 @@
     pub is_connected: bool,
     /// When the link was last opened. What orders before that met says nothing.
     pub connected_at: Millis,
+    /// Whether the process that the worker is known as has answered this leader and has not ended. If not, its
+    /// current one may listen at either address.
+    pub is_known_alive: bool,
 }
 
 /// A worker: one process of an instance.
 #[derive(Debug)]
 pub(super) struct Worker {
+    /// What is in force of its entries.
     pub report: WorkerReport,
+    /// Its newest entry that is not a claim.
+    pub entry: Entry,
     /// An entry that contradicts its answers.
     pub claim: Option<Claim>,
     /// Largest capacity that it has reported.
@@ -108,6 +115,7 @@
     pub(super) fn new(report: WorkerReport, lease_end: Millis) -> Self {
         Self {
             full_capacity: report.capacity,
+            entry: Entry::new(report.clone()),
             report,
             claim: None,
             incarnation_since: Millis::ZERO,
@@ -162,7 +170,7 @@
     /// Removes the claim, which kept the worker from counting as synced.
     pub(super) fn take_claim(&mut self) -> Option<Claim> {
         let claim = self.claim.take()?;
-        self.synced = true;
+        self.synced = claim.is_known_alive;
         Some(claim)
     }
 
@@ -243,6 +251,10 @@
             service,
             // Only runs that may have reached this incarnation are left.
             bookings: std::mem::take(&mut self.bookings),
+            entry: Entry {
+                instance: self.entry.instance.take(),
+                ..Entry::new(report.clone())
+            },
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
             cordoned: self.cordoned,
@@ -250,8 +262,4 @@
             ..Self::new(report, Millis::ZERO)
         };
     }
-
-    pub(super) fn rack(&self) -> Option<&Arc<str>> {
-        self.report.labels.last()
-    }
 }
