Report results of failed calls and replace failed gateway sessions

Callers see a task that never runs: a start whose result never comes keeps its task placed and the room of its worker booked for good, and a worker whose poll has no result is never polled again. Workers behind a gateway whose session task failed got no start until the next term of the leader.

The router treats a failed session as a lost gateway (calls end, workers move) and starts another task after the usual delay. `Connected` of a session that has failed since is ignored. The session itself now writes the line "gateway connected", with the same text and key; the test makes it fail there.

--- a/crates/adapters/src/worker_gateway.rs
+++ b/crates/adapters/src/worker_gateway.rs
@@ -5,6 +5,7 @@
 //! in both directions fits neither a request protocol nor its cost, so the frames are length-delimited
 //! and encoded with postcard.
 
+mod pending;
 pub mod router;
 pub mod server;
 mod session;
--- a/crates/adapters/src/worker_gateway/router.rs
+++ b/crates/adapters/src/worker_gateway/router.rs
@@ -2,15 +2,16 @@
 
 use std::sync::Arc;
 
-use rosemaryscale_domain::schedule::order::{OrderResult, PaceOrder, PollResult};
+use rosemaryscale_domain::schedule::order::{OrderResult, PollResult};
 use rosemaryscale_domain::worker_route::{GatewayOffer, Route, RoutePlan};
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::{StartLinks, WorkerCall, WorkerCalls, WorkerEvent, WorkerEvents};
-use slog::{Logger, info, warn};
+use slog::{Logger, o, warn};
 use tokio::sync::watch;
-use tokio::task::{AbortHandle, JoinHandle, JoinSet};
+use tokio::task::{AbortHandle, Id, JoinHandle, JoinSet};
 
-use super::session::{self, SessionEvent};
+use super::pending::{PendingCall, PendingKind};
+use super::session::{Connection, SessionEvent};
 use super::wire::{GatewayOrder, GatewayResult, Hello, PROTOCOL_VERSION};
 
 const CALL_CAPACITY: usize = 1_024;
@@ -89,6 +90,7 @@
 struct Session {
     /// Takes orders while the gateway is connected.
     orders: Option<mpsc::UnboundedSender<GatewayOrder>>,
+    connection: Connection,
     task: AbortHandle,
 }
 
@@ -101,54 +103,6 @@
     outstanding: usize,
 }
 
-/// A call that a gateway has not answered.
-struct PendingCall {
-    gateway: GatewayKey,
-    worker: WorkerKey,
-    kind: PendingKind,
-}
-
-enum PendingKind {
-    Start(RunKey),
-    Stop(Option<RunKey>),
-    Pace(PaceOrder),
-    Poll,
-}
-
-impl PendingCall {
-    fn order_event(self, result: OrderResult) -> WorkerEvent {
-        let worker = self.worker;
-        match self.kind {
-            PendingKind::Start(run) => WorkerEvent::Started {
-                worker,
-                run,
-                result,
-            },
-            PendingKind::Stop(run) => WorkerEvent::Stopped {
-                worker,
-                run,
-                result,
-            },
-            PendingKind::Pace(order) => WorkerEvent::Paced {
-                worker,
-                order,
-                result,
-            },
-            PendingKind::Poll => WorkerEvent::Polled {
-                worker,
-                result: PollResult::LinkClosed,
-            },
-        }
-    }
-
-    fn poll_event(self, result: PollResult) -> WorkerEvent {
-        WorkerEvent::Polled {
-            worker: self.worker,
-            result,
-        }
-    }
-}
-
 struct RouterTask {
     options: RouterOptions,
     plan: RoutePlan,
@@ -185,7 +139,11 @@
                     let offers = sources.offers.borrow_and_update().clone();
                     self.apply_offers(offers);
                 }
-                Some(_) = self.tasks.join_next() => {}
+                Some(finished) = self.tasks.join_next_with_id() => {
+                    if let Err(error) = finished {
+                        self.replace_session(error.id()).await;
+                    }
+                }
             }
         }
         drop(self.local);
@@ -401,12 +359,12 @@
 
     async fn apply_session_event(&mut self, key: GatewayKey, event: SessionEvent) {
         match event {
+            // The task may have failed since.
+            SessionEvent::Connected(orders) if orders.is_closed() => {}
             SessionEvent::Connected(orders) => {
                 if let Some(session) = self.sessions.get_mut(&key) {
                     session.orders = Some(orders);
                     self.plan.connected(key);
-                    let name = self.plan.offer(key).map(|offer| offer.name.to_string());
-                    info!(self.options.log, "gateway connected"; "gateway" => name);
                 }
             }
             SessionEvent::Results(results, leaving) => {
@@ -461,6 +419,18 @@
         }
     }
 
+    /// Replaces the failed task of a session. One that was aborted belongs to no session any more.
+    async fn replace_session(&mut self, task: Id) {
+        let mut sessions = self.sessions.iter_mut();
+        let Some((key, session)) = sessions.find(|(_, session)| session.task.id() == task) else {
+            return;
+        };
+        let connection = session.connection.clone();
+        session.task = self.tasks.spawn(connection.run_after_failure());
+        let key = *key;
+        self.lose_gateway(key, "its task failed").await;
+    }
+
     fn apply_offers(&mut self, mut offers: Vec<GatewayOffer>) {
         offers.retain(|offer| offer.name != self.options.leader);
         let changes = self.plan.offered(offers);
@@ -470,18 +440,29 @@
             }
         }
         for key in changes.added {
-            let address = self.plan.offer(key).map(|offer| offer.address.parse());
-            let Some(Ok(address)) = address else {
+            let Some(offer) = self.plan.offer(key) else {
+                continue;
+            };
+            let Ok(address) = offer.address.parse() else {
                 continue;
             };
-            let hello = Hello {
-                version: PROTOCOL_VERSION,
-                leader: Arc::clone(&self.options.leader),
-                fencing_token: self.options.fencing_token,
+            let name = offer.name.to_string();
+            let connection = Connection {
+                key,
+                address,
+                hello: Hello {
+                    version: PROTOCOL_VERSION,
+                    leader: Arc::clone(&self.options.leader),
+                    fencing_token: self.options.fencing_token,
+                },
+                events: self.session_events.clone(),
+                log: self.options.log.new(o!("gateway" => name)),
+            };
+            let session = Session {
+                orders: None,
+                task: self.tasks.spawn(connection.clone().run()),
+                connection,
             };
-            let events = self.session_events.clone();
-            let task = self.tasks.spawn(session::run(key, address, hello, events));
-            let session = Session { orders: None, task };
             self.sessions.insert(key, session);
         }
     }
--- a/crates/adapters/src/worker_gateway/session.rs
+++ b/crates/adapters/src/worker_gateway/session.rs
@@ -6,6 +6,7 @@
 
 use futures_util::{SinkExt, StreamExt};
 use rosemaryscale_ports::prelude::*;
+use slog::{Logger, info};
 use tokio::net::TcpStream;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
@@ -32,32 +33,54 @@
     Lost(Arc<str>),
 }
 
-/// Connects to the gateway again and again, until the receiver of the events is gone.
-pub(super) async fn run(
-    key: GatewayKey,
-    address: SocketAddr,
-    hello: Hello,
-    events: mpsc::UnboundedSender<(GatewayKey, SessionEvent)>,
-) {
-    loop {
-        if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            let _ = stream.set_nodelay(true);
-            if let Some((frames, seen_ms)) = greet(stream, &hello).await {
-                let (orders, receiver) = mpsc::unbounded_channel();
-                let connected = SessionEvent::Connected(orders);
-                if events.send((key, connected)).is_err() {
-                    return;
-                }
-                let reason = exchange(key, frames, seen_ms, receiver, &events).await;
-                if events.send((key, SessionEvent::Lost(reason))).is_err() {
-                    return;
+/// The connection to a gateway, which is made again after each loss.
+#[derive(Clone)]
+pub(super) struct Connection {
+    pub(super) key: GatewayKey,
+    pub(super) address: SocketAddr,
+    pub(super) hello: Hello,
+    pub(super) events: mpsc::UnboundedSender<(GatewayKey, SessionEvent)>,
+    /// Log whose lines name the gateway.
+    pub(super) log: Logger,
+}
+
+impl Connection {
+    /// Connects again and again, until the receiver of the events is gone.
+    pub(super) async fn run(self) {
+        loop {
+            if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await
+            {
+                let _ = stream.set_nodelay(true);
+                if let Some((frames, seen_ms)) = greet(stream, &self.hello).await {
+                    let (orders, receiver) = mpsc::unbounded_channel();
+                    if self.report(SessionEvent::Connected(orders)).is_err() {
+                        return;
+                    }
+                    info!(self.log, "gateway connected");
+                    let reason = exchange(self.key, frames, seen_ms, receiver, &self.events).await;
+                    if self.report(SessionEvent::Lost(reason)).is_err() {
+                        return;
+                    }
                 }
             }
+            tokio::select! {
+                () = sleep(RECONNECT_DELAY) => {}
+                () = self.events.closed() => return,
+            }
         }
-        tokio::select! {
-            () = sleep(RECONNECT_DELAY) => {}
-            () = events.closed() => return,
-        }
+    }
+
+    /// As [`Self::run`], after a pause, so that a task that fails at once is not replaced all the time.
+    pub(super) async fn run_after_failure(self) {
+        sleep(RECONNECT_DELAY).await;
+        self.run().await;
+    }
+
+    fn report(
+        &self,
+        event: SessionEvent,
+    ) -> Result<(), mpsc::error::SendError<(GatewayKey, SessionEvent)>> {
+        self.events.send((self.key, event))
     }
 }
 
--- a/crates/adapters/tests/worker_gateway.rs
+++ b/crates/adapters/tests/worker_gateway.rs
@@ -2,8 +2,8 @@
 
 #![allow(clippy::expect_used, clippy::panic, reason = "tests panic on failure")]
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, mpsc as std_mpsc};
 use std::time::Duration;
 
 use rosemaryscale_adapters::log::DroppedLines;
@@ -18,7 +18,7 @@
 use rosemaryscale_domain::worker_route::GatewayOffer;
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::{StartLinks, WorkerCall, WorkerCalls, WorkerEvent, WorkerEvents};
-use slog::{Discard, Logger, o};
+use slog::{Discard, Drain, Logger, Never, OwnedKVList, Record, o};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -121,12 +121,16 @@
 
 impl Leader {
     async fn start(fencing_token: u64) -> Self {
+        Self::start_with_log(fencing_token, Logger::root(Discard, o!())).await
+    }
+
+    async fn start_with_log(fencing_token: u64, log: Logger) -> Self {
         let router = Router::start(RouterOptions {
             start_links: scripted_links::<LOCAL>,
             leader: "leader".into(),
             fencing_token,
             metrics: metrics_registry::start(DroppedLines::default()).0,
-            log: Logger::root(Discard, o!()),
+            log,
         });
         let worker = SlotMap::<WorkerKey, ()>::with_key().insert(());
         let leader = Self {
@@ -377,3 +381,70 @@
         assert_eq!(leader.start_run().await, local, "the leader goes on");
     }
 }
+
+/// A log that makes the first session that connects wait for a signal and then panic.
+struct FailingLog(Mutex<Option<std_mpsc::Receiver<()>>>);
+
+impl Drain for FailingLog {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), Never> {
+        if record.msg().to_string() == "gateway connected" {
+            let signal = self.0.lock().expect("unpoisoned").take();
+            if let Some(signal) = signal {
+                // Other tasks of the runtime go on.
+                let _ = tokio::task::block_in_place(|| signal.recv());
+                panic!("the test makes the session fail");
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Guards against runs that are kept for good, and a gateway that is never used again, because the task of the
+/// session with the gateway has failed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_failed_session_is_replaced_and_its_calls_end() {
+    let gateway = start_gateway(scripted_links::<GATEWAY>).await;
+    let (fail, signal) = std_mpsc::channel();
+    let log = Logger::root(FailingLog(Mutex::new(Some(signal))), o!());
+    let mut leader = Leader::start_with_log(5, log).await;
+    let offers = vec![gateway.offer.clone()];
+    leader.router.offers.send_replace(offers);
+    // Polls are answered by the leader's own links until the waiting session gets the first one.
+    let mut is_answered = true;
+    for _ in 0..500 {
+        leader.send_poll().await;
+        let wait = Duration::from_millis(300);
+        let answer = tokio::time::timeout(wait, leader.router.events.recv()).await;
+        is_answered = answer.is_ok();
+        if !is_answered {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(!is_answered, "the session has connected");
+    let run = leader.send_start().await;
+    fail.send(()).expect("the session waits");
+    let mut results = (None, None);
+    while results.0.is_none() || results.1.is_none() {
+        match leader.event().await {
+            WorkerEvent::Started {
+                run: ended, result, ..
+            } if ended == run => results.0 = Some(result),
+            WorkerEvent::Polled { result, .. } => results.1 = Some(result),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+    // A start that is passed on after the failure was certainly not sent.
+    assert!(
+        matches!(
+            results.0,
+            Some(OrderResult::Unanswered | OrderResult::NotSent)
+        ),
+        "{results:?}"
+    );
+    assert_eq!(results.1, Some(PollResult::LinkClosed));
+    leader.poll_until(GATEWAY).await;
+}
