Hold a job whose progress cannot be decoded

Callers see: completed tasks of a job run again after a change of the leader if its record of progress cannot be decoded; also those of jobs that had been shown as completed.

Cause: such a record counted as none, so that all tasks of the job were new.

Fix: the state that callers see is read as well. A job that has ended there stays so. One that has not is held: some of its tasks may be done, and a completed task must not run again, while the job has failed for no cause. Its finite tasks do not start, its runs on workers go on, and its record is left in place until it ends, since it may be all that is known. It ends as usual if all of its tasks are known as done, and can be cancelled. Long-running tasks are never done, so they are restarted, and a job that has no others is not held. A `job held` line and the metric `jobs.held` name the job for an operator, who restores or deletes the record.

Partial: ends during the hold are acknowledged, since a cursor that stays would hide the ends of other jobs, but not stored. If an operator then restores an older record, these tasks run again.

--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod events;
+mod held_jobs;
 mod pressure;
 mod share_status;
 mod start;
@@ -231,6 +232,7 @@
             }
         };
         self.clear_workspace_gauges();
+        self.set_held_job_gauge(Vec::new());
         if let LeaderEnd::Stopped = end {
             self.write_final_batch().await;
         }
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -109,6 +109,11 @@
                     warn!(self.options.log, "job beyond the limits"; "job" => &*job,
                         "reason" => reason);
                 }
+                SchedulerEvent::JobHeld { job } => {
+                    warn!(self.options.log, "job held"; "job" => &*job,
+                        "reason" => "its stored progress cannot be decoded, and done tasks must not run again",
+                        "remedy" => "restore or delete the record and restart the leader, or cancel the job");
+                }
                 SchedulerEvent::TaskGivenUp { task, crashes } => {
                     self.options.metrics.count("tasks.given_up", 1);
                     warn!(self.options.log, "task given up"; "job" => &*task.job,
@@ -252,6 +257,7 @@
                 "tasks_waiting" => pool.tasks_waiting, "excluded" => excluded.join(", "));
         }
         self.log_shares();
+        self.set_held_job_gauge(self.scheduler.held_jobs().cloned().collect());
     }
 
     pub(super) async fn send(
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rosemaryscale_adapters::worker_gateway::{ORDER_AGE_MAX_MS, Router, RouterOptions};
-use rosemaryscale_domain::job::{JobProgress, JobRecord};
+use rosemaryscale_domain::job::JobRecord;
 use rosemaryscale_domain::schedule::{
     FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
+use super::held_jobs::{self, StoredProgress};
 use super::pressure::PublishedPressure;
 use super::{
     EventSources, FINAL_WRITE_TIMEOUT, GatewayOffers, Leader, LeaderEnd, LeaderOptions,
@@ -25,7 +26,7 @@
 use crate::jobs::lease::{self, LEADER_GRACE_MS, LeaderLease, Renewal};
 use crate::jobs::records::{
     self, GATEWAY_PREFIX, GatewayRecord, JOB_PREFIX, JobKeyKind, LANE_PREFIX, PROGRESS_PREFIX,
-    SCHEDULER_RECORD_KEY, SchedulerRecord, WORKERS_KEY,
+    SCHEDULER_RECORD_KEY, STATE_PREFIX, SchedulerRecord, WORKERS_KEY,
 };
 
 /// Bounds the delay before a new job starts. The platform charges for each read of the watch.
@@ -144,6 +145,12 @@
             former_record.term.max(lane_term)
         };
         let term = former_record.term.saturating_add(1);
+        let states = if held_jobs::has_unreadable(&progress) {
+            read_with_retries(&options.kv, prefix_range(STATE_PREFIX)).await
+        } else {
+            Vec::new()
+        };
+        let progress = held_jobs::decode_progress(&progress, &states, &options.log);
         let (revision, entries) = loop {
             match jobs.recv().await? {
                 WatchEvent::Snapshot { revision, entries } => break (revision, entries),
@@ -174,7 +181,7 @@
         };
         let workers = recorded_workers(workers, &options.log);
         let (stored, early_cancellations) =
-            stored_jobs(entries, progress, lease.fencing_token, &options.log);
+            stored_jobs(entries, progress, lease.fencing_token, wall, &options.log);
         if is_unreadable {
             // Which queues have changed their service is not known.
             let queues = stored.iter().map(|job| Arc::clone(&job.record.queue));
@@ -341,17 +348,11 @@
 /// job.
 fn stored_jobs(
     entries: Vec<KvEntry>,
-    progress: Vec<KvEntry>,
+    mut progress: FastMap<Arc<str>, StoredProgress>,
     fencing_token: u64,
+    wall: Millis,
     log: &Logger,
 ) -> (Vec<StoredJob>, FastMap<Arc<str>, Vec<Caller>>) {
-    let mut progress: FastMap<Arc<str>, JobProgress> = progress
-        .into_iter()
-        .filter_map(|entry| {
-            let id = entry.key.strip_prefix(PROGRESS_PREFIX)?;
-            Some((Arc::from(id), records::decode(&entry.value).ok()?))
-        })
-        .collect();
     let mut cancelled: FastMap<Arc<str>, Vec<Caller>> = FastMap::default();
     let mut jobs = Vec::new();
     for entry in &entries {
@@ -376,14 +377,21 @@
     jobs.sort_by_key(|(_, record, _)| record.received_wall_ms);
     let jobs = jobs
         .into_iter()
-        .map(|(id, record, acceptance)| StoredJob {
-            progress: progress.remove(&id),
-            cancelled: cancelled
+        .map(|(id, record, acceptance)| {
+            let progress = progress
                 .remove(&id)
-                .is_some_and(|callers| callers.iter().any(|caller| caller.may_access_job(&record))),
-            acceptance,
-            id,
-            record,
+                .map(|stored| stored.into_progress(wall));
+            let (progress, is_progress_unreadable) = progress.unzip();
+            StoredJob {
+                progress,
+                is_progress_unreadable: is_progress_unreadable.unwrap_or(false),
+                cancelled: cancelled.remove(&id).is_some_and(|callers| {
+                    callers.iter().any(|caller| caller.may_access_job(&record))
+                }),
+                acceptance,
+                id,
+                record,
+            }
         })
         .collect();
     (jobs, cancelled)
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -36,7 +36,8 @@
 pub(super) const GATEWAY_PREFIX: &str = "rosemaryscale/gateway/";
 /// Prefix of the daemons that peers ask for the configuration, each under a lease.
 const PEER_PREFIX: &str = "rosemaryscale/view/daemon/";
-const STATE_PREFIX: &str = "rosemaryscale/view/state/";
+/// Prefix of the states of jobs.
+pub(super) const STATE_PREFIX: &str = "rosemaryscale/view/state/";
 const CANCEL_SUFFIX: &str = "/cancel";
 
 /// Key of an accepted job.
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -15,6 +15,7 @@
 pub mod failure;
 mod fleet;
 mod gang;
+mod held_job;
 mod hold;
 mod job_table;
 mod late_starts;
@@ -140,6 +141,8 @@
     pub record: JobRecord,
     /// Stored progress, if any.
     pub progress: Option<JobProgress>,
+    /// Whether the stored progress cannot be decoded, so that only the state in `progress` is known.
+    pub is_progress_unreadable: bool,
     /// Whether the job was cancelled.
     pub cancelled: bool,
     /// Whether it was accepted before or during this term.
@@ -278,7 +281,11 @@
             return;
         };
         self.check_rate(key, now, wall);
-        let restored = stored.acceptance == Acceptance::BeforeTerm;
+        if stored.is_progress_unreadable {
+            self.hold_job(key);
+        }
+        let restored =
+            stored.acceptance == Acceptance::BeforeTerm || self.job_table.jobs[key].is_held;
         let unseen_ms =
             self.settings.leader_grace_ms + self.settings.run_lease_ms + LEASE_MARGIN_MS;
         let is_final = stored.progress.as_ref().is_some_and(|p| p.state.is_final());
@@ -298,7 +305,8 @@
                 self.record_ended_job(key);
             }
         }
-        if self.job_table.jobs[key].record.spec.repeat.is_some() {
+        let job = &self.job_table.jobs[key];
+        if job.record.spec.repeat.is_some() && !job.is_held {
             self.repeated.push(key);
         }
         if stored.cancelled {
--- a/crates/domain/src/schedule/copies.rs
+++ b/crates/domain/src/schedule/copies.rs
@@ -129,6 +129,7 @@
             || task.status != TaskStatus::Placed(key)
             || self.copies.by_task.contains_key(info.task)
             || job.state.is_final()
+            || job.is_held
             || !job.is_useful(self.now)
             // A copy must not put another worker at risk.
             || task.early_crashes > 0
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -18,7 +18,7 @@
 /// Scheduling state of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskStatus {
-    /// Waits for earlier steps.
+    /// Waits for earlier steps, or its job is held.
     Blocked,
     /// A run of a former leader may exist; the task waits for recovery.
     AwaitingRecovery,
@@ -99,6 +99,8 @@
     pub unfinished_by_step: Vec<u64>,
     /// Whether the stored progress is out of date.
     pub dirty: bool,
+    /// Whether its finite tasks do not start, because it is not known which of them are done.
+    pub is_held: bool,
 }
 
 impl Job {
@@ -180,6 +182,7 @@
             occurrences: Vec::new(),
             unfinished_tasks: 0,
             dirty: false,
+            is_held: false,
         });
         self.jobs_by_id.insert(id, key);
         Some(key)
@@ -371,9 +374,12 @@
             return TaskStatus::Finished;
         }
         let ready = job.step(task.position.step).is_some_and(|step| {
-            step.after
-                .iter()
-                .all(|earlier| self.is_step_done(job, task.position.occurrence, *earlier))
+            let is_held = job.is_held && !step.long_running;
+            !is_held
+                && step
+                    .after
+                    .iter()
+                    .all(|earlier| self.is_step_done(job, task.position.occurrence, *earlier))
         });
         if ready {
             TaskStatus::Ready
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -350,6 +350,11 @@
         /// The limit.
         reason: &'static str,
     },
+    /// A stored job starts no finite tasks, because its progress cannot be decoded.
+    JobHeld {
+        /// The job.
+        job: Arc<str>,
+    },
     /// A run has ended.
     RunEnded {
         /// The task.
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -162,7 +162,7 @@
             .job_table
             .jobs
             .iter()
-            .filter(|(_, job)| job.dirty)
+            .filter(|(_, job)| job.dirty && job.may_store_progress())
             .map(|(key, _)| key)
             .collect();
         let jobs = dirty
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -69,6 +69,8 @@
     pub(crate) jobs: Vec<(Arc<str>, JobRecord)>,
     pub(crate) cancelled: FastSet<Arc<str>>,
     pub(crate) progress: FastMap<Arc<str>, JobProgress>,
+    /// Jobs whose progress cannot be decoded by the next leader.
+    pub(crate) unreadable: FastSet<Arc<str>>,
     pub(crate) workers: Vec<RecordedWorker>,
     /// Whether other workers may have runs of a former leader.
     pub(crate) unknown_workers: bool,
@@ -315,8 +317,18 @@
         };
         self.scheduler = Scheduler::new(settings, former, self.now);
         for (id, record) in self.store.jobs.clone() {
+            let is_progress_unreadable = self.store.unreadable.contains(&id);
+            let progress = self.store.progress.get(&id).cloned();
+            let state_only = |progress: JobProgress| JobProgress {
+                state: progress.state,
+                ..JobProgress::default()
+            };
             let stored = StoredJob {
-                progress: self.store.progress.get(&id).cloned(),
+                progress: match is_progress_unreadable {
+                    true => progress.map(state_only),
+                    false => progress,
+                },
+                is_progress_unreadable,
                 cancelled: self.store.cancelled.contains(&id),
                 acceptance: Acceptance::BeforeTerm,
                 id,
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -224,6 +224,7 @@
                 id: Arc::clone(id),
                 record: record.clone(),
                 progress: self.store.progress.get(id).cloned(),
+                is_progress_unreadable: false,
                 cancelled: self.store.cancelled.contains(id),
                 acceptance: Acceptance::BeforeTerm,
             };
