Decode the rows of workers' answers and of the instance list one by one

Callers see jobs that stand still or run elsewhere: one malformed row made the whole answer count as none, so that the worker became unresponsive and its runs were given up once their lease had ended. One malformed row of the list of instances hid the list, so that nothing was moved and no crash was seen. A row with a malformed task name, by contrast, was dropped without a word, and its run counted as ended.

Cause: the lists were decoded as a whole, and malformed names were filtered out.

The other rows count. Active runs: no run is dropped or stopped as stalled because it is not listed, and a worker whose runs are not all known yet stays unsynced, since a new leader would start their tasks elsewhere. Ends: those behind an unreadable one are applied, but not acknowledged, because the worker drops all ends up to the acknowledged one and the result of the unreadable one would be lost for good. Its task runs again, as after a crash. An instance whose row is malformed is missing from this list only.

The new variant is the last one of its enum, so the frames between a leader and a gateway stay as they are unless a row is malformed; a leader of an earlier version then loses the connection to the gateway.

--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -171,6 +171,8 @@
     refused_workers: FastSet<Arc<str>>,
     /// When the platform's list of instances was last read.
     instances_listed_at: Option<Millis>,
+    /// Whether the last list of instances had unreadable rows, which has been logged.
+    instance_rows_unreadable: bool,
 }
 
 impl Leader {
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -105,6 +105,15 @@
                     warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
                         "silent" => unresponsive, "lease_age_ms" => self.lease_age_ms());
                 }
+                SchedulerEvent::WorkerRowsUnreadable {
+                    worker,
+                    runs,
+                    ends,
+                    reason,
+                } => {
+                    warn!(self.options.log, "worker rows unreadable"; "worker" => &*worker,
+                        "runs" => runs, "ends" => ends, "reason" => &*reason);
+                }
                 SchedulerEvent::JobRefused { job, reason } => {
                     warn!(self.options.log, "job beyond the limits"; "job" => &*job,
                         "reason" => reason);
--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -5,7 +5,7 @@
 use rosemaryscale_domain::job::JobRecord;
 use rosemaryscale_domain::schedule::Acceptance;
 use rosemaryscale_domain::schedule::order::AdviceResult;
-use rosemaryscale_ports::instance_order::InstanceOrderEvent;
+use rosemaryscale_ports::instance_order::{InstanceList, InstanceOrderEvent};
 use rosemaryscale_ports::kv::{KvEntry, Update, WatchEvent};
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::WorkerEvent;
@@ -154,11 +154,25 @@
         self.calls.gateways.publish();
     }
 
+    /// Logs the first list with unreadable rows, and later ones only after a readable one.
+    fn log_unreadable_instances(&mut self, list: &InstanceList) {
+        let is_unreadable = list.unreadable_rows > 0;
+        if is_unreadable && !self.instance_rows_unreadable {
+            warn!(self.options.log, "instance rows unreadable"; "rows" => list.unreadable_rows,
+                "reason" => &*list.reason);
+        }
+        self.instance_rows_unreadable = is_unreadable;
+    }
+
     pub(super) fn apply_instance_event(&mut self, event: InstanceOrderEvent) {
         let now = self.options.clock.now();
         match event {
-            InstanceOrderEvent::ListRead(reports) => {
+            InstanceOrderEvent::ListRead(list) => {
                 self.instances_listed_at = Some(now);
+                if let Some(list) = &list {
+                    self.log_unreadable_instances(list);
+                }
+                let reports = list.map(|list| list.reports);
                 self.scheduler.instances_listed(reports, now);
             }
             InstanceOrderEvent::OrderEnded { instance, result } => {
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -199,6 +199,7 @@
             pressure: PublishedPressure::default(),
             refused_workers: FastSet::default(),
             instances_listed_at: None,
+            instance_rows_unreadable: false,
             options,
             lease,
             scheduler,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -46,6 +46,7 @@
 pub mod status;
 pub mod stop_reason;
 mod unknown_runs;
+mod unreadable_rows;
 mod view;
 mod worker;
 mod workspace_table;
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -31,8 +31,22 @@
         };
         worker.poll_in_flight = false;
         let sent_at = worker.poll_sent_at;
+        let synced = worker.synced;
         match result {
-            PollResult::Listed(listing) => self.apply_listing(key, &listing, now, wall),
+            PollResult::Listed(listing) => {
+                self.note_unreadable_rows(key, None);
+                self.apply_listing(key, &listing, now, wall);
+            }
+            PollResult::ListedInPart(listing, rows) => {
+                // A worker whose runs are not all known stays unsynced: their tasks would start elsewhere.
+                let is_usable = synced || rows.runs == 0;
+                self.note_unreadable_rows(key, Some(rows));
+                if is_usable {
+                    self.apply_listing(key, &listing, now, wall);
+                } else {
+                    self.poll_unanswered(key, now);
+                }
+            }
             PollResult::Refused(Refusal::OtherIncarnation) | PollResult::NotListening => {
                 worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
                 self.order_found_no_process(key, Some(sent_at), now);
@@ -48,22 +62,25 @@
                 worker.ack_sent = 0;
                 worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
             }
-            PollResult::Unanswered => {
-                worker.ack_sent = 0;
-                let became_unresponsive = worker.count_failed_poll(now);
-                worker.next_poll_at = if worker.unresponsive {
-                    now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS)
-                } else {
-                    now
-                };
-                if became_unresponsive {
-                    self.request_instance_list(now);
-                }
-                self.try_other_address(key, now);
-            }
+            PollResult::Unanswered => self.poll_unanswered(key, now),
         }
     }
 
+    fn poll_unanswered(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &mut self.workers[key];
+        worker.ack_sent = 0;
+        let became_unresponsive = worker.count_failed_poll(now);
+        worker.next_poll_at = if worker.unresponsive {
+            now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS)
+        } else {
+            now
+        };
+        if became_unresponsive {
+            self.request_instance_list(now);
+        }
+        self.try_other_address(key, now);
+    }
+
     fn apply_listing(&mut self, key: WorkerKey, listing: &Listing, now: Millis, wall: Millis) {
         let worker = &mut self.workers[key];
         let known_start_ms = worker.report.started_wall_ms;
@@ -113,20 +130,20 @@
         if !recorded {
             self.request_batch(now);
         }
-        for end in &listing.ended {
-            if end.sequence > self.workers[key].last_end_sequence {
-                self.apply_end(key, end, now, wall);
-            }
-        }
+        self.apply_ends(key, &listing.ended, now, wall);
         let listed = self.apply_running(key, &listing.running, now);
-        self.drop_unlisted(key, &listed, sent_at, now);
+        if !self.has_unreadable_runs(key) {
+            self.drop_unlisted(key, &listed, sent_at, now);
+        }
         if is_first_answer {
             self.stop_late_starts(key, now);
         }
         self.adjust_pace(key, now);
-        self.stop_stalled(key, now);
+        self.stop_stalled(key, &listed, now);
+        // A worker with ends that are not acknowledged answers at once.
+        let has_kept_ends = self.acknowledge_max(key) != u64::MAX;
         let worker = &mut self.workers[key];
-        worker.next_poll_at = if worker.ack_ready < worker.last_end_sequence {
+        worker.next_poll_at = if has_kept_ends || worker.ack_ready < worker.last_end_sequence {
             now.after_ms(UNWRITTEN_ENDS_POLL_INTERVAL_MS)
         } else {
             now.after_ms(POLL_INTERVAL_MS)
@@ -253,11 +270,13 @@
     }
 
     /// Stops runs that make no progress, so that their tasks restart on another worker.
-    fn stop_stalled(&mut self, key: WorkerKey, now: Millis) {
+    fn stop_stalled(&mut self, key: WorkerKey, listed: &FastSet<RunKey>, now: Millis) {
+        let is_complete = !self.has_unreadable_runs(key);
         let stalled: Vec<RunKey> = self.workers[key]
             .runs()
             .iter()
             .copied()
+            .filter(|run| is_complete || listed.contains(run))
             .filter(|run| {
                 self.runs.get(*run).is_some_and(|run| {
                     run.confirmed_since().is_some()
@@ -307,12 +326,30 @@
         }
     }
 
+    /// Applies new ends. Those behind an unreadable one are applied, but acknowledged only once it has been read.
+    fn apply_ends(&mut self, key: WorkerKey, ends: &[ListedEnd], now: Millis, wall: Millis) {
+        let acknowledge_max = self.acknowledge_max(key);
+        for end in ends {
+            let batch = self.batches.next_sequence();
+            let worker = &mut self.workers[key];
+            if end.sequence <= worker.last_end_sequence {
+                continue;
+            }
+            let is_new = if end.sequence > acknowledge_max {
+                worker.ends_applied_early.insert(end.sequence)
+            } else {
+                worker.last_end_sequence = end.sequence;
+                worker.unwritten_ends.push_back((end.sequence, batch));
+                !worker.ends_applied_early.remove(&end.sequence)
+            };
+            self.request_batch(now.after_ms(RUN_END_BATCH_DELAY_MS));
+            if is_new {
+                self.apply_end(key, end, now, wall);
+            }
+        }
+    }
+
     fn apply_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Millis, wall: Millis) {
-        let batch = self.batches.next_sequence();
-        let worker = &mut self.workers[key];
-        worker.last_end_sequence = end.sequence;
-        worker.unwritten_ends.push_back((end.sequence, batch));
-        self.request_batch(now.after_ms(RUN_END_BATCH_DELAY_MS));
         let Some(task) = self.job_table.find(&end.task) else {
             return;
         };
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -311,6 +311,20 @@
     pub ended: Vec<ListedEnd>,
 }
 
+/// Rows of a worker's answer that could not be decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UnreadableRows {
+    /// Number of active runs.
+    pub runs: u32,
+    /// Number of ends.
+    pub ends: u32,
+    /// If ends are unreadable: sequence number of the last end before them, 0 if there is none.
+    pub acknowledge_max: Option<u64>,
+    /// Why the first of them could not be decoded.
+    pub reason: Arc<str>,
+}
+
 /// Result of a poll.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -325,6 +339,8 @@
     Unanswered,
     /// The link was closed before an answer arrived, which says nothing about the worker.
     LinkClosed,
+    /// The worker answered, but some rows could not be decoded.
+    ListedInPart(Listing, UnreadableRows),
 }
 
 /// What became of the second run of a task.
@@ -372,6 +388,17 @@
         /// Whether it was unresponsive.
         unresponsive: bool,
     },
+    /// Rows in the answer of a worker could not be decoded; the former answer was readable.
+    WorkerRowsUnreadable {
+        /// The worker.
+        worker: Arc<str>,
+        /// Number of active runs that could not be decoded.
+        runs: u32,
+        /// Number of ends that could not be decoded.
+        ends: u32,
+        /// Why the first of them could not be decoded.
+        reason: Arc<str>,
+    },
     /// A task was given up, and its job fails: worker after worker crashed soon after starting it.
     TaskGivenUp {
         /// The task.
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::order::{ListedRun, WorkerReport};
+use super::order::{ListedRun, UnreadableRows, WorkerReport};
 use super::quarantine::Quarantine;
 use super::run_table::Bookings;
 use crate::placement::Resources;
@@ -64,12 +64,16 @@
     pub unknown_runs: Vec<ListedRun>,
     /// When it began to list such runs.
     pub unknown_runs_since: Option<Millis>,
+    /// Rows of its last answer that could not be read.
+    pub unreadable_rows: Option<UnreadableRows>,
     /// Last reading of its clock, and the time of the reading.
     pub clock: Option<(u64, Millis)>,
     /// End of its lease: no run survives this time unless the lease is renewed.
     pub lease_end: Millis,
-    /// Sequence number of the newest end that was applied.
+    /// Sequence number of the newest end up to which all were applied.
     pub last_end_sequence: u64,
+    /// Later ends that were applied while one before them could not be read.
+    pub ends_applied_early: FastSet<u64>,
     /// Ends that may be acknowledged once a batch is stored, as pairs of end and batch sequence.
     pub unwritten_ends: VecDeque<(u64, u64)>,
     /// Sequence number of the newest end that may be acknowledged.
@@ -120,9 +124,11 @@
             isolated_until: Millis::ZERO,
             unknown_runs: Vec::new(),
             unknown_runs_since: None,
+            unreadable_rows: None,
             clock: None,
             lease_end,
             last_end_sequence: 0,
+            ends_applied_early: FastSet::default(),
             unwritten_ends: VecDeque::new(),
             ack_ready: 0,
             ack_sent: 0,
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -13,7 +13,8 @@
 use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_domain::schedule::order::{
     Action, InstanceOrderResult, InstanceReport, InstanceState, ListedRun, Listing, OrderResult,
-    PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder, WorkerReport,
+    PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder, UnreadableRows,
+    WorkerReport,
 };
 use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
@@ -26,7 +27,7 @@
 use worker::{SimulatedWorker, task_path};
 
 const TICK_MS: u64 = 10;
-const RUN_LEASE_MS: u64 = 5_000;
+pub(crate) const RUN_LEASE_MS: u64 = 5_000;
 const LEADER_GRACE_MS: u64 = 9_000;
 const STOP_GRACE_MS: u64 = 900;
 
@@ -129,6 +130,8 @@
     pub(crate) instance_orders: Vec<(Arc<str>, Option<Arc<str>>)>,
     /// Progress percentage and gauge that workers report for a task; 100 and 0 by default.
     pub(crate) progress_reports: FastMap<String, (u32, u64)>,
+    /// Tasks whose rows in the answers of workers cannot be read.
+    pub(crate) unreadable_tasks: FastSet<String>,
     pub(crate) concurrent_runs_max: FastMap<String, usize>,
     pub(crate) advisor: Advisor,
     settings: ScheduleSettings,
@@ -177,6 +180,7 @@
             complete_orders: true,
             instance_orders: Vec::new(),
             progress_reports: FastMap::default(),
+            unreadable_tasks: FastSet::default(),
             concurrent_runs_max: FastMap::default(),
             advisor: Advisor::default(),
             settings,
@@ -699,12 +703,35 @@
                 }
             })
             .collect();
-        PollResult::Listed(Listing {
+        let listing = Listing {
             clock_ms: now_ms,
             started_wall_ms: worker.report.started_wall_ms,
             running,
             ended: worker.ended.clone(),
-        })
+        };
+        self.read_rows(listing)
+    }
+
+    /// The answer without the rows that cannot be read.
+    fn read_rows(&self, mut listing: Listing) -> PollResult {
+        let is_readable = |task: &TaskName| !self.unreadable_tasks.contains(&task_path(task));
+        let (runs, ends) = (listing.running.len(), listing.ended.len());
+        let unreadable = listing.ended.iter().position(|end| !is_readable(&end.task));
+        let last_before =
+            |index: usize| listing.ended[..index].last().map_or(0, |end| end.sequence);
+        let acknowledge_max = unreadable.map(last_before);
+        listing.running.retain(|run| is_readable(&run.task));
+        listing.ended.retain(|end| is_readable(&end.task));
+        let rows = UnreadableRows {
+            runs: (runs - listing.running.len()) as u32,
+            ends: (ends - listing.ended.len()) as u32,
+            acknowledge_max,
+            reason: "malformed".into(),
+        };
+        if rows.runs + rows.ends == 0 {
+            return PollResult::Listed(listing);
+        }
+        PollResult::ListedInPart(listing, rows)
     }
 
     fn accepted(&self) -> OrderResult {
--- a/crates/ports/src/instance_order.rs
+++ b/crates/ports/src/instance_order.rs
@@ -35,11 +35,22 @@
     },
 }
 
+/// The platform's list of instances.
+#[derive(Clone, Debug)]
+pub struct InstanceList {
+    /// The instances.
+    pub reports: Vec<InstanceReport>,
+    /// Number of rows that could not be decoded, whose instances are missing from the reports.
+    pub unreadable_rows: u32,
+    /// Why the first of them could not be decoded; empty if there is none.
+    pub reason: Arc<str>,
+}
+
 /// Result of a call.
 #[derive(Clone, Debug)]
 pub enum InstanceOrderEvent {
     /// The list, or `None` if it could not be read.
-    ListRead(Option<Vec<InstanceReport>>),
+    ListRead(Option<InstanceList>),
     /// An order ended.
     OrderEnded {
         /// The instance.
