--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -2,8 +2,8 @@
 
 mod actions;
 mod events;
-mod load;
 mod held_jobs;
+mod load;
 mod pressure;
 mod share_status;
 mod start;
@@ -175,6 +175,8 @@
     refused_workers: FastSet<Arc<str>>,
     /// When the platform's list of instances was last read.
     instances_listed_at: Option<Millis>,
+    /// Whether the last list of instances had unreadable rows, which has been logged.
+    instance_rows_unreadable: bool,
 }
 
 impl Leader {
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -16,8 +16,8 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
-use super::load::LeaderLoad;
 use super::held_jobs::{self, StoredProgress};
+use super::load::LeaderLoad;
 use super::pressure::PublishedPressure;
 use super::{
     EventSources, FINAL_WRITE_TIMEOUT, GatewayOffers, Leader, LeaderEnd, LeaderOptions,
@@ -230,6 +230,7 @@
             load: LeaderLoad::new(),
             refused_workers: FastSet::default(),
             instances_listed_at: None,
+            instance_rows_unreadable: false,
             options,
             lease,
             scheduler,
