--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod events;
+mod held_jobs;
 mod load;
 mod pressure;
 mod share_status;
@@ -174,6 +175,8 @@
     refused_workers: FastSet<Arc<str>>,
     /// When the platform's list of instances was last read.
     instances_listed_at: Option<Millis>,
+    /// Whether the last list of instances had unreadable rows, which has been logged.
+    instance_rows_unreadable: bool,
 }
 
 impl Leader {
@@ -244,6 +247,7 @@
             }
         };
         self.clear_workspace_gauges();
+        self.set_held_job_gauge(Vec::new());
         if let LeaderEnd::Stopped = end {
             self.write_final_batch().await;
         }
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -105,10 +105,24 @@
                     warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
                         "silent" => unresponsive, "lease_age_ms" => self.lease_age_ms());
                 }
+                SchedulerEvent::WorkerRowsUnreadable {
+                    worker,
+                    runs,
+                    ends,
+                    reason,
+                } => {
+                    warn!(self.options.log, "worker rows unreadable"; "worker" => &*worker,
+                        "runs" => runs, "ends" => ends, "reason" => &*reason);
+                }
                 SchedulerEvent::JobRefused { job, reason } => {
                     warn!(self.options.log, "job beyond the limits"; "job" => &*job,
                         "reason" => reason);
                 }
+                SchedulerEvent::JobHeld { job } => {
+                    warn!(self.options.log, "job held"; "job" => &*job,
+                        "reason" => "its stored progress cannot be decoded, and done tasks must not run again",
+                        "remedy" => "restore or delete the record and restart the leader, or cancel the job");
+                }
                 SchedulerEvent::TaskGivenUp { task, crashes } => {
                     self.options.metrics.count("tasks.given_up", 1);
                     warn!(self.options.log, "task given up"; "job" => &*task.job,
@@ -215,10 +229,12 @@
         metrics.gauge("placement.waits_paid", waits.paid);
         metrics.gauge("placement.waits_expired", waits.expired);
         let awaited: Vec<&str> = self.scheduler.awaited_workers().map(|id| &**id).collect();
-        if !awaited.is_empty() {
+        let unknown_workers = self.scheduler.awaits_unknown_workers();
+        if !awaited.is_empty() || unknown_workers {
             let first = &awaited[..awaited.len().min(MAX_AWAITED_NAMES)];
             info!(self.options.log, "recovery waits"; "workers" => awaited.len(),
-                "first" => first.join(" "), "lease_age_ms" => self.lease_age_ms());
+                "first" => first.join(" "), "unknown_workers" => unknown_workers,
+                "lease_age_ms" => self.lease_age_ms());
         }
         let now = self.options.clock.now();
         let status = self.scheduler.status(now);
@@ -250,6 +266,7 @@
                 "tasks_waiting" => pool.tasks_waiting, "excluded" => excluded.join(", "));
         }
         self.log_shares();
+        self.set_held_job_gauge(self.scheduler.held_jobs().cloned().collect());
     }
 
     pub(super) async fn send(
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryscale_adapters::worker_gateway::{Router, RouterOptions};
-use rosemaryscale_domain::job::{JobProgress, JobRecord};
+use rosemaryscale_adapters::worker_gateway::{ORDER_AGE_MAX_MS, Router, RouterOptions};
+use rosemaryscale_domain::job::JobRecord;
 use rosemaryscale_domain::schedule::{
     FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
+use super::held_jobs::{self, StoredProgress};
 use super::load::LeaderLoad;
 use super::pressure::PublishedPressure;
 use super::{
@@ -26,7 +27,7 @@
 use crate::jobs::lease::{self, LEADER_GRACE_MS, LeaderLease, Renewal};
 use crate::jobs::records::{
     self, GATEWAY_PREFIX, GatewayRecord, JOB_PREFIX, JobKeyKind, LANE_PREFIX, PROGRESS_PREFIX,
-    SCHEDULER_RECORD_KEY, SchedulerRecord, WORKERS_KEY,
+    SCHEDULER_RECORD_KEY, STATE_PREFIX, SchedulerRecord, WORKERS_KEY,
 };
 
 /// Bounds the delay before a new job starts. The platform charges for each read of the watch.
@@ -39,6 +40,9 @@
 const GATEWAY_WATCH_INTERVAL_MS: u64 = 1_000;
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Terms by which the record of a lane may lag behind. Leaders of earlier versions wrote it only with large
+/// batches.
+const LANE_TERMS_BEHIND_MAX: u32 = 1_000;
 
 impl Leader {
     /// Restores the former leader's state, then runs the scheduler until the key is lost or the daemon
@@ -116,7 +120,7 @@
         end
     }
 
-    /// Loads all records. Returns `None` if the watch of jobs ends or the record of workers is unreadable.
+    /// Loads all records. Returns `None` if the watch of jobs ends.
     async fn load(
         options: LeaderOptions,
         mut lease: LeaderLease,
@@ -125,12 +129,29 @@
     ) -> Option<Self> {
         // Concurrent reads: a single call to a slow store takes hundreds of milliseconds.
         let (former, lanes, workers, progress) = tokio::join!(
-            read_former_record(&options.kv, &mut calls.gateways),
+            read_former_record(&options.kv, &mut calls.gateways, &options.log),
             read_with_retries(&options.kv, prefix_range(LANE_PREFIX)),
             read_with_retries(&options.kv, KeyRange::Key(WORKERS_KEY.into())),
             read_with_retries(&options.kv, prefix_range(PROGRESS_PREFIX)),
         );
-        let (former_record, record_revision) = former;
+        let FormerRecord {
+            record: mut former_record,
+            revision: record_revision,
+            is_unreadable,
+        } = former;
+        let lane_term = last_lane_term(&lanes);
+        former_record.term = if is_unreadable {
+            lane_term.saturating_add(LANE_TERMS_BEHIND_MAX)
+        } else {
+            former_record.term.max(lane_term)
+        };
+        let term = former_record.term.saturating_add(1);
+        let states = if held_jobs::has_unreadable(&progress) {
+            read_with_retries(&options.kv, prefix_range(STATE_PREFIX)).await
+        } else {
+            Vec::new()
+        };
+        let progress = held_jobs::decode_progress(&progress, &states, &options.log);
         let (revision, entries) = loop {
             match jobs.recv().await? {
                 WatchEvent::Snapshot { revision, entries } => break (revision, entries),
@@ -155,18 +176,26 @@
                     LEADER_GRACE_MS
                 },
             stop_grace_ms: options.stop_grace_ms,
-            term: former_record.term + 1,
+            term,
             uneven_work: options.uneven_work,
             placement_wait: options.placement_wait,
         };
+        let workers = recorded_workers(workers, &options.log);
+        let (stored, early_cancellations) =
+            stored_jobs(entries, progress, lease.fencing_token, wall, &options.log);
+        if is_unreadable {
+            // Which queues have changed their service is not known.
+            let queues = stored.iter().map(|job| Arc::clone(&job.record.queue));
+            let queues: FastSet<Arc<str>> = queues.collect();
+            former_record.rerouted.extend(queues);
+        }
         let former_term = FormerTerm {
-            workers: recorded_workers(workers, &options.log)?,
+            unknown_workers: workers.is_none() || former_record.unknown_workers,
+            workers: workers.unwrap_or_default(),
             rerouted: former_record.rerouted,
         };
         let mut scheduler = Scheduler::new(settings, former_term, now);
-        let (stored, early_cancellations) =
-            stored_jobs(entries, progress, lease.fencing_token, &options.log);
-        info!(options.log, "recovery began"; "term" => former_record.term + 1, "jobs" => stored.len(),
+        info!(options.log, "recovery began"; "term" => term, "jobs" => stored.len(),
             "former_over" => former_term_ended, "revision" => revision,
             "lease_age_ms" => now.ms_since(lease.confirmed_at));
         for job in stored {
@@ -186,7 +215,7 @@
         revisions.insert(SCHEDULER_RECORD_KEY.into(), record_revision);
         let writer = BatchWriter::new(
             lease.fencing_token,
-            former_record.term + 1,
+            term,
             Arc::clone(&options.identity.daemon),
             // Gateways may hold orders of the former term until its runs are accounted for, and of this
             // one as soon as they are used.
@@ -201,6 +230,7 @@
             load: LeaderLoad::new(),
             refused_workers: FastSet::default(),
             instances_listed_at: None,
+            instance_rows_unreadable: false,
             options,
             lease,
             scheduler,
@@ -212,14 +242,41 @@
     }
 }
 
-/// Reads the record of the former term and its revision. If that term used gateways, this one connects to
-/// them at once, so that its first polls go through them.
-async fn read_former_record(kv: &KeyValue, gateways: &mut GatewayOffers) -> (SchedulerRecord, u64) {
+/// The scheduler record of the former term.
+struct FormerRecord {
+    record: SchedulerRecord,
+    /// Its revision; 0 if there is none.
+    revision: u64,
+    /// Whether it could not be decoded. What it would have said is then assumed, as far as a mistake is harmful.
+    is_unreadable: bool,
+}
+
+/// Reads the record of the former term. If that term used gateways, this one connects to them at once, so
+/// that its first polls go through them. A record that cannot be decoded counts as one of a term that used
+/// gateways, was not released, and had runs on workers that are not recorded.
+async fn read_former_record(
+    kv: &KeyValue,
+    gateways: &mut GatewayOffers,
+    log: &Logger,
+) -> FormerRecord {
     let entries = read_with_retries(kv, KeyRange::Key(SCHEDULER_RECORD_KEY.into())).await;
     let Some(entry) = entries.into_iter().next() else {
-        return (SchedulerRecord::default(), 0);
+        return FormerRecord {
+            record: SchedulerRecord::default(),
+            revision: 0,
+            is_unreadable: false,
+        };
     };
-    let record: SchedulerRecord = records::decode(&entry.value).unwrap_or_default();
+    let decoded = records::decode::<SchedulerRecord>(&entry.value);
+    let is_unreadable = decoded.is_err();
+    let record = decoded.unwrap_or_else(|error| {
+        error!(log, "scheduler record not read"; "reason" => %error);
+        SchedulerRecord {
+            order_age_max_ms: ORDER_AGE_MAX_MS,
+            unknown_workers: true,
+            ..SchedulerRecord::default()
+        }
+    });
     if record.order_age_max_ms > 0 {
         let entries = read_with_retries(kv, prefix_range(GATEWAY_PREFIX)).await;
         let offers = entries
@@ -231,7 +288,19 @@
         gateways.allowed = true;
         gateways.publish();
     }
-    (record, entry.mod_revision)
+    FormerRecord {
+        record,
+        revision: entry.mod_revision,
+        is_unreadable,
+    }
+}
+
+/// Highest term that the record of any lane names.
+fn last_lane_term(lanes: &[KvEntry]) -> u32 {
+    let terms = lanes
+        .iter()
+        .filter_map(|entry| records::decode::<u32>(&entry.value).ok());
+    terms.max().unwrap_or(0)
 }
 
 /// Starts the client of the advisor, if one is configured.
@@ -263,8 +332,8 @@
     }
 }
 
-/// Workers that the former leader recorded. `None` if the record cannot be decoded: work may still run
-/// on any of them, so the term must not start without it.
+/// Workers that the former leader recorded. `None` if the record cannot be decoded: work may then run on any
+/// worker until the last lease of the former term has ended.
 fn recorded_workers(entries: Vec<KvEntry>, log: &Logger) -> Option<Vec<RecordedWorker>> {
     let Some(entry) = entries.into_iter().next() else {
         return Some(Vec::new());
@@ -282,17 +351,11 @@
 /// job.
 fn stored_jobs(
     entries: Vec<KvEntry>,
-    progress: Vec<KvEntry>,
+    mut progress: FastMap<Arc<str>, StoredProgress>,
     fencing_token: u64,
+    wall: Millis,
     log: &Logger,
 ) -> (Vec<StoredJob>, FastMap<Arc<str>, Vec<Caller>>) {
-    let mut progress: FastMap<Arc<str>, JobProgress> = progress
-        .into_iter()
-        .filter_map(|entry| {
-            let id = entry.key.strip_prefix(PROGRESS_PREFIX)?;
-            Some((Arc::from(id), records::decode(&entry.value).ok()?))
-        })
-        .collect();
     let mut cancelled: FastMap<Arc<str>, Vec<Caller>> = FastMap::default();
     let mut jobs = Vec::new();
     for entry in &entries {
@@ -317,14 +380,21 @@
     jobs.sort_by_key(|(_, record, _)| record.received_wall_ms);
     let jobs = jobs
         .into_iter()
-        .map(|(id, record, acceptance)| StoredJob {
-            progress: progress.remove(&id),
-            cancelled: cancelled
+        .map(|(id, record, acceptance)| {
+            let progress = progress
                 .remove(&id)
-                .is_some_and(|callers| callers.iter().any(|caller| caller.may_access_job(&record))),
-            acceptance,
-            id,
-            record,
+                .map(|stored| stored.into_progress(wall));
+            let (progress, is_progress_unreadable) = progress.unzip();
+            StoredJob {
+                progress,
+                is_progress_unreadable: is_progress_unreadable.unwrap_or(false),
+                cancelled: cancelled.remove(&id).is_some_and(|callers| {
+                    callers.iter().any(|caller| caller.may_access_job(&record))
+                }),
+                acceptance,
+                id,
+                record,
+            }
         })
         .collect();
     (jobs, cancelled)
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -12,9 +12,11 @@
 mod copies;
 mod crashes;
 mod durations;
+mod entry;
 pub mod failure;
 mod fleet;
 mod gang;
+mod held_job;
 mod hold;
 mod job_table;
 mod late_starts;
@@ -34,6 +36,7 @@
 mod ready;
 mod recovery;
 mod retention;
+mod room_index;
 mod roster;
 mod run;
 mod run_table;
@@ -46,6 +49,7 @@
 pub mod status;
 pub mod stop_reason;
 mod unknown_runs;
+mod unreadable_rows;
 mod view;
 mod worker;
 mod workspace_table;
@@ -126,6 +130,8 @@
 pub struct FormerTerm {
     /// Workers that may have runs.
     pub workers: Vec<RecordedWorker>,
+    /// Whether other workers may have runs, too, because the record of the workers could not be read.
+    pub unknown_workers: bool,
     /// Queues that have been routed to more than one service.
     pub rerouted: Vec<Arc<str>>,
 }
@@ -139,6 +145,8 @@
     pub record: JobRecord,
     /// Stored progress, if any.
     pub progress: Option<JobProgress>,
+    /// Whether the stored progress cannot be decoded, so that only the state in `progress` is known.
+    pub is_progress_unreadable: bool,
     /// Whether the job was cancelled.
     pub cancelled: bool,
     /// Whether it was accepted before or during this term.
@@ -264,7 +272,7 @@
             batches: BatchQueue::new(now),
             fenced: false,
         };
-        scheduler.begin_recovery(former.workers, now);
+        scheduler.begin_recovery(former.workers, former.unknown_workers, now);
         scheduler
     }
 
@@ -279,7 +287,11 @@
             return;
         };
         self.check_rate(key, now, wall);
-        let restored = stored.acceptance == Acceptance::BeforeTerm;
+        if stored.is_progress_unreadable {
+            self.hold_job(key);
+        }
+        let restored =
+            stored.acceptance == Acceptance::BeforeTerm || self.job_table.jobs[key].is_held;
         let unseen_ms =
             self.settings.leader_grace_ms + self.settings.run_lease_ms + LEASE_MARGIN_MS;
         let is_final = stored.progress.as_ref().is_some_and(|p| p.state.is_final());
@@ -299,7 +311,8 @@
                 self.record_ended_job(key);
             }
         }
-        if self.job_table.jobs[key].record.spec.repeat.is_some() {
+        let job = &self.job_table.jobs[key];
+        if job.record.spec.repeat.is_some() && !job.is_held {
             self.repeated.push(key);
         }
         if stored.cancelled {
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -91,6 +91,8 @@
     instances: FastSet<Arc<str>>,
     /// Until when all of them must be maintained.
     deadline: Millis,
+    /// Whether a former leader had begun the wave, so that the time that has passed is not known.
+    resumed: bool,
     /// Instances whose maintenance has begun.
     begun: FastSet<Arc<str>>,
     completed: bool,
@@ -186,6 +188,7 @@
             unlisted_since: None,
             persisted: former.is_some_and(|wave| wave.completed),
             instances: request.instances.iter().cloned().collect(),
+            resumed: former.is_some(),
             deadline: now.after_ms(request.duration_ms),
             request,
         });
@@ -270,6 +273,15 @@
             self.instance_unlisted(key, now);
         }
         self.end_unlisted_incarnations(now);
+        self.compare_entries_with_list(self.fleet.list_requested_at, now);
+    }
+
+    /// The instances of the latest list.
+    pub(super) fn listed_instances(&self) -> impl Iterator<Item = &InstanceReport> {
+        let instances = self.fleet.instances.values();
+        instances
+            .filter(|instance| instance.unlisted_since.is_none())
+            .map(|instance| &instance.report)
     }
 
     /// Removes an instance that the list lacks. One reading may lack an instance that still exists, so an
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -2,7 +2,8 @@
 
 use std::collections::VecDeque;
 
-use super::order::{ListedRun, WorkerReport};
+use super::entry::Entry;
+use super::order::{ListedRun, UnreadableRows, WorkerReport};
 use super::quarantine::Quarantine;
 use super::run_table::Bookings;
 use crate::placement::Resources;
@@ -34,14 +35,22 @@
     pub is_connected: bool,
     /// When the link was last opened. What orders before that met says nothing.
     pub connected_at: Millis,
+    /// Whether the process that the worker is known as has answered this leader and has not ended. If not, its
+    /// current one may listen at either address.
+    pub is_known_alive: bool,
 }
 
 /// A worker: one process of an instance.
 #[derive(Debug)]
 pub(super) struct Worker {
+    /// What is in force of its entries.
     pub report: WorkerReport,
+    /// Its newest entry that is not a claim.
+    pub entry: Entry,
     /// An entry that contradicts its answers.
     pub claim: Option<Claim>,
+    /// When a link to an address that only a claim names was last closed.
+    pub claim_link_until: Option<Millis>,
     /// Largest capacity that it has reported.
     pub full_capacity: Resources,
     /// Since when this leader knows of the current incarnation.
@@ -64,12 +73,16 @@
     pub unknown_runs: Vec<ListedRun>,
     /// When it began to list such runs.
     pub unknown_runs_since: Option<Millis>,
+    /// Rows of its last answer that could not be read.
+    pub unreadable_rows: Option<UnreadableRows>,
     /// Last reading of its clock, and the time of the reading.
     pub clock: Option<(u64, Millis)>,
     /// End of its lease: no run survives this time unless the lease is renewed.
     pub lease_end: Millis,
-    /// Sequence number of the newest end that was applied.
+    /// Sequence number of the newest end up to which all were applied.
     pub last_end_sequence: u64,
+    /// Later ends that were applied while one before them could not be read.
+    pub ends_applied_early: FastSet<u64>,
     /// Ends that may be acknowledged once a batch is stored, as pairs of end and batch sequence.
     pub unwritten_ends: VecDeque<(u64, u64)>,
     /// Sequence number of the newest end that may be acknowledged.
@@ -108,8 +121,10 @@
     pub(super) fn new(report: WorkerReport, lease_end: Millis) -> Self {
         Self {
             full_capacity: report.capacity,
+            entry: Entry::new(report.clone()),
             report,
             claim: None,
+            claim_link_until: None,
             incarnation_since: Millis::ZERO,
             service: None,
             listed: true,
@@ -120,9 +135,11 @@
             isolated_until: Millis::ZERO,
             unknown_runs: Vec::new(),
             unknown_runs_since: None,
+            unreadable_rows: None,
             clock: None,
             lease_end,
             last_end_sequence: 0,
+            ends_applied_early: FastSet::default(),
             unwritten_ends: VecDeque::new(),
             ack_ready: 0,
             ack_sent: 0,
@@ -162,24 +179,33 @@
     /// Removes the claim, which kept the worker from counting as synced.
     pub(super) fn take_claim(&mut self) -> Option<Claim> {
         let claim = self.claim.take()?;
-        self.synced = true;
+        self.synced = claim.is_known_alive;
         Some(claim)
     }
 
     /// Drops a claim that an answer or a later entry has refuted. Orders that were sent before may have met
     /// nobody at the claimed address.
     pub(super) fn refute_claim(&mut self, now: Millis) -> Option<Claim> {
+        self.claim_link_closed(now);
         let claim = self.claim.take()?;
         self.incarnation_since = now;
         Some(claim)
     }
 
+    /// Notes that the link is about to lead elsewhere.
+    pub(super) fn claim_link_closed(&mut self, now: Millis) {
+        if self.is_linked_to_claim() {
+            self.claim_link_until = Some(now);
+        }
+    }
+
     /// Whether an order that was sent at this time may have gone to an address that only a claim names.
     pub(super) fn may_have_missed(&self, sent_at: Millis) -> bool {
-        self.claim.as_ref().is_some_and(|claim| {
+        let may_have_missed_claim = self.claim.as_ref().is_some_and(|claim| {
             claim.report.address != self.report.address
                 && (claim.is_connected || sent_at <= claim.connected_at)
-        })
+        });
+        may_have_missed_claim || self.claim_link_until.is_some_and(|until| sent_at <= until)
     }
 
     pub(super) fn free(&self) -> Resources {
@@ -243,15 +269,16 @@
             service,
             // Only runs that may have reached this incarnation are left.
             bookings: std::mem::take(&mut self.bookings),
+            entry: Entry {
+                instance: self.entry.instance.take(),
+                ..Entry::new(report.clone())
+            },
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
             cordoned: self.cordoned,
+            claim_link_until: self.claim_link_until,
             incarnation_since: now,
             ..Self::new(report, Millis::ZERO)
         };
     }
-
-    pub(super) fn rack(&self) -> Option<&Arc<str>> {
-        self.report.labels.last()
-    }
 }
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses only a part of the harness")]
 
+mod address;
 mod advisor;
 mod worker;
 
@@ -13,7 +14,8 @@
 use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_domain::schedule::order::{
     Action, InstanceOrderResult, InstanceReport, InstanceState, ListedRun, Listing, OrderResult,
-    PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder, WorkerReport,
+    PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder, UnreadableRows,
+    WorkerReport,
 };
 use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
@@ -22,11 +24,12 @@
 };
 use rosemaryscale_domain::workspace::Caller;
 
+pub(crate) use address::AddressAnswer;
 pub(crate) use advisor::Advisor;
 use worker::{SimulatedWorker, task_path};
 
 const TICK_MS: u64 = 10;
-const RUN_LEASE_MS: u64 = 5_000;
+pub(crate) const RUN_LEASE_MS: u64 = 5_000;
 const LEADER_GRACE_MS: u64 = 9_000;
 const STOP_GRACE_MS: u64 = 900;
 
@@ -69,7 +72,11 @@
     pub(crate) jobs: Vec<(Arc<str>, JobRecord)>,
     pub(crate) cancelled: FastSet<Arc<str>>,
     pub(crate) progress: FastMap<Arc<str>, JobProgress>,
+    /// Jobs whose progress cannot be decoded by the next leader.
+    pub(crate) unreadable: FastSet<Arc<str>>,
     pub(crate) workers: Vec<RecordedWorker>,
+    /// Whether other workers may have runs of a former leader.
+    pub(crate) unknown_workers: bool,
     pub(crate) released: bool,
 }
 
@@ -113,6 +120,8 @@
     pub(crate) starts: Vec<(Millis, String, u32)>,
     /// An address at which no worker answers, and whether it refuses connects.
     pub(crate) dead_address: Option<(Arc<str>, bool)>,
+    /// Another such address, and how starts, stops and polls end there.
+    pub(crate) address_without_worker: Option<(Arc<str>, AddressAnswer)>,
     /// Number of polls sent.
     pub(crate) polls: usize,
     pub(crate) pace_orders: Vec<(String, u32)>,
@@ -129,6 +138,8 @@
     pub(crate) instance_orders: Vec<(Arc<str>, Option<Arc<str>>)>,
     /// Progress percentage and gauge that workers report for a task; 100 and 0 by default.
     pub(crate) progress_reports: FastMap<String, (u32, u64)>,
+    /// Tasks whose rows in the answers of workers cannot be read.
+    pub(crate) unreadable_tasks: FastSet<String>,
     pub(crate) concurrent_runs_max: FastMap<String, usize>,
     pub(crate) advisor: Advisor,
     settings: ScheduleSettings,
@@ -168,6 +179,7 @@
             lose_next_orders: 0,
             starts: Vec::new(),
             dead_address: None,
+            address_without_worker: None,
             polls: 0,
             pace_orders: Vec::new(),
             stop_causes: Vec::new(),
@@ -177,6 +189,7 @@
             complete_orders: true,
             instance_orders: Vec::new(),
             progress_reports: FastMap::default(),
+            unreadable_tasks: FastSet::default(),
             concurrent_runs_max: FastMap::default(),
             advisor: Advisor::default(),
             settings,
@@ -307,11 +320,24 @@
         if self.store.released {
             settings.leader_grace_ms = 0;
         }
-        let former = FormerTerm::with_workers(recorded);
+        let former = FormerTerm {
+            unknown_workers: self.store.unknown_workers,
+            ..FormerTerm::with_workers(recorded)
+        };
         self.scheduler = Scheduler::new(settings, former, self.now);
         for (id, record) in self.store.jobs.clone() {
+            let is_progress_unreadable = self.store.unreadable.contains(&id);
+            let progress = self.store.progress.get(&id).cloned();
+            let state_only = |progress: JobProgress| JobProgress {
+                state: progress.state,
+                ..JobProgress::default()
+            };
             let stored = StoredJob {
-                progress: self.store.progress.get(&id).cloned(),
+                progress: match is_progress_unreadable {
+                    true => progress.map(state_only),
+                    false => progress,
+                },
+                is_progress_unreadable,
                 cancelled: self.store.cancelled.contains(&id),
                 acceptance: Acceptance::BeforeTerm,
                 id,
@@ -438,6 +464,7 @@
         if let Some(workers) = &batch.workers {
             self.store.workers.clone_from(workers);
         }
+        self.store.unknown_workers = batch.unknown_workers;
         self.store.released = batch.released;
         self.scheduler.batch_written(batch, self.now);
     }
@@ -594,6 +621,9 @@
     fn start(&mut self, key: WorkerKey, order: &StartOrder) -> OrderResult {
         self.starts
             .push((self.now, task_path(&order.task), order.number));
+        if let Some(answer) = self.answer_without_worker(key) {
+            return answer.to_order();
+        }
         if self.refuse_fencing_token {
             return OrderResult::Refused(Refusal::Fenced);
         }
@@ -627,6 +657,9 @@
     }
 
     fn stop(&mut self, key: WorkerKey, order: &StopOrder) -> OrderResult {
+        if let Some(answer) = self.answer_without_worker(key) {
+            return answer.to_order();
+        }
         let reachable = self
             .worker_index(key)
             .filter(|index| !self.workers[*index].partitioned);
@@ -646,6 +679,9 @@
     }
 
     fn poll_address(&mut self, key: WorkerKey, order: PollOrder) -> PollResult {
+        if let Some(answer) = self.answer_without_worker(key) {
+            return answer.to_poll();
+        }
         let address = self.scheduler.worker(key).map(|report| &report.address);
         match &self.dead_address {
             Some((dead, true)) if Some(dead) == address => PollResult::NotListening,
@@ -699,12 +735,35 @@
                 }
             })
             .collect();
-        PollResult::Listed(Listing {
+        let listing = Listing {
             clock_ms: now_ms,
             started_wall_ms: worker.report.started_wall_ms,
             running,
             ended: worker.ended.clone(),
-        })
+        };
+        self.read_rows(listing)
+    }
+
+    /// The answer without the rows that cannot be read.
+    fn read_rows(&self, mut listing: Listing) -> PollResult {
+        let is_readable = |task: &TaskName| !self.unreadable_tasks.contains(&task_path(task));
+        let (runs, ends) = (listing.running.len(), listing.ended.len());
+        let unreadable = listing.ended.iter().position(|end| !is_readable(&end.task));
+        let last_before =
+            |index: usize| listing.ended[..index].last().map_or(0, |end| end.sequence);
+        let acknowledge_max = unreadable.map(last_before);
+        listing.running.retain(|run| is_readable(&run.task));
+        listing.ended.retain(|end| is_readable(&end.task));
+        let rows = UnreadableRows {
+            runs: (runs - listing.running.len()) as u32,
+            ends: (ends - listing.ended.len()) as u32,
+            acknowledge_max,
+            reason: "malformed".into(),
+        };
+        if rows.runs + rows.ends == 0 {
+            return PollResult::Listed(listing);
+        }
+        PollResult::ListedInPart(listing, rows)
     }
 
     fn accepted(&self) -> OrderResult {
