Draw odd entries in the seeded schedules, and mend what they found

Callers would see two runs of a task at a time after a change of the leader, and more tasks on a worker than it has room for. The schedules now replace entries of live workers by readable odd ones, alone or in turn with the true ones: capacity, service, instance, labels, draining, start, address, and start with address. They are drawn from a generator of their own, in a test of their own, so that other seeds draw what they drew. Links follow the address: to nobody, who refuses or does not answer, or to another worker, which refuses the id.

Three faults showed, each with a test in entry_bounds.rs that failed before: - A new leader released the tasks of a service without waiting for a worker that ran some of them, since the record of workers or an entry named another service for it. A worker whose service in force has changed while it may have had runs now counts as one of unknown service, which a record states by an empty name. a_new_leader_waits_for_a_worker_whose_entry_names_another_service: left 2, right 1 concurrent runs. - An entry that named the instance of another worker ended an unresponsive worker that the list still showed.

--- a/crates/domain/src/schedule/entry.rs
+++ b/crates/domain/src/schedule/entry.rs
@@ -19,14 +19,12 @@
     capacity: Resources,
 }
 
-impl ListedInstance {
-    /// A capacity of the worker, at most that of the instance, if the list names one.
-    fn bound(&self, capacity: Resources) -> Resources {
-        if self.capacity == Resources::default() {
-            return capacity;
-        }
-        capacity.min(self.capacity)
+/// A capacity, at most that of an instance, if the list names one.
+fn bounded_capacity(capacity: Resources, of_instance: Resources) -> Resources {
+    if of_instance == Resources::default() {
+        return capacity;
     }
+    capacity.min(of_instance)
 }
 
 impl From<&InstanceReport> for ListedInstance {
@@ -53,6 +51,8 @@
     pub service_since: Millis,
     /// Whether a list that was requested after that shows the worker in another pool.
     pub is_in_other_pool: bool,
+    /// Whether the service in force has changed since the worker may have runs, so that some may be of another one.
+    pub has_changed_service: bool,
 }
 
 impl Entry {
@@ -64,19 +64,23 @@
             instance: None,
             service_since: Millis::ZERO,
             is_in_other_pool: false,
+            has_changed_service: false,
         }
     }
 
     /// The values of the entry that count, where `known` are those in force.
     ///
-    /// - Capacity: at most that of the instance, since a process has no room beyond it.
+    /// - Capacity: at most that of the instance, since a process has no room beyond it; at most that of the largest
+    ///   instance until a list has shown the worker.
     /// - Service and instance: a process is not moved, so the known ones stay while the list confirms them.
     /// - Labels: those of a process do not change, so only those count that its entries agree on.
     /// - Draining: always counts, since a worker that is about to end must get no more work.
-    fn bounded(&self, known: &WorkerReport) -> WorkerReport {
+    fn bounded(&self, known: &WorkerReport, largest_instance: Resources) -> WorkerReport {
         let mut report = self.report.clone();
-        if let Some(instance) = &self.instance {
-            report.capacity = instance.bound(report.capacity);
+        let instance = self.instance.as_ref();
+        let bound = instance.map_or(largest_instance, |instance| instance.capacity);
+        report.capacity = bounded_capacity(report.capacity, bound);
+        if let Some(instance) = instance {
             if self.is_of_lifetime && instance.pool == known.service {
                 report.service = Arc::clone(&known.service);
             }
@@ -108,6 +112,14 @@
         self.report.labels.contains(rack).then_some(rack)
     }
 
+    /// Its service as other leaders are told; empty if its runs may be of more than one.
+    pub(super) fn service_of_runs(&self) -> Arc<str> {
+        if self.entry.has_changed_service {
+            return "".into();
+        }
+        Arc::clone(&self.report.service)
+    }
+
     /// Keeps the labels in force for the rest of the incarnation, once it has answered. The record of a worker that
     /// the platform has not listed yet has none.
     pub(super) fn keep_labels(&mut self) {
@@ -143,9 +155,12 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        let report = worker.entry.bounded(&worker.report);
+        let report = worker
+            .entry
+            .bounded(&worker.report, self.fleet.largest_capacity);
         if report.service != worker.report.service {
             worker.entry.service_since = now;
+            worker.entry.has_changed_service |= worker.recorded || !worker.runs().is_empty();
             let pool = worker
                 .entry
                 .instance
@@ -160,6 +175,8 @@
     /// Compares the entries of all workers with a list of instances that has been applied.
     pub(super) fn compare_entries_with_list(&mut self, list_requested_at: Millis, now: Millis) {
         let mut listed: FastMap<WorkerKey, ListedInstance> = FastMap::default();
+        let capacities = self.listed_instances().map(|instance| instance.capacity);
+        self.fleet.largest_capacity = capacities.fold(Resources::default(), Resources::max);
         for instance in self.listed_instances() {
             let key = instance.worker.as_ref();
             let Some(key) = key.and_then(|id| self.workers_by_id.get(id)) else {
@@ -177,7 +194,7 @@
             let pool = instance.as_ref().map(|instance| Arc::clone(&instance.pool));
             // The bounds of an instance that the list lacks hold, but it contradicts no service.
             if let Some(instance) = instance {
-                worker.full_capacity = instance.bound(worker.full_capacity);
+                worker.full_capacity = bounded_capacity(worker.full_capacity, instance.capacity);
                 worker.entry.instance = Some(instance);
             }
             // Answers may have brought the current ones.
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -13,6 +13,7 @@
 use super::order::{Action, InstanceReport, InstanceState, SchedulerEvent, WaveRequest};
 use super::stop_reason::StopReason;
 use super::{RUN_END_BATCH_DELAY_MS, Scheduler};
+use crate::placement::Resources;
 use crate::prelude::*;
 
 /// Interval at which the platform's instance list is read while operations are in progress.
@@ -122,6 +123,8 @@
     /// Instances that each pool has and needs, as of the last planning pass.
     pool_demand: FastMap<ServiceKey, usize>,
     spare_services: FastSet<ServiceKey>,
+    /// Largest amount of each resource on an instance of the latest list.
+    pub(super) largest_capacity: Resources,
     last_listed_at: Option<Millis>,
     /// When the latest read of the list was requested.
     list_requested_at: Millis,
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -192,7 +192,7 @@
             recorded.push(RecordedWorker {
                 id: Arc::clone(&worker.report.id),
                 address: Arc::clone(&worker.report.address),
-                service: Arc::clone(&worker.report.service),
+                service: worker.service_of_runs(),
                 machine: Arc::clone(&worker.report.instance),
                 started_wall_ms: worker.report.started_wall_ms,
             });
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -223,7 +223,7 @@
     fn awaited_services(&self) -> FastSet<Arc<str>> {
         let awaited = self.recovery.iter().flat_map(|recovery| &recovery.awaited);
         awaited
-            .filter_map(|key| Some(Arc::clone(&self.workers.get(*key)?.report.service)))
+            .filter_map(|key| Some(self.workers.get(*key)?.service_of_runs()))
             .collect()
     }
 
--- a/crates/domain/tests/entry_bounds.rs
+++ b/crates/domain/tests/entry_bounds.rs
@@ -1,6 +1,8 @@
 //! Readable entries of another writer under the id of a live worker, which change only what the worker itself does
 //! not report: capacity, service, instance, labels or state.
 
+#![allow(clippy::expect_used, reason = "tests panic on failure")]
+
 mod scheduler_harness;
 
 use rosemaryscale_domain::job::{JobRecord, StepSpec};
@@ -228,6 +230,63 @@
     assert_eq!(harness.running(), ["a.0.0.0", "run.0.0.0"]);
 }
 
+/// Guards against a second run of a task after a change of the leader: an odd entry, before it or after it, names
+/// another service for the worker that runs the task, so that nobody waits for its answer.
+#[test]
+fn a_new_leader_waits_for_a_worker_whose_entry_names_another_service() {
+    for is_listed_before in [true, false] {
+        let mut harness = SchedulerHarness::new(2);
+        harness.submit("a", job_of("service"));
+        harness.run_for(500);
+        let worker = harness.worker_running("a.0.0.0").expect("it runs");
+        let mut odd = harness.workers[worker].report.clone();
+        odd.service = "other".into();
+        if is_listed_before {
+            harness.scheduler.worker_listed(odd.clone(), harness.now);
+            harness.submit("c", job_of("other"));
+            harness.run_for(1_000);
+        }
+        harness.partition(worker);
+        harness.change_leader();
+        harness.scheduler.worker_listed(odd, harness.now);
+        harness.run_for(4_000);
+        assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+        assert_eq!(harness.start_count("a.0.0.0"), 1);
+    }
+}
+
+/// Guards against the same since the entry names the instance of another worker, which the list shows there.
+#[test]
+fn a_new_leader_waits_for_a_worker_whose_entry_names_another_instance() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.add_instance("machine-w0", "service", Some("w0"));
+    harness.add_instance("machine-w1", "service", Some("w1"));
+    harness.submit("a", job_of("service"));
+    harness.run_for(500);
+    let worker = harness.worker_running("a.0.0.0").expect("it runs");
+    let mut odd = harness.workers[worker].report.clone();
+    odd.instance = harness.workers[1 - worker].report.instance.clone();
+    harness.partition(worker);
+    harness.change_leader();
+    harness.scheduler.worker_listed(odd, harness.now);
+    harness.run_for(4_000);
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+    assert_eq!(harness.start_count("a.0.0.0"), 1);
+}
+
+/// Guards against starts beyond the room of a worker that no list has shown yet.
+#[test]
+fn a_worker_that_no_list_has_shown_has_at_most_the_capacity_of_the_largest_instance() {
+    let mut harness = SchedulerHarness::new(0);
+    harness.add_instance("machine-w0", "service", None);
+    harness.run_for(1_500);
+    harness.add_worker("w0", "service");
+    list_odd(&mut harness, name_large_capacity);
+    harness.submit("a", job(vec![step(12)], 3));
+    harness.run_for(1_500);
+    assert_eq!(harness.running().len(), 4);
+}
+
 /// Guards against a start on a worker that is about to end, and against a worker that stays excluded after the
 /// claim of another writer.
 #[test]
--- a/crates/domain/tests/takeover_model/conditions.rs
+++ b/crates/domain/tests/takeover_model/conditions.rs
@@ -25,6 +25,8 @@
     pub(super) workspace_count: usize,
     /// Probability that the quota of one of the workspaces changes, for each tick.
     pub(super) quota_changes_per_mille: u32,
+    /// Probability that another writer replaces the entry of a worker, for each tick and worker.
+    pub(super) odd_entries_per_mille: u32,
 }
 
 /// What a worker keeps over a restart, and which orders its next incarnation may receive.
@@ -50,6 +52,7 @@
         speculative_percent: 0,
         workspace_count: 0,
         quota_changes_per_mille: 0,
+        odd_entries_per_mille: 0,
     };
 
     /// Frequent cancellations of jobs with long runs.
@@ -86,6 +89,12 @@
         ..Self::RESTARTS
     };
 
+    /// Entries of another writer under the ids of live workers, beside frequent restarts.
+    pub(crate) const ODD_ENTRIES: Self = Self {
+        odd_entries_per_mille: 5,
+        ..Self::RESTARTS
+    };
+
     pub(super) const fn uneven_work(&self) -> UnevenWork {
         let has_copies = self.speculative_percent > 0;
         UnevenWork {
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -7,6 +7,7 @@
 mod conditions;
 mod faults;
 mod messages;
+mod odd_entries;
 mod quotas;
 mod worker;
 
@@ -16,6 +17,7 @@
 pub(crate) use conditions::Conditions;
 use conditions::Restart;
 use messages::{Answer, Delivery, Event, InTransit, Order, Reception};
+use odd_entries::OddEntries;
 use quotas::Quotas;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -59,6 +61,8 @@
     fencing_token: u64,
     /// Id and index of each worker that it is connected to.
     worker_indices: FastMap<WorkerKey, (Arc<str>, usize)>,
+    /// Links to addresses that only odd entries name and where nobody listens.
+    links_to_nobody: FastSet<WorkerKey>,
     is_active: bool,
     reaches_store: bool,
     lost_store_at: Millis,
@@ -87,6 +91,7 @@
     conditions: Conditions,
     checks: Checks,
     quotas: Quotas,
+    odd_entries: OddEntries,
 }
 
 /// Runs the schedule of a seed; `Err` describes the violated invariant.
@@ -119,6 +124,7 @@
             conditions,
             checks: Checks::default(),
             quotas: Quotas::default(),
+            odd_entries: OddEntries::new(seed),
         };
         model.draw_quotas();
         model.start_leader();
@@ -170,8 +176,10 @@
             self.submit_and_cancel();
             self.inject_faults();
             self.change_quota();
+            self.replace_entries();
         } else {
             self.clear_faults();
+            self.remove_odd_entries();
             self.raise_quotas();
         }
         for index in 0..self.workers.len() {
@@ -234,6 +242,7 @@
             scheduler,
             fencing_token: u64::from(term),
             worker_indices: FastMap::default(),
+            links_to_nobody: FastSet::default(),
             is_active: true,
             reaches_store: true,
             lost_store_at: Millis::MAX,
@@ -253,13 +262,14 @@
         let unconfirmed = !leader.reaches_store && without_store_ms > LEADER_TTL_MS;
         leader.scheduler.set_leadership_unconfirmed(unconfirmed);
         if leader.reaches_store {
-            for worker in &self.workers {
+            for (position, worker) in self.workers.iter().enumerate() {
                 if worker.up && now.ms_since(worker.restarted_at) < self.conditions.listing_delay_ms
                 {
                     continue;
                 }
                 if worker.up {
-                    leader.scheduler.worker_listed(worker.report(), now);
+                    let report = self.odd_entries.listed(position, worker.report(), now);
+                    leader.scheduler.worker_listed(report, now);
                 } else {
                     leader.scheduler.worker_unlisted(&worker.id);
                 }
@@ -287,17 +297,28 @@
         let leader = &mut self.leaders[index];
         match action {
             Action::Connect(key) => {
-                let id = leader
-                    .scheduler
-                    .worker(key)
-                    .map(|report| Arc::clone(&report.id));
-                let position = self.workers.iter().position(|w| Some(&w.id) == id.as_ref());
-                if let (Some(id), Some(worker_index)) = (id, position) {
-                    leader.worker_indices.insert(key, (id, worker_index));
+                let Some(report) = leader.scheduler.worker(key) else {
+                    return;
+                };
+                let id = Arc::clone(&report.id);
+                let has_odd_entries = self.conditions.odd_entries_per_mille > 0;
+                let is_linked = |worker: &ModelWorker| match has_odd_entries {
+                    true => worker.address() == &report.address,
+                    false => worker.id == id,
+                };
+                match self.workers.iter().position(is_linked) {
+                    Some(worker_index) => {
+                        leader.worker_indices.insert(key, (id, worker_index));
+                    }
+                    None if has_odd_entries => {
+                        leader.links_to_nobody.insert(key);
+                    }
+                    None => {}
                 }
             }
             Action::Disconnect(key) => {
                 leader.worker_indices.remove(&key);
+                leader.links_to_nobody.remove(&key);
             }
             Action::Start(key, order) => self.send(index, key, Order::Start(order)),
             Action::Stop(key, order, _) => self.send(index, key, Order::Stop(order)),
@@ -311,6 +332,16 @@
     }
 
     fn send(&mut self, index: usize, key: WorkerKey, order: Order) {
+        if self.leaders[index].links_to_nobody.contains(&key) {
+            let (due_ms, answer) = self.answer_of_nobody(&order);
+            self.in_transit.push(InTransit {
+                due_at: self.now.after_ms(due_ms),
+                leader: index,
+                worker: (key, 0),
+                event: Event::Answered { order, answer },
+            });
+            return;
+        }
         let Some((id, worker)) = self.leaders[index].worker_indices.get(&key).cloned() else {
             return;
         };
--- a/crates/domain/tests/takeover_model/worker.rs
+++ b/crates/domain/tests/takeover_model/worker.rs
@@ -106,6 +106,10 @@
         self.lease_end_ms = self.lease_end_ms.max(deadline_ms.min(longest_ms));
     }
 
+    pub(super) const fn address(&self) -> &Arc<str> {
+        &self.report.address
+    }
+
     pub(super) fn report(&self) -> WorkerReport {
         self.report.clone()
     }
--- a/crates/domain/tests/takeovers.rs
+++ b/crates/domain/tests/takeovers.rs
@@ -10,6 +10,8 @@
 /// Number of schedules of each test in a default run. The environment variables `SCHEDULES` and `FIRST_SEED`
 /// set another number and the first seed.
 const DEFAULT_SCHEDULES: u64 = 4_000;
+/// Number of schedules with odd entries in a default run.
+const DEFAULT_ODD_SCHEDULES: u64 = 1_000;
 /// Maximum number of threads that play the schedules of a test. Other tests run beside them.
 const MAX_THREADS: usize = 4;
 
@@ -100,14 +102,30 @@
     play("quotas_hold_in_every_schedule", Conditions::QUOTAS, &[]);
 }
 
+/// Guards against entries of another writer, alone or in turn with the true ones, that break any of the same rules:
+/// a capacity, service, instance, labels, state, start or address that a live worker does not have.
+#[test]
+fn odd_entries_keep_the_invariants() {
+    play_number(
+        "odd_entries_keep_the_invariants",
+        Conditions::ODD_ENTRIES,
+        DEFAULT_ODD_SCHEDULES,
+        &[],
+    );
+}
+
 fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
 
-/// Plays the schedules of a test on several threads.
 fn play(test: &str, conditions: Conditions, regression_seeds: &[u64]) {
+    play_number(test, conditions, DEFAULT_SCHEDULES, regression_seeds);
+}
+
+/// Plays the schedules of a test on several threads.
+fn play_number(test: &str, conditions: Conditions, default_count: u64, regression_seeds: &[u64]) {
     let first_seed = env_number("FIRST_SEED").unwrap_or(0);
-    let schedule_count = env_number("SCHEDULES").unwrap_or(DEFAULT_SCHEDULES);
+    let schedule_count = env_number("SCHEDULES").unwrap_or(default_count);
     let seeds: Vec<u64> = (first_seed..first_seed + schedule_count)
         .chain(regression_seeds.iter().copied())
         .collect();
