Keep over which routes each address of a worker was tried

Callers see tasks that restart although a daemon reaches their worker: a worker that is polled at two addresses in turn (an entry contradicts its answers) was tried over one gateway only. With both addresses unreachable from there, it stayed unresponsive until its leases had ended.

Cause: a link is closed and opened again for another address, and closing it forgot the unanswered polls and the failed routes. With one unanswered poll at each address, the two that lead to another route were never counted.

Fix: `RoutePlan` counts the tries of each address of a worker, for the last three of them, also while the link is closed. An address that was used before goes on where it was left; one that is new is tried everywhere. A gateway that connects again is tried again, as before. The tries of the last 1,024 closed links are kept, since a removed worker is closed by the same call.

--- a/crates/adapters/src/worker_gateway/router.rs
+++ b/crates/adapters/src/worker_gateway/router.rs
@@ -160,7 +160,8 @@
                 availability_zone,
                 ..
             } => {
-                let route = self.plan.open(worker, Arc::clone(&availability_zone));
+                let zone = Arc::clone(&availability_zone);
+                let route = self.plan.open(worker, Arc::clone(&address), zone);
                 let link = Link {
                     id,
                     address,
--- a/crates/domain/src/worker_route.rs
+++ b/crates/domain/src/worker_route.rs
@@ -4,6 +4,8 @@
 //! them. In a large fleet the requests to workers cost more processor time than the decisions, so the
 //! links are spread over other daemons, the gateways.
 
+use std::collections::VecDeque;
+
 use crate::prelude::*;
 
 /// Number of workers up to which the leader holds all links itself.
@@ -20,6 +22,12 @@
 const IMBALANCE_WORKERS: usize = 16;
 /// Unanswered polls in a row after which another daemon is tried; a single answer may be lost.
 const UNANSWERED_POLLS_MAX: u32 = 2;
+/// Maximum number of addresses of a worker whose tries are kept: the known one, a claimed one, and one more for
+/// an entry that changes.
+const ADDRESSES_MAX: usize = 3;
+/// Maximum number of closed links whose tries are kept. A link that is opened for another address is closed just
+/// before, so this covers a change of all workers of a large fleet at once.
+const CLOSED_LINKS_MAX: usize = 1_024;
 
 /// A daemon that offers to hold links.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -86,17 +94,19 @@
     pub removed: Vec<GatewayKey>,
 }
 
+/// Over which routes an address of a worker was tried.
 #[derive(Debug)]
-struct RoutedWorker {
+struct Tries {
+    address: Arc<str>,
+    /// Current route, or the last one if another address is in use.
     route: Route,
-    availability_zone: Arc<str>,
-    /// Polls in a row that got no answer on the current route.
+    /// Polls in a row that got no answer on this route.
     unanswered_polls: u32,
     /// Routes on which the worker did not answer. They are tried again once it answers on none.
     failed_routes: Vec<Route>,
 }
 
-impl RoutedWorker {
+impl Tries {
     const fn is_unreachable(&self) -> bool {
         self.unanswered_polls >= UNANSWERED_POLLS_MAX
     }
@@ -106,12 +116,54 @@
     }
 }
 
+#[derive(Debug)]
+struct RoutedWorker {
+    availability_zone: Arc<str>,
+    /// Tries of the address in use.
+    tries: Tries,
+    /// Tries of other addresses, the last one used first.
+    other_tries: Vec<Tries>,
+}
+
+/// Tries of workers whose links are closed. A link may be opened again at once, for the same address or for
+/// another one.
+#[derive(Debug, Default)]
+struct ClosedLinks {
+    tries: FastMap<WorkerKey, Vec<Tries>>,
+    /// Order in which the links were closed.
+    order: VecDeque<WorkerKey>,
+}
+
+impl ClosedLinks {
+    fn insert(&mut self, worker: WorkerKey, tries: Vec<Tries>) {
+        self.tries.insert(worker, tries);
+        self.order.push_back(worker);
+        if self.order.len() > CLOSED_LINKS_MAX
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.tries.remove(&oldest);
+        }
+    }
+
+    fn take(&mut self, worker: WorkerKey) -> Vec<Tries> {
+        let Some(tries) = self.tries.remove(&worker) else {
+            return Vec::new();
+        };
+        // Links are mostly opened again just after they were closed, so the newest come first.
+        if let Some(index) = self.order.iter().rposition(|key| *key == worker) {
+            self.order.remove(index);
+        }
+        tries
+    }
+}
+
 /// Routes of all workers of a leader.
 #[derive(Debug, Default)]
 pub struct RoutePlan {
     gateways: SlotMap<GatewayKey, Gateway>,
     by_name: FastMap<Arc<str>, GatewayKey>,
     workers: FastMap<WorkerKey, RoutedWorker>,
+    closed: ClosedLinks,
 }
 
 impl RoutePlan {
@@ -165,10 +217,11 @@
         if let Some(gateway) = self.gateways.get_mut(key) {
             gateway.state = GatewayState::Connected;
         }
-        for worker in self.workers.values_mut() {
-            worker
-                .failed_routes
-                .retain(|route| *route != Route::Gateway(key));
+        let open = self.workers.values_mut();
+        let open = open.flat_map(|worker| worker.other_tries.iter_mut().chain([&mut worker.tries]));
+        for tries in open.chain(self.closed.tries.values_mut().flatten()) {
+            let is_other = |route: &Route| *route != Route::Gateway(key);
+            tries.failed_routes.retain(is_other);
         }
     }
 
@@ -189,7 +242,7 @@
         let workers: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.route == Route::Gateway(key))
+            .filter(|(_, worker)| worker.tries.route == Route::Gateway(key))
             .map(|(worker, _)| *worker)
             .collect();
         workers
@@ -198,58 +251,97 @@
             .collect()
     }
 
-    /// Chooses the route of a new worker.
-    pub fn open(&mut self, worker: WorkerKey, availability_zone: Arc<str>) -> Route {
-        self.insert(worker, availability_zone, Vec::new())
-    }
-
-    fn insert(
+    /// Chooses the route for a link to an address of a worker. An address that was used before continues its
+    /// tries, so that two addresses in turn do not begin them again each time; a new address deserves new ones.
+    pub fn open(
         &mut self,
         worker: WorkerKey,
+        address: Arc<str>,
         availability_zone: Arc<str>,
-        failed_routes: Vec<Route>,
     ) -> Route {
         self.close(worker);
-        let route = self.best_route(&availability_zone, &failed_routes);
-        self.count(route, 1);
+        let mut other_tries = self.closed.take(worker);
+        let known = other_tries
+            .iter()
+            .position(|tries| tries.address == address);
+        let known = known.map(|index| other_tries.remove(index));
+        let tries = match known {
+            Some(tries) if tries.unanswered_polls > 0 && self.is_usable(tries.route) => tries,
+            known => {
+                let failed_routes = known.map(|tries| tries.failed_routes).unwrap_or_default();
+                self.first_try(address, &availability_zone, failed_routes)
+            }
+        };
         let routed = RoutedWorker {
-            route,
             availability_zone,
+            tries,
+            other_tries,
+        };
+        self.insert(worker, routed)
+    }
+
+    fn first_try(
+        &self,
+        address: Arc<str>,
+        availability_zone: &Arc<str>,
+        failed_routes: Vec<Route>,
+    ) -> Tries {
+        Tries {
+            address,
+            route: self.best_route(availability_zone, &failed_routes),
             unanswered_polls: 0,
             failed_routes,
-        };
+        }
+    }
+
+    fn insert(&mut self, worker: WorkerKey, routed: RoutedWorker) -> Route {
+        let route = routed.tries.route;
+        self.count(route, 1);
         self.workers.insert(worker, routed);
         route
     }
 
+    fn is_usable(&self, route: Route) -> bool {
+        match route {
+            Route::Local => true,
+            Route::Gateway(key) => self.gateways.get(key).is_some_and(Gateway::takes_workers),
+        }
+    }
+
     /// Notes whether a worker has answered a poll on its current route.
     pub fn polled(&mut self, worker: WorkerKey, is_answered: bool) {
         if let Some(worker) = self.workers.get_mut(&worker) {
-            worker.unanswered_polls = if is_answered {
+            let tries = &mut worker.tries;
+            tries.unanswered_polls = if is_answered {
                 0
             } else {
-                worker.unanswered_polls.saturating_add(1)
+                tries.unanswered_polls.saturating_add(1)
             };
         }
     }
 
-    /// Forgets a worker.
+    /// Closes the link to a worker. Its tries are kept for a while, in case it is opened again.
     pub fn close(&mut self, worker: WorkerKey) {
-        if let Some(worker) = self.workers.remove(&worker) {
-            self.count(worker.route, -1);
-        }
+        let Some(routed) = self.workers.remove(&worker) else {
+            return;
+        };
+        self.count(routed.tries.route, -1);
+        let mut tries = routed.other_tries;
+        tries.insert(0, routed.tries);
+        tries.truncate(ADDRESSES_MAX);
+        self.closed.insert(worker, tries);
     }
 
     /// The route of a worker.
     #[must_use]
     pub fn route(&self, worker: WorkerKey) -> Option<Route> {
-        self.workers.get(&worker).map(|worker| worker.route)
+        self.workers.get(&worker).map(|worker| worker.tries.route)
     }
 
     /// Whether the worker's link should be held by another daemon.
     #[must_use]
     pub fn should_reroute(&self, worker: WorkerKey) -> bool {
-        let Some(routed) = self.workers.get(&worker) else {
+        let Some(routed) = self.workers.get(&worker).map(|worker| &worker.tries) else {
             return false;
         };
         let mut available = self
@@ -278,8 +370,7 @@
     /// Chooses a new route for a worker and returns it. A route on which it did not answer is chosen only if
     /// it answered on no other one either.
     pub fn reroute(&mut self, worker: WorkerKey) -> Option<Route> {
-        let routed = self.workers.get(&worker)?;
-        let zone = Arc::clone(&routed.availability_zone);
+        let routed = &self.workers.get(&worker)?.tries;
         let mut failed = routed.failed_routes.clone();
         if routed.is_unreachable() && !routed.has_failed(routed.route) {
             failed.push(routed.route);
@@ -292,7 +383,11 @@
         {
             failed = vec![routed.route];
         }
-        Some(self.insert(worker, zone, failed))
+        let mut routed = self.workers.remove(&worker)?;
+        self.count(routed.tries.route, -1);
+        let address = Arc::clone(&routed.tries.address);
+        routed.tries = self.first_try(address, &routed.availability_zone, failed);
+        Some(self.insert(worker, routed))
     }
 
     /// Number of workers on each connected gateway, for reports.
--- a/crates/domain/tests/worker_route.rs
+++ b/crates/domain/tests/worker_route.rs
@@ -28,7 +28,7 @@
     let mut keys: SlotMap<WorkerKey, ()> = SlotMap::with_key();
     let workers: Vec<WorkerKey> = (0..count).map(|_| keys.insert(())).collect();
     for worker in &workers {
-        plan.open(*worker, zone.into());
+        plan.open(*worker, "10.0.1.1:80".into(), zone.into());
     }
     workers
 }
@@ -193,3 +193,77 @@
     assert!(plan.should_reroute(worker));
     assert_eq!(plan.reroute(worker), Some(Route::Gateway(keys[0])));
 }
+
+/// Opens the link to another address, as after an entry that contradicts the answers, and polls once without an
+/// answer. Returns the route of the poll.
+fn poll_at(plan: &mut RoutePlan, worker: WorkerKey, address: &str) -> Option<Route> {
+    plan.close(worker);
+    plan.open(worker, address.into(), "a".into());
+    if plan.should_reroute(worker) {
+        plan.reroute(worker);
+    }
+    plan.polled(worker, false);
+    plan.route(worker)
+}
+
+/// Guards against a worker that is tried over one gateway only, for as long as two addresses of it are polled in
+/// turn: each change of the address began the count of unanswered polls again.
+#[test]
+fn two_addresses_in_turn_are_tried_on_all_routes() {
+    let offers = vec![offer("g1", "a", 500), offer("g2", "b", 500)];
+    let (mut plan, keys) = connected(offers);
+    let worker = open(&mut plan, 1, "a")[0];
+    let [first, second] = [keys[0], keys[1]].map(Route::Gateway);
+    let mut tried = [Vec::new(), Vec::new()];
+    for _ in 0..6 {
+        for (address, routes) in ["10.0.1.1:80", "10.0.1.2:80"].iter().zip(&mut tried) {
+            routes.extend(poll_at(&mut plan, worker, address));
+        }
+    }
+    let in_turn = [first, first, second, second, Route::Local, Route::Local];
+    assert_eq!(tried, [in_turn, in_turn]);
+    assert_eq!(loads(&plan).iter().sum::<usize>(), 0, "the leader holds it");
+}
+
+/// Guards against a new address that is not tried where a former one failed, against a known one that returns to
+/// a route on which it did not answer, and against failures that outlive a new connection of the gateway.
+#[test]
+fn only_a_new_address_gets_new_tries() {
+    let (mut plan, keys) = connected(vec![offer("g1", "a", 500), offer("g2", "b", 500)]);
+    let worker = open(&mut plan, 1, "a")[0];
+    let [first, second] = [keys[0], keys[1]].map(Route::Gateway);
+    let reopen = |plan: &mut RoutePlan, address: &str| {
+        plan.close(worker);
+        plan.open(worker, address.into(), "a".into())
+    };
+    assert_eq!(next_route(&mut plan, worker), Some(second));
+    plan.polled(worker, true);
+    assert_eq!(reopen(&mut plan, "10.0.1.1:80"), second, "known");
+    assert_eq!(reopen(&mut plan, "10.0.1.2:80"), first, "new");
+    assert_eq!(reopen(&mut plan, "10.0.1.1:80"), second, "known");
+    plan.close(worker);
+    plan.lost(keys[0]);
+    plan.connected(keys[0]);
+    assert_eq!(reopen(&mut plan, "10.0.1.1:80"), first, "connected again");
+}
+
+/// Guards against memory that grows with each worker that ever was: the tries of closed links are bounded.
+#[test]
+fn the_tries_of_links_closed_long_ago_are_forgotten() {
+    let (mut plan, keys) = connected(vec![offer("g1", "a", 500), offer("g2", "b", 500)]);
+    let mut workers = SlotMap::<WorkerKey, ()>::with_key();
+    let mut open_new = |plan: &mut RoutePlan| {
+        let worker = workers.insert(());
+        plan.open(worker, "10.0.1.1:80".into(), "a".into());
+        worker
+    };
+    let worker = open_new(&mut plan);
+    assert_eq!(next_route(&mut plan, worker), Some(Route::Gateway(keys[1])));
+    plan.close(worker);
+    for _ in 0..2_000 {
+        let other = open_new(&mut plan);
+        plan.close(other);
+    }
+    let route = plan.open(worker, "10.0.1.1:80".into(), "a".into());
+    assert_eq!(route, Route::Gateway(keys[0]));
+}
