Compute when a rack has room from the ends of runs, not task by task

Callers see a leader that stands still: with a placement wait, one task of a tiny need that prefers a rack made it list each single task that fits there. An entry may name 1,000,000,000 MB, so that a need of 1 MB fits a thousand million times on one worker.

Cause: the list of the times at which each further task finds room was built and sorted in order to read one position of it.

Fix: `RoomTimes` keeps one entry for each end of a run and one for the free room of each worker, with the number of tasks that fit from then on, and counts up to the position. The number is a division, since tasks of one need are placed one after the other until one resource is used up.

--- a/crates/domain/src/placement/resources.rs
+++ b/crates/domain/src/placement/resources.rs
@@ -53,6 +53,17 @@
         }
     }
 
+    /// How many times `part` fits, one after the other; `None` if it is nothing.
+    #[must_use]
+    pub fn divided_by(self, part: Self) -> Option<u64> {
+        let quotients = [
+            self.processors_milli.checked_div(part.processors_milli),
+            self.memory_mb.checked_div(part.memory_mb),
+            self.accelerators.checked_div(part.accelerators),
+        ];
+        quotients.into_iter().flatten().min()
+    }
+
     /// The larger amount of each resource.
     #[must_use]
     pub fn max(self, other: Self) -> Self {
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -34,6 +34,7 @@
 mod ready;
 mod recovery;
 mod retention;
+pub mod room_times;
 mod roster;
 mod run;
 mod run_table;
--- a/crates/domain/src/schedule/rack_room.rs
+++ b/crates/domain/src/schedule/rack_room.rs
@@ -4,6 +4,7 @@
 use super::locality::Locality;
 use super::order::StepKey;
 use super::rank::COMPLETION_DELAY_MS;
+use super::room_times::RoomTimes;
 use super::run::PlacedRun;
 use super::view::PlacementView;
 use super::worker::Worker;
@@ -45,26 +46,23 @@
         step: &StepSpec,
         ahead: u64,
     ) -> Option<u64> {
-        let mut room_at_ms = Vec::new();
+        let mut room_times = RoomTimes::new(step.need());
         for worker in self.rack_workers(service, rack) {
             if step
                 .requirement
                 .as_ref()
                 .is_none_or(|label| worker.report.labels.contains(label))
             {
-                self.add_room_times(worker, step.need(), &mut room_at_ms);
+                room_times.add_worker(worker.free(), self.expected_ends(worker));
             }
         }
-        room_at_ms.sort_unstable();
         let interval_ms = locality.freed_interval_ms(rack, step.need(), self.now);
         let from_ends_ms = interval_ms.map(|interval_ms| (interval_ms * (ahead + 1) as f64) as u64);
-        let position = usize::try_from(ahead).unwrap_or(usize::MAX);
-        let from_runs_ms = room_at_ms.get(position).copied();
-        match (from_runs_ms, from_ends_ms) {
+        match (room_times.after(ahead), from_ends_ms) {
             (Some(runs_ms), Some(ends_ms)) => Some(u64::midpoint(runs_ms, ends_ms)),
             (Some(runs_ms), None) => Some(runs_ms),
             // More tasks are ahead than runs are there, so the last run is waited for at least.
-            (None, Some(ends_ms)) => Some(ends_ms.max(*room_at_ms.last()?)),
+            (None, Some(ends_ms)) => Some(ends_ms.max(room_times.last()?)),
             (None, None) => None,
         }
     }
@@ -92,27 +90,11 @@
         need.dominant_share_ppm(capacity) as f64 / 1_000_000.0
     }
 
-    /// Adds the expected times at which a worker gets room for one more task of this need.
-    fn add_room_times(&self, worker: &Worker, need: Resources, room_at_ms: &mut Vec<u64>) {
-        let mut ends: Vec<(u64, Resources)> = worker
-            .runs()
-            .iter()
-            .filter_map(|run| self.runs.get(*run))
-            .filter_map(|run| Some((self.expected_remaining_ms(run)?, run.info().need)))
-            .collect();
-        ends.sort_unstable_by_key(|(remaining_ms, _)| *remaining_ms);
-        let mut free = worker.free();
-        while need.fits(free) && need != Resources::default() {
-            free = free.minus(need);
-            room_at_ms.push(0);
-        }
-        for (remaining_ms, freed) in ends {
-            free = free.plus(freed);
-            while need.fits(free) && need != Resources::default() {
-                free = free.minus(need);
-                room_at_ms.push(remaining_ms);
-            }
-        }
+    /// Expected end of each run on a worker, and what it frees.
+    fn expected_ends(&self, worker: &Worker) -> Vec<(u64, Resources)> {
+        let runs = worker.runs().iter().filter_map(|run| self.runs.get(*run));
+        runs.filter_map(|run| Some((self.expected_remaining_ms(run)?, run.info().need)))
+            .collect()
     }
 
     /// Time for which a task of the step may wait before the wait makes its job miss the objective.
