--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -37,6 +37,7 @@
 mod recovery;
 mod retention;
 mod room_index;
+pub mod room_times;
 mod roster;
 mod run;
 mod run_table;
