Keep the ids of listed workers instead of searching the list for each worker

Cause: while a new leader waits for workers of the former one, it asked for each of them, in each cycle, whether any instance of the list has it.

Change: the ids are collected once when a list is applied.

--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -125,6 +125,8 @@
     /// Instances that each pool has and needs, as of the last planning pass.
     pool_demand: FastMap<ServiceKey, usize>,
     spare_services: FastSet<ServiceKey>,
+    /// Ids of the workers that the latest list shows on an instance.
+    listed_workers: FastSet<Arc<str>>,
     /// Largest amount of each resource on an instance of the latest list.
     pub(super) largest_capacity: Resources,
     last_listed_at: Option<Millis>,
@@ -275,6 +277,10 @@
         for key in unlisted {
             self.instance_unlisted(key, now);
         }
+        let workers = self.listed_instances();
+        self.fleet.listed_workers = workers
+            .filter_map(|instance| instance.worker.clone())
+            .collect();
         self.end_unlisted_incarnations(now);
         self.compare_entries_with_list(self.fleet.list_requested_at, now);
     }
--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -41,10 +41,6 @@
     /// omitted from it for [`UNRESPONSIVE_ABSENCE_TIMEOUT_MS`].
     pub(super) fn end_unlisted_incarnations(&mut self, now: Millis) {
         let is_complete = self.list_covers_responsive_workers();
-        let listed = self.listed_instances();
-        let listed: FastSet<Arc<str>> = listed
-            .filter_map(|instance| instance.worker.clone())
-            .collect();
         let mut ended = Vec::new();
         for (key, worker) in &mut self.workers {
             if !worker.unresponsive || worker.report.instance.is_empty() {
@@ -56,7 +52,9 @@
             }
             match self.fleet.listed(&worker.report.instance) {
                 // Its entry may be of another writer and name the instance of another worker.
-                _ if listed.contains(&worker.report.id) => worker.unlisted_since = None,
+                _ if self.fleet.listed_workers.contains(&worker.report.id) => {
+                    worker.unlisted_since = None;
+                }
                 Some(_) => ended.push(key),
                 None if is_complete => {
                     let since = *worker.unlisted_since.get_or_insert(now);
@@ -92,9 +90,7 @@
         let instance = key.and_then(|key| self.fleet.instances.get(*key));
         instance.is_some_and(|instance| {
             instance.report.state != InstanceState::Down
-                && self
-                    .listed_instances()
-                    .all(|instance| instance.worker.as_ref() != Some(&worker.id))
+                && !self.fleet.listed_workers.contains(&worker.id)
         })
     }
 
