Ask callers to leave before a stopping daemon closes their connections

Callers on open connections saw requests end without an answer when a daemon stopped: the soak finds it with 60 callers.

Cause: a draining daemon answers as usual until it closes all idle connections at once. A request that is on its way at that moment is lost, and the caller cannot tell whether it took effect.

Change: from SIGTERM on each answer says `Connection: close`, so that callers open their next connection to a daemon that is ready. Connections that are still open at the end of the drain are those on which nothing was asked meanwhile.

--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -170,6 +170,7 @@
             settings.caller_address,
             calls,
             config_watch.clone(),
+            draining_watch.clone(),
             stop_frontend_watch.clone(),
         );
         let frontend_server = frontend_server.await.context(ServerSnafu)?;
