--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -92,8 +92,6 @@
     instances: FastSet<Arc<str>>,
     /// Until when all of them must be maintained.
     deadline: Millis,
-    /// Whether a former leader had begun the wave, so that the time that has passed is not known.
-    resumed: bool,
     /// Instances whose maintenance has begun.
     begun: FastSet<Arc<str>>,
     completed: bool,
@@ -193,7 +191,6 @@
             unlisted_since: None,
             persisted: former.is_some_and(|wave| wave.completed),
             instances: request.instances.iter().cloned().collect(),
-            resumed: former.is_some(),
             deadline: now.after_ms(request.duration_ms),
             request,
         });
--- a/crates/domain/src/schedule/fleet/waves.rs
+++ b/crates/domain/src/schedule/fleet/waves.rs
@@ -1,6 +1,6 @@
 //! Maintenance waves: which instance is evacuated next, and which runs may be interrupted for it.
 
-use super::{ABSENCE_TIMEOUT_MS, Operation, OperationState, Wave};
+use super::{ABSENCE_TIMEOUT_MS, Operation, OperationState};
 use crate::placement::Resources;
 use crate::prelude::*;
 use crate::schedule::Scheduler;
@@ -11,24 +11,6 @@
 /// hundreds of instances most of them have none, and each check reads all workers of the pool.
 const EVACUATION_CHECK_INTERVAL_MS: u64 = 500;
 
-/// Share of the time of a wave over which its instances are spread while their pools have tasks that wait. The rest
-/// is left for faults and for long-running tasks that move one after the other.
-const PACED_PERCENT: u64 = 60;
-
-impl Wave {
-    /// Number of instances that an even pace would have taken by now.
-    fn paced_instances(&self, now: Millis) -> usize {
-        if self.resumed {
-            return self.request.instances.len();
-        }
-        let left_ms = self.deadline.ms_since(now);
-        let passed_ms = self.request.duration_ms.saturating_sub(left_ms);
-        let paced_ms = (self.request.duration_ms * PACED_PERCENT / 100).max(1);
-        let count = self.request.instances.len() as u64;
-        usize::try_from((count * passed_ms).div_ceil(paced_ms)).unwrap_or(usize::MAX)
-    }
-}
-
 impl Scheduler {
     pub(super) fn plan_waves(&mut self, now: Millis) {
         let numbers: Vec<u64> = self
@@ -43,8 +25,6 @@
         }
     }
 
-    /// Takes instances for a wave: first those without long-running tasks and with little in use. While tasks
-    /// wait in a pool, its instances are taken at an even pace.
     pub(super) fn plan_wave(&mut self, number: u64, now: Millis) {
         let Some(wave) = self
             .fleet
@@ -69,9 +49,7 @@
             return;
         }
         let mut down_budget = (wave.request.down_max as usize).saturating_sub(down);
-        let paced = wave.paced_instances(now);
-        let count = wave.request.instances.len();
-        let mut candidates: Vec<(usize, u64, FleetInstanceKey)> = remaining
+        let mut candidates: Vec<(usize, FleetInstanceKey)> = remaining
             .into_iter()
             .filter(|key| {
                 let instance = &self.fleet.instances[*key];
@@ -79,18 +57,13 @@
                     && instance.report.state == InstanceState::Up
                     && instance.not_before <= now
             })
-            .map(|key| (self.long_running_runs(key).len(), self.used_ppm(key), key))
+            .map(|key| (self.long_running_runs(key).len(), key))
             .collect();
         candidates.sort_unstable();
-        let mut taken = count.saturating_sub(candidates.len());
-        for (long_running_count, used_ppm, key) in candidates {
+        for (long_running_count, key) in candidates {
             if down_budget == 0 {
                 return;
             }
-            let is_needed = used_ppm > 0 && long_running_count == 0 && self.is_pool_short(key);
-            if is_needed && taken >= paced {
-                continue;
-            }
             if long_running_count > 0 {
                 let instance = &mut self.fleet.instances[key];
                 if instance.next_evacuation_check_at > now {
@@ -102,29 +75,12 @@
                 }
             }
             down_budget -= 1;
-            taken += 1;
             self.fleet.instances[key].operation_state =
                 OperationState::Evacuating(Operation::Maintain(number));
             self.set_cordon(key, true);
         }
     }
 
-    /// Share of the instance that its tasks use.
-    fn used_ppm(&self, key: FleetInstanceKey) -> u64 {
-        let worker = self.worker_on(key).and_then(|key| self.workers.get(key));
-        worker.map_or(0, |worker| {
-            let used = worker.bookings.used();
-            used.dominant_share_ppm(worker.report.capacity)
-        })
-    }
-
-    /// Whether tasks wait for room in the pool of the instance.
-    fn is_pool_short(&self, key: FleetInstanceKey) -> bool {
-        let pool = self.fleet.instances.get(key).map(|instance| instance.pool);
-        let service = pool.and_then(|pool| self.services.get(pool));
-        service.is_some_and(|service| !service.ready.is_empty())
-    }
-
     /// Whether every remaining instance of the wave has been unlisted for
     /// [`ABSENCE_TIMEOUT_MS`]. A single list may omit an instance that still exists.
     pub(super) fn are_unlisted_instances_gone(&mut self, number: u64, now: Millis) -> bool {
