Keep the bound on searches that fail for other reasons than room

Found by the review: a worker that is held for another step, or whose last answer is too old for a leader that may have been replaced, seemed to have room, so that each step was searched for in each pass. Before the room index, a need at or above one that had failed was passed over.

Change: that rule is back beside the index, and workers that may get no starts are not in it. The line `leader load` counts all changes and the lines about decisions as work, not as waiting.

--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -208,18 +208,27 @@
                     None => break self.lost(WATCH_ENDED),
                 },
                 event = sources.waves.recv() => match event {
-                    Some(event) => self.apply_wave_changes(event),
+                    Some(event) => {
+                        self.load.enter(LeaderWork::Changes);
+                        self.apply_wave_changes(event);
+                    }
                     None => break self.lost(WATCH_ENDED),
                 },
                 event = sources.gateways.recv() => match event {
-                    Some(event) => self.apply_gateway_changes(event),
+                    Some(event) => {
+                        self.load.enter(LeaderWork::Changes);
+                        self.apply_gateway_changes(event);
+                    }
                     None => break self.lost(WATCH_ENDED),
                 },
                 Some(event) = sources.instance_events.recv() => {
                     self.load.enter(LeaderWork::Changes);
                     self.apply_instance_event(event);
                 }
-                Some(result) = sources.advice_events.recv() => self.apply_advice(result),
+                Some(result) = sources.advice_events.recv() => {
+                    self.load.enter(LeaderWork::Changes);
+                    self.apply_advice(result);
+                }
                 Some(event) = sources.worker_events.recv() => {
                     self.load.enter(LeaderWork::WorkerEvents);
                     self.apply_worker_event(event);
@@ -229,6 +238,7 @@
                     }
                 }
                 Ok(()) = config.changed() => {
+                    self.load.enter(LeaderWork::Changes);
                     let latest = Arc::clone(&config.borrow_and_update());
                     apply_config(&mut self.scheduler, &latest);
                 }
@@ -269,6 +279,7 @@
 
     /// Advances the scheduler, carries out its actions, and starts writes and renewals that are due.
     async fn run_cycle(&mut self) -> Result<(), &'static str> {
+        self.load.enter(LeaderWork::Scheduling);
         let (now, wall) = (self.options.clock.now(), self.options.clock.wall());
         if now.ms_since(self.lease.confirmed_at) > LEADER_GRACE_MS {
             return Err("the lease was not renewed in time");
@@ -287,7 +298,6 @@
             self.report_workspaces();
         }
         let recovering = self.scheduler.is_recovering();
-        self.load.enter(LeaderWork::Scheduling);
         let actions = self.scheduler.advance(now, wall);
         self.log_scheduler_events();
         if recovering && !self.scheduler.is_recovering() {
--- a/crates/daemon/src/jobs/leader/load.rs
+++ b/crates/daemon/src/jobs/leader/load.rs
@@ -9,13 +9,13 @@
 /// A part of the leader's work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LeaderWork {
-    /// Nothing to do, or other tasks of the daemon run.
+    /// No event is there, or other tasks of the daemon run.
     Waiting,
     /// Changes of watched records, lists of instances, results of background tasks.
     Changes,
     /// Results of orders to workers.
     WorkerEvents,
-    /// Decisions of the scheduler.
+    /// Decisions of the scheduler, and the lines about them.
     Scheduling,
     /// Handing orders to the clients of workers and instances, which may have to catch up first.
     Orders,
--- a/crates/domain/src/schedule/choice.rs
+++ b/crates/domain/src/schedule/choice.rs
@@ -93,10 +93,7 @@
                 let Some(worker) = self.workers.get(*key) else {
                     return false;
                 };
-                worker.takes_work(self.now)
-                    && (!self.leadership_unconfirmed
-                        || self.now.ms_since(worker.last_answer_at)
-                            <= UNCONFIRMED_LEADER_ANSWER_AGE_MS)
+                self.may_start_on(worker)
                     && step.need().plus(planned_need(*key)).fits(worker.free())
                     && step
                         .requirement
@@ -122,6 +119,13 @@
             .filter(|chosen| *chosen != worker)
     }
 
+    /// Whether the worker takes work, also of a leader that may have been replaced.
+    pub(super) fn may_start_on(&self, worker: &Worker) -> bool {
+        worker.takes_work(self.now)
+            && (!self.leadership_unconfirmed
+                || self.now.ms_since(worker.last_answer_at) <= UNCONFIRMED_LEADER_ANSWER_AGE_MS)
+    }
+
     /// Whether the worker is below the step's limit of tasks per worker.
     fn is_below_per_worker_max(
         &self,
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -5,7 +5,7 @@
 use std::vec;
 
 use super::gang::GangDecision;
-use super::job_table::TaskStatus;
+use super::job_table::{Task, TaskStatus};
 use super::order::StepKey;
 use super::rank::Rank;
 use super::room_index::RoomIndex;
@@ -23,7 +23,8 @@
 /// Interval at which every service with ready tasks gets a placement pass.
 const FULL_PLACEMENT_INTERVAL_MS: u64 = 100;
 
-/// Searches for a worker since the start of the term. Each reads the state of all workers of a service.
+/// Searches for a worker since the start of the term, for tasks that are no members of gangs. Each reads the free room
+/// of all workers of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlacementEffort {
     /// All searches.
@@ -236,7 +237,7 @@
                 Placement::NoRoom => {
                     fits = is_isolated;
                     waiting.push(key);
-                    rooms.tighten();
+                    rooms.search_failed(need, self.is_unconstrained(key));
                 }
             }
         }
@@ -267,10 +268,21 @@
         ranked
     }
 
+    /// Whether any worker of the service with enough room can run the task.
+    fn is_unconstrained(&self, key: TaskKey) -> bool {
+        let is_isolated = self.job_table.tasks.get(key).is_some_and(Task::is_isolated);
+        !is_isolated
+            && self.job_table.advice_of(key).is_none()
+            && self.job_table.step_of(key).is_some_and(|step| {
+                step.requirement.is_none() && step.per_worker_max == 0 && !step.gang
+            })
+    }
+
     fn room_index(&self, service: ServiceKey, now: Millis) -> RoomIndex {
+        let view = self.view(now);
         let workers = self.services[service].workers.iter();
         let workers = workers.filter_map(|key| Some((*key, self.workers.get(*key)?)));
-        RoomIndex::new(workers.filter(|(_, worker)| worker.takes_work(now)))
+        RoomIndex::new(workers.filter(|(_, worker)| view.may_start_on(worker)))
     }
 
     /// Per-resource maximum of the capacities of the workers that have answered this leader; of all workers until
--- a/crates/domain/src/schedule/room_index.rs
+++ b/crates/domain/src/schedule/room_index.rs
@@ -13,7 +13,10 @@
     /// determined again.
     largest: Vec<Resources>,
     /// Whether room has been taken since then.
-    is_bound_loose: bool,
+    is_bound_stale: bool,
+    /// Last need without constraints for which a search has found no worker, whatever room there seemed to be: a
+    /// worker may be held for another step. It does not fit later in the pass either.
+    unplaceable: Option<Resources>,
 }
 
 impl RoomIndex {
@@ -30,6 +33,9 @@
     /// Whether a worker may have room. A search for it can still find none.
     pub(super) fn may_fit(&self, need: Resources) -> bool {
         self.largest.iter().any(|room| need.fits(*room))
+            && !self
+                .unplaceable
+                .is_some_and(|unplaceable| unplaceable.fits(need))
     }
 
     /// Workers with room for the need.
@@ -44,15 +50,19 @@
     pub(super) fn take(&mut self, worker: WorkerKey, left: Resources) {
         if let Some((_, room)) = self.rooms.iter_mut().find(|(key, _)| *key == worker) {
             *room = left;
-            self.is_bound_loose = true;
+            self.is_bound_stale = true;
         }
     }
 
-    /// After a search that has found no worker, determines anew what fits.
-    pub(super) fn tighten(&mut self) {
-        if std::mem::take(&mut self.is_bound_loose) {
+    /// Notes that a search has found no worker, and determines anew what fits. A failure for a need with constraints
+    /// tells nothing about other needs.
+    pub(super) fn search_failed(&mut self, need: Resources, is_unconstrained: bool) {
+        if std::mem::take(&mut self.is_bound_stale) {
             self.find_largest();
         }
+        if is_unconstrained {
+            self.unplaceable = Some(need);
+        }
     }
 
     fn find_largest(&mut self) {
