Keep the finding of unreadable rows when a new process answers

Callers could see a completed task run again: an answer with an unreadable row that is also the first one of a new process of its worker was applied as if all its rows had been read, and ends behind an unreadable one were acknowledged.

Cause: the state of the former process is discarded while the answer is applied, and the note of its unreadable rows went with it.

Fix: the note outlives the change of the process; the next answer replaces it.

--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -8,8 +8,8 @@
 use super::stop_reason::StopReason;
 use super::worker::Claim;
 use super::{
-    JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, RUN_END_BATCH_DELAY_MS, Scheduler,
-    UNRESPONSIVE_POLL_INTERVAL_MS, UNWRITTEN_ENDS_POLL_INTERVAL_MS,
+    JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, Scheduler, UNRESPONSIVE_POLL_INTERVAL_MS,
+    UNWRITTEN_ENDS_POLL_INTERVAL_MS,
 };
 use crate::job::JobState;
 use crate::prelude::*;
@@ -326,30 +326,7 @@
         }
     }
 
-    /// Applies new ends. Those behind an unreadable one are applied, but acknowledged only once it has been read.
-    fn apply_ends(&mut self, key: WorkerKey, ends: &[ListedEnd], now: Millis, wall: Millis) {
-        let acknowledge_max = self.acknowledge_max(key);
-        for end in ends {
-            let batch = self.batches.next_sequence();
-            let worker = &mut self.workers[key];
-            if end.sequence <= worker.last_end_sequence {
-                continue;
-            }
-            let is_new = if end.sequence > acknowledge_max {
-                worker.ends_applied_early.insert(end.sequence)
-            } else {
-                worker.last_end_sequence = end.sequence;
-                worker.unwritten_ends.push_back((end.sequence, batch));
-                !worker.ends_applied_early.remove(&end.sequence)
-            };
-            self.request_batch(now.after_ms(RUN_END_BATCH_DELAY_MS));
-            if is_new {
-                self.apply_end(key, end, now, wall);
-            }
-        }
-    }
-
-    fn apply_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Millis, wall: Millis) {
+    pub(super) fn apply_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Millis, wall: Millis) {
         let Some(task) = self.job_table.find(&end.task) else {
             return;
         };
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -252,6 +252,8 @@
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
             cordoned: self.cordoned,
+            // The answer that has shown the incarnation may be the unreadable one.
+            unreadable_rows: self.unreadable_rows.take(),
             incarnation_since: now,
             ..Self::new(report, Millis::ZERO)
         };
--- a/crates/domain/tests/unreadable_rows.rs
+++ b/crates/domain/tests/unreadable_rows.rs
@@ -114,3 +114,22 @@
     assert_eq!(harness.start_count(FIRST), 1);
     assert_eq!(harness.running(), [FIRST]);
 }
+
+/// Guards against an end of a new process that is lost because the state of the former one is discarded together
+/// with the finding that rows of the answer, the first of the new process, cannot be read.
+#[test]
+fn an_unreadable_end_of_a_new_process_is_not_acknowledged() {
+    let mut harness = two_tasks();
+    harness.end_task(FIRST, RunEndKind::Failed);
+    harness.end_task(SECOND, RunEndKind::Failed);
+    let ends = harness.workers[0].ended.clone();
+    harness.restart_unlisted(0);
+    harness.unreadable_tasks.insert(FIRST.into());
+    harness.workers[0].ended = ends;
+    harness.run_for(3_000);
+    let kept = harness.workers[0].ended.iter();
+    assert!(
+        kept.filter(|end| end.number == 1).count() == 2,
+        "both are kept"
+    );
+}
