Let jobs of up to 15,000 tasks of an earlier version go on

Callers see: a job of more than 5,000 tasks that an earlier version accepted, and that may have run for long, fails under the first leader of this version.

Cause: the limit of a submission was applied to stored jobs as well.

Fix: stored jobs have a limit of their own for the number of tasks, 15,000; it also holds for occurrences less than 100 ms apart, which are created in portions in any case. Two things bound it: a job's progress must fit into a value of the store, also with every other task completed, which takes the most bytes, and half of the rest failed; and all other work waits while its tasks are created. The other limits stay as they are, since each job beyond them can stop a leader. Submissions are refused as before. The existing test of jobs that fail alone is unchanged.

The size of the progress is checked by a test, without a store.

--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -84,16 +84,14 @@
 
 impl Repeat {
     /// Why the schedule is invalid for occurrences of this number of tasks; `None` if it is valid.
-    fn validation_error(self, tasks: u64) -> Option<&'static str> {
+    fn validation_error(self, tasks: u64, limit: &TaskLimit) -> Option<&'static str> {
         if self.count > OCCURRENCES_MAX {
             return Some("a job may have at most 1,000,000 occurrences");
         }
         if self.interval_ms < OCCURRENCE_INTERVAL_MIN_MS
-            && u64::from(self.count) * tasks > JOB_TASKS_MAX
+            && u64::from(self.count) * tasks > limit.tasks_max
         {
-            return Some(
-                "occurrences less than 100 ms apart may have at most 5,000 tasks together",
-            );
+            return Some(limit.occurrences_error);
         }
         let length_ms = self.interval_ms.checked_mul(u64::from(self.count));
         if length_ms
@@ -128,6 +126,17 @@
     /// Why the specification is invalid or exceeds a limit; `None` if it is valid.
     #[must_use]
     pub fn validation_error(&self) -> Option<&'static str> {
+        self.error_beyond(&NEW_JOB)
+    }
+
+    /// Why a stored job of this specification cannot be scheduled; `None` if it can. Earlier versions accepted
+    /// more tasks than this one does.
+    #[must_use]
+    pub fn stored_error(&self) -> Option<&'static str> {
+        self.error_beyond(&STORED_JOB)
+    }
+
+    fn error_beyond(&self, limit: &TaskLimit) -> Option<&'static str> {
         if self.steps.is_empty() {
             return Some("a job needs at least one step");
         }
@@ -137,8 +146,8 @@
         if self.steps.iter().any(|step| step.count == 0) {
             return Some("a step needs at least one task");
         }
-        if self.task_count() > JOB_TASKS_MAX {
-            return Some("the steps of a job may have at most 5,000 tasks together");
+        if self.task_count() > limit.tasks_max {
+            return Some(limit.steps_error);
         }
         let is_within = |step: &StepSpec| {
             let amounts = [step.processors_milli, step.memory_mb, step.accelerators];
@@ -163,7 +172,7 @@
             return Some("a step may only come after earlier steps");
         }
         self.repeat
-            .and_then(|repeat| repeat.validation_error(self.task_count()))
+            .and_then(|repeat| repeat.validation_error(self.task_count(), limit))
     }
 
     /// Number of tasks of one occurrence.
@@ -208,6 +217,27 @@
 /// Limit on the tasks of a job, or of one occurrence. Its progress must fit into a value of 1 MiB, the largest
 /// that the store accepts, with 200 bytes for a task with a checkpoint and failed runs.
 pub(crate) const JOB_TASKS_MAX: u64 = 5_000;
+/// Limit on the tasks of a job that an earlier version has accepted. With every other task completed, which takes
+/// the most bytes, and half of the rest failed, its progress still fits into a value of 1 MiB.
+const STORED_JOB_TASKS_MAX: u64 = 15_000;
+/// Limit on the tasks of a job, and what is said about a job beyond it.
+struct TaskLimit {
+    tasks_max: u64,
+    steps_error: &'static str,
+    occurrences_error: &'static str,
+}
+/// Limit of a submission.
+const NEW_JOB: TaskLimit = TaskLimit {
+    tasks_max: JOB_TASKS_MAX,
+    steps_error: "the steps of a job may have at most 5,000 tasks together",
+    occurrences_error: "occurrences less than 100 ms apart may have at most 5,000 tasks together",
+};
+/// Limit of a stored job.
+const STORED_JOB: TaskLimit = TaskLimit {
+    tasks_max: STORED_JOB_TASKS_MAX,
+    steps_error: "the steps of a stored job may have at most 15,000 tasks together",
+    occurrences_error: "occurrences less than 100 ms apart of a stored job may have at most 15,000 tasks together",
+};
 /// Limit on each resource that a task needs: a million processors, or a petabyte of memory.
 const AMOUNT_MAX: u64 = 1_000_000_000;
 /// Limit on a declared run time.
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -166,7 +166,7 @@
         let key = self.jobs.insert(Job {
             id: Arc::clone(&id),
             policy: record.policy.clone(),
-            refusal: record.spec.validation_error(),
+            refusal: record.spec.stored_error(),
             objective_ms: record.objective_ms(),
             remaining_paths_ms: record.spec.remaining_paths_ms(),
             unfinished_by_step: vec![0; record.spec.steps.len()],
--- a/crates/domain/tests/job_limits.rs
+++ b/crates/domain/tests/job_limits.rs
@@ -1,8 +1,13 @@
 //! Jobs beyond the limits, and backlogs of repeated jobs.
 
+#![allow(clippy::expect_used, reason = "tests panic on failure")]
+
 mod scheduler_harness;
 
-use rosemaryscale_domain::job::{JobRecord, JobState, Repeat};
+use rosemaryscale_domain::job::{
+    JobProgress, JobRecord, JobState, Repeat, TaskPosition, TaskProgress,
+};
+use rosemaryscale_domain::schedule::order::RunEndKind;
 use scheduler_harness::{SchedulerHarness, job, step};
 
 /// A job of one task whose occurrences are due since long ago.
@@ -48,6 +53,72 @@
     );
 }
 
+/// Guards against a job that an earlier version accepted and has largely run, and which fails under the next leader
+/// since it has more tasks than a new one may have; and against a leader that is busy with it alone.
+#[test]
+fn a_large_job_of_an_earlier_version_goes_on() {
+    const TASKS: u32 = 15_000;
+    const LEFT: u32 = 300;
+    let mut harness = SchedulerHarness::new(25);
+    let position = |index| TaskPosition {
+        occurrence: 0,
+        step: 0,
+        index,
+    };
+    let progress = JobProgress {
+        state: JobState::Running,
+        done: (LEFT..TASKS).map(position).collect(),
+        ..JobProgress::default()
+    };
+    let large = job(vec![step(TASKS)], 3);
+    assert!(
+        large.spec.validation_error().is_some(),
+        "no new one is accepted"
+    );
+    harness.store.jobs.push(("jjj".into(), large));
+    harness.store.progress.insert("jjj".into(), progress);
+    harness.change_leader();
+    harness.submit("other", job(vec![step(1)], 3));
+    for _ in 0..6 {
+        harness.run_for(500);
+        harness.end_all_runs(RunEndKind::Done);
+    }
+    harness.run_for(500);
+    assert_eq!(harness.state("other"), JobState::Completed);
+    assert_eq!(harness.state("jjj"), JobState::Completed);
+    assert_eq!(harness.starts.len(), LEFT as usize + 1);
+}
+
+/// Guards against a progress that the store rejects, so that completed tasks run again: that of the largest job,
+/// with every other task completed and half of the rest failed once.
+#[test]
+fn the_progress_of_the_largest_stored_job_can_be_stored() {
+    const TASKS: u32 = 15_000;
+    assert_eq!(job(vec![step(TASKS)], 3).spec.stored_error(), None);
+    assert!(job(vec![step(TASKS + 1)], 3).spec.stored_error().is_some());
+    let position = |index| TaskPosition {
+        occurrence: 0,
+        step: 0,
+        index,
+    };
+    let failed = |index| TaskProgress {
+        position: position(index),
+        failed_runs: vec![1_001],
+        checkpoint: "".into(),
+        early_crashes: 0,
+        crashes: 0,
+    };
+    let progress = JobProgress {
+        state: JobState::Running,
+        done: (0..TASKS).step_by(2).map(position).collect(),
+        tasks: (1..TASKS).step_by(4).map(failed).collect(),
+        ..JobProgress::default()
+    };
+    let bytes = serde_json::to_vec(&progress).expect("it can be encoded");
+    let value_bytes = bytes.len().div_ceil(3) * 4;
+    assert!(value_bytes < 1_024 * 1_024, "{value_bytes} bytes as base64");
+}
+
 /// Guards against a job of an earlier version that is beyond the limits and stops each leader in turn: it fails,
 /// and other jobs run.
 #[test]
