Bound the checkpoints of a job

Callers see: completed tasks run again after a change of the leader if the checkpoints of a job are long.

Cause: a checkpoint was kept whatever its length. The store rejects a progress of more than 1 MiB; its ends are acknowledged all the same, and the next leader does not know of them.

Fix: a checkpoint that a worker reports is kept only up to 16 KiB as encoded, and only while all checkpoints of unfinished tasks of its job take up to 128 KiB. That of a gang counts for each member, since all of them resume from the same one. Beyond that it is dropped as a whole, never cut: the task resumes from its last one within the bounds, or from the beginning. The metric `checkpoints.dropped` counts dropped ones, and the first of a job in a term gets a line. The length of a completed task's checkpoint is free again at once.

The bounds are applied where an answer reaches the scheduler, since only the job tells how much its progress may still take: a bound for each checkpoint alone would have to be 26 bytes for a job of 5,000 tasks.

The progress of 5,000 tasks, each failed twice, with 130,000 bytes of checkpoints takes 998,596 bytes as base64, below 1,048,576 (the_largest_progress_with_checkpoints_can_be_stored, which guards the bounds and needs no fix).

--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -114,6 +114,18 @@
                         "reason" => "its stored progress cannot be decoded, and done tasks must not run again",
                         "remedy" => "restore or delete the record and restart the leader, or cancel the job");
                 }
+                SchedulerEvent::CheckpointDropped {
+                    task,
+                    bytes,
+                    is_first_of_job,
+                } => {
+                    self.options.metrics.count("checkpoints.dropped", 1);
+                    if is_first_of_job {
+                        warn!(self.options.log, "checkpoint dropped"; "job" => &*task.job,
+                            "at" => %position(task.position), "bytes" => bytes,
+                            "reason" => "it or all checkpoints of the job exceed their limit");
+                    }
+                }
                 SchedulerEvent::TaskGivenUp { task, crashes } => {
                     self.options.metrics.count("tasks.given_up", 1);
                     warn!(self.options.log, "task given up"; "job" => &*task.job,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod arrivals;
 mod backlog;
+mod checkpoints;
 mod choice;
 mod configuration;
 mod copies;
--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -42,7 +42,10 @@
     pub last_run_number: u32,
     /// Numbers of the failed runs; not kept for long-running tasks.
     pub failed_runs: Vec<u32>,
+    /// Latest checkpoint within the bounds.
     pub checkpoint: Arc<str>,
+    /// Length of the last checkpoint that was dropped.
+    pub dropped_checkpoint_bytes: usize,
     /// Worker of the last failed run, which is the last choice for the next one.
     pub avoid_worker: Option<WorkerKey>,
     /// Earliest time of the next start.
@@ -97,6 +100,10 @@
     pub unfinished_tasks: usize,
     /// Tasks that have not completed, by step.
     pub unfinished_by_step: Vec<u64>,
+    /// Bytes of the checkpoints of unfinished tasks, as encoded in the progress.
+    pub checkpoint_bytes: usize,
+    /// Whether any checkpoint was dropped in this term.
+    pub has_dropped_checkpoints: bool,
     /// Whether the stored progress is out of date.
     pub dirty: bool,
     /// Whether its finite tasks do not start, because it is not known which of them are done.
@@ -181,6 +188,8 @@
             received_at,
             occurrences: Vec::new(),
             unfinished_tasks: 0,
+            checkpoint_bytes: 0,
+            has_dropped_checkpoints: false,
             dirty: false,
             is_held: false,
         });
@@ -216,6 +225,7 @@
                         last_run_number: 0,
                         failed_runs: Vec::new(),
                         checkpoint: "".into(),
+                        dropped_checkpoint_bytes: 0,
                         avoid_worker: None,
                         not_before: Millis::ZERO,
                         early_crashes: 0,
@@ -242,14 +252,14 @@
         }
         for stored in &progress.tasks {
             self.create_occurrences_up_to(key, stored.position.occurrence);
-            if let Some(task) = self
-                .task_at(key, stored.position)
-                .and_then(|t| self.tasks.get_mut(t))
+            let task_key = self.task_at(key, stored.position);
+            if let Some(task_key) = task_key
+                && let Some(task) = self.tasks.get_mut(task_key)
             {
                 task.failed_runs.clone_from(&stored.failed_runs);
-                task.checkpoint = Arc::clone(&stored.checkpoint);
                 task.early_crashes = stored.early_crashes;
                 task.crashes = stored.crashes;
+                self.put_checkpoint(task_key, &stored.checkpoint);
             }
         }
         if let Some(job) = self.jobs.get_mut(key) {
@@ -343,12 +353,13 @@
 
     /// Marks a task as completed; returns `false` if it already was.
     pub(super) fn mark_done(&mut self, key: TaskKey) -> bool {
+        if self.tasks.get(key).is_none_or(|task| task.done) {
+            return false;
+        }
+        self.put_checkpoint(key, &"".into());
         let Some(task) = self.tasks.get_mut(key) else {
             return false;
         };
-        if task.done {
-            return false;
-        }
         task.done = true;
         task.status = TaskStatus::Finished;
         let step = task.position.step;
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -239,16 +239,14 @@
             run.progress.percent_changed_at = now;
         }
         run.progress.gauge = listed_run.gauge;
-        let task = run.info().task;
-        if let Some(task) = self.job_table.tasks.get_mut(task)
+        let task_key = run.info().task;
+        if let Some(task) = self.job_table.tasks.get_mut(task_key)
             && task.status == TaskStatus::Placed(key)
         {
-            if !listed_run.checkpoint.is_empty() {
-                task.checkpoint = Arc::clone(&listed_run.checkpoint);
-            }
             if listed_run.percent >= 100 {
                 task.not_running_since = None;
             }
+            self.update_checkpoint(task_key, &listed_run.checkpoint);
         }
     }
 
@@ -341,15 +339,16 @@
         });
     }
 
-    fn record_end(&mut self, key: WorkerKey, task: TaskKey, end: &ListedEnd) {
-        let task = &mut self.job_table.tasks[task];
+    fn record_end(&mut self, key: WorkerKey, task_key: TaskKey, end: &ListedEnd) {
+        let task = &mut self.job_table.tasks[task_key];
         if end.number >= task.last_run_number {
             task.last_run_number = end.number;
-            if !end.checkpoint.is_empty() {
-                task.checkpoint = Arc::clone(&end.checkpoint);
-                if let Some(job) = self.job_table.jobs.get_mut(task.job) {
-                    job.dirty = true;
-                }
+            let job = task.job;
+            self.update_checkpoint(task_key, &end.checkpoint);
+            if !end.checkpoint.is_empty()
+                && let Some(job) = self.job_table.jobs.get_mut(job)
+            {
+                job.dirty = true;
             }
         }
         if end.kind == RunEndKind::Done {
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -355,6 +355,15 @@
         /// The job.
         job: Arc<str>,
     },
+    /// A checkpoint beyond the bounds was dropped; its task keeps the one before.
+    CheckpointDropped {
+        /// The task.
+        task: TaskName,
+        /// Length of the checkpoint.
+        bytes: usize,
+        /// Whether it is the first one of the job in this term.
+        is_first_of_job: bool,
+    },
     /// A run has ended.
     RunEnded {
         /// The task.
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -355,10 +355,8 @@
             .max_by_key(|task| (task.last_run_number, !task.checkpoint.is_empty()))
             .map(|task| Arc::clone(&task.checkpoint));
         for (member, (worker, _)) in members.into_iter().zip(planned) {
-            if let (Some(task), Some(checkpoint)) =
-                (self.job_table.tasks.get_mut(member), &checkpoint)
-            {
-                task.checkpoint = Arc::clone(checkpoint);
+            if let Some(checkpoint) = &checkpoint {
+                self.job_table.put_checkpoint(member, checkpoint);
             }
             self.start(member, worker, number, now);
         }
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -133,6 +133,10 @@
     pub(crate) instance_orders: Vec<(Arc<str>, Option<Arc<str>>)>,
     /// Progress percentage and gauge that workers report for a task; 100 and 0 by default.
     pub(crate) progress_reports: FastMap<String, (u32, u64)>,
+    /// Checkpoint that workers report for a running task; none by default.
+    pub(crate) checkpoints: FastMap<String, Arc<str>>,
+    /// Checkpoint of the last start order for a task.
+    pub(crate) started_from: FastMap<String, Arc<str>>,
     pub(crate) concurrent_runs_max: FastMap<String, usize>,
     pub(crate) advisor: Advisor,
     settings: ScheduleSettings,
@@ -181,6 +185,8 @@
             complete_orders: true,
             instance_orders: Vec::new(),
             progress_reports: FastMap::default(),
+            checkpoints: FastMap::default(),
+            started_from: FastMap::default(),
             concurrent_runs_max: FastMap::default(),
             advisor: Advisor::default(),
             settings,
@@ -612,6 +618,8 @@
     fn start(&mut self, key: WorkerKey, order: &StartOrder) -> OrderResult {
         self.starts
             .push((self.now, task_path(&order.task), order.number));
+        self.started_from
+            .insert(task_path(&order.task), Arc::clone(&order.checkpoint));
         if self.refuse_fencing_token {
             return OrderResult::Refused(Refusal::Fenced);
         }
@@ -711,7 +719,11 @@
                 ListedRun {
                     task: task.clone(),
                     number: *number,
-                    checkpoint: "".into(),
+                    checkpoint: self
+                        .checkpoints
+                        .get(&task_path(task))
+                        .cloned()
+                        .unwrap_or_default(),
                     percent,
                     gauge,
                 }
