--- a/crates/domain/tests/job_limits.rs
+++ b/crates/domain/tests/job_limits.rs
@@ -1,5 +1,7 @@
 //! Jobs beyond the limits, and backlogs of repeated jobs.
 
+#![allow(clippy::expect_used, reason = "tests panic on failure")]
+
 mod scheduler_harness;
 
 use rosemaryscale_domain::job::{
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -140,6 +140,10 @@
     pub(crate) progress_reports: FastMap<String, (u32, u64)>,
     /// Tasks whose rows in the answers of workers cannot be read.
     pub(crate) unreadable_tasks: FastSet<String>,
+    /// Checkpoint that workers report for a running task; none by default.
+    pub(crate) checkpoints: FastMap<String, Arc<str>>,
+    /// Checkpoint of the last start order for a task.
+    pub(crate) started_from: FastMap<String, Arc<str>>,
     pub(crate) concurrent_runs_max: FastMap<String, usize>,
     pub(crate) advisor: Advisor,
     settings: ScheduleSettings,
@@ -190,6 +194,8 @@
             instance_orders: Vec::new(),
             progress_reports: FastMap::default(),
             unreadable_tasks: FastSet::default(),
+            checkpoints: FastMap::default(),
+            started_from: FastMap::default(),
             concurrent_runs_max: FastMap::default(),
             advisor: Advisor::default(),
             settings,
@@ -624,6 +630,8 @@
         if let Some(answer) = self.answer_without_worker(key) {
             return answer.to_order();
         }
+        self.started_from
+            .insert(task_path(&order.task), Arc::clone(&order.checkpoint));
         if self.refuse_fencing_token {
             return OrderResult::Refused(Refusal::Fenced);
         }
@@ -729,7 +737,11 @@
                 ListedRun {
                     task: task.clone(),
                     number: *number,
-                    checkpoint: "".into(),
+                    checkpoint: self
+                        .checkpoints
+                        .get(&task_path(task))
+                        .cloned()
+                        .unwrap_or_default(),
                     percent,
                     gauge,
                 }
