Conclude nothing from what an incomplete list of instances lacks

Callers would see two runs of a task at a time: a worker that is cut off, and whose row in the list of instances cannot be decoded, counted as ended after a second, and its tasks started elsewhere while its lease went on. A wave would be reported as complete without the maintenance of such an instance.

Change: the leader passes on whether every row was decoded. If not, instances that the list lacks stay as they were, no worker ends for their absence, and a wave with unlisted instances stays open.

--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -4,7 +4,7 @@
 
 use rosemaryscale_domain::job::JobRecord;
 use rosemaryscale_domain::schedule::Acceptance;
-use rosemaryscale_domain::schedule::order::AdviceResult;
+use rosemaryscale_domain::schedule::order::{AdviceResult, InstanceListing};
 use rosemaryscale_ports::instance_order::{InstanceList, InstanceOrderEvent};
 use rosemaryscale_ports::kv::{KvEntry, Update, WatchEvent};
 use rosemaryscale_ports::prelude::*;
@@ -172,8 +172,11 @@
                 if let Some(list) = &list {
                     self.log_unreadable_instances(list);
                 }
-                let reports = list.map(|list| list.reports);
-                self.scheduler.instances_listed(reports, now);
+                let listing = list.map(|list| InstanceListing {
+                    is_complete: list.unreadable_rows == 0,
+                    reports: list.reports,
+                });
+                self.scheduler.instances_listed(listing, now);
             }
             InstanceOrderEvent::OrderEnded { instance, result } => {
                 info!(self.options.log, "instance ordered"; "result" => %result,
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -10,7 +10,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::order::{Action, InstanceReport, InstanceState, SchedulerEvent, WaveRequest};
+use super::order::{
+    Action, InstanceListing, InstanceReport, InstanceState, SchedulerEvent, WaveRequest,
+};
 use super::stop_reason::StopReason;
 use super::{RUN_END_BATCH_DELAY_MS, Scheduler};
 use crate::placement::Resources;
@@ -123,6 +125,8 @@
     /// Instances that each pool has and needs, as of the last planning pass.
     pool_demand: FastMap<ServiceKey, usize>,
     spare_services: FastSet<ServiceKey>,
+    /// Whether every row of the latest list could be read.
+    is_list_complete: bool,
     /// Ids of the workers that the latest list shows on an instance.
     listed_workers: FastSet<Arc<str>>,
     /// Largest amount of each resource on an instance of the latest list.
@@ -219,7 +223,7 @@
     }
 
     /// Applies the platform's list of instances; `None` if it could not be read.
-    pub fn instances_listed(&mut self, reports: Option<Vec<InstanceReport>>, now: Millis) {
+    pub fn instances_listed(&mut self, listing: Option<InstanceListing>, now: Millis) {
         self.fleet.list_in_flight = false;
         let busy = self
             .fleet
@@ -232,10 +236,15 @@
         } else {
             IDLE_LIST_INTERVAL_MS
         });
-        let Some(reports) = reports else {
+        let Some(InstanceListing {
+            reports,
+            is_complete,
+        }) = listing
+        else {
             return;
         };
         self.fleet.last_listed_at = Some(now);
+        self.fleet.is_list_complete = is_complete;
         let mut listed = FastSet::default();
         for report in reports {
             listed.insert(Arc::clone(&report.name));
@@ -271,7 +280,8 @@
             .filter(|(_, instance)| !listed.contains(&instance.report.name))
             .map(|(key, _)| key)
             .collect();
-        for key in unlisted {
+        // An unreadable row may be that of any instance, so the ones that are not listed stay as they were.
+        for key in unlisted.into_iter().filter(|_| is_complete) {
             self.instance_unlisted(key, now);
         }
         let workers = self.listed_instances();
--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -40,7 +40,7 @@
     /// Ends unresponsive workers whose instances have another worker in the latest list, or have been
     /// omitted from it for [`UNRESPONSIVE_ABSENCE_TIMEOUT_MS`].
     pub(super) fn end_unlisted_incarnations(&mut self, now: Millis) {
-        let is_complete = self.list_covers_responsive_workers();
+        let is_complete = self.fleet.is_list_complete && self.list_covers_responsive_workers();
         let mut ended = Vec::new();
         for (key, worker) in &mut self.workers {
             if !worker.unresponsive || worker.report.instance.is_empty() {
--- a/crates/domain/src/schedule/fleet/waves.rs
+++ b/crates/domain/src/schedule/fleet/waves.rs
@@ -102,6 +102,10 @@
             wave.unlisted_since = None;
             return true;
         }
+        if !self.fleet.is_list_complete {
+            wave.unlisted_since = None;
+            return false;
+        }
         let since = *wave.unlisted_since.get_or_insert(now);
         now.ms_since(since) >= ABSENCE_TIMEOUT_MS
     }
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -311,6 +311,24 @@
     pub ended: Vec<ListedEnd>,
 }
 
+/// The platform's list of instances.
+#[derive(Clone, Debug)]
+pub struct InstanceListing {
+    /// The instances.
+    pub reports: Vec<InstanceReport>,
+    /// Whether every row could be decoded. Otherwise the absence of an instance says nothing.
+    pub is_complete: bool,
+}
+
+impl From<Vec<InstanceReport>> for InstanceListing {
+    fn from(reports: Vec<InstanceReport>) -> Self {
+        Self {
+            reports,
+            is_complete: true,
+        }
+    }
+}
+
 /// Rows of a worker's answer that could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -13,9 +13,9 @@
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_domain::schedule::order::{
-    Action, InstanceOrderResult, InstanceReport, InstanceState, ListedRun, Listing, OrderResult,
-    PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder, UnreadableRows,
-    WorkerReport,
+    Action, InstanceListing, InstanceOrderResult, InstanceReport, InstanceState, ListedRun,
+    Listing, OrderResult, PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder,
+    UnreadableRows, WorkerReport,
 };
 use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
@@ -138,6 +138,8 @@
     pub(crate) instance_orders: Vec<(Arc<str>, Option<Arc<str>>)>,
     /// Progress percentage and gauge that workers report for a task; 100 and 0 by default.
     pub(crate) progress_reports: FastMap<String, (u32, u64)>,
+    /// Instances whose rows in the list cannot be read.
+    pub(crate) unreadable_instances: FastSet<Arc<str>>,
     /// Tasks whose rows in the answers of workers cannot be read.
     pub(crate) unreadable_tasks: FastSet<String>,
     /// Checkpoint that workers report for a running task; none by default.
@@ -193,6 +195,7 @@
             complete_orders: true,
             instance_orders: Vec::new(),
             progress_reports: FastMap::default(),
+            unreadable_instances: FastSet::default(),
             unreadable_tasks: FastSet::default(),
             checkpoints: FastMap::default(),
             started_from: FastMap::default(),
@@ -527,8 +530,13 @@
                 self.scheduler.advised(result, self.now);
             }
             Action::ListInstances => {
-                let reports = Some(self.instances.clone());
-                self.scheduler.instances_listed(reports, self.now);
+                let mut reports = self.instances.clone();
+                reports.retain(|report| !self.unreadable_instances.contains(&report.name));
+                let listing = InstanceListing {
+                    is_complete: self.unreadable_instances.is_empty(),
+                    reports,
+                };
+                self.scheduler.instances_listed(Some(listing), self.now);
             }
             Action::Move(instance, pool) => self.order_instance(instance, Some(pool)),
             Action::Maintain(instance, _) => self.order_instance(instance, None),
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -325,8 +325,10 @@
             Action::Stop(key, order, _) => self.send(index, key, Order::Stop(order)),
             Action::Poll(key, order) => self.send(index, key, Order::Poll(order)),
             Action::ListInstances => {
-                let instances = self.workers.iter().map(instance_report).collect();
-                leader.scheduler.instances_listed(Some(instances), now);
+                let instances: Vec<_> = self.workers.iter().map(instance_report).collect();
+                leader
+                    .scheduler
+                    .instances_listed(Some(instances.into()), now);
             }
             Action::Advise(_) | Action::Pace(..) | Action::Move(..) | Action::Maintain(..) => {}
         }
