--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -312,19 +312,8 @@
     ///
     /// Panics when the daemon is not running.
     pub fn signal(&self, index: usize, signal: ProcessSignal) {
-        let signal = match signal {
-            ProcessSignal::Kill => libc::SIGKILL,
-            ProcessSignal::Freeze => libc::SIGSTOP,
-            ProcessSignal::Resume => libc::SIGCONT,
-            ProcessSignal::Terminate => libc::SIGTERM,
-        };
-        let id = self.process_id(index).expect("the daemon is running");
-        let id = libc::pid_t::try_from(id).expect("process ids fit into pid_t");
-        #[allow(unsafe_code, reason = "the libc crate offers no safe wrapper for kill")]
-        // SAFETY: the child has not been waited for, so its process id cannot have been reused.
-        unsafe {
-            libc::kill(id, signal);
-        }
+        let child = self.daemons[index].child.as_ref();
+        signal.send(child.expect("the daemon is running"));
     }
 
     /// Diagnostics of a daemon for a failed test: the states of its threads, whether its runtime
