--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod arrivals;
 mod backlog;
+mod checkpoints;
 mod choice;
 mod configuration;
 mod copies;
@@ -37,6 +38,7 @@
 mod recovery;
 mod retention;
 mod room_index;
+pub mod room_times;
 mod roster;
 mod run;
 mod run_table;
--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -40,7 +40,7 @@
     /// Ends unresponsive workers whose instances have another worker in the latest list, or have been
     /// omitted from it for [`UNRESPONSIVE_ABSENCE_TIMEOUT_MS`].
     pub(super) fn end_unlisted_incarnations(&mut self, now: Millis) {
-        let is_complete = self.list_covers_responsive_workers();
+        let is_complete = self.fleet.is_list_complete && self.list_covers_responsive_workers();
         let mut ended = Vec::new();
         for (key, worker) in &mut self.workers {
             if !worker.unresponsive || worker.report.instance.is_empty() {
@@ -51,7 +51,8 @@
                 continue;
             }
             match self.fleet.listed(&worker.report.instance) {
-                Some(instance) if instance.report.worker.as_ref() == Some(&worker.report.id) => {
+                // Its entry may be of another writer and name the instance of another worker.
+                _ if self.fleet.listed_workers.contains(&worker.report.id) => {
                     worker.unlisted_since = None;
                 }
                 Some(_) => ended.push(key),
@@ -89,7 +90,7 @@
         let instance = key.and_then(|key| self.fleet.instances.get(*key));
         instance.is_some_and(|instance| {
             instance.report.state != InstanceState::Down
-                && instance.report.worker.as_ref() != Some(&worker.id)
+                && !self.fleet.listed_workers.contains(&worker.id)
         })
     }
 
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -8,8 +8,8 @@
 use super::stop_reason::StopReason;
 use super::worker::Claim;
 use super::{
-    JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, RUN_END_BATCH_DELAY_MS, Scheduler,
-    UNRESPONSIVE_POLL_INTERVAL_MS, UNWRITTEN_ENDS_POLL_INTERVAL_MS,
+    JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, Scheduler, UNRESPONSIVE_POLL_INTERVAL_MS,
+    UNWRITTEN_ENDS_POLL_INTERVAL_MS,
 };
 use crate::job::JobState;
 use crate::prelude::*;
@@ -258,16 +258,14 @@
             run.progress.percent_changed_at = now;
         }
         run.progress.gauge = listed_run.gauge;
-        let task = run.info().task;
-        if let Some(task) = self.job_table.tasks.get_mut(task)
+        let task_key = run.info().task;
+        if let Some(task) = self.job_table.tasks.get_mut(task_key)
             && task.status == TaskStatus::Placed(key)
         {
-            if !listed_run.checkpoint.is_empty() {
-                task.checkpoint = Arc::clone(&listed_run.checkpoint);
-            }
             if listed_run.percent >= 100 {
                 task.not_running_since = None;
             }
+            self.update_checkpoint(task_key, &listed_run.checkpoint);
         }
     }
 
@@ -328,30 +326,7 @@
         }
     }
 
-    /// Applies new ends. Those behind an unreadable one are applied, but acknowledged only once it has been read.
-    fn apply_ends(&mut self, key: WorkerKey, ends: &[ListedEnd], now: Millis, wall: Millis) {
-        let acknowledge_max = self.acknowledge_max(key);
-        for end in ends {
-            let batch = self.batches.next_sequence();
-            let worker = &mut self.workers[key];
-            if end.sequence <= worker.last_end_sequence {
-                continue;
-            }
-            let is_new = if end.sequence > acknowledge_max {
-                worker.ends_applied_early.insert(end.sequence)
-            } else {
-                worker.last_end_sequence = end.sequence;
-                worker.unwritten_ends.push_back((end.sequence, batch));
-                !worker.ends_applied_early.remove(&end.sequence)
-            };
-            self.request_batch(now.after_ms(RUN_END_BATCH_DELAY_MS));
-            if is_new {
-                self.apply_end(key, end, now, wall);
-            }
-        }
-    }
-
-    fn apply_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Millis, wall: Millis) {
+    pub(super) fn apply_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Millis, wall: Millis) {
         let Some(task) = self.job_table.find(&end.task) else {
             return;
         };
@@ -380,15 +355,16 @@
         });
     }
 
-    fn record_end(&mut self, key: WorkerKey, task: TaskKey, end: &ListedEnd) {
-        let task = &mut self.job_table.tasks[task];
+    fn record_end(&mut self, key: WorkerKey, task_key: TaskKey, end: &ListedEnd) {
+        let task = &mut self.job_table.tasks[task_key];
         if end.number >= task.last_run_number {
             task.last_run_number = end.number;
-            if !end.checkpoint.is_empty() {
-                task.checkpoint = Arc::clone(&end.checkpoint);
-                if let Some(job) = self.job_table.jobs.get_mut(task.job) {
-                    job.dirty = true;
-                }
+            let job = task.job;
+            self.update_checkpoint(task_key, &end.checkpoint);
+            if !end.checkpoint.is_empty()
+                && let Some(job) = self.job_table.jobs.get_mut(job)
+            {
+                job.dirty = true;
             }
         }
         if end.kind == RunEndKind::Done {
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -277,6 +277,8 @@
             poll_sent_at: self.poll_sent_at,
             cordoned: self.cordoned,
             claim_link_until: self.claim_link_until,
+            // The answer that has shown the incarnation may be the unreadable one.
+            unreadable_rows: self.unreadable_rows.take(),
             incarnation_since: now,
             ..Self::new(report, Millis::ZERO)
         };
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -13,9 +13,9 @@
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_domain::schedule::order::{
-    Action, InstanceOrderResult, InstanceReport, InstanceState, ListedRun, Listing, OrderResult,
-    PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder, UnreadableRows,
-    WorkerReport,
+    Action, InstanceListing, InstanceOrderResult, InstanceReport, InstanceState, ListedRun,
+    Listing, OrderResult, PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder,
+    UnreadableRows, WorkerReport,
 };
 use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
@@ -138,8 +138,14 @@
     pub(crate) instance_orders: Vec<(Arc<str>, Option<Arc<str>>)>,
     /// Progress percentage and gauge that workers report for a task; 100 and 0 by default.
     pub(crate) progress_reports: FastMap<String, (u32, u64)>,
+    /// Instances whose rows in the list cannot be read.
+    pub(crate) unreadable_instances: FastSet<Arc<str>>,
     /// Tasks whose rows in the answers of workers cannot be read.
     pub(crate) unreadable_tasks: FastSet<String>,
+    /// Checkpoint that workers report for a running task; none by default.
+    pub(crate) checkpoints: FastMap<String, Arc<str>>,
+    /// Checkpoint of the last start order for a task.
+    pub(crate) started_from: FastMap<String, Arc<str>>,
     pub(crate) concurrent_runs_max: FastMap<String, usize>,
     pub(crate) advisor: Advisor,
     settings: ScheduleSettings,
@@ -189,7 +195,10 @@
             complete_orders: true,
             instance_orders: Vec::new(),
             progress_reports: FastMap::default(),
+            unreadable_instances: FastSet::default(),
             unreadable_tasks: FastSet::default(),
+            checkpoints: FastMap::default(),
+            started_from: FastMap::default(),
             concurrent_runs_max: FastMap::default(),
             advisor: Advisor::default(),
             settings,
@@ -521,8 +530,13 @@
                 self.scheduler.advised(result, self.now);
             }
             Action::ListInstances => {
-                let reports = Some(self.instances.clone());
-                self.scheduler.instances_listed(reports, self.now);
+                let mut reports = self.instances.clone();
+                reports.retain(|report| !self.unreadable_instances.contains(&report.name));
+                let listing = InstanceListing {
+                    is_complete: self.unreadable_instances.is_empty(),
+                    reports,
+                };
+                self.scheduler.instances_listed(Some(listing), self.now);
             }
             Action::Move(instance, pool) => self.order_instance(instance, Some(pool)),
             Action::Maintain(instance, _) => self.order_instance(instance, None),
@@ -624,6 +638,8 @@
         if let Some(answer) = self.answer_without_worker(key) {
             return answer.to_order();
         }
+        self.started_from
+            .insert(task_path(&order.task), Arc::clone(&order.checkpoint));
         if self.refuse_fencing_token {
             return OrderResult::Refused(Refusal::Fenced);
         }
@@ -729,7 +745,11 @@
                 ListedRun {
                     task: task.clone(),
                     number: *number,
-                    checkpoint: "".into(),
+                    checkpoint: self
+                        .checkpoints
+                        .get(&task_path(task))
+                        .cloned()
+                        .unwrap_or_default(),
                     percent,
                     gauge,
                 }
