--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -40,7 +40,8 @@
                 self.start_not_carried_out(run, now);
             }
             OrderResult::Refused(refusal) => {
-                self.fenced |= refusal == Refusal::Fenced && self.has_met_worker(worker, sent_at);
+                self.fenced |=
+                    refusal == Refusal::Fenced && self.has_reached_known_address(worker, sent_at);
                 self.pause_worker(worker, refusal, now);
                 let task = self.runs.get(run).map(|run| run.info().task);
                 if let (false, Refusal::Ticket, Some(step)) = (
@@ -114,7 +115,7 @@
                 }
             }
         }
-        let is_from_worker = self.has_met_worker(worker, sent_at.unwrap_or_default());
+        let is_from_worker = self.has_reached_known_address(worker, sent_at.unwrap_or_default());
         self.fenced |= result == OrderResult::Refused(Refusal::Fenced) && is_from_worker;
         if let OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening = result
         {
@@ -124,7 +125,7 @@
     }
 
     /// Whether an order that was sent at this time cannot have gone to an address that only a claim names.
-    fn has_met_worker(&self, worker: WorkerKey, sent_at: Millis) -> bool {
+    fn has_reached_known_address(&self, worker: WorkerKey, sent_at: Millis) -> bool {
         let worker = self.workers.get(worker);
         worker.is_some_and(|worker| !worker.may_have_missed(sent_at))
     }
