List the metrics of the leader's load one by one

The reference lists one metric a row; the test that compares it with the code now reads load.rs, too.

--- a/crates/daemon/tests/reference.rs
+++ b/crates/daemon/tests/reference.rs
@@ -196,6 +196,7 @@
         include_str!("../src/jobs/batch.rs"),
         include_str!("../src/jobs/leader/actions.rs"),
         include_str!("../src/jobs/leader/held_jobs.rs"),
+        include_str!("../src/jobs/leader/load.rs"),
         include_str!("../src/jobs/leader/share_status.rs"),
         include_str!("../../adapters/src/config_link.rs"),
         include_str!("../src/jobs/leader/workspaces.rs"),
