--- /dev/null
+++ b/review/standin/src/record.rs
@@ -0,0 +1,177 @@
+//! What clients and runners have seen, and the check of the rule TWICE.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use crate::worker::STARTUP_MS;
+
+#[derive(Default)]
+struct RunSeen {
+    runner: String,
+    number: u64,
+    began_ms: u64,
+    ended: Option<(u64, String)>,
+    acknowledged_ms: Option<u64>,
+}
+
+#[derive(Default)]
+struct Seen {
+    text: String,
+    runs: BTreeMap<String, Vec<RunSeen>>,
+}
+
+pub struct Record {
+    since: Instant,
+    seen: Mutex<Seen>,
+}
+
+impl Record {
+    pub fn new() -> Self {
+        Self {
+            since: Instant::now(),
+            seen: Mutex::default(),
+        }
+    }
+
+    pub fn now_ms(&self) -> u64 {
+        self.since.elapsed().as_millis() as u64
+    }
+
+    pub fn note(&self, line: &str) {
+        let now = self.now_ms();
+        let mut seen = self.seen.lock().expect("lock");
+        let _ = writeln!(seen.text, "{now:>7} ms  {line}");
+    }
+
+    pub fn started(&self, runner: &str, task: &str, number: u64) {
+        let now = self.now_ms();
+        let mut seen = self.seen.lock().expect("lock");
+        let _ = writeln!(seen.text, "{now:>7} ms  {runner} starts {task} run {number}");
+        seen.runs.entry(task.to_owned()).or_default().push(RunSeen {
+            runner: runner.to_owned(),
+            number,
+            began_ms: now,
+            ..RunSeen::default()
+        });
+    }
+
+    pub fn ended(&self, runner: &str, task: &str, number: u64, how: &str, sequence: u64) {
+        let now = self.now_ms();
+        let mut seen = self.seen.lock().expect("lock");
+        let _ = writeln!(
+            seen.text,
+            "{now:>7} ms  {runner} end {sequence}: {task} run {number} {how}"
+        );
+        if let Some(run) = seen.find(runner, task, number) {
+            run.ended = Some((now, how.to_owned()));
+        }
+    }
+
+    /// The end of a run was reached by `ack_cursor`.
+    pub fn acknowledged(&self, runner: &str, task: &str, number: u64, how: &str) {
+        let now = self.now_ms();
+        let mut seen = self.seen.lock().expect("lock");
+        let _ = writeln!(
+            seen.text,
+            "{now:>7} ms  {runner} is told to forget the end of {task} run {number} ({how})"
+        );
+        if let Some(run) = seen.find(runner, task, number) {
+            run.acknowledged_ms = Some(now);
+        }
+    }
+
+    /// Number of runs that have ended in this way.
+    pub fn count(&self, how: &str) -> usize {
+        let seen = self.seen.lock().expect("lock");
+        let runs = seen.runs.values().flatten();
+        runs.filter(|run| run.ended.as_ref().is_some_and(|(_, end)| end == how))
+            .count()
+    }
+
+    pub fn starts(&self) -> usize {
+        self.seen.lock().expect("lock").runs.values().flatten().count()
+    }
+
+    /// Breaches of AVAIL in a job of one step that nobody has cancelled: a stop has ended a work unit at work, while
+    /// so many others were away, ended by a stop.
+    pub fn stopped_beside_others(&self, may_miss: usize) -> Vec<String> {
+        let seen = self.seen.lock().expect("lock");
+        let stopped_at = |runs: &Vec<RunSeen>| {
+            let run = runs.last()?;
+            let (at, how) = run.ended.as_ref()?;
+            let was_at_work = *at >= run.began_ms + STARTUP_MS;
+            (how == "stopped" && was_at_work).then_some(*at)
+        };
+        let mut stopped: Vec<(u64, &String)> = seen
+            .runs
+            .iter()
+            .filter_map(|(task, runs)| Some((stopped_at(runs)?, task)))
+            .collect();
+        stopped.sort_unstable();
+        let beside = stopped.iter().enumerate().skip(may_miss);
+        beside
+            .map(|(others, (at, task))| {
+                format!("{task} was at work and was stopped by {at} ms; {others} others of its step are away by a stop, and {may_miss} may be")
+            })
+            .collect()
+    }
+
+    /// Time of the last end of a run.
+    pub fn last_end_ms(&self) -> Option<u64> {
+        let seen = self.seen.lock().expect("lock");
+        let ends = seen.runs.values().flatten().filter_map(|run| Some(run.ended.as_ref()?.0));
+        ends.max()
+    }
+
+    /// Number of jobs of which a work unit has started.
+    pub fn jobs_begun(&self) -> usize {
+        let seen = self.seen.lock().expect("lock");
+        let jobs = seen.runs.keys().filter_map(|task| task.split('.').next());
+        jobs.collect::<std::collections::BTreeSet<_>>().len()
+    }
+
+    /// Breaches of TWICE: a start after a run of the work unit has ended `done`, if that end was taken note of then
+    /// or later, or two runs at the same time on runners that are up.
+    pub fn twice(&self) -> Vec<String> {
+        let seen = self.seen.lock().expect("lock");
+        let mut breaches = Vec::new();
+        for (task, runs) in &seen.runs {
+            for later in runs {
+                for former in runs.iter().filter(|former| former.began_ms < later.began_ms) {
+                    let done = former.ended.as_ref().filter(|(_, how)| how == "done");
+                    if let (Some((done_ms, _)), Some(ack_ms)) = (done, former.acknowledged_ms)
+                        && *done_ms < later.began_ms
+                    {
+                        breaches.push(format!(
+                            "{task}: run {} was done on {} at {done_ms} ms, taken note of at {ack_ms} ms, and run {} was started on {} at {} ms",
+                            former.number, former.runner, later.number, later.runner, later.began_ms
+                        ));
+                    }
+                    let until = former.ended.as_ref().map_or(u64::MAX, |(at, _)| *at);
+                    if until > later.began_ms {
+                        breaches.push(format!(
+                            "{task}: run {} on {} and run {} on {} at the same time from {} ms",
+                            former.number, former.runner, later.number, later.runner, later.began_ms
+                        ));
+                    }
+                }
+            }
+        }
+        breaches
+    }
+
+    pub fn text(&self) -> String {
+        self.seen.lock().expect("lock").text.clone()
+    }
+}
+
+impl Seen {
+    fn find(&mut self, runner: &str, task: &str, number: u64) -> Option<&mut RunSeen> {
+        let runs = self.runs.get_mut(task)?;
+        runs.iter_mut()
+            .rev()
+            .find(|run| run.runner == runner && run.number == number)
+    }
+}
--- /dev/null
+++ b/review/standin/src/worker.rs
@@ -0,0 +1,381 @@
+//! A runner: it starts and stops work units on orders, under a lease, and lists what runs and what has ended.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::http::{Answer, Request, Server};
+use crate::json::{Json, quote};
+use crate::record::Record;
+
+/// Ends that an answer lists at most.
+const ENDS_LISTED: usize = 500;
+/// Time until a work unit that lasts is at work.
+pub const STARTUP_MS: u64 = 600;
+/// Time that a stop takes.
+const STOP_MS: u64 = 50;
+
+/// What a runner is, and how the work units on it behave.
+#[derive(Clone)]
+pub struct Plan {
+    pub id: String,
+    pub machine: String,
+    pub service: String,
+    pub labels: Vec<String>,
+    pub cpu: u64,
+    pub mem_mb: u64,
+    pub max_hold_ms: u64,
+    /// Duration of a work unit; `None` if it lasts.
+    pub task_ms: Option<u64>,
+}
+
+struct Run {
+    number: u64,
+    began: Instant,
+    stops_at: Option<Instant>,
+}
+
+struct End {
+    sequence: u64,
+    task: String,
+    number: u64,
+    how: &'static str,
+}
+
+struct State {
+    born: Instant,
+    born_wall_ms: u64,
+    /// Highest fence number.
+    fence: u64,
+    /// End of the lease, on this runner's clock.
+    deadline_ms: u64,
+    running: BTreeMap<String, Run>,
+    ends: Vec<End>,
+    next_sequence: u64,
+    acknowledged: u64,
+    /// Highest run of a work unit that was stopped or has ended here.
+    closed: BTreeMap<String, u64>,
+    is_up: bool,
+    /// Whether all that is started fails.
+    is_failing: bool,
+    /// Whether orders are answered 503, with no effect.
+    is_busy: bool,
+}
+
+pub struct Worker {
+    pub plan: Plan,
+    state: Mutex<State>,
+    changed: Condvar,
+    record: Arc<Record>,
+}
+
+pub fn wall_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
+
+impl Worker {
+    pub fn new(plan: Plan, record: Arc<Record>) -> Arc<Self> {
+        let worker = Arc::new(Self {
+            plan,
+            state: Mutex::new(State::new()),
+            changed: Condvar::new(),
+            record,
+        });
+        let clock = Arc::clone(&worker);
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(2));
+                drop(clock.state());
+            }
+        });
+        worker
+    }
+
+    /// Opens the runner's port.
+    pub fn listen(self: &Arc<Self>, port: u16) -> Server {
+        let worker = Arc::clone(self);
+        Server::start(port, move |request| worker.handle(request))
+    }
+
+    /// What runs is killed; the next lifetime knows nothing.
+    pub fn crash(&self) {
+        let mut state = self.state();
+        for (task, run) in std::mem::take(&mut state.running) {
+            self.record.ended(&self.plan.id, &task, run.number, "crashed", 0);
+        }
+        state.is_up = false;
+        self.record.note(&format!("runner {} crashes", self.plan.id));
+    }
+
+    pub fn restart(&self) {
+        *self.state.lock().expect("lock") = State::new();
+        self.record.note(&format!("runner {} is up", self.plan.id));
+    }
+
+    pub fn set_failing(&self, is_failing: bool) {
+        self.state().is_failing = is_failing;
+    }
+
+    pub fn set_busy(&self, is_busy: bool) {
+        self.state().is_busy = is_busy;
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.state().is_up
+    }
+
+    /// Work units that run now.
+    pub fn running(&self) -> Vec<String> {
+        self.state().running.keys().cloned().collect()
+    }
+
+    /// The entry in the store.
+    pub fn entry(&self, address: &str, sequence: u64) -> String {
+        let state = self.state();
+        let labels: Vec<String> = self.plan.labels.iter().map(|label| quote(label)).collect();
+        format!(
+            "{{\"service\":{},\"address\":{},\"zone\":\"za\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"capacity\":{},\"labels\":[{}],\"clock_ms\":{},\"sequence\":{sequence},\"machine\":{},\"born\":{}}}",
+            quote(&self.plan.service),
+            quote(address),
+            self.capacity(),
+            labels.join(","),
+            state.clock_ms(),
+            quote(&self.plan.machine),
+            state.born_wall_ms,
+        )
+    }
+
+    /// The row in the list of machines.
+    pub fn machine_row(&self) -> String {
+        let labels: Vec<String> = self.plan.labels.iter().map(|label| quote(label)).collect();
+        let is_up = self.is_up();
+        let (state, id) = if is_up {
+            ("up", format!(",\"id\":{}", quote(&self.plan.id)))
+        } else {
+            ("down", String::new())
+        };
+        format!(
+            "{{\"machine\":{},\"pool\":{},\"state\":\"{state}\",\"zone\":\"za\",\"labels\":[{}],\"capacity\":{}{id}}}",
+            quote(&self.plan.machine),
+            quote(&self.plan.service),
+            labels.join(","),
+            self.capacity(),
+        )
+    }
+
+    fn capacity(&self) -> String {
+        format!(
+            "{{\"cpu\":{},\"mem_mb\":{},\"gpu\":0}}",
+            self.plan.cpu, self.plan.mem_mb
+        )
+    }
+
+    /// The state as of now: work units that are done, stopped or out of lease have ended.
+    fn state(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().expect("lock");
+        let now = Instant::now();
+        let has_lapsed = state.clock_ms() > state.deadline_ms;
+        let mut ended = Vec::new();
+        for (task, run) in &state.running {
+            let age_ms = now.duration_since(run.began).as_millis() as u64;
+            let how = if run.stops_at.is_some_and(|at| at <= now) {
+                Some("stopped")
+            } else if has_lapsed {
+                Some("lapsed")
+            } else if state.is_failing && age_ms >= 20 {
+                Some("failed")
+            } else if self.plan.task_ms.is_some_and(|task_ms| age_ms >= task_ms) {
+                Some("done")
+            } else {
+                None
+            };
+            if let Some(how) = how {
+                ended.push((task.clone(), run.number, how));
+            }
+        }
+        let has_ended = !ended.is_empty();
+        for (task, number, how) in ended {
+            state.running.remove(&task);
+            state.close(&task, number);
+            let sequence = state.next_sequence;
+            state.next_sequence += 1;
+            self.record.ended(&self.plan.id, &task, number, how, sequence);
+            state.ends.push(End {
+                sequence,
+                task,
+                number,
+                how,
+            });
+        }
+        if has_ended {
+            self.changed.notify_all();
+        }
+        state
+    }
+
+    fn handle(&self, request: &Request) -> Answer {
+        if request.headers.get("x-expect-instance") != Some(&self.plan.id) {
+            return Some((421, "{}".into()));
+        }
+        let body = Json::parse(&request.body)?;
+        let mut state = self.state();
+        if !state.is_up {
+            return None;
+        }
+        let fence = body.get("fencing_token").number().unwrap_or(0);
+        if fence < state.fence {
+            return Some(state.refusal("fence"));
+        }
+        state.fence = fence;
+        let task = body.get("task").text().to_owned();
+        let number = body.get("run").number().unwrap_or(0);
+        match request.path.as_str() {
+            "/run-start" if state.is_busy => Some((503, "{}".into())),
+            "/run-start" => {
+                state.extend_lease(&body, self.plan.max_hold_ms);
+                let answer = self.start(&mut state, task, number);
+                Some(answer)
+            }
+            "/run-stop" => {
+                state.close(&task, number);
+                if let Some(run) = state.running.get_mut(&task)
+                    && run.number == number
+                {
+                    let at = Instant::now() + Duration::from_millis(STOP_MS);
+                    run.stops_at.get_or_insert(at);
+                }
+                Some(state.accepted())
+            }
+            "/pace" => Some(state.accepted()),
+            "/hold" => {
+                state.extend_lease(&body, self.plan.max_hold_ms);
+                let cursor = body.get("ack_cursor").number().unwrap_or(0);
+                if cursor > state.acknowledged {
+                    state.acknowledged = cursor;
+                    let taken = state.ends.iter().filter(|end| end.sequence <= cursor);
+                    for end in taken {
+                        let id = &self.plan.id;
+                        self.record.acknowledged(id, &end.task, end.number, end.how);
+                    }
+                    state.ends.retain(|end| end.sequence > cursor);
+                }
+                drop(state);
+                self.list(body.get("wait_ms").number().unwrap_or(0))
+            }
+            _ => Some((404, "{}".into())),
+        }
+    }
+
+    fn start(&self, state: &mut State, task: String, number: u64) -> (u16, String) {
+        if state.clock_ms() > state.deadline_ms {
+            return state.refusal("late");
+        }
+        if state.running.get(&task).is_some_and(|run| run.number == number) {
+            return state.accepted();
+        }
+        if state.closed.get(&task).is_some_and(|closed| number <= *closed)
+            || state.running.contains_key(&task)
+        {
+            return state.refusal("old");
+        }
+        self.record.started(&self.plan.id, &task, number);
+        let run = Run {
+            number,
+            began: Instant::now(),
+            stops_at: None,
+        };
+        state.running.insert(task, run);
+        state.accepted()
+    }
+
+    /// Answers a look at the runner, after a wait for an end.
+    fn list(&self, wait_ms: u64) -> Answer {
+        let until = Instant::now() + Duration::from_millis(wait_ms.min(2_000));
+        loop {
+            let state = self.state();
+            if !state.is_up {
+                return None;
+            }
+            let now = Instant::now();
+            if !state.ends.is_empty() || now >= until {
+                return Some((200, self.listing(&state)));
+            }
+            drop(self.changed.wait_timeout(state, until - now).expect("lock"));
+        }
+    }
+
+    fn listing(&self, state: &State) -> String {
+        let now = Instant::now();
+        let running = state.running.iter().map(|(task, run)| {
+            let age_ms = now.duration_since(run.began).as_millis() as u64;
+            let percent = match self.plan.task_ms {
+                Some(task_ms) => (age_ms * 100 / task_ms.max(1)).min(99),
+                None => (age_ms * 100 / STARTUP_MS).min(100),
+            };
+            format!("[{},{},\"\",{percent},0]", quote(task), run.number)
+        });
+        let running: Vec<String> = running.collect();
+        let ends = state.ends.iter().take(ENDS_LISTED).map(|end| {
+            format!(
+                "[{},{},{},\"{}\",\"\"]",
+                end.sequence,
+                quote(&end.task),
+                end.number,
+                end.how
+            )
+        });
+        let ends: Vec<String> = ends.collect();
+        format!(
+            "{{\"clock_ms\":{},\"born\":{},\"running\":[{}],\"ended_runs\":[{}]}}",
+            state.clock_ms(),
+            state.born_wall_ms,
+            running.join(","),
+            ends.join(",")
+        )
+    }
+}
+
+impl State {
+    fn new() -> Self {
+        Self {
+            born: Instant::now(),
+            born_wall_ms: wall_ms(),
+            fence: 0,
+            deadline_ms: 0,
+            running: BTreeMap::new(),
+            ends: Vec::new(),
+            next_sequence: 1,
+            acknowledged: 0,
+            closed: BTreeMap::new(),
+            is_up: true,
+            is_failing: false,
+            is_busy: false,
+        }
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.born.elapsed().as_millis() as u64
+    }
+
+    fn extend_lease(&mut self, body: &Json, max_hold_ms: u64) {
+        if let Some(deadline_ms) = body.get("deadline_ms").number() {
+            let longest = self.clock_ms() + max_hold_ms;
+            self.deadline_ms = self.deadline_ms.max(deadline_ms.min(longest));
+        }
+    }
+
+    fn close(&mut self, task: &str, number: u64) {
+        let closed = self.closed.entry(task.to_owned()).or_insert(0);
+        *closed = (*closed).max(number);
+    }
+
+    fn accepted(&self) -> (u16, String) {
+        (200, format!("{{\"clock_ms\":{}}}", self.clock_ms()))
+    }
+
+    fn refusal(&self, reason: &str) -> (u16, String) {
+        let clock_ms = self.clock_ms();
+        (409, format!("{{\"clock_ms\":{clock_ms},\"reason\":\"{reason}\"}}"))
+    }
+}
