--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 
 mod cases;
 mod deployment;
+mod fleet;
 mod http;
 mod json;
 mod record;
@@ -35,7 +36,12 @@
     std::thread::spawn(move || {
         let _ = sender.send(play(with_trouble));
     });
-    let Ok(Outcome { record, breaches, failure }) = receiver.recv_timeout(TIME_LIMIT) else {
+    let Ok(Outcome {
+        record,
+        breaches,
+        failure,
+    }) = receiver.recv_timeout(TIME_LIMIT)
+    else {
         eprintln!("the case took too long, or its stand-ins failed");
         return ExitCode::from(2);
     };
@@ -54,7 +60,14 @@
         eprintln!("the record cannot be written");
         return ExitCode::from(2);
     }
-    println!("{case}, {}: {verdict}", if with_trouble { "with the disruption" } else { "without it" });
+    println!(
+        "{case}, {}: {verdict}",
+        if with_trouble {
+            "with the disruption"
+        } else {
+            "without it"
+        }
+    );
     for breach in breaches_text.iter().take(3) {
         println!("  {breach}");
     }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -183,7 +183,9 @@
         let until = Instant::now() + Duration::from_millis(wait_ms);
         loop {
             let state = self.state();
-            let first = state.events.partition_point(|(revision, ..)| *revision <= after);
+            let first = state
+                .events
+                .partition_point(|(revision, ..)| *revision <= after);
             let events: Vec<String> = state.events[first..]
                 .iter()
                 .filter(|(_, key, _)| key.starts_with(prefix))
@@ -257,7 +259,11 @@
 
     fn grant(&self, body: &Json) -> (u16, String) {
         let mut state = self.state();
-        let ttl_ms = body.get("ttl_ms").number().unwrap_or(0).clamp(1_000, 600_000);
+        let ttl_ms = body
+            .get("ttl_ms")
+            .number()
+            .unwrap_or(0)
+            .clamp(1_000, 600_000);
         state.next_lease += 1;
         let lease = 70_000 + state.next_lease;
         let ttl = Duration::from_millis(ttl_ms);
