--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -20,6 +20,8 @@
 struct Seen {
     text: String,
     runs: BTreeMap<String, Vec<RunSeen>>,
+    /// Times at which leases have lapsed, by runner.
+    lapses: BTreeMap<String, Vec<u64>>,
 }
 
 pub struct Record {
@@ -85,6 +87,13 @@
         }
     }
 
+    /// The lease of a runner lapsed this long ago.
+    pub fn lapsed(&self, runner: &str, ago_ms: u64) {
+        let at = self.now_ms().saturating_sub(ago_ms);
+        let mut seen = self.seen.lock().expect("lock");
+        seen.lapses.entry(runner.to_owned()).or_default().push(at);
+    }
+
     /// Number of runs that have ended in this way.
     pub fn count(&self, how: &str) -> usize {
         let seen = self.seen.lock().expect("lock");
@@ -152,7 +161,7 @@
     }
 
     /// Breaches of TWICE: a start after a run of the work unit has ended `done`, if that end was taken note of then
-    /// or later, or two runs at the same time on runners that are up.
+    /// or later, and the lease had not lapsed between the two, or two runs at the same time on runners that are up.
     pub fn twice(&self) -> Vec<String> {
         let seen = self.seen.lock().expect("lock");
         let mut breaches = Vec::new();
@@ -165,6 +174,7 @@
                     let done = former.ended.as_ref().filter(|(_, how)| how == "done");
                     if let (Some((done_ms, _)), Some(ack_ms)) = (done, former.acknowledged_ms)
                         && *done_ms < later.began_ms
+                        && !seen.has_lapsed(&former.runner, *done_ms, ack_ms)
                     {
                         breaches.push(format!(
                             "{task}: run {} was done on {} at {done_ms} ms, taken note of at {ack_ms} ms, and run {} was started on {} at {} ms",
@@ -194,6 +204,11 @@
 }
 
 impl Seen {
+    fn has_lapsed(&self, runner: &str, from_ms: u64, until_ms: u64) -> bool {
+        let lapses = self.lapses.get(runner);
+        lapses.is_some_and(|lapses| lapses.iter().any(|at| (from_ms..=until_ms).contains(at)))
+    }
+
     fn find(&mut self, runner: &str, task: &str, number: u64) -> Option<&mut RunSeen> {
         let runs = self.runs.get_mut(task)?;
         runs.iter_mut()
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -202,6 +202,10 @@
             return Some(state.refusal("fence"));
         }
         state.fence = fence;
+        let over_ms = state.clock_ms().saturating_sub(state.deadline_ms);
+        if over_ms > 0 && state.deadline_ms > 0 {
+            self.record.lapsed(&self.plan.id, over_ms);
+        }
         let task = body.get("task").text().to_owned();
         let number = body.get("run").number().unwrap_or(0);
         match request.path.as_str() {
