review/5: a late poll of a restarted worker acknowledges unread ends

Cause: a new process takes work while a poll with the cursor of the former one may still be carried out there. Change: a script with one crash and one late poll, and the check of TWICE; it takes the place of the quarantine (LOST).

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 player=review/standin/target/release/review-standin
 [ -x "$player" ] && [ -x target/release/rosemaryscaled ] || exit 2
-exec "$player" quarantine review/5
+exec "$player" cursor review/5
--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::deployment::Deployment;
-use crate::worker::{Plan, Worker, wall_ms};
+use crate::worker::{Plan, wall_ms};
 
 /// What a case has shown.
 pub struct Outcome {
@@ -18,8 +18,8 @@
         "schedule" => Some(schedule),
         "ends" => Some(ends),
         "crashes" => Some(crashes),
-        "quarantine" => Some(quarantine),
         "stale" => Some(stale),
+        "cursor" => Some(cursor),
         _ => None,
     }
 }
@@ -61,6 +61,7 @@
         mem_mb: 262_144,
         max_hold_ms: 10_000,
         task_ms,
+        is_uneven: false,
     };
     (1..=count).map(plan).collect()
 }
@@ -207,80 +208,6 @@
     Outcome::of(&deployment, breaches)
 }
 
-/// Twelve runners, of which the first alone has the label `b`.
-fn one_of_another_kind(task_ms: u64) -> Vec<Plan> {
-    let mut plans = runners(12, task_ms);
-    plans[0].labels[0] = "b".into();
-    plans
-}
-
-fn worker_of_kind(deployment: &Deployment, kind: &str) -> Option<std::sync::Arc<Worker>> {
-    let mut workers = deployment.workers().into_iter();
-    workers.find(|worker| worker.plan.labels[0] == kind)
-}
-
-/// All that one runner starts fails for 6.5 s, twice. It is the only one with the label of a job that lasts.
-fn quarantine(with_trouble: bool) -> Outcome {
-    const ID: &str = "5c0e7a21d94b36f8";
-    const GREY: Duration = Duration::from_millis(6_500);
-    const PAUSE: Duration = Duration::from_millis(5_500);
-    /// The rule: calm for 4 s, 6 s after the last run, and then 3 s without a run.
-    const CALM_MS: u64 = 4_000;
-    const AFTER_RUN_MS: u64 = 6_000;
-    const IDLE_MS: u64 = 3_000;
-    let Some(deployment) = Deployment::start(one_of_another_kind(1_000), 0, 4) else {
-        return Outcome::not_run("the deployment did not become ready");
-    };
-    let body = "{\"spec\":\"lasts\",\"steps\":[{\"count\":1,\"cpu\":5400,\"mem_mb\":27000,\"estimated_ms\":900,\"long_running\":true,\"image\":\"im-1\",\"requirements\":\"b\"}]}";
-    let accepted = deployment.call("POST", &format!("/q/{ID}"), body);
-    if accepted.map(|(status, _)| status) != Some(200) {
-        return Outcome::failed(&deployment, "the job was not accepted");
-    }
-    let Some(worker) = worker_of_kind(&deployment, "b") else {
-        return Outcome::failed(&deployment, "no runner has the label");
-    };
-    let is_running = || !worker.running().is_empty();
-    if !wait_until(Duration::from_secs(10), is_running) {
-        return Outcome::failed(&deployment, "the work unit was not started");
-    }
-    std::thread::sleep(Duration::from_secs(1));
-    for (period, pause) in [(1, PAUSE), (2, Duration::ZERO)] {
-        if with_trouble {
-            deployment
-                .record
-                .note(&format!("the runner fails all that it runs ({period})"));
-            worker.set_failing(true);
-        }
-        std::thread::sleep(GREY);
-        worker.set_failing(false);
-        deployment.record.note("the runner is sound");
-        std::thread::sleep(pause);
-    }
-    let sound_at = deployment.record.now_ms();
-    let mut idle_since = None;
-    let mut last_run_at = deployment.record.last_end_ms().unwrap_or(0);
-    let mut breaches = Vec::new();
-    while deployment.record.now_ms() < sound_at + 20_000 {
-        std::thread::sleep(Duration::from_millis(20));
-        let now = deployment.record.now_ms();
-        if is_running() {
-            last_run_at = now;
-            idle_since = None;
-            continue;
-        }
-        if now < sound_at + CALM_MS || now < last_run_at + AFTER_RUN_MS {
-            continue;
-        }
-        let since = *idle_since.get_or_insert(now);
-        if now >= since + IDLE_MS && breaches.is_empty() {
-            breaches.push(format!(
-                "{ID}.0.0.0 has not run from {since} ms to {now} ms; its runner is up, sound since {sound_at} ms, and empty"
-            ));
-        }
-    }
-    Outcome::of(&deployment, breaches)
-}
-
 /// The daemon that leads stands still for 4 s, after the machines have become idle. The next one gives them work.
 fn stale(with_trouble: bool) -> Outcome {
     const FIRST: &str = "5c0e7a21d94b36f8";
@@ -333,3 +260,51 @@
     let breaches = deployment.record.ended_beside_others("moved", MAY_MISS);
     Outcome::of(&deployment, breaches)
 }
+
+/// An idle runner crashes and is back at once; the next look at it gets no answer and is carried out 2.5 s later.
+fn cursor(with_trouble: bool) -> Outcome {
+    const IDS: [&str; 2] = ["5c0e7a21d94b36f8", "6d1f8b32ea5c47a9"];
+    const WIDTH: usize = 2_400;
+    let mut plans = runners(3, 300);
+    for plan in &mut plans {
+        plan.is_uneven = true;
+    }
+    let Some(deployment) = Deployment::start(plans, 0, 4) else {
+        return Outcome::not_run("the deployment did not become ready");
+    };
+    // 100 of them fit on a runner.
+    let body = format!(
+        "{{\"spec\":\"x\",\"steps\":[{{\"count\":{WIDTH},\"cpu\":640,\"mem_mb\":100,\"estimated_ms\":300}}]}}"
+    );
+    let submit = |id: &str| {
+        let accepted = deployment.call("POST", &format!("/q/{id}"), &body);
+        accepted.is_some_and(|(status, _)| status == 200)
+    };
+    if !submit(IDS[0]) {
+        return Outcome::failed(&deployment, "the first job was not accepted");
+    }
+    let is_done = || deployment.record.count("done") >= WIDTH;
+    if !wait_until(Duration::from_secs(30), is_done) {
+        return Outcome::failed(&deployment, "the first job did not end");
+    }
+    let worker = deployment.workers().remove(0);
+    if with_trouble {
+        std::thread::sleep(Duration::from_millis(250));
+        worker.delay_next_cursor();
+        deployment.restart_worker(&worker.plan.id, Duration::from_millis(100));
+    }
+    if !submit(IDS[1]) {
+        return Outcome::failed(&deployment, "the second job was not accepted");
+    }
+    for id in IDS {
+        let end = deployment.wait_for_end(id, Duration::from_secs(35));
+        deployment
+            .record
+            .note(&format!("job {id} is shown as {end:?}"));
+    }
+    if with_trouble && !worker.has_delayed_cursor() {
+        return Outcome::failed(&deployment, "the leader knew of the crash before it looked");
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    Outcome::of(&deployment, deployment.record.twice())
+}
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -250,6 +250,13 @@
     }
 }
 
+impl Deployment {
+    /// A runner crashes and is back under the same id.
+    pub fn restart_worker(&self, id: &str, down: Duration) {
+        self.fleet.restart(id, down);
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.fleet.stop();
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -140,6 +140,34 @@
         }
     }
 
+    /// A runner crashes, and starts again under the same id and at the same address. It is in the store a little
+    /// later.
+    pub fn restart(&self, id: &str, down: Duration) {
+        let is_on = |machine: &&mut Machine| {
+            machine
+                .runner
+                .as_ref()
+                .is_some_and(|runner| runner.worker.plan.id == id)
+        };
+        let Some(mut runner) = self
+            .machines()
+            .values_mut()
+            .find(is_on)
+            .and_then(|m| m.runner.take())
+        else {
+            return;
+        };
+        runner.worker.end("crashed");
+        runner.server.stop();
+        std::thread::sleep(down);
+        runner.worker.begin_again();
+        runner.server = runner.worker.listen(runner.address.port());
+        let name = runner.worker.plan.machine.clone();
+        if let Some(machine) = self.machines().get_mut(&name) {
+            machine.runner = Some(runner);
+        }
+    }
+
     pub fn stop(&self) {
         self.is_over.store(true, Ordering::SeqCst);
     }
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+#[derive(Clone)]
 pub struct Request {
     pub method: String,
     pub path: String,
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -149,17 +149,6 @@
         breaches
     }
 
-    /// Time of the last end of a run.
-    pub fn last_end_ms(&self) -> Option<u64> {
-        let seen = self.seen.lock().expect("lock");
-        let ends = seen
-            .runs
-            .values()
-            .flatten()
-            .filter_map(|run| Some(run.ended.as_ref()?.0));
-        ends.max()
-    }
-
     /// Breaches of TWICE: a start after a run of the work unit has ended `done`, if that end was taken note of then
     /// or later, and the lease had not lapsed between the two, or two runs at the same time on runners that are up.
     pub fn twice(&self) -> Vec<String> {
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -1,6 +1,7 @@
 //! A runner: it starts and stops work units on orders, under a lease, and lists what runs and what has ended.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -14,6 +15,8 @@
 pub const LASTS: &str = "lasts";
 /// Time until a work unit that lasts is at work.
 pub const STARTUP_MS: u64 = 600;
+/// Time after which a late order is carried out, and for which it then waits for an end that no answer has listed.
+const LATE: Duration = Duration::from_millis(2_500);
 /// Time that a stop takes.
 const STOP_MS: u64 = 50;
 
@@ -27,8 +30,10 @@
     pub cpu: u64,
     pub mem_mb: u64,
     pub max_hold_ms: u64,
-    /// Duration of a work unit, unless its `spec` is [`LASTS`].
+    /// Mean duration of a work unit, unless its `spec` is [`LASTS`].
     pub task_ms: u64,
+    /// Whether the durations differ, by up to a half.
+    pub is_uneven: bool,
 }
 
 impl Plan {
@@ -44,6 +49,7 @@
     number: u64,
     began: Instant,
     lasts: bool,
+    task_ms: u64,
     stops_at: Option<Instant>,
 }
 
@@ -64,16 +70,19 @@
     running: BTreeMap<String, Run>,
     ends: Vec<End>,
     next_sequence: u64,
+    starts: u64,
     acknowledged: u64,
+    /// Newest end that an answer has listed.
+    listed: u64,
     /// Highest run of a work unit that was stopped or has ended here.
     closed: BTreeMap<String, u64>,
     is_up: bool,
-    /// Whether all that is started fails.
-    is_failing: bool,
 }
 
 pub struct Worker {
     pub plan: Plan,
+    /// Whether the next look with a cursor gets no answer and is carried out [`LATE`].
+    delays_next_cursor: AtomicBool,
     state: Mutex<State>,
     changed: Condvar,
     record: Arc<Record>,
@@ -88,6 +97,7 @@
     pub fn new(plan: Plan, record: Arc<Record>) -> Arc<Self> {
         let worker = Arc::new(Self {
             plan,
+            delays_next_cursor: AtomicBool::new(false),
             state: Mutex::new(State::new()),
             changed: Condvar::new(),
             record,
@@ -105,7 +115,21 @@
     /// Opens the runner's port.
     pub fn listen(self: &Arc<Self>, port: u16) -> Server {
         let worker = Arc::clone(self);
-        Server::start(port, move |request| worker.handle(request))
+        Server::start(port, move |request| {
+            if worker.is_delayed(request) {
+                let (worker, late) = (Arc::clone(&worker), request.clone());
+                std::thread::spawn(move || {
+                    std::thread::sleep(LATE);
+                    worker.wait_for_unlisted_end();
+                    worker
+                        .record
+                        .note(&format!("{}: late {}", worker.plan.id, late.body));
+                    let _ = worker.handle(&late);
+                });
+                return None;
+            }
+            worker.handle(request)
+        })
     }
 
     /// The runner ends, and what runs on it is killed.
@@ -119,10 +143,6 @@
             .note(&format!("runner {} ends: {how}", self.plan.id));
     }
 
-    pub fn set_failing(&self, is_failing: bool) {
-        self.state().is_failing = is_failing;
-    }
-
     /// Work units that run now.
     pub fn running(&self) -> Vec<String> {
         self.state().running.keys().cloned().collect()
@@ -156,9 +176,7 @@
                 Some("stopped")
             } else if has_lapsed {
                 Some("lapsed")
-            } else if state.is_failing && age_ms >= 20 {
-                Some("failed")
-            } else if !run.lasts && age_ms >= self.plan.task_ms {
+            } else if !run.lasts && age_ms >= run.task_ms {
                 Some("done")
             } else {
                 None
@@ -188,6 +206,51 @@
         state
     }
 
+    /// Waits until there is an end that no answer has listed, for some seconds at most.
+    fn wait_for_unlisted_end(&self) {
+        let until = Instant::now() + LATE;
+        let has_unlisted = || {
+            let state = self.state();
+            state
+                .ends
+                .last()
+                .is_some_and(|end| end.sequence > state.listed)
+        };
+        while Instant::now() < until && !has_unlisted() {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// The process is back, under the same id, and knows nothing of before.
+    pub fn begin_again(&self) {
+        *self.state.lock().expect("lock") = State::new();
+        self.record
+            .note(&format!("runner {} is back", self.plan.id));
+    }
+
+    /// The next look with a cursor gets no answer and is carried out late.
+    pub fn delay_next_cursor(&self) {
+        self.delays_next_cursor.store(true, Ordering::SeqCst);
+    }
+
+    pub fn has_delayed_cursor(&self) -> bool {
+        !self.delays_next_cursor.load(Ordering::SeqCst)
+    }
+
+    fn is_delayed(&self, request: &Request) -> bool {
+        let cursor = || Json::parse(&request.body)?.get("ack_cursor").number();
+        let is_chosen = request.path == "/hold"
+            && self.delays_next_cursor.load(Ordering::SeqCst)
+            && cursor().is_some_and(|cursor| cursor > 0)
+            && self.delays_next_cursor.swap(false, Ordering::SeqCst);
+        if is_chosen {
+            let id = &self.plan.id;
+            self.record
+                .note(&format!("{id}: no answer to {}", request.body));
+        }
+        is_chosen
+    }
+
     fn handle(&self, request: &Request) -> Answer {
         if request.headers.get("x-expect-instance") != Some(&self.plan.id) {
             return Some((421, "{}".into()));
@@ -265,10 +328,18 @@
             return state.refusal("old");
         }
         self.record.started(&self.plan.id, &task, number);
+        // Any fixed sequence will do.
+        let percent = if self.plan.is_uneven {
+            50 + state.starts * 37 % 101
+        } else {
+            100
+        };
+        state.starts += 1;
         let run = Run {
             number,
             began: Instant::now(),
             lasts,
+            task_ms: self.plan.task_ms * percent / 100,
             stops_at: None,
         };
         state.running.insert(task, run);
@@ -279,12 +350,14 @@
     fn list(&self, wait_ms: u64) -> Answer {
         let until = Instant::now() + Duration::from_millis(wait_ms.min(2_000));
         loop {
-            let state = self.state();
+            let mut state = self.state();
             if !state.is_up {
                 return None;
             }
             let now = Instant::now();
             if !state.ends.is_empty() || now >= until {
+                let listed = state.ends.iter().take(ENDS_LISTED).last();
+                state.listed = listed.map_or(state.listed, |end| end.sequence);
                 return Some((200, self.listing(&state)));
             }
             drop(self.changed.wait_timeout(state, until - now).expect("lock"));
@@ -298,7 +371,7 @@
             let percent = if run.lasts {
                 (age_ms * 100 / STARTUP_MS).min(100)
             } else {
-                (age_ms * 100 / self.plan.task_ms.max(1)).min(99)
+                (age_ms * 100 / run.task_ms.max(1)).min(99)
             };
             format!("[{},{},\"\",{percent},0]", quote(task), run.number)
         });
@@ -333,10 +406,11 @@
             running: BTreeMap::new(),
             ends: Vec::new(),
             next_sequence: 1,
+            starts: 0,
             acknowledged: 0,
+            listed: 0,
             closed: BTreeMap::new(),
             is_up: true,
-            is_failing: false,
         }
     }
 
