review: end the daemons of a case that is given up, and give each player addresses of its own

Change: the player ends all daemons that it has started; daemons listen on loopback addresses made from its process id.

--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -1,10 +1,10 @@
 //! A small deployment: the daemons as processes of their own, and stand-ins of the platform and its runners.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::fleet::{Fleet, SPARE_POOL};
@@ -27,6 +27,23 @@
     child: Option<Child>,
 }
 
+/// Ids of the daemons that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all daemons, also those of a case that was given up.
+pub fn end_daemons() {
+    for id in RUNNING.lock().expect("lock").drain(..) {
+        send_signal("-KILL", id);
+    }
+}
+
+/// Sends a signal by the shell, since the standard library has only SIGKILL.
+fn send_signal(signal: &str, id: u32) {
+    let _ = Command::new("sh")
+        .args(["-c", &format!("kill {signal} {id}")])
+        .status();
+}
+
 pub struct Deployment {
     pub record: Arc<Record>,
     pub store: Arc<Store>,
@@ -37,8 +54,12 @@
     _cloud: Server,
 }
 
+/// A free port on a loopback address of this process, so that no other one takes it before the daemon does.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let id = std::process::id();
+    let part = |shift: u32| (id >> shift & 0x7f) as u8 + 1;
+    let listener = TcpListener::bind((Ipv4Addr::new(127, part(14), part(7), part(0)), 0))
+        .expect("a free port");
     listener.local_addr().expect("bound")
 }
 
@@ -125,6 +146,7 @@
             .stderr(log)
             .spawn()
             .ok()?;
+        RUNNING.lock().expect("lock").push(child.id());
         daemon.child = Some(child);
         self.record
             .note(&format!("daemon {} is started", daemon.name));
@@ -134,9 +156,8 @@
     /// Ends a daemon by SIGKILL.
     pub fn kill_daemon(&mut self, index: usize) {
         let daemon = &mut self.daemons[index];
-        if let Some(mut child) = daemon.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if let Some(child) = daemon.child.take() {
+            end(child);
             self.record
                 .note(&format!("daemon {} is killed", daemon.name));
         }
@@ -146,9 +167,7 @@
     pub fn signal(&self, index: usize, signal: &str) {
         let daemon = &self.daemons[index];
         if let Some(child) = &daemon.child {
-            let _ = Command::new("kill")
-                .args([signal, &child.id().to_string()])
-                .status();
+            send_signal(signal, child.id());
             self.record
                 .note(&format!("daemon {}: {signal}", daemon.name));
         }
@@ -257,13 +276,18 @@
     }
 }
 
+fn end(mut child: Child) {
+    RUNNING.lock().expect("lock").retain(|id| *id != child.id());
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.fleet.stop();
         for daemon in &mut self.daemons {
-            if let Some(mut child) = daemon.child.take() {
-                let _ = child.kill();
-                let _ = child.wait();
+            if let Some(child) = daemon.child.take() {
+                end(child);
             }
         }
         let _ = fs::remove_dir_all(&self.folder);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -42,6 +42,7 @@
         failure,
     }) = receiver.recv_timeout(TIME_LIMIT)
     else {
+        deployment::end_daemons();
         eprintln!("the case took too long, or its stand-ins failed");
         return ExitCode::from(2);
     };
