Keep late acknowledgements away from the ends of the next process

Cause: ack_cursor names no process, and a worker that restarts under its id numbers its ends anew. The leader repeated a cursor that was already answered, ignored a clock reading of another process in the answer to a start, and gave work to the new process at its first answer, although that process could still carry out a poll with the cursor of the former one. It then dropped ends that nobody had read.

Change: a cursor is sent once; a clock reading of another process holds acknowledgements until the next answered poll; a process that may carry out such a late poll takes no tasks for 12.5 s, and its finite runs are stopped. A poll given up before the process began only reached the former one. The 12.5 s of starts, polls and orders to instances are one constant.

--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -105,6 +105,12 @@
                     warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
                         "silent" => unresponsive, "lease_age_ms" => self.lease_age_ms());
                 }
+                SchedulerEvent::WorkerHeld { worker, held_ms } => {
+                    self.options.metrics.count("workers.held", 1);
+                    warn!(self.options.log, "worker held"; "worker" => &*worker, "held_ms" => held_ms,
+                        "reason" => "it may carry out a poll with a cursor of its former process",
+                        "lease_age_ms" => self.lease_age_ms());
+                }
                 SchedulerEvent::WorkerRowsUnreadable {
                     worker,
                     runs,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -20,6 +20,7 @@
 mod held_job;
 mod hold;
 mod job_table;
+mod late_polls;
 mod late_starts;
 mod load;
 pub mod locality;
@@ -67,6 +68,7 @@
 use fleet::Fleet;
 pub use fleet::WaveRecord;
 use job_table::{JobOwner, JobTable, TaskStatus};
+use late_polls::LatePolls;
 use late_starts::LateStarts;
 use load::LoadForecast;
 use locality::Locality;
@@ -93,6 +95,9 @@
 /// Safety margin added to a lease: a worker's clock may run 2% slow, and the last reading of its
 /// clock may be old.
 const LEASE_MARGIN_MS: u64 = 500;
+/// Time for which an order without an answer may still be carried out. The platform says only that this may be
+/// seconds.
+const LATE_ORDER_MS: u64 = 12_500;
 /// Delay before an unresponsive worker is polled again.
 const UNRESPONSIVE_POLL_INTERVAL_MS: u64 = 250;
 /// Delay between polls of a worker, so that one poll reports several ends.
@@ -194,6 +199,7 @@
     job_table: JobTable,
     retention: Retention,
     runs: RunTable,
+    late_polls: LatePolls,
     late_starts: LateStarts,
     durations: Durations,
     speeds: Speeds,
@@ -243,6 +249,7 @@
             job_table: JobTable::default(),
             retention: Retention::default(),
             runs: RunTable::default(),
+            late_polls: LatePolls::default(),
             late_starts: LateStarts::default(),
             durations: Durations::default(),
             speeds: Speeds::default(),
--- a/crates/domain/src/schedule/fleet/orders.rs
+++ b/crates/domain/src/schedule/fleet/orders.rs
@@ -2,15 +2,13 @@
 
 use super::{ACTIVE_LIST_INTERVAL_MS, Operation, OperationState};
 use crate::prelude::*;
-use crate::schedule::Scheduler;
 use crate::schedule::order::{Action, InstanceOrderResult, InstanceState};
 use crate::schedule::run::EndEvidence;
 use crate::schedule::worker::IncarnationEnd;
+use crate::schedule::{LATE_ORDER_MS, Scheduler};
 
 /// Delay before an order without a response is sent again.
 const ORDER_RETRY_DELAY_MS: u64 = 300;
-/// Time for which an order without a response may still take effect.
-const ORDER_IN_DOUBT_MS: u64 = 12_500;
 /// Time that a worker may take to register after its instance has moved.
 const WORKER_ARRIVAL_TIMEOUT_MS: u64 = 2_000;
 /// Time after an accepted order during which the list may still show the state before it.
@@ -123,7 +121,7 @@
             InstanceOrderResult::Fenced => self.fenced = true,
             InstanceOrderResult::Unanswered => {
                 *retry_at = Some(now.after_ms(ORDER_RETRY_DELAY_MS));
-                instance.in_doubt_until = now.after_ms(ORDER_IN_DOUBT_MS);
+                instance.in_doubt_until = now.after_ms(LATE_ORDER_MS);
             }
         }
     }
@@ -181,7 +179,7 @@
             operation,
             previous_worker: instance.report.worker.clone(),
             accepted_at: None,
-            abandoned_at: now.after_ms(ORDER_IN_DOUBT_MS),
+            abandoned_at: now.after_ms(LATE_ORDER_MS),
             retry_at: None,
         };
         self.fleet.next_list_at = self
--- /dev/null
+++ b/crates/domain/src/schedule/late_polls.rs
@@ -0,0 +1,102 @@
+//! Polls that got no answer and may still be carried out by the next process of their worker.
+//!
+//! The next process may have the same id, and numbers its ends anew. A poll that acknowledges ends of the former
+//! process makes it drop ends that nobody has read, so that their tasks run again.
+
+use super::order::SchedulerEvent;
+use super::stop_reason::StopReason;
+use super::worker::Worker;
+use super::{LATE_ORDER_MS, Scheduler};
+use crate::prelude::*;
+
+/// Amount by which the clock of a worker may be slow, in percent.
+const CLOCK_DRIFT_PERCENT: u64 = 2;
+/// Time that an answer may take from the worker's reading of its clock to its application.
+const ANSWER_DELAY_MS: u64 = 100;
+/// Amount by which a reading of a worker's clock may be below an earlier one of the same process, since answers
+/// overtake each other. Above the longest time for which an answer is waited for.
+const CLOCK_REORDERING_MS: u64 = 2_000;
+
+/// Polls that acknowledged ends and got no answer: for each worker id, when the last one was given up.
+#[derive(Debug, Default)]
+pub(super) struct LatePolls {
+    given_up_at: FastMap<Arc<str>, Millis>,
+}
+
+impl LatePolls {
+    fn record(&mut self, worker: &Arc<str>, now: Millis) {
+        self.given_up_at
+            .retain(|_, at| at.after_ms(LATE_ORDER_MS) > now);
+        self.given_up_at.insert(Arc::clone(worker), now);
+    }
+
+    /// Until when a process that began at this time may carry out such a poll. What was given up before that has
+    /// only reached the former process, and has ended with it.
+    fn pending_until(&self, worker: &str, process_began_at: Millis) -> Option<Millis> {
+        let given_up_at = self.given_up_at.get(worker);
+        given_up_at
+            .filter(|at| **at >= process_began_at)
+            .map(|at| at.after_ms(LATE_ORDER_MS))
+    }
+}
+
+impl Worker {
+    /// Newest end that the next poll acknowledges. A poll without an answer may have reached the next process, and
+    /// so may the first one after a pause, so neither is followed or preceded by a needless acknowledgement.
+    pub(super) fn next_cursor(&self) -> u64 {
+        let is_process_known = self.last_answer_at >= self.poll_sent_at
+            && self.claim.is_none()
+            && !self.has_clock_gone_back;
+        if is_process_known && self.acknowledged < self.ack_ready {
+            self.ack_ready
+        } else {
+            0
+        }
+    }
+
+    /// Notes a clock reading in the answer to an order. One far below the last one is that of another process,
+    /// whose ends this leader has not read.
+    pub(super) fn note_order_clock(&mut self, clock_ms: u64, now: Millis) {
+        let last = self.clock.map_or(0, |(clock_ms, _)| clock_ms);
+        self.has_clock_gone_back |= clock_ms.saturating_add(CLOCK_REORDERING_MS) < last;
+        self.update_clock(clock_ms, now);
+    }
+}
+
+impl Scheduler {
+    /// Notes that the last poll of a worker was given up.
+    pub(super) fn poll_given_up(&mut self, key: WorkerKey, now: Millis) {
+        if let Some(worker) = self.workers.get(key)
+            && worker.poll_cursor > 0
+        {
+            self.late_polls.record(&worker.report.id, now);
+        }
+    }
+
+    /// Keeps tasks away from a process that has just answered for the first time, while it may carry out a poll
+    /// with a cursor of the former one. Finite runs that it has accepted before it was known are stopped, so that
+    /// they do not end as done meanwhile.
+    pub(super) fn await_late_poll(&mut self, key: WorkerKey, clock_ms: u64, now: Millis) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let age_ms =
+            clock_ms.saturating_add(clock_ms / 100 * CLOCK_DRIFT_PERCENT + ANSWER_DELAY_MS);
+        let began_at = Millis::from_ms(now.as_ms().saturating_sub(age_ms));
+        let pending_until = self.late_polls.pending_until(&worker.report.id, began_at);
+        let Some(until) = pending_until.filter(|until| *until > now) else {
+            return;
+        };
+        worker.late_poll_until = until;
+        self.events.push(SchedulerEvent::WorkerHeld {
+            worker: Arc::clone(&worker.report.id),
+            held_ms: until.ms_since(now),
+        });
+        for run in worker.runs().to_vec() {
+            let task = self.runs.get(run).map(|run| run.info().task);
+            if task.is_some_and(|task| !self.job_table.is_long_running(task)) {
+                self.stop_run(run, StopReason::LatePoll, now);
+            }
+        }
+    }
+}
--- a/crates/domain/src/schedule/late_starts.rs
+++ b/crates/domain/src/schedule/late_starts.rs
@@ -4,16 +4,12 @@
 //! have the same id and knows nothing of that stop, so the run is stopped there again before the start
 //! arrives.
 
-use super::Scheduler;
 use super::run::{Phase, PlacedRun, Run, RunInfo};
 use super::stop_reason::StopReason;
+use super::{LATE_ORDER_MS, Scheduler};
 use crate::placement::Resources;
 use crate::prelude::*;
 
-/// Time for which a start without an answer may still be carried out. The platform says only that this may
-/// be seconds; orders to instances are held back for the same time.
-const LATE_START_MS: u64 = 12_500;
-
 /// A start without an answer.
 #[derive(Clone, Copy, Debug)]
 struct LateStart {
@@ -35,7 +31,7 @@
         });
         let starts = self.by_worker.entry(worker).or_default();
         starts.retain(|start| (start.info.task, start.info.number) != (info.task, info.number));
-        let expires_at = now.after_ms(LATE_START_MS);
+        let expires_at = now.after_ms(LATE_ORDER_MS);
         starts.push(LateStart { info, expires_at });
     }
 
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -53,22 +53,21 @@
                 self.try_other_address(key, now);
             }
             PollResult::Refused(refusal) => {
-                worker.ack_sent = 0;
                 worker.next_poll_at = now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS);
                 self.fenced |= refusal == Refusal::Fenced && !worker.may_have_missed(sent_at);
                 self.try_other_address(key, now);
             }
             PollResult::LinkClosed => {
-                worker.ack_sent = 0;
                 worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
+                self.poll_given_up(key, now);
             }
             PollResult::Unanswered => self.poll_unanswered(key, now),
         }
     }
 
     fn poll_unanswered(&mut self, key: WorkerKey, now: Millis) {
+        self.poll_given_up(key, now);
         let worker = &mut self.workers[key];
-        worker.ack_sent = 0;
         let became_unresponsive = worker.count_failed_poll(now);
         worker.next_poll_at = if worker.unresponsive {
             now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS)
@@ -115,6 +114,7 @@
             worker.report.started_wall_ms = started_ms;
         }
         let is_first_answer = !worker.synced;
+        let is_first_of_process = worker.last_answer_at == Millis::ZERO;
         let was_usable = worker.synced && !worker.unresponsive;
         if worker.synced && worker.failed_polls > 0 {
             self.short_polls_until = now.after_ms(ANSWER_LOSS_WINDOW_MS);
@@ -123,6 +123,8 @@
         worker.unresponsive = false;
         worker.failed_polls = 0;
         worker.last_answer_at = now;
+        worker.has_clock_gone_back = false;
+        worker.acknowledged = worker.acknowledged.max(worker.poll_cursor);
         worker.keep_labels();
         worker.update_clock(listing.clock_ms, now);
         let recorded = worker.recorded;
@@ -140,6 +142,9 @@
         if is_first_answer {
             self.stop_late_starts(key, now);
         }
+        if is_first_of_process {
+            self.await_late_poll(key, listing.clock_ms, now);
+        }
         self.adjust_pace(key, now);
         self.stop_stalled(key, &listed, now);
         // A worker with ends that are not acknowledged answers at once.
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -420,6 +420,14 @@
         /// Whether it was unresponsive.
         unresponsive: bool,
     },
+    /// The new process of a worker takes no tasks for a time, since it may carry out a late poll that acknowledges
+    /// ends of the former one.
+    WorkerHeld {
+        /// The worker.
+        worker: Arc<str>,
+        /// The time.
+        held_ms: u64,
+    },
     /// Rows in the answer of a worker could not be decoded; the former answer was readable.
     WorkerRowsUnreadable {
         /// The worker.
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -259,7 +259,7 @@
                 worker.ack_ready = end;
                 worker.unwritten_ends.pop_front();
             }
-            if worker.unwritten_ends.is_empty() && worker.ack_sent < worker.ack_ready {
+            if worker.unwritten_ends.is_empty() && worker.acknowledged < worker.ack_ready {
                 worker.next_poll_at = if worker.runs().is_empty() {
                     now.after_ms(super::ACK_DELAY_MS)
                 } else {
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -302,7 +302,7 @@
         for key in keys {
             let worker = &mut self.workers[key];
             let idle = worker.runs().is_empty() && worker.unknown_runs.is_empty();
-            let acks_pending = worker.ack_sent < worker.ack_ready;
+            let acks_pending = worker.acknowledged < worker.ack_ready;
             let needs_poll = !worker.synced || !idle || acks_pending || self.leadership_unconfirmed;
             if worker.poll_in_flight || !needs_poll || worker.next_poll_at > now {
                 continue;
@@ -317,21 +317,14 @@
                 }
                 _ => None,
             };
-            // A poll without an answer may have reached the next incarnation. A cursor of the former one
-            // would make it drop ends that this leader has not seen.
-            let last_poll_answered = worker.last_answer_at >= worker.poll_sent_at;
-            worker.ack_sent = if last_poll_answered && worker.claim.is_none() {
-                worker.ack_ready
-            } else {
-                0
-            };
+            worker.poll_cursor = worker.next_cursor();
             worker.poll_in_flight = true;
             worker.poll_sent_at = now;
             self.actions.push(Action::Poll(
                 key,
                 PollOrder {
                     deadline_ms,
-                    acknowledged: worker.ack_sent,
+                    acknowledged: worker.poll_cursor,
                     wait_ms: if is_long_poll { wait_ms } else { 0 },
                 },
             ));
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -29,7 +29,7 @@
         match result {
             OrderResult::Accepted { clock_ms } => {
                 if let Some(worker) = self.workers.get_mut(worker) {
-                    worker.update_clock(clock_ms, now);
+                    worker.note_order_clock(clock_ms, now);
                 }
                 if let Some(run) = self.runs.get_mut(run) {
                     run.confirm(now);
--- a/crates/domain/src/schedule/status.rs
+++ b/crates/domain/src/schedule/status.rs
@@ -33,6 +33,8 @@
     UnknownRuns,
     /// It has refused or not answered orders, or runs a task that may crash it.
     Paused,
+    /// It may carry out a late poll and drop the ends of its runs.
+    LatePoll,
     /// Task after task has failed on it.
     Quarantined,
 }
@@ -50,6 +52,7 @@
             Self::Cordoned => "cordoned",
             Self::UnknownRuns => "unknown-runs",
             Self::Paused => "paused",
+            Self::LatePoll => "late-poll",
             Self::Quarantined => "quarantined",
         })
     }
@@ -84,6 +87,7 @@
                 self.paused_until > now || self.isolated_until > now,
                 Exclusion::Paused,
             ),
+            (self.late_poll_until > now, Exclusion::LatePoll),
             (self.quarantine.is_active(now), Exclusion::Quarantined),
         ];
         let excluding = reasons.into_iter().find(|(applies, _)| *applies);
--- a/crates/domain/src/schedule/stop_reason.rs
+++ b/crates/domain/src/schedule/stop_reason.rs
@@ -25,6 +25,8 @@
     Evacuation,
     /// The worker lists it, but its job is not known.
     UnknownJob,
+    /// Its worker may carry out a late poll, and would drop the end of the run unread.
+    LatePoll,
 }
 
 /// Why and how often a run was ordered to stop.
@@ -61,6 +63,7 @@
             Self::GangDone => "GangDone",
             Self::Evacuation => "Evacuation",
             Self::UnknownJob => "UnknownJob",
+            Self::LatePoll => "LatePoll",
         })
     }
 }
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -87,8 +87,14 @@
     pub unwritten_ends: VecDeque<(u64, u64)>,
     /// Sequence number of the newest end that may be acknowledged.
     pub ack_ready: u64,
-    /// Sequence number of the newest end that was acknowledged to the worker.
-    pub ack_sent: u64,
+    /// Sequence number of the newest end whose acknowledgement the worker has answered.
+    pub acknowledged: u64,
+    /// Sequence number of the newest end that the last poll acknowledged.
+    pub poll_cursor: u64,
+    /// Whether an order was answered with a clock reading of another process, and no poll since.
+    pub has_clock_gone_back: bool,
+    /// End of the time in which it may carry out a poll with a cursor of its former process.
+    pub late_poll_until: Millis,
     /// Whether a poll is in flight.
     pub poll_in_flight: bool,
     /// When the last poll was sent.
@@ -142,7 +148,10 @@
             ends_applied_early: FastSet::default(),
             unwritten_ends: VecDeque::new(),
             ack_ready: 0,
-            ack_sent: 0,
+            acknowledged: 0,
+            poll_cursor: 0,
+            has_clock_gone_back: false,
+            late_poll_until: Millis::ZERO,
             poll_in_flight: false,
             poll_sent_at: Millis::ZERO,
             next_poll_at: Millis::ZERO,
@@ -275,6 +284,7 @@
             },
             poll_in_flight: self.poll_in_flight,
             poll_sent_at: self.poll_sent_at,
+            poll_cursor: self.poll_cursor,
             cordoned: self.cordoned,
             claim_link_until: self.claim_link_until,
             // The answer that has shown the incarnation may be the unreadable one.
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -114,6 +114,11 @@
     pub(crate) lose_next_polls: usize,
     /// Number of next polls whose link is closed before the response.
     pub(crate) close_next_polls: usize,
+    /// Whether the next poll that acknowledges ends stays in transit until
+    /// [`SchedulerHarness::deliver_delayed_poll`], without a response.
+    pub(crate) delay_next_acknowledgement: bool,
+    /// Worker and cursor of that poll.
+    delayed_poll: Option<(usize, u64)>,
     /// Number of next orders to instances that are lost: no response and no effect.
     pub(crate) lose_next_orders: usize,
     /// Time, task and run number of each start order.
@@ -182,6 +187,8 @@
             lose_next_starts: 0,
             lose_next_polls: 0,
             close_next_polls: 0,
+            delay_next_acknowledgement: false,
+            delayed_poll: None,
             lose_next_orders: 0,
             starts: Vec::new(),
             dead_address: None,
@@ -234,6 +241,7 @@
             all_ends: Vec::new(),
             sequence: 0,
             lease_end_ms: 0,
+            clock_origin: Millis::ZERO,
             partitioned: false,
             listening: true,
             closed: FastMap::default(),
@@ -298,6 +306,16 @@
         }
     }
 
+    /// Delivers the poll in transit to the process that the worker has now. Returns whether there was one.
+    pub(crate) fn deliver_delayed_poll(&mut self) -> bool {
+        let Some((index, cursor)) = self.delayed_poll.take() else {
+            return false;
+        };
+        let ended = &mut self.workers[index].ended;
+        ended.retain(|end| end.sequence > cursor);
+        true
+    }
+
     /// Restarts a worker under the same id, as a new incarnation.
     pub(crate) fn restart(&mut self, worker: usize) {
         self.restart_unlisted(worker);
@@ -314,6 +332,8 @@
         restarted.ended.clear();
         restarted.closed.clear();
         restarted.sequence = 0;
+        restarted.lease_end_ms = 0;
+        restarted.clock_origin = self.now;
         restarted.report.started_wall_ms += 1;
     }
 
@@ -448,7 +468,7 @@
         for _ in 0..ms / TICK_MS {
             self.now = self.now.after_ms(TICK_MS);
             for worker in &mut self.workers {
-                if worker.lease_end_ms < self.now.as_ms() {
+                if worker.lease_end_ms < worker.clock_ms(self.now) {
                     worker.end(|_, _| true, RunEndKind::Lapsed);
                 }
             }
@@ -669,7 +689,8 @@
             worker.running.push(run);
         }
         worker.lease_end_ms = worker.lease_end_ms.max(order.deadline_ms);
-        self.accepted()
+        let clock_ms = worker.clock_ms(self.now);
+        OrderResult::Accepted { clock_ms }
     }
 
     fn stop(&mut self, key: WorkerKey, order: &StopOrder) -> OrderResult {
@@ -691,7 +712,8 @@
             |task, number| *task == order.task && number == order.number,
             RunEndKind::Stopped,
         );
-        self.accepted()
+        let clock_ms = worker.clock_ms(self.now);
+        OrderResult::Accepted { clock_ms }
     }
 
     fn poll_address(&mut self, key: WorkerKey, order: PollOrder) -> PollResult {
@@ -718,7 +740,6 @@
             self.close_next_polls -= 1;
             return PollResult::LinkClosed;
         }
-        let now_ms = self.now.as_ms();
         let Some(index) = self
             .worker_index(key)
             .filter(|index| !self.workers[*index].partitioned)
@@ -728,6 +749,11 @@
         if !self.workers[index].listening {
             return PollResult::NotListening;
         }
+        if self.delay_next_acknowledgement && order.acknowledged > 0 {
+            self.delay_next_acknowledgement = false;
+            self.delayed_poll = Some((index, order.acknowledged));
+            return PollResult::Unanswered;
+        }
         let worker = &mut self.workers[index];
         worker.ended.retain(|end| end.sequence > order.acknowledged);
         if let Some(deadline_ms) = order.deadline_ms {
@@ -756,7 +782,7 @@
             })
             .collect();
         let listing = Listing {
-            clock_ms: now_ms,
+            clock_ms: worker.clock_ms(self.now),
             started_wall_ms: worker.report.started_wall_ms,
             running,
             ended: worker.ended.clone(),
@@ -785,12 +811,6 @@
         }
         PollResult::ListedInPart(listing, rows)
     }
-
-    fn accepted(&self) -> OrderResult {
-        OrderResult::Accepted {
-            clock_ms: self.now.as_ms(),
-        }
-    }
 }
 
 pub(crate) fn settings(term: u32) -> ScheduleSettings {
--- a/crates/domain/tests/scheduler_harness/worker.rs
+++ b/crates/domain/tests/scheduler_harness/worker.rs
@@ -11,7 +11,10 @@
     pub(crate) ended: Vec<ListedEnd>,
     pub(crate) all_ends: Vec<ListedEnd>,
     pub(crate) sequence: u64,
+    /// End of the lease, on its clock.
     pub(crate) lease_end_ms: u64,
+    /// Time at which its clock was at 0.
+    pub(crate) clock_origin: Millis,
     pub(crate) partitioned: bool,
     /// Whether a process listens at its address.
     pub(crate) listening: bool,
@@ -20,6 +23,10 @@
 }
 
 impl SimulatedWorker {
+    pub(super) fn clock_ms(&self, now: Millis) -> u64 {
+        now.ms_since(self.clock_origin)
+    }
+
     pub(super) fn mark_closed(&mut self, task: &str, number: u32) {
         let closed = self.closed.entry(task.into()).or_default();
         *closed = (*closed).max(number);
