Acknowledge no end before its task is known

Cause: apply_end had no effect for a task that the job table does not know, while apply_ends had counted the end as applied, so that it was acknowledged. A new leader creates the occurrences of a repeated job in portions, and knows some jobs only later.

Change: an end creates the occurrence that it names, as an active run did before. The end of an unknown job is kept for up to 3 s and applied when the job becomes known; nothing from it on is acknowledged meanwhile, and the recovery waits for its worker. Ends are applied in a module of their own.

--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -13,6 +13,7 @@
 mod copies;
 mod crashes;
 mod durations;
+mod ends;
 mod entry;
 pub mod failure;
 mod fleet;
@@ -369,11 +370,12 @@
             return;
         }
         self.record_arrival(key, now);
-        let listed = self.has_unknown_runs(&id);
+        let listed = self.has_unknown_runs(&id) || self.has_unknown_ends(&id);
         let unaccounted = self.recovery.is_some() && acceptance == Acceptance::BeforeTerm;
         self.job_table.create_occurrence(key, unaccounted || listed);
         if listed {
             self.adopt_unknown_runs(&id, now);
+            self.apply_unknown_ends(&id, now, wall);
         }
         if unaccounted {
             self.recheck_recovery();
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -11,7 +11,7 @@
     JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, Scheduler, UNRESPONSIVE_POLL_INTERVAL_MS,
     UNWRITTEN_ENDS_POLL_INTERVAL_MS,
 };
-use crate::job::JobState;
+use crate::job::{JobState, TaskName};
 use crate::prelude::*;
 
 /// Polls stay short for this long after a poll of a responsive worker was lost, so that the next
@@ -148,7 +148,7 @@
         self.adjust_pace(key, now);
         self.stop_stalled(key, &listed, now);
         // A worker with ends that are not acknowledged answers at once.
-        let has_kept_ends = self.acknowledge_max(key) != u64::MAX;
+        let has_kept_ends = self.has_kept_ends(key);
         let worker = &mut self.workers[key];
         worker.next_poll_at = if has_kept_ends || worker.ack_ready < worker.last_end_sequence {
             now.after_ms(UNWRITTEN_ENDS_POLL_INTERVAL_MS)
@@ -167,11 +167,7 @@
         let mut listed = FastSet::default();
         let mut unknown = Vec::new();
         for listed_run in listed_runs {
-            let Some(task) = self
-                .job_table
-                .find(&listed_run.task)
-                .or_else(|| self.find_in_new_occurrence(listed_run))
-            else {
+            let Some(task) = self.find_listed(&listed_run.task) else {
                 unknown.push(listed_run.clone());
                 continue;
             };
@@ -187,15 +183,18 @@
         listed
     }
 
-    /// Finds a task in an occurrence that this leader has not created yet, and creates it. The other tasks of
-    /// the occurrence wait only while the former leader may have started them.
-    pub(super) fn find_in_new_occurrence(&mut self, listed_run: &ListedRun) -> Option<TaskKey> {
-        let job = *self.job_table.jobs_by_id.get(&listed_run.task.job)?;
+    /// Finds the task of a run or an end that a worker lists. If this leader has not created its occurrence yet, it
+    /// does so; the other tasks of the occurrence wait only while the former leader may have started them.
+    pub(super) fn find_listed(&mut self, name: &TaskName) -> Option<TaskKey> {
+        if let Some(task) = self.job_table.find(name) {
+            return Some(task);
+        }
+        let job = *self.job_table.jobs_by_id.get(&name.job)?;
         self.unseen_use.request_renewal();
         self.job_table
-            .create_occurrences_up_to(job, listed_run.task.position.occurrence);
+            .create_occurrences_up_to(job, name.position.occurrence);
         self.release_job(job);
-        self.job_table.find(&listed_run.task)
+        self.job_table.find(name)
     }
 
     pub(super) fn run_at(&self, worker: WorkerKey, task: TaskKey, number: u32) -> Option<RunKey> {
@@ -332,7 +331,7 @@
     }
 
     pub(super) fn apply_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Millis, wall: Millis) {
-        let Some(task) = self.job_table.find(&end.task) else {
+        let Some(task) = self.find_listed(&end.task) else {
             return;
         };
         self.record_end(key, task, end);
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -176,7 +176,11 @@
             let is_over =
                 left.contains(key) || recovery.ended.get(key).is_some_and(|until| *until <= now);
             !is_over
-                && worker.is_some_and(|worker| !worker.synced || !worker.unknown_runs.is_empty())
+                && worker.is_some_and(|worker| {
+                    !worker.synced
+                        || !worker.unknown_runs.is_empty()
+                        || !worker.unknown_ends.is_empty()
+                })
         });
         recovery
             .ended
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -301,7 +301,9 @@
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
             let worker = &mut self.workers[key];
-            let idle = worker.runs().is_empty() && worker.unknown_runs.is_empty();
+            let idle = worker.runs().is_empty()
+                && worker.unknown_runs.is_empty()
+                && worker.unknown_ends.is_empty();
             let acks_pending = worker.acknowledged < worker.ack_ready;
             let needs_poll = !worker.synced || !idle || acks_pending || self.leadership_unconfirmed;
             if worker.poll_in_flight || !needs_poll || worker.next_poll_at > now {
@@ -383,6 +385,8 @@
         worker.lease_end = now;
         worker.unknown_runs.clear();
         worker.unknown_runs_since = None;
+        worker.unknown_ends.clear();
+        worker.unknown_ends_since = None;
         worker.next_poll_at = now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS);
         for run in worker.runs().to_vec() {
             let Some(placed) = self.runs.get_mut(run) else {
--- a/crates/domain/src/schedule/unknown_runs.rs
+++ b/crates/domain/src/schedule/unknown_runs.rs
@@ -5,9 +5,9 @@
 use super::stop_reason::{StopCause, StopReason};
 use crate::prelude::*;
 
-/// Time after which a run of an unknown job is stopped. A new job becomes known within a few watch
+/// Time after which a run of an unknown job is stopped, and its end acknowledged. A new job becomes known within a few watch
 /// intervals; this is well above them.
-const UNKNOWN_RUN_GRACE_MS: u64 = 3_000;
+pub(super) const UNKNOWN_JOB_GRACE_MS: u64 = 3_000;
 
 impl Scheduler {
     /// Records runs of jobs that this leader does not know. The job was stored before the run
@@ -27,7 +27,7 @@
         worker.unknown_runs = unknown;
         if worker
             .unknown_runs_since
-            .is_none_or(|since| now.ms_since(since) < UNKNOWN_RUN_GRACE_MS)
+            .is_none_or(|since| now.ms_since(since) < UNKNOWN_JOB_GRACE_MS)
         {
             return;
         }
@@ -55,11 +55,7 @@
                 .partition(|listed_run| &*listed_run.task.job == job);
             self.workers[key].unknown_runs = unknown;
             for listed_run in known {
-                let found = self
-                    .job_table
-                    .find(&listed_run.task)
-                    .or_else(|| self.find_in_new_occurrence(&listed_run));
-                if let Some(task) = found
+                if let Some(task) = self.find_listed(&listed_run.task)
                     && self.run_at(key, task, listed_run.number).is_none()
                 {
                     self.adopt_run(key, task, &listed_run, now);
--- a/crates/domain/src/schedule/unreadable_rows.rs
+++ b/crates/domain/src/schedule/unreadable_rows.rs
@@ -4,8 +4,8 @@
 //! counts as ended because the answer does not list it, and no end behind an unreadable one is acknowledged,
 //! since the worker would drop the unreadable one as well.
 
-use super::order::{ListedEnd, SchedulerEvent, UnreadableRows};
-use super::{RUN_END_BATCH_DELAY_MS, Scheduler};
+use super::Scheduler;
+use super::order::{SchedulerEvent, UnreadableRows};
 use crate::prelude::*;
 
 impl Scheduler {
@@ -42,33 +42,4 @@
         rows.and_then(|rows| rows.acknowledge_max)
             .unwrap_or(u64::MAX)
     }
-
-    /// Applies new ends. Those behind an unreadable one are applied, but acknowledged only once it has been read.
-    pub(super) fn apply_ends(
-        &mut self,
-        key: WorkerKey,
-        ends: &[ListedEnd],
-        now: Millis,
-        wall: Millis,
-    ) {
-        let acknowledge_max = self.acknowledge_max(key);
-        for end in ends {
-            let batch = self.batches.next_sequence();
-            let worker = &mut self.workers[key];
-            if end.sequence <= worker.last_end_sequence {
-                continue;
-            }
-            let is_new = if end.sequence > acknowledge_max {
-                worker.ends_applied_early.insert(end.sequence)
-            } else {
-                worker.last_end_sequence = end.sequence;
-                worker.unwritten_ends.push_back((end.sequence, batch));
-                !worker.ends_applied_early.remove(&end.sequence)
-            };
-            self.request_batch(now.after_ms(RUN_END_BATCH_DELAY_MS));
-            if is_new {
-                self.apply_end(key, end, now, wall);
-            }
-        }
-    }
 }
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use super::entry::Entry;
-use super::order::{ListedRun, UnreadableRows, WorkerReport};
+use super::order::{ListedEnd, ListedRun, UnreadableRows, WorkerReport};
 use super::quarantine::Quarantine;
 use super::run_table::Bookings;
 use crate::placement::Resources;
@@ -73,6 +73,10 @@
     pub unknown_runs: Vec<ListedRun>,
     /// When it began to list such runs.
     pub unknown_runs_since: Option<Millis>,
+    /// Ends in its last answer for jobs that this leader does not know, and that are kept for them.
+    pub unknown_ends: Vec<ListedEnd>,
+    /// Since when it lists such ends.
+    pub unknown_ends_since: Option<Millis>,
     /// Rows of its last answer that could not be read.
     pub unreadable_rows: Option<UnreadableRows>,
     /// Last reading of its clock, and the time of the reading.
@@ -141,6 +145,8 @@
             isolated_until: Millis::ZERO,
             unknown_runs: Vec::new(),
             unknown_runs_since: None,
+            unknown_ends: Vec::new(),
+            unknown_ends_since: None,
             unreadable_rows: None,
             clock: None,
             lease_end,
