Send no orders to instances without a confirmed lease

Cause: what was known before the stop was used without asking for its age. Only starts were limited while the lease was not confirmed; the platform compares fencing tokens for each machine separately.

Change: while the lease is not confirmed, the leader plans no moves, maintenance and evacuations and repeats no orders to instances. The client of the instances asks for a valid permit right before it sends. An answer of a worker is as old as the poll that asked for it, for starts and for runs without progress.

--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -20,7 +20,7 @@
 use rosemaryscale_domain::worker_route::{GatewayOffer, LOCAL_WORKERS_MAX};
 use rosemaryscale_ports::advice::{AdviceCalls, AdviceEvents};
 use rosemaryscale_ports::clock::ClockHandle;
-use rosemaryscale_ports::instance_order::{InstanceOrderCalls, InstanceOrderEvents};
+use rosemaryscale_ports::instance_order::{InstanceOrderCalls, InstanceOrderEvents, OrderPermit};
 use rosemaryscale_ports::job::{QueueConfig, QueueConfigWatch};
 use rosemaryscale_ports::kv::{KeyValue, WatchEvent};
 use rosemaryscale_ports::prelude::*;
@@ -34,7 +34,7 @@
 use self::load::{LeaderLoad, LeaderWork};
 use self::pressure::PublishedPressure;
 use super::batch::{BatchWriter, ExpiredRecords, LeadershipLost, WaveStateFormat};
-use super::lease::{self, LEADER_GRACE_MS, LEADER_TTL_MS, LeaderLease, RENEW_INTERVAL_MS, Renewal};
+use super::lease::{self, LEADER_GRACE_MS, LeaderLease, RENEW_INTERVAL_MS, Renewal};
 use super::records::{LeaderRecord, WORKERS_KEY};
 
 /// Interval at which time-driven work runs when no event arrives.
@@ -71,7 +71,7 @@
     /// Starts the client of the workers.
     pub(super) start_links: StartLinks,
     /// Starts the client of the instance list.
-    pub(super) start_instance_orders: fn(SocketAddr, Arc<str>) -> InstanceOrderPort,
+    pub(super) start_instance_orders: fn(SocketAddr, Arc<str>, OrderPermit) -> InstanceOrderPort,
     /// Starts the client of the advisor.
     pub(super) start_advisor: fn(SocketAddr, Logger) -> AdvicePort,
 }
@@ -130,6 +130,8 @@
     links: WorkerCalls,
     gateways: GatewayOffers,
     instances: InstanceOrderCalls,
+    /// Prolongs the permit for orders to instances.
+    orders_valid_until: watch::Sender<Millis>,
     advisor: Option<AdviceCalls>,
 }
 
@@ -287,7 +289,7 @@
         if self.scheduler.is_fenced() {
             return Err("a worker has accepted a higher fencing token");
         }
-        let unconfirmed = now.ms_since(self.lease.confirmed_at) > LEADER_TTL_MS;
+        let unconfirmed = now > self.lease.certain_until();
         self.scheduler.set_leadership_unconfirmed(unconfirmed);
         if now >= self.next_status_at {
             self.next_status_at = now.after_ms(STATUS_INTERVAL_MS);
@@ -387,7 +389,9 @@
                 self.is_renewing = false;
                 match renewal {
                     Renewal::Confirmed(at) => {
-                        self.lease.confirmed_at = self.lease.confirmed_at.max(at)
+                        self.lease.confirmed_at = self.lease.confirmed_at.max(at);
+                        let valid_until = self.lease.certain_until();
+                        self.calls.orders_valid_until.send_replace(valid_until);
                     }
                     Renewal::Expired => return Err("the lease has expired"),
                     Renewal::Unanswered => {}
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -10,6 +10,7 @@
 };
 use rosemaryscale_domain::workspace::Caller;
 use rosemaryscale_ports::advice::{AdviceCalls, AdviceEvents};
+use rosemaryscale_ports::instance_order::OrderPermit;
 use rosemaryscale_ports::kv::{KeyRange, KeyValue, KvEntry, KvResult, WatchEvent};
 use rosemaryscale_ports::prelude::*;
 use slog::{Logger, error, info, warn};
@@ -63,8 +64,10 @@
             log: options.log.clone(),
         });
         let daemon = Arc::clone(&options.identity.daemon);
+        let (orders_valid_until, permit) =
+            OrderPermit::new(Arc::clone(&clock), lease.certain_until());
         let (instances, instance_events, instance_task) =
-            (platform.start_instance_orders)(options.machines_address, daemon);
+            (platform.start_instance_orders)(options.machines_address, daemon, permit);
         let (advisor, advice_events, advisor_task) = start_advisor(&options);
         let workers = prefix_range(platform.worker_prefix);
         let watches = (
@@ -96,6 +99,7 @@
                 allowed: false,
             },
             instances,
+            orders_valid_until,
             advisor,
         };
         let loaded = tokio::select! {
@@ -161,6 +165,7 @@
         let renewal = lease::renew(options.kv.clone(), Arc::clone(&options.clock), lease.id).await;
         if let Renewal::Confirmed(at) = renewal {
             lease.confirmed_at = at;
+            calls.orders_valid_until.send_replace(lease.certain_until());
         }
         let (now, wall) = (options.clock.now(), options.clock.wall());
         // An earlier process or term of this daemon no longer gives orders either.
--- a/crates/daemon/src/jobs/lease.rs
+++ b/crates/daemon/src/jobs/lease.rs
@@ -10,7 +10,7 @@
 
 /// Time to live of the leader key, after which a lost leader is replaced. Short jobs have about 2 s from
 /// submission to their latency objective.
-pub(super) const LEADER_TTL_MS: u64 = 1_500;
+const LEADER_TTL_MS: u64 = 1_500;
 /// Renewal interval. Two answers may be lost before the key expires.
 pub(super) const RENEW_INTERVAL_MS: u64 = 350;
 /// Time for which a leader continues without the store. Outages of 4 to 9 s are common.
@@ -27,6 +27,13 @@
     pub(super) confirmed_at: Millis,
 }
 
+impl LeaderLease {
+    /// Until when no other daemon can hold the key.
+    pub(super) const fn certain_until(&self) -> Millis {
+        self.confirmed_at.after_ms(LEADER_TTL_MS)
+    }
+}
+
 /// Result of a renewal.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Renewal {
--- a/crates/domain/src/schedule/choice.rs
+++ b/crates/domain/src/schedule/choice.rs
@@ -7,8 +7,9 @@
 use crate::placement::Resources;
 use crate::prelude::*;
 
-/// Maximum age of a worker's last answer for a start by a leader that may have been replaced. Polls
-/// wait 150 ms. A worker that has restarted no longer knows the next leader's fencing token.
+/// Maximum age of a worker's last answer for a start by a leader that may have been replaced, from when it was
+/// asked for: after a freeze, answers from before it are read. Polls wait 150 ms. A worker that has restarted no
+/// longer knows the next leader's fencing token.
 const UNCONFIRMED_LEADER_ANSWER_AGE_MS: u64 = 400;
 
 impl PlacementView<'_> {
@@ -123,7 +124,7 @@
     pub(super) fn may_start_on(&self, worker: &Worker) -> bool {
         worker.takes_work(self.now)
             && (!self.leadership_unconfirmed
-                || self.now.ms_since(worker.last_answer_at) <= UNCONFIRMED_LEADER_ANSWER_AGE_MS)
+                || self.now.ms_since(worker.answer_asked_at) <= UNCONFIRMED_LEADER_ANSWER_AGE_MS)
     }
 
     /// Whether the worker is below the step's limit of tasks per worker.
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -390,7 +390,9 @@
         }
     }
 
-    /// Requests the list of instances and runs a planning pass when they are due.
+    /// Requests the list of instances and runs a planning pass when they are due. A leader that may have been
+    /// replaced plans nothing: an order ends what runs on an instance, also what the next leader has started there,
+    /// and the platform refuses its fencing token only for instances to which the next leader has sent an order.
     pub(super) fn advance_fleet(&mut self, now: Millis) {
         if !self.fleet.list_in_flight && self.fleet.next_list_at <= now {
             self.fleet.list_in_flight = true;
@@ -400,6 +402,7 @@
         if self.fleet.next_plan_at > now
             || self.fleet.last_listed_at.is_none()
             || self.recovery.is_some()
+            || self.leadership_unconfirmed
         {
             return;
         }
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -123,6 +123,7 @@
         worker.unresponsive = false;
         worker.failed_polls = 0;
         worker.last_answer_at = now;
+        worker.answer_asked_at = sent_at;
         worker.has_clock_gone_back = false;
         worker.acknowledged = worker.acknowledged.max(worker.poll_cursor);
         worker.keep_labels();
@@ -146,7 +147,7 @@
             self.await_late_poll(key, listing.clock_ms, now);
         }
         self.adjust_pace(key, now);
-        self.stop_stalled(key, &listed, now);
+        self.stop_stalled(key, &listed, sent_at, now);
         // A worker with ends that are not acknowledged answers at once.
         let has_kept_ends = self.has_kept_ends(key);
         let worker = &mut self.workers[key];
@@ -273,8 +274,16 @@
         }
     }
 
-    /// Stops runs that make no progress, so that their tasks restart on another worker.
-    fn stop_stalled(&mut self, key: WorkerKey, listed: &FastSet<RunKey>, now: Millis) {
+    /// Stops runs that make no progress, so that their tasks restart on another worker. An answer that is read late
+    /// says nothing about the time since.
+    fn stop_stalled(
+        &mut self,
+        key: WorkerKey,
+        listed: &FastSet<RunKey>,
+        sent_at: Millis,
+        now: Millis,
+    ) {
+        let answered_at = now.min(sent_at.after_ms(self.settings.poll_wait_ms));
         let is_complete = !self.has_unreadable_runs(key);
         let stalled: Vec<RunKey> = self.workers[key]
             .runs()
@@ -286,7 +295,7 @@
                     run.confirmed_since().is_some()
                         && run.progress.percent < 100
                         && run.pace_percent == 100
-                        && now.ms_since(run.progress.percent_changed_at) >= NO_PROGRESS_MS
+                        && answered_at.ms_since(run.progress.percent_changed_at) >= NO_PROGRESS_MS
                 })
             })
             .collect();
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -107,6 +107,8 @@
     pub next_poll_at: Millis,
     /// When it last answered a poll.
     pub last_answer_at: Millis,
+    /// When that poll was sent; the answer may be as old as this.
+    pub answer_asked_at: Millis,
     /// Consecutive polls without an answer.
     pub failed_polls: u32,
     /// Whether it is unresponsive.
@@ -162,6 +164,7 @@
             poll_sent_at: Millis::ZERO,
             next_poll_at: Millis::ZERO,
             last_answer_at: Millis::ZERO,
+            answer_asked_at: Millis::ZERO,
             failed_polls: 0,
             unresponsive: false,
             unresponsive_since: Millis::ZERO,
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -119,6 +119,9 @@
     pub(crate) delay_next_acknowledgement: bool,
     /// Worker and cursor of that poll.
     delayed_poll: Option<(usize, u64)>,
+    /// Whether answers to polls wait until [`SchedulerHarness::freeze_leader`] has ended.
+    hold_answers: bool,
+    held_answers: Vec<(WorkerKey, PollResult)>,
     /// Number of next orders to instances that are lost: no response and no effect.
     pub(crate) lose_next_orders: usize,
     /// Time, task and run number of each start order.
@@ -189,6 +192,8 @@
             close_next_polls: 0,
             delay_next_acknowledgement: false,
             delayed_poll: None,
+            hold_answers: false,
+            held_answers: Vec::new(),
             lose_next_orders: 0,
             starts: Vec::new(),
             dead_address: None,
@@ -306,6 +311,17 @@
         }
     }
 
+    /// Stops the leader for a time, while the answers to its last polls wait for it.
+    pub(crate) fn freeze_leader(&mut self, ms: u64) {
+        self.hold_answers = true;
+        self.run_for(100);
+        self.hold_answers = false;
+        self.now = self.now.after_ms(ms);
+        for (key, answer) in std::mem::take(&mut self.held_answers) {
+            self.scheduler.poll_ended(key, answer, self.now, self.now);
+        }
+    }
+
     /// Delivers the poll in transit to the process that the worker has now. Returns whether there was one.
     pub(crate) fn deliver_delayed_poll(&mut self) -> bool {
         let Some((index, cursor)) = self.delayed_poll.take() else {
@@ -566,6 +582,10 @@
             Action::Poll(key, order) => {
                 self.polls += 1;
                 let result = self.poll_address(key, order);
+                if self.hold_answers {
+                    self.held_answers.push((key, result));
+                    return;
+                }
                 self.scheduler.poll_ended(key, result, self.now, self.now);
             }
         }
--- a/crates/ports/src/instance_order.rs
+++ b/crates/ports/src/instance_order.rs
@@ -4,7 +4,32 @@
 
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{InstanceOrderResult, InstanceReport};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
+
+use crate::clock::ClockHandle;
+
+/// Tells whether this daemon certainly holds the scheduler key at the moment. An order may wait for others, or the
+/// process may be stopped, between the decision and the moment at which the order is sent.
+#[derive(Clone)]
+pub struct OrderPermit {
+    clock: ClockHandle,
+    valid_until: watch::Receiver<Millis>,
+}
+
+impl OrderPermit {
+    /// Creates a permit, and the sender that prolongs it.
+    #[must_use]
+    pub fn new(clock: ClockHandle, valid_until: Millis) -> (watch::Sender<Millis>, Self) {
+        let (sender, valid_until) = watch::channel(valid_until);
+        (sender, Self { clock, valid_until })
+    }
+
+    /// Whether an order may be sent now.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.clock.now() <= *self.valid_until.borrow()
+    }
+}
 
 /// A call to the platform.
 #[derive(Clone, Debug)]
