End no run for a refused connect alone

Cause: a refused connect was read as the end of the worker's process. It only proves that the order has not arrived; the worker may run on behind a firewall or a relay.

Change: a refused connect makes the worker unresponsive and has the list of instances read. Its runs are over once that list lacks it, another process answers, or the lease has ended; so a new leader waits as well. The evidence of a lost worker and its age are logged.

a_recovery_does_not_wait_for_workers_that_have_left took a refused connect and an expired entry as the end; a worker that is cut off shows both and runs on. It now has the list of instances, with the same bound, and a new test guards the other side.

--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -100,10 +100,20 @@
                     worker,
                     runs,
                     unresponsive,
+                    evidence,
+                    answer_age_ms,
                 } => {
                     self.options.metrics.count("workers.lost", 1);
                     warn!(self.options.log, "worker lost"; "worker" => &*worker, "runs" => runs,
-                        "silent" => unresponsive, "lease_age_ms" => self.lease_age_ms());
+                        "silent" => unresponsive, "evidence" => %evidence,
+                        "answer_age_ms" => answer_age_ms, "list_age_ms" => self.list_age_ms(),
+                        "lease_age_ms" => self.lease_age_ms());
+                }
+                SchedulerEvent::WorkerRefusesConnects { worker, runs } => {
+                    self.options.metrics.count("workers.refusing", 1);
+                    warn!(self.options.log, "worker refuses connects"; "worker" => &*worker,
+                        "runs" => runs, "list_age_ms" => self.list_age_ms(),
+                        "lease_age_ms" => self.lease_age_ms());
                 }
                 SchedulerEvent::WorkerHeld { worker, held_ms } => {
                     self.options.metrics.count("workers.held", 1);
--- a/crates/domain/src/log_words.rs
+++ b/crates/domain/src/log_words.rs
@@ -4,7 +4,9 @@
 use std::fmt;
 
 use crate::job::JobState;
-use crate::schedule::order::{CopyOutcome, InstanceOrderResult, InstanceState, RunEndKind};
+use crate::schedule::order::{
+    CopyOutcome, InstanceOrderResult, InstanceState, LossEvidence, RunEndKind,
+};
 
 impl fmt::Display for JobState {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -31,6 +33,17 @@
     }
 }
 
+impl fmt::Display for LossEvidence {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::OtherProcess => "OtherProcess",
+            Self::RefusedAndListed => "RefusedAndListed",
+            Self::Listed => "Listed",
+            Self::LeaseEnded => "LeaseEnded",
+        })
+    }
+}
+
 impl fmt::Display for CopyOutcome {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -2,7 +2,7 @@
 //!
 //! A worker is one incarnation of an instance, and the list names the current one. A crashed worker
 //! is therefore known to have ended well before the lease of its runs expires. A worker that is only
-//! unreachable stays in the list.
+//! unreachable stays in the list, also while its address refuses connections.
 
 use crate::prelude::*;
 use crate::schedule::Scheduler;
@@ -67,7 +67,11 @@
         }
         for key in ended {
             if self.may_have_runs(key) {
-                self.process_ended(key, EndEvidence::Listing, now);
+                let refused_at = self.workers.get(key).and_then(|worker| worker.refused_at);
+                let evidence = refused_at.map_or(EndEvidence::Listing, |sent_at| {
+                    EndEvidence::Order { sent_at }
+                });
+                self.process_ended(key, evidence, now);
             }
         }
     }
--- a/crates/domain/src/schedule/late_polls.rs
+++ b/crates/domain/src/schedule/late_polls.rs
@@ -57,10 +57,15 @@
     /// Notes a clock reading in the answer to an order. One far below the last one is that of another process,
     /// whose ends this leader has not read.
     pub(super) fn note_order_clock(&mut self, clock_ms: u64, now: Millis) {
-        let last = self.clock.map_or(0, |(clock_ms, _)| clock_ms);
-        self.has_clock_gone_back |= clock_ms.saturating_add(CLOCK_REORDERING_MS) < last;
+        self.has_clock_gone_back |= self.is_clock_of_other_process(clock_ms);
         self.update_clock(clock_ms, now);
     }
+
+    /// Whether a clock reading is so far below the last one that it is of another process.
+    pub(super) fn is_clock_of_other_process(&self, clock_ms: u64) -> bool {
+        let last = self.clock.map_or(0, |(clock_ms, _)| clock_ms);
+        clock_ms.saturating_add(CLOCK_REORDERING_MS) < last
+    }
 }
 
 impl Scheduler {
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -47,9 +47,14 @@
                     self.poll_unanswered(key, now);
                 }
             }
-            PollResult::Refused(Refusal::OtherIncarnation) | PollResult::NotListening => {
+            PollResult::Refused(Refusal::OtherIncarnation) => {
                 worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
-                self.order_found_no_process(key, Some(sent_at), now);
+                self.order_found_other_process(key, Some(sent_at), now);
+                self.try_other_address(key, now);
+            }
+            PollResult::NotListening => {
+                worker.next_poll_at = now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS);
+                self.connect_refused(key, Some(sent_at), now);
                 self.try_other_address(key, now);
             }
             PollResult::Refused(refusal) => {
@@ -85,7 +90,11 @@
         let known_start_ms = worker.report.started_wall_ms;
         let started_ms = listing.started_wall_ms;
         let sent_at = worker.poll_sent_at;
-        let is_other = started_ms != 0 && known_start_ms != 0 && started_ms != known_start_ms;
+        let is_other = if started_ms == 0 {
+            worker.is_clock_of_other_process(listing.clock_ms)
+        } else {
+            known_start_ms != 0 && started_ms != known_start_ms
+        };
         // An earlier process may answer a poll that was sent before this leader knew of the current one. Later
         // polls are answered by the current process, whatever start its entry names.
         let is_late =
@@ -121,6 +130,7 @@
         }
         worker.synced = true;
         worker.unresponsive = false;
+        worker.refused_at = None;
         worker.failed_polls = 0;
         worker.last_answer_at = now;
         worker.answer_asked_at = sent_at;
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -265,6 +265,19 @@
     Alone,
 }
 
+/// What has shown that the runs of a worker are over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossEvidence {
+    /// Another process has answered at its address.
+    OtherProcess,
+    /// Its address refuses connects, and the list of instances lacks it.
+    RefusedAndListed,
+    /// A list, or the entry or answer of its next process.
+    Listed,
+    /// Its lease has ended.
+    LeaseEnded,
+}
+
 /// An active run in a worker's answer to a poll.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -419,6 +432,17 @@
         runs: usize,
         /// Whether it was unresponsive.
         unresponsive: bool,
+        /// What showed it.
+        evidence: LossEvidence,
+        /// Time since the poll was sent that it answered last.
+        answer_age_ms: u64,
+    },
+    /// The address of a worker with runs has begun to refuse connects.
+    WorkerRefusesConnects {
+        /// The worker.
+        worker: Arc<str>,
+        /// Number of its runs.
+        runs: usize,
     },
     /// The new process of a worker takes no tasks for a time, since it may carry out a late poll that acknowledges
     /// ends of the former one.
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -2,7 +2,7 @@
 
 use super::arrivals::Arrivals;
 use super::load::LoadForecast;
-use super::order::{Action, PollOrder, SchedulerEvent, WorkerReport};
+use super::order::{Action, LossEvidence, PollOrder, SchedulerEvent, WorkerReport};
 use super::ready::ReadyQueue;
 use super::run::EndEvidence;
 use super::worker::{Claim, IncarnationEnd, Worker};
@@ -333,25 +333,47 @@
         }
     }
 
-    /// Applies the answer of an order that found no process or another one. An order that was sent before this
-    /// leader knew of the current incarnation says nothing about it.
-    pub(super) fn order_found_no_process(
+    /// Applies the answer of another process to an order: the worker's own one no longer listens at its address.
+    pub(super) fn order_found_other_process(
         &mut self,
         key: WorkerKey,
         sent_at: Option<Millis>,
         now: Millis,
     ) {
-        let worker = self.workers.get(key);
-        let is_of_current = |sent_at: &Millis| {
-            worker.is_some_and(|worker| {
-                *sent_at >= worker.incarnation_since && !worker.may_have_missed(*sent_at)
-            })
-        };
-        if let Some(sent_at) = sent_at.filter(is_of_current) {
+        if let Some(sent_at) = sent_at.filter(|at| self.is_of_current_process(key, *at)) {
             self.process_ended(key, EndEvidence::Order { sent_at }, now);
         }
     }
 
+    /// Applies a refused connect: the order has not arrived, but the worker may run on behind something that refuses
+    /// connections for it. Its runs are over once the list of instances says so as well, or their lease has ended.
+    pub(super) fn connect_refused(&mut self, key: WorkerKey, sent_at: Option<Millis>, now: Millis) {
+        let Some(sent_at) = sent_at.filter(|at| self.is_of_current_process(key, *at)) else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let is_first = worker.refused_at.replace(sent_at).is_none();
+        worker.begin_unresponsive(now);
+        if is_first && !worker.runs().is_empty() {
+            self.events.push(SchedulerEvent::WorkerRefusesConnects {
+                worker: Arc::clone(&worker.report.id),
+                runs: worker.runs().len(),
+            });
+        }
+        self.request_instance_list(now);
+    }
+
+    /// Whether an order that was sent at this time was meant for the current process. One from before this leader
+    /// knew of that process says nothing about it.
+    fn is_of_current_process(&self, key: WorkerKey, sent_at: Millis) -> bool {
+        let worker = self.workers.get(key);
+        worker.is_some_and(|worker| {
+            sent_at >= worker.incarnation_since && !worker.may_have_missed(sent_at)
+        })
+    }
+
     /// Ends the runs of a worker whose process has ended.
     pub(super) fn process_ended(&mut self, key: WorkerKey, evidence: EndEvidence, now: Millis) {
         if let Some(end) = self.workers.get(key).map(Worker::process_end) {
@@ -379,6 +401,15 @@
                 worker: Arc::clone(&worker.report.id),
                 runs: worker.runs().len(),
                 unresponsive: worker.unresponsive,
+                evidence: match evidence {
+                    EndEvidence::Order { .. } if worker.refused_at.is_some() => {
+                        LossEvidence::RefusedAndListed
+                    }
+                    EndEvidence::Order { .. } => LossEvidence::OtherProcess,
+                    EndEvidence::Listing => LossEvidence::Listed,
+                    EndEvidence::Lease => LossEvidence::LeaseEnded,
+                },
+                answer_age_ms: now.ms_since(worker.answer_asked_at),
             });
         }
         worker.synced = false;
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -35,8 +35,12 @@
                     run.confirm(now);
                 }
             }
-            OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening => {
-                self.order_found_no_process(worker, Some(sent_at), now);
+            OrderResult::Refused(Refusal::OtherIncarnation) => {
+                self.order_found_other_process(worker, Some(sent_at), now);
+                self.start_not_carried_out(run, now);
+            }
+            OrderResult::NotListening => {
+                self.connect_refused(worker, Some(sent_at), now);
                 self.start_not_carried_out(run, now);
             }
             OrderResult::Refused(refusal) => {
@@ -117,10 +121,13 @@
         }
         let is_from_worker = self.has_reached_known_address(worker, sent_at.unwrap_or_default());
         self.fenced |= result == OrderResult::Refused(Refusal::Fenced) && is_from_worker;
-        if let OrderResult::Refused(Refusal::OtherIncarnation) | OrderResult::NotListening = result
-        {
+        match result {
             // Keeps runs whose start is in flight; their stop is sent again.
-            self.order_found_no_process(worker, sent_at, now);
+            OrderResult::Refused(Refusal::OtherIncarnation) => {
+                self.order_found_other_process(worker, sent_at, now);
+            }
+            OrderResult::NotListening => self.connect_refused(worker, sent_at, now),
+            _ => {}
         }
     }
 
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -115,6 +115,8 @@
     pub unresponsive: bool,
     /// When it became unresponsive.
     pub unresponsive_since: Millis,
+    /// While it is unresponsive: when the last order was sent whose connect was refused.
+    pub refused_at: Option<Millis>,
     /// While it is unresponsive: since when its instance is missing from the list of instances.
     pub unlisted_since: Option<Millis>,
     /// Earliest time of the next start on this worker.
@@ -168,6 +170,7 @@
             failed_polls: 0,
             unresponsive: false,
             unresponsive_since: Millis::ZERO,
+            refused_at: None,
             unlisted_since: None,
             paused_until: Millis::ZERO,
             backfill_percent: 100,
@@ -261,11 +264,17 @@
         if self.unresponsive || (self.synced && self.failed_polls < FAILED_POLLS_MAX) {
             return false;
         }
-        self.unresponsive = true;
-        self.unresponsive_since = now;
+        self.begin_unresponsive(now);
         true
     }
 
+    pub(super) const fn begin_unresponsive(&mut self, now: Millis) {
+        if !self.unresponsive {
+            self.unresponsive = true;
+            self.unresponsive_since = now;
+        }
+    }
+
     pub(super) fn pause(&mut self, now: Millis) {
         self.paused_until = self.paused_until.max(now.after_ms(UNHEALTHY_PAUSE_MS));
     }
--- a/crates/domain/tests/log_words.rs
+++ b/crates/domain/tests/log_words.rs
@@ -2,7 +2,7 @@
 
 use rosemaryscale_domain::job::JobState;
 use rosemaryscale_domain::schedule::order::{
-    CopyOutcome, InstanceOrderResult, InstanceState, RunEndKind,
+    CopyOutcome, InstanceOrderResult, InstanceState, LossEvidence, RunEndKind,
 };
 
 /// Guards against words that change with the code, so that operators' searches of the logs miss lines.
@@ -20,6 +20,13 @@
         (RunEndKind::Lapsed.to_string(), "Lapsed"),
         (RunEndKind::Broken.to_string(), "Broken"),
         (RunEndKind::Alone.to_string(), "Alone"),
+        (LossEvidence::OtherProcess.to_string(), "OtherProcess"),
+        (
+            LossEvidence::RefusedAndListed.to_string(),
+            "RefusedAndListed",
+        ),
+        (LossEvidence::Listed.to_string(), "Listed"),
+        (LossEvidence::LeaseEnded.to_string(), "LeaseEnded"),
         (CopyOutcome::Won.to_string(), "Won"),
         (CopyOutcome::TookOver.to_string(), "TookOver"),
         (CopyOutcome::Lost.to_string(), "Lost"),
--- a/crates/domain/tests/recovery.rs
+++ b/crates/domain/tests/recovery.rs
@@ -355,23 +355,50 @@
     assert_eq!(harness.start_count("a.0.0.0"), 2);
 }
 
-/// Load pattern: the leader changes after a burst in which instances were moved, so that many recorded workers
-/// have left the platform's list. Guards against a recovery that waits for their next incarnations, and delays
-/// all older work by a second.
-#[test]
-fn a_recovery_does_not_wait_for_workers_that_have_left() {
+/// Two workers on instances, of which the second has left the platform's list of workers and refuses connects
+/// while a new leader begins.
+fn left_during_a_takeover(is_instance_listed_with_it: bool) -> SchedulerHarness {
     let mut harness = SchedulerHarness::new(2);
+    harness.add_instance("machine-w0", "service", Some("w0"));
+    harness.add_instance("machine-w1", "service", Some("w1"));
     harness.submit("a", job(vec![step(8)], 3));
-    harness.run_for(200);
-    harness.workers[1].running.clear();
+    harness.run_for(1_200);
     harness.workers[1].listening = false;
+    if !is_instance_listed_with_it {
+        harness.workers[1].running.clear();
+        harness.instances[1].worker = None;
+    }
     harness.change_leader();
     let listed = [Arc::from("w0")].into_iter().collect();
     harness.scheduler.workers_listed(&listed);
+    harness
+}
+
+/// Load pattern: the leader changes after a burst in which instances were moved, so that many recorded workers
+/// have left the platform's lists. Guards against a recovery that waits for their next incarnations, and delays
+/// all older work by a second.
+#[test]
+fn a_recovery_does_not_wait_for_workers_that_have_left() {
+    let mut harness = left_during_a_takeover(false);
     harness.run_for(300);
     assert!(!harness.scheduler.is_recovering());
 }
 
+/// Guards against a second run of a task whose worker is cut off from the leader and the store, so that its entry has
+/// expired and its address refuses connects: it runs on until its lease ends.
+#[test]
+fn a_recovery_waits_for_a_worker_that_only_refuses_connects() {
+    let mut harness = left_during_a_takeover(true);
+    harness.run_for(4_000);
+    assert!(harness.scheduler.is_recovering());
+    harness.run_for(12_000);
+    assert!(!harness.scheduler.is_recovering());
+    let tasks = (0..8).map(|index| format!("a.0.0.{index}"));
+    for task in tasks {
+        assert_eq!(harness.concurrent_runs_max(&task), 1, "{task}");
+    }
+}
+
 /// Load pattern: as above, while the platform still lists the workers of instances that have been moved. Guards
 /// against a recovery that waits for them although the list of instances shows other workers there.
 #[test]
