End no run for one reading of the list of instances

Cause: a list that showed another worker on an instance than the one before ended the former worker at once, although it answered; and a list that lagged behind ended a new worker that did not answer.

Change: a list ends the runs of a worker that answers only once a later poll has got no answer, and it takes no tasks until then.

Measured: a_list_ends_no_worker_that_answers and a_list_that_lags_behind_ends_no_new_worker failed before.

--- a/crates/domain/src/schedule/entry.rs
+++ b/crates/domain/src/schedule/entry.rs
@@ -112,6 +112,13 @@
         self.report.labels.contains(rack).then_some(rack)
     }
 
+    /// Whether a list that was requested at this time would show the worker if it ran: an earlier one has done so, or
+    /// the list can no longer be of before its first entry.
+    pub(super) fn is_list_current(&self, requested_at: Millis) -> bool {
+        let is_shown = self.entry.instance.is_some();
+        is_shown || requested_at >= self.entry.service_since.after_ms(LIST_LAG_MAX_MS)
+    }
+
     /// Its service as other leaders are told; empty if its runs may be of more than one.
     pub(super) fn service_of_runs(&self) -> Arc<str> {
         if self.entry.has_changed_service {
--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -27,11 +27,43 @@
             return;
         }
         let former = before.and_then(|id| self.workers_by_id.get(&id).copied());
-        if let Some(worker) = former {
-            self.process_ended(worker, EndEvidence::Listing, now);
+        let Some(key) = former else {
+            return;
+        };
+        if self.may_answer(key) {
+            self.workers[key].contradicted_at = Some(self.fleet.list_requested_at);
+            self.workers[key].next_poll_at = now;
+        } else {
+            self.end_listed(key, now);
         }
     }
 
+    /// Whether a worker with runs may still answer. Two reads of the list may disagree, so a worker that has answered
+    /// up to now has ended only once it does not answer a poll after the list that contradicts it.
+    fn may_answer(&self, key: WorkerKey) -> bool {
+        let worker = self.workers.get(key);
+        worker.is_some_and(|worker| {
+            worker.synced && !worker.unresponsive && !worker.runs().is_empty()
+        })
+    }
+
+    /// Ends the runs of a worker that a list contradicts and that has given no answer to a poll since.
+    pub(in crate::schedule) fn end_contradicted(&mut self, key: WorkerKey, now: Millis) {
+        let worker = self.workers.get(key);
+        if worker.is_some_and(|worker| worker.contradicted_at.is_some()) {
+            self.end_listed(key, now);
+        }
+    }
+
+    /// Ends the runs of a worker that a list shows to have ended.
+    fn end_listed(&mut self, key: WorkerKey, now: Millis) {
+        let refused_at = self.workers.get(key).and_then(|worker| worker.refused_at);
+        let evidence = refused_at.map_or(EndEvidence::Listing, |sent_at| EndEvidence::Order {
+            sent_at,
+        });
+        self.process_ended(key, evidence, now);
+    }
+
     /// Schedules an immediate read of the list, for a worker that has just become unresponsive.
     pub(in crate::schedule) fn request_instance_list(&mut self, now: Millis) {
         self.fleet.next_list_at = self.fleet.next_list_at.min(now);
@@ -55,23 +87,19 @@
                 _ if self.fleet.listed_workers.contains(&worker.report.id) => {
                     worker.unlisted_since = None;
                 }
-                Some(_) => ended.push(key),
+                Some(_) if worker.is_list_current(self.fleet.list_requested_at) => ended.push(key),
                 None if is_complete => {
                     let since = *worker.unlisted_since.get_or_insert(now);
                     if now.ms_since(since) >= UNRESPONSIVE_ABSENCE_TIMEOUT_MS {
                         ended.push(key);
                     }
                 }
-                None => {}
+                _ => {}
             }
         }
         for key in ended {
             if self.may_have_runs(key) {
-                let refused_at = self.workers.get(key).and_then(|worker| worker.refused_at);
-                let evidence = refused_at.map_or(EndEvidence::Listing, |sent_at| {
-                    EndEvidence::Order { sent_at }
-                });
-                self.process_ended(key, evidence, now);
+                self.end_listed(key, now);
             }
         }
     }
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -82,6 +82,7 @@
         if became_unresponsive {
             self.request_instance_list(now);
         }
+        self.end_contradicted(key, now);
         self.try_other_address(key, now);
     }
 
@@ -131,6 +132,7 @@
         worker.synced = true;
         worker.unresponsive = false;
         worker.refused_at = None;
+        worker.contradicted_at = worker.contradicted_at.filter(|at| sent_at <= *at);
         worker.failed_polls = 0;
         worker.last_answer_at = now;
         worker.answer_asked_at = sent_at;
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -363,6 +363,7 @@
             });
         }
         self.request_instance_list(now);
+        self.end_contradicted(key, now);
     }
 
     /// Whether an order that was sent at this time was meant for the current process. One from before this leader
--- a/crates/domain/src/schedule/status.rs
+++ b/crates/domain/src/schedule/status.rs
@@ -21,7 +21,7 @@
     Unsynced,
     /// No stored batch names it yet.
     Unrecorded,
-    /// It does not answer.
+    /// It does not answer, or has not answered since the list of instances has contradicted it.
     Unresponsive,
     /// The list of instances shows it in the pool of another service than its entry names.
     OtherPool,
@@ -78,7 +78,10 @@
             (!self.listed, Exclusion::Unlisted),
             (!self.synced, Exclusion::Unsynced),
             (!self.recorded, Exclusion::Unrecorded),
-            (self.unresponsive, Exclusion::Unresponsive),
+            (
+                self.unresponsive || self.contradicted_at.is_some(),
+                Exclusion::Unresponsive,
+            ),
             (self.entry.is_in_other_pool, Exclusion::OtherPool),
             (self.report.draining, Exclusion::Draining),
             (self.cordoned, Exclusion::Cordoned),
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -119,6 +119,8 @@
     pub refused_at: Option<Millis>,
     /// While it is unresponsive: since when its instance is missing from the list of instances.
     pub unlisted_since: Option<Millis>,
+    /// While it answers: when a list was requested that shows another worker on its instance, or none.
+    pub contradicted_at: Option<Millis>,
     /// Earliest time of the next start on this worker.
     pub paused_until: Millis,
     /// CPU share of its backfill tasks.
@@ -172,6 +174,7 @@
             unresponsive_since: Millis::ZERO,
             refused_at: None,
             unlisted_since: None,
+            contradicted_at: None,
             paused_until: Millis::ZERO,
             backfill_percent: 100,
             paced_at: Millis::ZERO,
