Reckon no lease shorter than it is

Cause: the clock of an idle worker was not read again, and may be 2% slow, so that the deadline of a start lay more than a second late after a minute. A new process under the same id starts its clock anew, so that a deadline on the former clock gives it the longest lease that it knows.

Change: deadlines are reckoned from the earliest reading that a slow clock can have, a reading older than 20 s is renewed, and a process that may have got a deadline of the former one is reckoned with run_lease_max_ms.

--- a/crates/daemon/src/jobs/leader.rs
+++ b/crates/daemon/src/jobs/leader.rs
@@ -85,6 +85,7 @@
     /// Record that identifies this process when it becomes the leader.
     pub(super) identity: LeaderRecord,
     pub(super) run_lease_ms: u64,
+    pub(super) run_lease_max_ms: u64,
     pub(super) poll_wait_ms: u64,
     pub(super) stop_grace_ms: u64,
     pub(super) uneven_work: UnevenWork,
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -173,6 +173,7 @@
             former_record.released || former_record.daemon == options.identity.daemon;
         let settings = ScheduleSettings {
             run_lease_ms: options.run_lease_ms,
+            run_lease_max_ms: options.run_lease_max_ms,
             poll_wait_ms: options.poll_wait_ms,
             leader_grace_ms: former_record.order_age_max_ms
                 + if former_term_ended {
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -264,6 +264,7 @@
             config: config_watch,
             identity,
             run_lease_ms: RUN_LEASE_MS.min(settings.run_lease_max_ms),
+            run_lease_max_ms: settings.run_lease_max_ms,
             poll_wait_ms: POLL_WAIT_MS,
             stop_grace_ms: settings.stop_grace_ms,
             uneven_work: settings.uneven_work(),
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -93,9 +93,13 @@
 
 /// Run numbers reserved for each term of a leader; far more than a task needs in a day.
 const RUN_NUMBERS_PER_TERM: u32 = 1_000;
-/// Safety margin added to a lease: a worker's clock may run 2% slow, and the last reading of its
-/// clock may be old.
+/// Safety margin added to a lease, for a worker whose clock runs slow.
 const LEASE_MARGIN_MS: u64 = 500;
+/// Amount by which the clock of a worker may be slow, in percent.
+const CLOCK_DRIFT_PERCENT: u64 = 2;
+/// Age of a reading of a worker's clock after which another one is asked for. Until then the estimate of a clock that
+/// is slow may be too low by 400 ms, which shortens a lease.
+const CLOCK_READING_AGE_MAX_MS: u64 = 20_000;
 /// Time for which an order without an answer may still be carried out. The platform says only that this may be
 /// seconds.
 const LATE_ORDER_MS: u64 = 12_500;
--- a/crates/domain/src/schedule/late_polls.rs
+++ b/crates/domain/src/schedule/late_polls.rs
@@ -6,11 +6,9 @@
 use super::order::SchedulerEvent;
 use super::stop_reason::StopReason;
 use super::worker::Worker;
-use super::{LATE_ORDER_MS, Scheduler};
+use super::{CLOCK_DRIFT_PERCENT, LATE_ORDER_MS, Scheduler};
 use crate::prelude::*;
 
-/// Amount by which the clock of a worker may be slow, in percent.
-const CLOCK_DRIFT_PERCENT: u64 = 2;
 /// Time that an answer may take from the worker's reading of its clock to its application.
 const ANSWER_DELAY_MS: u64 = 100;
 /// Amount by which a reading of a worker's clock may be below an earlier one of the same process, since answers
@@ -93,6 +91,7 @@
             return;
         };
         worker.late_poll_until = until;
+        worker.keep_lease_until(self.settings.longest_lease_from(until));
         self.events.push(SchedulerEvent::WorkerHeld {
             worker: Arc::clone(&worker.report.id),
             held_ms: until.ms_since(now),
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -5,7 +5,7 @@
 //! one, and lists its runs.
 
 use super::job_table::{Job, TaskStatus};
-use super::{FormerTerm, LEASE_MARGIN_MS, RecordedWorker, Scheduler};
+use super::{FormerTerm, RecordedWorker, Scheduler};
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -43,9 +43,9 @@
         unknown_workers: bool,
         now: Millis,
     ) {
-        let lease_end = now
-            .after_ms(self.settings.leader_grace_ms)
-            .after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
+        let lease_end = self
+            .settings
+            .lease_from(now.after_ms(self.settings.leader_grace_ms));
         let mut awaited = FastSet::default();
         for worker in recorded {
             let key = self.insert_worker(worker.into_report(), lease_end);
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -21,7 +21,7 @@
     /// Adds or updates a worker from the platform's list.
     pub fn worker_listed(&mut self, report: WorkerReport, now: Millis) {
         let Some(key) = self.workers_by_id.get(&report.id).copied() else {
-            let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
+            let lease_end = self.settings.lease_from(now);
             let key = self.insert_worker(report, lease_end);
             self.workers[key].entry.service_since = now;
             self.request_batch(now);
@@ -129,6 +129,7 @@
             worker.begin_incarnation(former, now);
             worker.full_capacity = report.capacity;
             worker.entry.service_since = now;
+            worker.keep_lease_until(self.settings.longest_lease_from(now));
         }
         self.apply_entry(key, report, false, now);
     }
@@ -305,7 +306,11 @@
                 && worker.unknown_runs.is_empty()
                 && worker.unknown_ends.is_empty();
             let acks_pending = worker.acknowledged < worker.ack_ready;
-            let needs_poll = !worker.synced || !idle || acks_pending || self.leadership_unconfirmed;
+            let needs_poll = !worker.synced
+                || !idle
+                || acks_pending
+                || worker.has_old_clock_reading(now)
+                || self.leadership_unconfirmed;
             if worker.poll_in_flight || !needs_poll || worker.next_poll_at > now {
                 continue;
             }
@@ -313,8 +318,7 @@
                 worker.synced && worker.failed_polls == 0 && (!idle || self.leadership_unconfirmed);
             let deadline_ms = match worker.estimated_clock_at(now) {
                 Some(clock) if worker.synced && !worker.unresponsive => {
-                    let end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
-                    worker.lease_end = worker.lease_end.max(end);
+                    worker.keep_lease_until(self.settings.lease_from(now));
                     Some(clock + self.settings.run_lease_ms)
                 }
                 _ => None,
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -30,6 +30,9 @@
             OrderResult::Accepted { clock_ms } => {
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.note_order_clock(clock_ms, now);
+                    if worker.has_clock_gone_back {
+                        worker.keep_lease_until(self.settings.longest_lease_from(now));
+                    }
                 }
                 if let Some(run) = self.runs.get_mut(run) {
                     run.confirm(now);
--- a/crates/domain/src/schedule/settings.rs
+++ b/crates/domain/src/schedule/settings.rs
@@ -1,12 +1,16 @@
 //! Settings of a scheduler.
 
+use super::LEASE_MARGIN_MS;
 use super::locality::PlacementWait;
+use crate::prelude::*;
 
 /// Settings of a scheduler, fixed for its term.
 #[derive(Clone, Copy, Debug)]
 pub struct ScheduleSettings {
     /// Duration of the lease that each poll renews for all runs of a worker.
     pub run_lease_ms: u64,
+    /// Longest lease that a worker gives, whatever an order asks for.
+    pub run_lease_max_ms: u64,
     /// Longest time that a poll waits for a run to end.
     pub poll_wait_ms: u64,
     /// Time for which a former leader may still send orders.
@@ -21,6 +25,19 @@
     pub placement_wait: PlacementWait,
 }
 
+impl ScheduleSettings {
+    /// End of the lease that an order sent from this time on gives the runs of a known process.
+    pub(super) const fn lease_from(&self, now: Millis) -> Millis {
+        now.after_ms(self.run_lease_ms + LEASE_MARGIN_MS)
+    }
+
+    /// End of the longest lease that a worker can give at this time: its process may have got an order with a deadline
+    /// on the clock of the former one.
+    pub(super) const fn longest_lease_from(&self, now: Millis) -> Millis {
+        now.after_ms(self.run_lease_max_ms + LEASE_MARGIN_MS)
+    }
+}
+
 /// Switches of the answers to uneven run times. By default all are off.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct UnevenWork {
--- a/crates/domain/src/schedule/start.rs
+++ b/crates/domain/src/schedule/start.rs
@@ -3,7 +3,7 @@
 use super::job_table::TaskStatus;
 use super::order::{Action, StartOrder};
 use super::run::{Phase, PlacedRun, Run, RunInfo};
-use super::{LEASE_MARGIN_MS, LOW_PRIORITY_BATCH_DELAY_MS, POLL_INTERVAL_MS, Scheduler};
+use super::{LOW_PRIORITY_BATCH_DELAY_MS, POLL_INTERVAL_MS, Scheduler};
 use crate::job::JobState;
 use crate::prelude::*;
 
@@ -49,8 +49,7 @@
         let run = PlacedRun::new(Phase::Sent(Run::new(info)));
         let run = self.runs.insert(run, worker);
         worker.begin_probation(&self.job_table.tasks[key], now);
-        let lease_end = now.after_ms(self.settings.run_lease_ms + LEASE_MARGIN_MS);
-        worker.lease_end = worker.lease_end.max(lease_end);
+        worker.keep_lease_until(self.settings.lease_from(now));
         if !worker.poll_in_flight {
             worker.next_poll_at = worker.next_poll_at.min(now.after_ms(POLL_INTERVAL_MS));
         }
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -6,6 +6,7 @@
 use super::order::{ListedEnd, ListedRun, UnreadableRows, WorkerReport};
 use super::quarantine::Quarantine;
 use super::run_table::Bookings;
+use super::{CLOCK_DRIFT_PERCENT, CLOCK_READING_AGE_MAX_MS};
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -247,9 +248,25 @@
         self.exclusion(now).is_none()
     }
 
-    /// Estimates the worker's clock.
+    /// Earliest reading that the worker's clock may have. A deadline on a later one would outlast the lease that this
+    /// leader reckons with.
     pub(super) fn estimated_clock_at(&self, now: Millis) -> Option<u64> {
-        self.clock.map(|(clock_ms, at)| clock_ms + now.ms_since(at))
+        self.clock.map(|(clock_ms, at)| {
+            let elapsed_ms = now.ms_since(at);
+            let drift_ms = (elapsed_ms * CLOCK_DRIFT_PERCENT).div_ceil(100);
+            clock_ms + elapsed_ms.saturating_sub(drift_ms)
+        })
+    }
+
+    /// Whether the last reading of its clock is too old for deadlines.
+    pub(super) fn has_old_clock_reading(&self, now: Millis) -> bool {
+        self.clock
+            .is_some_and(|(_, at)| now.ms_since(at) >= CLOCK_READING_AGE_MAX_MS)
+    }
+
+    /// Reckons with runs that last until this time although no answer comes.
+    pub(super) fn keep_lease_until(&mut self, until: Millis) {
+        self.lease_end = self.lease_end.max(until);
     }
 
     pub(super) fn update_clock(&mut self, clock_ms: u64, now: Millis) {
--- /dev/null
+++ b/crates/domain/tests/leases.rs
@@ -0,0 +1,66 @@
+//! Leases of runs on workers whose clocks are slow, or are those of another process than the leader knows.
+
+mod scheduler_harness;
+
+use scheduler_harness::{RUN_LEASE_MAX_MS, RUN_LEASE_MS, SchedulerHarness, job, step};
+
+/// Runs a task on the first of two workers, cuts that worker off, and plays until any lease must have ended.
+fn cut_off_after_a_start(harness: &mut SchedulerHarness) {
+    harness.submit("a", job(vec![step(1)], 3));
+    while harness.start_count("a.0.0.0") == 0 {
+        harness.run_for(10);
+    }
+    assert_eq!(harness.worker_running("a.0.0.0"), Some(0));
+    harness.partition(0);
+    harness.run_for(RUN_LEASE_MAX_MS + 2_000);
+    assert_eq!(harness.start_count("a.0.0.0"), 2, "it runs again");
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+}
+
+/// Guards against two runs of a task at the same time: the clock of an idle worker is 2% slow, so a deadline reckoned from
+/// a reading of a minute ago is more than a second late.
+#[test]
+fn the_lease_of_a_worker_that_was_idle_is_not_underrated() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.workers[0].clock_percent = 98;
+    harness.run_for(90_000);
+    cut_off_after_a_start(&mut harness);
+}
+
+/// Guards against the same by a start that a new process of the worker has accepted with a deadline on the clock of the
+/// former one: it holds the run for as long as it may.
+#[test]
+fn the_lease_of_a_new_process_is_not_underrated() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.run_for(20_000);
+    harness.restart_unlisted(0);
+    cut_off_after_a_start(&mut harness);
+}
+
+/// Guards against the same once the new process has answered: an order with such a deadline was sent before.
+#[test]
+fn the_lease_of_a_new_process_that_has_answered_is_not_underrated() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.run_for(20_000);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    harness.restart_unlisted(0);
+    harness.submit("b", job(vec![step(1)], 3));
+    harness.run_for(100);
+    harness.partition(0);
+    harness.run_for(RUN_LEASE_MAX_MS + 2_000);
+    assert_eq!(harness.concurrent_runs_max("b.0.0.0"), 1);
+}
+
+/// Guards against a worker that gets no start because the last reading of its clock is old.
+#[test]
+fn a_worker_that_was_idle_for_long_takes_tasks_at_once() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.workers[0].clock_percent = 98;
+    harness.run_for(600_000);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(30);
+    assert_eq!(harness.running(), ["a.0.0.0"]);
+    harness.run_for(RUN_LEASE_MS * 2);
+    assert_eq!(harness.start_count("a.0.0.0"), 1);
+}
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -30,6 +30,8 @@
 
 const TICK_MS: u64 = 10;
 pub(crate) const RUN_LEASE_MS: u64 = 5_000;
+/// Longest lease that a worker gives to its runs.
+pub(crate) const RUN_LEASE_MAX_MS: u64 = 10_000;
 const LEADER_GRACE_MS: u64 = 9_000;
 const STOP_GRACE_MS: u64 = 900;
 
@@ -247,6 +249,7 @@
             sequence: 0,
             lease_end_ms: 0,
             clock_origin: Millis::ZERO,
+            clock_percent: 100,
             partitioned: false,
             listening: true,
             closed: FastMap::default(),
@@ -708,7 +711,7 @@
         if !worker.running.contains(&run) {
             worker.running.push(run);
         }
-        worker.lease_end_ms = worker.lease_end_ms.max(order.deadline_ms);
+        worker.prolong_lease(order.deadline_ms, self.now);
         let clock_ms = worker.clock_ms(self.now);
         OrderResult::Accepted { clock_ms }
     }
@@ -777,7 +780,7 @@
         let worker = &mut self.workers[index];
         worker.ended.retain(|end| end.sequence > order.acknowledged);
         if let Some(deadline_ms) = order.deadline_ms {
-            worker.lease_end_ms = worker.lease_end_ms.max(deadline_ms);
+            worker.prolong_lease(deadline_ms, self.now);
         }
         let running = worker
             .running
@@ -836,6 +839,7 @@
 pub(crate) fn settings(term: u32) -> ScheduleSettings {
     ScheduleSettings {
         run_lease_ms: RUN_LEASE_MS,
+        run_lease_max_ms: RUN_LEASE_MAX_MS,
         poll_wait_ms: 0,
         leader_grace_ms: LEADER_GRACE_MS,
         stop_grace_ms: STOP_GRACE_MS,
--- a/crates/domain/tests/scheduler_harness/worker.rs
+++ b/crates/domain/tests/scheduler_harness/worker.rs
@@ -4,6 +4,8 @@
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{ListedEnd, RunEndKind, WorkerReport};
 
+use super::RUN_LEASE_MAX_MS;
+
 /// A worker that records which runs it executes and reports their ends.
 pub(crate) struct SimulatedWorker {
     pub(crate) report: WorkerReport,
@@ -15,6 +17,8 @@
     pub(crate) lease_end_ms: u64,
     /// Time at which its clock was at 0.
     pub(crate) clock_origin: Millis,
+    /// Speed of its clock, in percent.
+    pub(crate) clock_percent: u64,
     pub(crate) partitioned: bool,
     /// Whether a process listens at its address.
     pub(crate) listening: bool,
@@ -24,7 +28,13 @@
 
 impl SimulatedWorker {
     pub(super) fn clock_ms(&self, now: Millis) -> u64 {
-        now.ms_since(self.clock_origin)
+        now.ms_since(self.clock_origin) * self.clock_percent / 100
+    }
+
+    /// Prolongs the lease, by no more than its own maximum.
+    pub(super) fn prolong_lease(&mut self, deadline_ms: u64, now: Millis) {
+        let longest_ms = self.clock_ms(now) + RUN_LEASE_MAX_MS;
+        self.lease_end_ms = self.lease_end_ms.max(deadline_ms.min(longest_ms));
     }
 
     pub(super) fn mark_closed(&mut self, task: &str, number: u32) {
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -218,6 +218,7 @@
         let term = u32::try_from(self.leaders.len()).unwrap_or(u32::MAX) + 1;
         let settings = ScheduleSettings {
             run_lease_ms: RUN_LEASE_MS,
+            run_lease_max_ms: worker::MAX_LEASE_MS,
             poll_wait_ms: 0,
             leader_grace_ms: LEADER_GRACE_MS,
             stop_grace_ms: STOP_GRACE_MS,
--- a/crates/domain/tests/takeover_model/worker.rs
+++ b/crates/domain/tests/takeover_model/worker.rs
@@ -12,7 +12,7 @@
 pub(super) const TASK_CAPACITY: usize = 4;
 
 /// Longest lease that a worker gives to its runs.
-const MAX_LEASE_MS: u64 = 6_000;
+pub(super) const MAX_LEASE_MS: u64 = 6_000;
 
 /// A run in progress.
 #[derive(Clone, Debug)]
