Acknowledge the ends of a process that answered a former cursor

Change: the cursor of a poll counts only for the process that it was meant for. A finding of the list about a worker is used once.

Measured: ends_of_a_process_that_answered_a_former_cursor_are_acknowledged failed before.

--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -49,8 +49,8 @@
 
     /// Ends the runs of a worker that a list contradicts and that has given no answer to a poll since.
     pub(in crate::schedule) fn end_contradicted(&mut self, key: WorkerKey, now: Millis) {
-        let worker = self.workers.get(key);
-        if worker.is_some_and(|worker| worker.contradicted_at.is_some()) {
+        let worker = self.workers.get_mut(key);
+        if worker.is_some_and(|worker| worker.contradicted_at.take().is_some()) {
             self.end_listed(key, now);
         }
     }
--- a/crates/domain/src/schedule/late_polls.rs
+++ b/crates/domain/src/schedule/late_polls.rs
@@ -39,8 +39,9 @@
 }
 
 impl Worker {
-    /// Newest end that the next poll acknowledges. A poll without an answer may have reached the next process, and
-    /// so may the first one after a pause, so neither is followed or preceded by a needless acknowledgement.
+    /// Newest end that the next poll acknowledges; 0 if there is nothing new, or if the next process of the worker may
+    /// have received the last poll or order. The first poll after a pause may also meet the next process, so a cursor
+    /// that was answered is not repeated.
     pub(super) fn next_cursor(&self) -> u64 {
         let is_process_known = self.last_answer_at >= self.poll_sent_at
             && self.claim.is_none()
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -137,7 +137,10 @@
         worker.last_answer_at = now;
         worker.answer_asked_at = sent_at;
         worker.has_clock_gone_back = false;
-        worker.acknowledged = worker.acknowledged.max(worker.poll_cursor);
+        // The cursor of a former process acknowledges nothing of this one.
+        if !is_first_of_process {
+            worker.acknowledged = worker.acknowledged.max(worker.poll_cursor);
+        }
         worker.keep_labels();
         worker.update_clock(listing.clock_ms, now);
         let recorded = worker.recorded;
--- a/crates/domain/tests/late_polls.rs
+++ b/crates/domain/tests/late_polls.rs
@@ -128,3 +128,22 @@
     assert_eq!(harness.state("b"), JobState::Completed);
     assert_eq!(harness.start_count("b.0.0.0"), 1);
 }
+
+/// Guards against ends that are never acknowledged: the new process has answered the poll with the cursor of the former
+/// one, which counts more ends.
+#[test]
+fn ends_of_a_process_that_answered_a_former_cursor_are_acknowledged() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.submit("a", job(vec![step(4)], 3));
+    harness.run_for(100);
+    harness.end_all_runs(RunEndKind::Done);
+    harness.run_for(60);
+    harness.restart_unlisted(0);
+    harness.run_for(1_000);
+    harness.submit("b", job(vec![step(1)], 3));
+    harness.run_for(200);
+    harness.end_all_runs(RunEndKind::Done);
+    harness.run_for(2_000);
+    assert_eq!(harness.state("b"), JobState::Completed);
+    assert!(harness.workers[0].ended.is_empty(), "acknowledged");
+}
