--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -25,6 +25,7 @@
 mod late_starts;
 mod load;
 pub mod locality;
+mod lost_workers;
 mod observe;
 pub mod order;
 mod pace;
