--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{ETAG, IF_NONE_MATCH};
 use http::{HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -40,6 +40,8 @@
     NoReply {
         /// Description of the failure.
         reason: String,
+        /// Bytes of the reply's body that had arrived.
+        received_bytes: u64,
     },
 }
 
@@ -147,24 +149,35 @@
         timeout: Duration,
         request: Request<Full<Bytes>>,
     ) -> Result<HttpReply, HttpError> {
+        let mut received_bytes = 0;
+        let mut expected_bytes = None;
         let exchange = async {
             let response = self.send(request).await?;
             let status = response.status();
             let etag = response.headers().get(ETAG).cloned();
-            let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES)
-                .collect()
-                .await
-                .map_err(|error| HttpError::NoReply {
+            expected_bytes = response.body().size_hint().exact();
+            let mut body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES);
+            let mut content = BytesMut::new();
+            while let Some(frame) = body.frame().await {
+                let frame = frame.map_err(|error| HttpError::NoReply {
                     reason: error.to_string(),
-                })?
-                .to_bytes();
+                    received_bytes,
+                })?;
+                if let Ok(data) = frame.into_data() {
+                    received_bytes += data.len() as u64;
+                    content.extend_from_slice(&data);
+                }
+            }
+            let body = content.freeze();
             Ok(HttpReply { status, body, etag })
         };
-        tokio::time::timeout(timeout, exchange)
-            .await
-            .map_err(|_| HttpError::NoReply {
-                reason: format!("timeout after {} ms", timeout.as_millis()),
-            })?
+        let result = tokio::time::timeout(timeout, exchange).await;
+        result.unwrap_or_else(|_| {
+            Err(HttpError::NoReply {
+                reason: timeout_reason(timeout, received_bytes, expected_bytes),
+                received_bytes,
+            })
+        })
     }
 
     /// Makes a call and returns the response when its head has arrived, for bodies that are
@@ -210,12 +223,26 @@
             } else if error.is_connect() {
                 HttpError::NotConnected { reason }
             } else {
-                HttpError::NoReply { reason }
+                HttpError::NoReply {
+                    reason,
+                    received_bytes: 0,
+                }
             }
         })
     }
 }
 
+/// Tells a server that is silent from one whose reply is slow.
+fn timeout_reason(timeout: Duration, received_bytes: u64, expected_bytes: Option<u64>) -> String {
+    let timeout_ms = timeout.as_millis();
+    match expected_bytes {
+        Some(expected) => {
+            format!("timeout after {timeout_ms} ms, {received_bytes} of {expected} bytes received")
+        }
+        None => format!("timeout after {timeout_ms} ms, {received_bytes} bytes received"),
+    }
+}
+
 /// Returns the text of the innermost cause, which names the failed system call, and whether the
 /// connection was refused.
 fn root_cause(error: &(dyn std::error::Error + 'static)) -> (String, bool) {
--- a/crates/adapters/src/kv_client.rs
+++ b/crates/adapters/src/kv_client.rs
@@ -155,7 +155,7 @@
         HttpError::NotConnected { reason } | HttpError::NotListening { reason } => {
             KvError::Unavailable { reason }
         }
-        HttpError::NoReply { reason } => KvError::OutcomeUnknown { reason },
+        HttpError::NoReply { reason, .. } => KvError::OutcomeUnknown { reason },
     }
 }
 
--- a/crates/adapters/src/kv_client/watch.rs
+++ b/crates/adapters/src/kv_client/watch.rs
@@ -93,6 +93,7 @@
         .unwrap_or_else(|_| {
             Err(HttpError::NoReply {
                 reason: "the watch did not open".into(),
+                received_bytes: 0,
             })
         })
         .map_err(super::kv_error)?;
