--- a/crates/adapters/tests/config_link.rs
+++ b/crates/adapters/tests/config_link.rs
@@ -14,6 +14,7 @@
     ConfigAnswer, ConfigLinkError, ConfigPeers, ConfigQuestion, InboundQuestion,
 };
 use rosemaryscale_ports::prelude::*;
+use rosemaryscale_standins::ThinLink;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -37,14 +38,18 @@
 }
 
 /// Answers every question with version 7, and with its text where it is newer.
-async fn answer_questions(mut questions: mpsc::Receiver<InboundQuestion>) {
+async fn answer_questions(questions: mpsc::Receiver<InboundQuestion>) {
+    answer_with(TEXT.into(), questions).await;
+}
+
+async fn answer_with(text: Arc<str>, mut questions: mpsc::Receiver<InboundQuestion>) {
     while let Some(InboundQuestion { question, reply }) = questions.recv().await {
         let _ = reply.send(ConfigAnswer {
             statement: PeerStatement {
                 version: 7,
                 confirmed_age_ms: Some(250),
             },
-            text: (question.version < 7).then(|| Arc::from(TEXT)),
+            text: (question.version < 7).then(|| Arc::clone(&text)),
         });
     }
 }
@@ -113,3 +118,48 @@
     drop(peers);
     odd.await.expect("no panic");
 }
+
+/// Guards against a peer whose answer is given up, again and again, because its text takes longer on a thin link
+/// than an answer without text; and against one that is waited for after its answer has stopped.
+#[tokio::test]
+async fn a_large_text_of_a_peer_arrives_over_a_thin_link() {
+    const TEXT_BYTES: usize = 1 << 20;
+    const KBIT_PER_S: u64 = 10_000;
+    let text: Arc<str> = "k".repeat(TEXT_BYTES).into();
+    let address = free_address().await;
+    let (inbound, questions) = mpsc::channel(8);
+    let answers = tokio::spawn(answer_with(Arc::clone(&text), questions));
+    let server = ConfigServer::start(address, inbound).await;
+    let server = server.expect("the server starts");
+    let link = ThinLink::start(address, KBIT_PER_S).await;
+    let link = link.expect("a free port");
+    let peers = peers();
+    let answer = peers.ask(link.address(), question(6)).await;
+    let answer = answer.expect("an answer");
+    assert!(answer.text == Some(text), "the text is whole");
+    let carried_before = link.carried_bytes();
+    let asked = tokio::spawn({
+        let (peers, address) = (peers.clone(), link.address());
+        async move { peers.ask(address, question(6)).await }
+    });
+    while link.carried_bytes() < carried_before + 100_000 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    link.stop_replies();
+    let stopped_at = Instant::now();
+    let error = asked.await.expect("no panic").expect_err("it has stopped");
+    assert!(
+        stopped_at.elapsed() < Duration::from_secs(2),
+        "{stopped_at:?}"
+    );
+    assert_eq!(
+        error,
+        ConfigLinkError::TimedOut {
+            address: link.address()
+        }
+    );
+    link.stop().await;
+    server.stop().await;
+    drop(peers);
+    answers.await.expect("no panic");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -23,11 +23,13 @@
 pub mod platform;
 pub mod scripted;
 pub mod store;
+pub mod thin_link;
 pub mod upstream;
 
 pub use faults::Faults;
 pub use harness::Harness;
 pub use platform::Platform;
+pub use thin_link::ThinLink;
 pub use upstream::Upstream;
 
 /// Waits until the process receives SIGTERM or SIGINT.
