Give up a reply by its silence, not by its duration

Cause: a fixed time for a whole reply, set for a usual one. The store's reply of 1.1 MB needs 0.9 s of the link; a watch that had already waited for 300 ms was given up at 1,200 ms, its listing at 1,000 ms, and each try began at the first byte. The record shows 12 s of full links without one version in force.

Ruled out: a store that did not answer these daemons (they received 0.7 to 1.2 MB a second), other traffic (5 to 25 KB a second before), versions that are not applied (no such line).

Change: HttpClient bounds the time until a reply begins and the pause without 1 KiB of progress afterwards. A silent server is noticed as soon as before. The wait for a reply grows with the bytes of the request, since nothing shows how far they have been sent.

--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -1,17 +1,20 @@
-//! An HTTP client for the services of the platform, with a timeout for each call.
+//! An HTTP client for the services of the platform, with bounds on the silence of a server in each call.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{ETAG, IF_NONE_MATCH};
 use http::{HeaderValue, Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use snafu::Snafu;
+use tokio::sync::watch;
+
+use crate::reply::{ReplyBounds, ReplyError, read_body};
 
 /// Idle connections are closed after this time, before a firewall drops their state.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -45,6 +48,15 @@
     },
 }
 
+impl From<ReplyError> for HttpError {
+    fn from(error: ReplyError) -> Self {
+        Self::NoReply {
+            reason: error.to_string(),
+            received_bytes: error.received_bytes(),
+        }
+    }
+}
+
 /// A complete reply.
 #[derive(Clone, Debug)]
 pub struct HttpReply {
@@ -61,13 +73,13 @@
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
-    timeout: Duration,
+    bounds: ReplyBounds,
 }
 
 impl HttpClient {
-    /// Creates a client; `timeout` limits the duration of each call.
+    /// Creates a client; `bounds` limit the silence of the server in each call.
     #[must_use]
-    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+    pub fn new(address: SocketAddr, bounds: impl Into<ReplyBounds>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
@@ -79,7 +91,7 @@
         Self {
             client,
             address,
-            timeout,
+            bounds: bounds.into(),
         }
     }
 
@@ -87,24 +99,25 @@
     ///
     /// # Errors
     ///
-    /// Fails when no complete reply arrives within the timeout.
+    /// Fails when the server is silent for too long before or during its reply.
     pub async fn call(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
     ) -> Result<HttpReply, HttpError> {
-        self.exchange(self.request(method, path, body)?).await
+        let request = self.request(method, path, body)?;
+        self.exchange(self.bounds, request, None).await
     }
 
-    /// Makes a call with additional headers and its own timeout.
+    /// Makes a call with additional headers and its own bounds.
     ///
     /// # Errors
     ///
-    /// Fails when no complete reply arrives within the timeout.
-    pub async fn call_with_timeout(
+    /// Fails when the server is silent for too long before or during its reply.
+    pub async fn call_with_bounds(
         &self,
-        timeout: Duration,
+        bounds: impl Into<ReplyBounds>,
         (method, path): (Method, &str),
         headers: &[(&'static str, HeaderValue)],
         body: Bytes,
@@ -113,13 +126,28 @@
         for (name, value) in headers {
             request.headers_mut().insert(*name, value.clone());
         }
-        self.exchange_with_timeout(timeout, request).await
+        self.exchange(bounds.into(), request, None).await
+    }
+
+    /// Reads a resource, and publishes the number of bytes received so far.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server is silent for too long before or during its reply.
+    pub async fn read_with_progress(
+        &self,
+        bounds: ReplyBounds,
+        path: &str,
+        progress: &watch::Sender<u64>,
+    ) -> Result<HttpReply, HttpError> {
+        let request = self.request(Method::GET, path, Bytes::new())?;
+        self.exchange(bounds, request, Some(progress)).await
     }
 
     /// Creates a client for the same server that shares no connections with this one.
     #[must_use]
     pub fn with_new_connections(&self) -> Self {
-        Self::new(self.address, self.timeout)
+        Self::new(self.address, self.bounds)
     }
 
     /// Reads a resource. If its entity tag still matches `etag`, the reply has status 304 and no
@@ -127,7 +155,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no complete reply arrives within the timeout.
+    /// Fails when the server is silent for too long before or during its reply.
     pub async fn read_if_changed(
         &self,
         path: &str,
@@ -137,47 +165,26 @@
         if let Some(etag) = etag {
             request.headers_mut().insert(IF_NONE_MATCH, etag);
         }
-        self.exchange(request).await
-    }
-
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpReply, HttpError> {
-        self.exchange_with_timeout(self.timeout, request).await
+        self.exchange(self.bounds, request, None).await
     }
 
-    async fn exchange_with_timeout(
+    async fn exchange(
         &self,
-        timeout: Duration,
+        bounds: ReplyBounds,
         request: Request<Full<Bytes>>,
+        progress: Option<&watch::Sender<u64>>,
     ) -> Result<HttpReply, HttpError> {
-        let mut received_bytes = 0;
-        let mut expected_bytes = None;
-        let exchange = async {
-            let response = self.send(request).await?;
-            let status = response.status();
-            let etag = response.headers().get(ETAG).cloned();
-            expected_bytes = response.body().size_hint().exact();
-            let mut body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES);
-            let mut content = BytesMut::new();
-            while let Some(frame) = body.frame().await {
-                let frame = frame.map_err(|error| HttpError::NoReply {
-                    reason: error.to_string(),
-                    received_bytes,
-                })?;
-                if let Ok(data) = frame.into_data() {
-                    received_bytes += data.len() as u64;
-                    content.extend_from_slice(&data);
-                }
-            }
-            let body = content.freeze();
-            Ok(HttpReply { status, body, etag })
-        };
-        let result = tokio::time::timeout(timeout, exchange).await;
-        result.unwrap_or_else(|_| {
-            Err(HttpError::NoReply {
-                reason: timeout_reason(timeout, received_bytes, expected_bytes),
-                received_bytes,
-            })
-        })
+        let upload_bytes = request.body().size_hint().lower();
+        let bounds = bounds.with_upload(upload_bytes);
+        let response = tokio::time::timeout(bounds.head(), self.send(request)).await;
+        let response = response.map_err(|_| ReplyError::NotBegun {
+            waited_ms: bounds.head_ms,
+        })??;
+        let status = response.status();
+        let etag = response.headers().get(ETAG).cloned();
+        let body = response.into_body();
+        let body = read_body(body, bounds, RESPONSE_MAX_BYTES, progress).await?;
+        Ok(HttpReply { status, body, etag })
     }
 
     /// Makes a call and returns the response when its head has arrived, for bodies that are
@@ -232,17 +239,6 @@
     }
 }
 
-/// Tells a server that is silent from one whose reply is slow.
-fn timeout_reason(timeout: Duration, received_bytes: u64, expected_bytes: Option<u64>) -> String {
-    let timeout_ms = timeout.as_millis();
-    match expected_bytes {
-        Some(expected) => {
-            format!("timeout after {timeout_ms} ms, {received_bytes} of {expected} bytes received")
-        }
-        None => format!("timeout after {timeout_ms} ms, {received_bytes} bytes received"),
-    }
-}
-
 /// Returns the text of the innermost cause, which names the failed system call, and whether the
 /// connection was refused.
 fn root_cause(error: &(dyn std::error::Error + 'static)) -> (String, bool) {
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod operator_api;
 pub mod peer_link;
 pub mod problem;
+pub mod reply;
 pub mod server;
 pub mod upstream_link;
 pub mod worker_gateway;
