Count a reply that is arriving as a sign of the store

A daemon takes 3 s without an answer or failure of the store as a suspension of its process, and 2 s as an outage in which it asks peers, whose answer would take a part of the link.

Change: a watch reports every 250 ms that a part of a long reply has arrived. The suspension and the outage count from there; what is confirmed still counts from the request.

--- a/crates/daemon/src/controller/observe.rs
+++ b/crates/daemon/src/controller/observe.rs
@@ -30,7 +30,7 @@
                 }
                 self.view.revision = *revision;
             }
-            WatchEvent::Disconnected { .. } => return,
+            WatchEvent::Receiving | WatchEvent::Disconnected { .. } => return,
         }
         self.publish();
     }
--- a/crates/daemon/src/jobs/config_sync.rs
+++ b/crates/daemon/src/jobs/config_sync.rs
@@ -118,6 +118,11 @@
                     Update::Deleted(_) => None,
                 })
                 .collect(),
+            WatchEvent::Receiving => {
+                self.source.store_sending(self.options.clock.now());
+                self.publish_confirmation();
+                return;
+            }
             WatchEvent::Disconnected { reason } => {
                 self.mark_disconnected(&reason);
                 return;
--- a/crates/daemon/src/jobs/frontend/view.rs
+++ b/crates/daemon/src/jobs/frontend/view.rs
@@ -12,6 +12,7 @@
         match event {
             WatchEvent::Snapshot { revision, entries } => self.apply_snapshot(revision, entries),
             WatchEvent::Changed { revision, updates } => self.apply_changes(revision, updates),
+            WatchEvent::Receiving => {}
             WatchEvent::Disconnected { reason } => self.mark_store_unreachable(&reason),
         }
     }
--- a/crates/daemon/src/jobs/leader/events.rs
+++ b/crates/daemon/src/jobs/leader/events.rs
@@ -62,7 +62,7 @@
                     }
                 }
             }
-            WatchEvent::Disconnected { .. } => {}
+            WatchEvent::Receiving | WatchEvent::Disconnected { .. } => {}
         }
     }
 
@@ -79,7 +79,7 @@
                 Update::Put(entry) => &*entry.key == LEADER_MARKER_KEY && !is_own(entry),
                 Update::Deleted(key) => &**key == LEADER_MARKER_KEY,
             }),
-            WatchEvent::Disconnected { .. } => false,
+            WatchEvent::Receiving | WatchEvent::Disconnected { .. } => false,
         }
     }
 
@@ -94,6 +94,7 @@
                     Update::Deleted(_) => None,
                 })
                 .collect(),
+            WatchEvent::Receiving => Vec::new(),
             WatchEvent::Disconnected { reason } => {
                 debug!(self.options.log, "a watch does not answer"; "of" => watched, "reason" => reason);
                 Vec::new()
@@ -129,6 +130,7 @@
                 }
             }
             WatchEvent::Changed { updates, .. } if updates.is_empty() => return,
+            WatchEvent::Receiving => return,
             WatchEvent::Changed { updates, .. } => {
                 for update in updates {
                     match update {
@@ -227,6 +229,7 @@
                     }
                 }
             }
+            WatchEvent::Receiving => {}
             WatchEvent::Disconnected { reason } => {
                 debug!(self.options.log, "the watch of workers does not answer"; "reason" => reason);
             }
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -159,7 +159,9 @@
         let (revision, entries) = loop {
             match jobs.recv().await? {
                 WatchEvent::Snapshot { revision, entries } => break (revision, entries),
-                WatchEvent::Changed { .. } | WatchEvent::Disconnected { .. } => {}
+                WatchEvent::Changed { .. }
+                | WatchEvent::Receiving
+                | WatchEvent::Disconnected { .. } => {}
             }
         };
         let renewal = lease::renew(options.kv.clone(), Arc::clone(&options.clock), lease.id).await;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -226,7 +226,7 @@
                 }
                 *revision
             }
-            WatchEvent::Disconnected { .. } => return,
+            WatchEvent::Receiving | WatchEvent::Disconnected { .. } => return,
         };
         self.publish(revision);
     }
--- a/crates/daemon/src/rollout.rs
+++ b/crates/daemon/src/rollout.rs
@@ -196,6 +196,7 @@
                     }
                 }
             }
+            WatchEvent::Receiving => self.mark_platform_reachable(),
             WatchEvent::Disconnected { reason } => {
                 if !matches!(self.platform, Reachability::Unreachable { .. }) {
                     self.record_platform(&format!("not reachable: {reason}"));
--- a/crates/domain/src/config_source.rs
+++ b/crates/domain/src/config_source.rs
@@ -20,8 +20,9 @@
 /// least every 1.2 s.
 const FRESH_AGE_MS: u64 = 2_000;
 
-/// Time without an answer or a failure of the store after which this process must have been suspended: each
-/// call to the store ends within 1.7 s. It is also the time within which a withdrawn key must be refused.
+/// Time without an answer, a part of one, or a failure of the store after which this process must have been
+/// suspended: each call to the store is silent for 1.2 s at most, with 0.5 s between two calls. It is also the time
+/// within which a withdrawn key must be refused.
 const SUSPENDED_AFTER_MS: u64 = 3_000;
 
 /// How current the version in force is.
@@ -29,7 +30,7 @@
 pub struct Confirmation {
     /// When the version was last confirmed.
     pub confirmed_at: Option<Millis>,
-    /// When the store last answered or failed.
+    /// When the store last answered, sent a part of an answer, or failed.
     pub store_event_at: Millis,
 }
 
@@ -119,6 +120,8 @@
     store_version: Option<u64>,
     /// Time of the last answer or failure of the store; the next request was sent after it.
     store_event_at: Millis,
+    /// When a part of the answer to that request last arrived.
+    receiving_at: Option<Millis>,
     /// Since when the store has confirmed nothing.
     failing_since: Option<Millis>,
     peers: SlotMap<DaemonKey, ConfigPeer>,
@@ -141,6 +144,7 @@
             confirmed_at: None,
             store_version: None,
             store_event_at: now,
+            receiving_at: None,
             failing_since: None,
             peers: SlotMap::default(),
             order: Vec::new(),
@@ -153,10 +157,10 @@
 
     /// How current the version in force is.
     #[must_use]
-    pub const fn confirmation(&self) -> Confirmation {
+    pub fn confirmation(&self) -> Confirmation {
         Confirmation {
             confirmed_at: self.confirmed_at,
-            store_event_at: self.store_event_at,
+            store_event_at: self.receiving_at.unwrap_or(self.store_event_at),
         }
     }
 
@@ -192,7 +196,12 @@
         } else {
             self.failing_since = self.failing_since.or(Some(now));
         }
-        self.store_event_at = now;
+        self.end_request(now);
+    }
+
+    /// Applies a part of an answer of the store. What the answer confirms is known when it is complete.
+    pub fn store_sending(&mut self, now: Millis) {
+        self.receiving_at = Some(now);
     }
 
     /// Applies a failure of the store.
@@ -200,7 +209,12 @@
         // The next answer lists the store's version again.
         self.store_version = None;
         self.failing_since = self.failing_since.or(Some(now));
+        self.end_request(now);
+    }
+
+    fn end_request(&mut self, now: Millis) {
         self.store_event_at = now;
+        self.receiving_at = None;
     }
 
     /// Replaces the daemons that can be asked.
@@ -221,15 +235,18 @@
         self.position = same.unwrap_or(self.position);
     }
 
-    /// When a peer is to be asked; `None` while the store answers, a question is open or no peer is known.
+    /// When a peer is to be asked; `None` while the store answers, a question is open or no peer is known. While an
+    /// answer of the store is arriving, that of a peer would only take a part of the link.
     #[must_use]
     pub fn ask_at(&self) -> Option<Millis> {
         if self.question.is_some() || self.order.is_empty() {
             return None;
         }
-        let silent_from = self
-            .failing_since
-            .unwrap_or(self.store_event_at.after_ms(SILENT_AFTER_MS));
+        let silent_from = match (self.receiving_at, self.failing_since) {
+            (Some(receiving_at), _) => receiving_at.after_ms(SILENT_AFTER_MS),
+            (None, Some(failing_since)) => failing_since,
+            (None, None) => self.store_event_at.after_ms(SILENT_AFTER_MS),
+        };
         let next = self.asked_at.map(|at| at.after_ms(ASK_INTERVAL_MS));
         Some(
             silent_from
--- a/crates/domain/tests/config_source.rs
+++ b/crates/domain/tests/config_source.rs
@@ -189,3 +189,28 @@
     source.store_failed(ms(60_100));
     assert_eq!(lenient.refusal(source.confirmation(), ms(60_200)), None);
 }
+
+/// Guards against a daemon that refuses calls as if it had been suspended, or asks peers for what the store is sending
+/// already, while a large configuration arrives over a thin link; and against a part of an answer that confirms a
+/// version or hides a suspension.
+#[test]
+fn an_answer_under_way_shows_that_the_store_is_heard() {
+    let mut source = source();
+    let lenient = RevocationBound::default();
+    for now in (11_000..20_000).step_by(250) {
+        source.store_sending(ms(now));
+        assert_eq!(lenient.refusal(source.confirmation(), ms(now)), None);
+        assert!(source.ask_at() >= Some(ms(now + 2_000)), "{now}");
+    }
+    assert_eq!(source.confirmation().confirmed_at, Some(ms(10_000)));
+    let refusal = lenient.refusal(source.confirmation(), ms(60_000));
+    assert_eq!(refusal, Some(KeyRefusal::Suspended));
+    source.store_answered(Some(4), ms(60_100));
+    assert_eq!(source.confirmation().confirmed_at, Some(ms(10_700)));
+    source.store_failed(ms(61_000));
+    let (asked_at, _) = ask(&mut source).expect("a peer");
+    assert!(asked_at < ms(62_000), "{asked_at:?}");
+    source.peer_failed();
+    source.store_sending(ms(62_000));
+    assert!(source.ask_at() >= Some(ms(64_000)), "the store answers");
+}
--- a/crates/ports/src/kv.rs
+++ b/crates/ports/src/kv.rs
@@ -127,6 +127,8 @@
         /// The changes.
         updates: Vec<Update>,
     },
+    /// A part of a long reply has arrived, and the rest is under way.
+    Receiving,
     /// The store is not reachable; the watch keeps retrying.
     Disconnected {
         /// Description of the failure.
