Give up a peer's answer by its silence

Cause: the same as in the store's client, in the client of jsonrpsee, whose only bound is on the whole call: 500 ms for the configuration of a peer, 1 s for the link between members, which carries documents of 900,000 bytes.

Change: one client for calls between daemons, with the bounds on silence of the HTTP client in its transport.

--- a/crates/adapters/src/config_link.rs
+++ b/crates/adapters/src/config_link.rs
@@ -3,11 +3,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use jsonrpsee::core::ClientError;
 use jsonrpsee::core::client::ClientT;
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee::rpc_params;
 use jsonrpsee::server::{RpcModule, Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
@@ -20,15 +18,19 @@
 use snafu::{ResultExt, Snafu};
 use tokio::task::JoinHandle;
 
+use crate::reply::ReplyBounds;
+use crate::rpc_client::{self, MESSAGE_MAX_BYTES, RpcClient};
+
 const METHOD: &str = "queue_config";
 /// A daemon asks one peer at a time.
 const CALL_CAPACITY: usize = 1;
-/// A peer answers from its memory. Two peers can be asked within the interval of 1 s between questions.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// A peer answers from its memory. Two silent peers can be given up within the interval of 1 s between questions.
+const ANSWER_BOUNDS: ReplyBounds = ReplyBounds {
+    head_ms: 500,
+    pause_ms: 500,
+};
 /// Code of an error answer; the question may be sent to another daemon.
 const STOPPING_CODE: i32 = -32_000;
-/// Leaves room for a configuration of the store's largest value, which grows when it is escaped.
-const MESSAGE_MAX_BYTES: u32 = 4 << 20;
 
 /// Why the server did not start.
 #[derive(Debug)]
@@ -144,7 +146,7 @@
 struct ConfigClient {
     metrics: Metrics,
     /// Client of the peer that answered last, whose connection is open.
-    latest: Option<(SocketAddr, HttpClient)>,
+    latest: Option<(SocketAddr, RpcClient)>,
 }
 
 impl ConfigClient {
@@ -166,7 +168,8 @@
     ) -> Result<ConfigAnswer, ConfigLinkError> {
         let client = match self.latest.take() {
             Some((latest, client)) if latest == address => client,
-            _ => connect(address)?,
+            _ => rpc_client::connect(address, ANSWER_BOUNDS)
+                .map_err(|_| ConfigLinkError::Unreachable { address })?,
         };
         let question = QuestionMessage {
             from: question.from,
@@ -187,19 +190,10 @@
     }
 }
 
-fn connect(address: SocketAddr) -> Result<HttpClient, ConfigLinkError> {
-    HttpClientBuilder::default()
-        .request_timeout(CALL_TIMEOUT)
-        .max_request_size(MESSAGE_MAX_BYTES)
-        .max_response_size(MESSAGE_MAX_BYTES)
-        .build(format!("http://{address}"))
-        .map_err(|_| ConfigLinkError::Unreachable { address })
-}
-
 /// Keeps only the kind of an error: the text of one may quote the answer, which contains API keys.
 fn link_error(address: SocketAddr, error: &ClientError) -> ConfigLinkError {
     match error {
-        ClientError::RequestTimeout => ConfigLinkError::TimedOut { address },
+        error if rpc_client::is_timeout(error) => ConfigLinkError::TimedOut { address },
         ClientError::Transport(_) => ConfigLinkError::Unreachable { address },
         _ => ConfigLinkError::Unusable { address },
     }
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peer_link;
 pub mod problem;
 pub mod reply;
+mod rpc_client;
 pub mod server;
 pub mod upstream_link;
 pub mod worker_gateway;
--- a/crates/adapters/src/peer_link.rs
+++ b/crates/adapters/src/peer_link.rs
@@ -2,10 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use jsonrpsee::core::client::ClientT;
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee::rpc_params;
 use jsonrpsee::server::{RpcModule, Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
@@ -18,14 +16,18 @@
 use snafu::{ResultExt, Snafu};
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::reply::ReplyBounds;
+use crate::rpc_client::{self, MESSAGE_MAX_BYTES, RpcClient};
+
 const METHOD: &str = "peer_call";
 const CALL_QUEUE_CAPACITY: usize = 256;
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const REPLY_BOUNDS: ReplyBounds = ReplyBounds {
+    head_ms: 1_000,
+    pause_ms: 1_000,
+};
 /// Maximum number of cached clients of daemons that are not members of the environment: peers named
 /// in the settings and members of other environments.
 const MAX_NON_MEMBER_CLIENTS: usize = 64;
-/// Leaves room for a document of 900,000 bytes, which grows when it is escaped as a JSON string.
-const MESSAGE_MAX_BYTES: u32 = 4 << 20;
 
 /// Why the server did not start.
 #[derive(Debug)]
@@ -157,14 +159,14 @@
     options: PeerLinkOptions,
     members: MemberWatch,
     member_clients: FastMap<Arc<str>, PeerClient>,
-    non_member_clients: FastMap<SocketAddr, HttpClient>,
+    non_member_clients: FastMap<SocketAddr, RpcClient>,
     in_flight: JoinSet<()>,
 }
 
 #[derive(Clone)]
 struct PeerClient {
     address: SocketAddr,
-    client: HttpClient,
+    client: RpcClient,
 }
 
 impl PeerClients {
@@ -221,7 +223,7 @@
 
     /// Returns the client of a member. Clients of former members are removed, and a client is
     /// replaced when the member's address has changed.
-    fn member_client(&mut self, name: &Arc<str>) -> Result<HttpClient, PeerError> {
+    fn member_client(&mut self, name: &Arc<str>) -> Result<RpcClient, PeerError> {
         let view = self.members.borrow().clone();
         self.member_clients
             .retain(|name, _| view.members.contains_key(name));
@@ -248,7 +250,7 @@
     }
 
     /// Returns the client of a daemon that is not a member of the environment.
-    fn client_at(&mut self, name: &Arc<str>, address: SocketAddr) -> Result<HttpClient, PeerError> {
+    fn client_at(&mut self, name: &Arc<str>, address: SocketAddr) -> Result<RpcClient, PeerError> {
         if let Some(client) = self.non_member_clients.get(&address) {
             return Ok(client.clone());
         }
@@ -261,14 +263,9 @@
     }
 }
 
-fn connect(name: &Arc<str>, address: SocketAddr) -> Result<HttpClient, PeerError> {
-    HttpClientBuilder::default()
-        .request_timeout(CALL_TIMEOUT)
-        .max_request_size(MESSAGE_MAX_BYTES)
-        .max_response_size(MESSAGE_MAX_BYTES)
-        .build(format!("http://{address}"))
-        .map_err(|error| PeerError::Unreachable {
-            name: Arc::clone(name),
-            reason: error.to_string(),
-        })
+fn connect(name: &Arc<str>, address: SocketAddr) -> Result<RpcClient, PeerError> {
+    rpc_client::connect(address, REPLY_BOUNDS).map_err(|error| PeerError::Unreachable {
+        name: Arc::clone(name),
+        reason: error.to_string(),
+    })
 }
