Send what a gateway answers in frames that a thin link carries in time

Answers of workers that arrive together were sent as one frame; 24 answers with 600 runs each take 2.6 s of a link of 2 Mbit/s, so the gateway counted as lost, its calls ended as LinkClosed, and its workers moved, after each poll.

Change: a frame takes no further message above 32 KiB. Orders are divided by the same rule; their direction was not shown to fail, since 128 orders of 4 KB stay below the 3 s of the gateway. The bounds and the age of orders are unchanged.

the_answers_of_many_workers_arrive_over_a_thin_link failed before (LinkClosed) and passes.

--- a/crates/adapters/src/worker_gateway/server.rs
+++ b/crates/adapters/src/worker_gateway/server.rs
@@ -423,10 +423,18 @@
     }
 
     async fn send_results(&mut self) -> Result<(), Arc<str>> {
+        let results = std::mem::take(&mut self.links.results);
+        for results in wire::result_frames(results) {
+            self.send_frame(results).await?;
+        }
+        Ok(())
+    }
+
+    async fn send_frame(&mut self, results: Vec<GatewayResult>) -> Result<(), Arc<str>> {
         let frame = ResultFrame {
             sent_at_ms: self.options.clock.now().as_ms(),
             leaving: self.leaving,
-            results: std::mem::take(&mut self.links.results),
+            results,
         };
         let frame = wire::encode(&frame).map_err(|error| Arc::from(error.to_string()))?;
         match timeout(LEADER_TIMEOUT, self.frames.send(frame)).await {
--- a/crates/adapters/src/worker_gateway/session.rs
+++ b/crates/adapters/src/worker_gateway/session.rs
@@ -137,8 +137,10 @@
             _ = heartbeat.tick() => Vec::new(),
             () = &mut silence => return "no frame in time".into(),
         };
-        if let Err(reason) = send(&mut frames, &OrderFrame { seen_ms, orders }).await {
-            return reason;
+        for orders in wire::order_frames(orders) {
+            if let Err(reason) = send(&mut frames, &OrderFrame { seen_ms, orders }).await {
+                return reason;
+            }
         }
     }
 }
--- a/crates/adapters/src/worker_gateway/wire.rs
+++ b/crates/adapters/src/worker_gateway/wire.rs
@@ -14,6 +14,13 @@
 pub(super) const PROTOCOL_VERSION: u32 = 1;
 /// A frame holds the orders or results of one cycle, each of a few kilobytes at most.
 const FRAME_MAX_BYTES: usize = 16 << 20;
+/// Size at which a frame takes no further message. The other side hears a frame when it is complete, so a link of
+/// 2 Mbit/s must carry one well within the times below.
+const FULL_FRAME_BYTES: usize = 32 << 10;
+/// Size of a message without its texts and rows, with a margin.
+const MESSAGE_BYTES: usize = 64;
+/// Size of a row of a worker's answer.
+const ROW_BYTES: usize = 64;
 /// Interval at which each side sends a frame when it has nothing else to send.
 pub(super) const HEARTBEAT_INTERVAL_MS: u64 = 200;
 /// Time without a frame after which a leader gives up a gateway. A gateway with a small share of a
@@ -87,6 +94,19 @@
     },
 }
 
+impl GatewayOrder {
+    /// Estimated size in a frame.
+    fn estimated_bytes(&self) -> usize {
+        let texts_bytes = match self {
+            Self::Start {
+                text, checkpoint, ..
+            } => text.len() + checkpoint.len(),
+            _ => 0,
+        };
+        MESSAGE_BYTES + texts_bytes
+    }
+}
+
 /// Results of a gateway.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -106,6 +126,46 @@
     Poll { call: u64, result: PollResult },
 }
 
+impl GatewayResult {
+    /// Estimated size in a frame.
+    fn estimated_bytes(&self) -> usize {
+        let rows = match self {
+            Self::Poll {
+                result: PollResult::Listed(listing) | PollResult::ListedInPart(listing, _),
+                ..
+            } => listing.running.len() + listing.ended.len(),
+            _ => 0,
+        };
+        MESSAGE_BYTES + rows * ROW_BYTES
+    }
+}
+
+/// Divides orders among frames that a thin link carries in time. There is always one frame, which may be empty.
+pub(super) fn order_frames(orders: Vec<GatewayOrder>) -> Vec<Vec<GatewayOrder>> {
+    divide(orders, GatewayOrder::estimated_bytes)
+}
+
+/// Divides results among frames, as [`order_frames`] does.
+pub(super) fn result_frames(results: Vec<GatewayResult>) -> Vec<Vec<GatewayResult>> {
+    divide(results, GatewayResult::estimated_bytes)
+}
+
+fn divide<T>(messages: Vec<T>, estimated_bytes: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let mut frames = vec![Vec::new()];
+    let mut frame_bytes = 0;
+    for message in messages {
+        if frame_bytes >= FULL_FRAME_BYTES {
+            frames.push(Vec::new());
+            frame_bytes = 0;
+        }
+        frame_bytes += estimated_bytes(&message);
+        if let Some(frame) = frames.last_mut() {
+            frame.push(message);
+        }
+    }
+    frames
+}
+
 pub(super) type FrameStream = Framed<TcpStream, LengthDelimitedCodec>;
 
 pub(super) fn frames(stream: TcpStream) -> FrameStream {
--- a/crates/adapters/tests/worker_gateway.rs
+++ b/crates/adapters/tests/worker_gateway.rs
@@ -13,11 +13,12 @@
 };
 use rosemaryscale_domain::job::{TaskName, TaskPosition};
 use rosemaryscale_domain::schedule::order::{
-    Listing, OrderResult, PollOrder, PollResult, StartOrder,
+    ListedRun, Listing, OrderResult, PollOrder, PollResult, StartOrder,
 };
 use rosemaryscale_domain::worker_route::GatewayOffer;
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::{StartLinks, WorkerCall, WorkerCalls, WorkerEvent, WorkerEvents};
+use rosemaryscale_standins::ThinLink;
 use slog::{Discard, Drain, Logger, Never, OwnedKVList, Record, o};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -162,14 +163,7 @@
         let run = self.runs.insert(());
         let order = StartOrder {
             run,
-            task: TaskName {
-                job: "5c0e7a21d94b36f8".into(),
-                position: TaskPosition {
-                    occurrence: 0,
-                    step: 0,
-                    index: 0,
-                },
-            },
+            task: task_name(0),
             number: 1,
             text: "text".into(),
             deadline_ms: 5_000,
@@ -241,6 +235,104 @@
     }
 }
 
+fn task_name(index: u32) -> TaskName {
+    TaskName {
+        job: "5c0e7a21d94b36f8".into(),
+        position: TaskPosition {
+            occurrence: 0,
+            step: 0,
+            index,
+        },
+    }
+}
+
+/// Links that answer every poll at once with many active runs.
+fn busy_links() -> (WorkerCalls, WorkerEvents, JoinHandle<()>) {
+    const RUNS: u32 = 600;
+    let (calls, mut receiver) = mpsc::channel(64);
+    let (events, results) = mpsc::unbounded_channel();
+    let running: Vec<ListedRun> = (0..RUNS)
+        .map(|index| ListedRun {
+            task: task_name(index),
+            number: 1,
+            checkpoint: "00000bb87a21d94b".into(),
+            percent: 50,
+            gauge: 500,
+        })
+        .collect();
+    let task = tokio::spawn(async move {
+        while let Some(call) = receiver.recv().await {
+            let WorkerCall::Poll(worker, _) = call else {
+                continue;
+            };
+            let listing = Listing {
+                clock_ms: GATEWAY,
+                running: running.clone(),
+                ..Listing::default()
+            };
+            let result = PollResult::Listed(listing);
+            let _ = events.send(WorkerEvent::Polled { worker, result });
+        }
+    });
+    (calls, results, task)
+}
+
+/// Guards against a gateway that counts as lost because the answers of its workers, which arrive together, fill a frame
+/// that takes longer on a thin link than the time without a frame after which the leader gives up.
+#[tokio::test]
+async fn the_answers_of_many_workers_arrive_over_a_thin_link() {
+    const WORKERS: usize = 24;
+    const KBIT_PER_S: u64 = 2_000;
+    let gateway = start_gateway(busy_links).await;
+    let address = gateway.offer.address.parse().expect("an address");
+    let link = ThinLink::start(address, KBIT_PER_S).await;
+    let link = link.expect("a free port");
+    let mut leader = Leader::start(5).await;
+    let offer = GatewayOffer {
+        address: link.address().to_string().into(),
+        ..gateway.offer.clone()
+    };
+    leader.router.offers.send_replace(vec![offer]);
+    leader.poll_until(GATEWAY).await;
+    let mut workers: SlotMap<WorkerKey, ()> = SlotMap::with_key();
+    // The first key is that of the leader's own worker.
+    workers.insert(());
+    let poll = PollOrder {
+        deadline_ms: Some(5_000),
+        acknowledged: 0,
+        wait_ms: 0,
+    };
+    let mut polls = Vec::new();
+    for index in 0..WORKERS {
+        let worker = workers.insert(());
+        polls.push(worker);
+        leader
+            .call(WorkerCall::Open {
+                worker,
+                id: format!("w-{index}").into(),
+                address: "127.0.0.1:1".into(),
+                availability_zone: "a".into(),
+                fencing_token: 5,
+            })
+            .await;
+    }
+    // The first poll moves an idle worker to the gateway, the second one goes through it.
+    for _ in 0..2 {
+        for worker in &polls {
+            let poll = WorkerCall::Poll(*worker, poll.clone());
+            leader.call(poll).await;
+        }
+        for _ in &polls {
+            let event = leader.event().await;
+            let WorkerEvent::Polled { result, .. } = event else {
+                panic!("unexpected {event:?}");
+            };
+            assert!(matches!(result, PollResult::Listed(_)), "{result:?}");
+        }
+    }
+    link.stop().await;
+}
+
 /// Guards against runs and polls that wait for ever for the result of a lost gateway, and against a worker
 /// that counts as unresponsive because of it.
 #[tokio::test]
