Do not reopen a watch while a line of it is arriving

A document of 900,000 bytes needs 9.6 s of a link of 1 Mbit/s, so it was never delivered.

Change: the watch stays open while bytes of a line arrive, with pauses of 1 s at most. A silent connection is still reopened after 6 s.

--- a/crates/adapters/src/kv_client/watch.rs
+++ b/crates/adapters/src/kv_client/watch.rs
@@ -9,6 +9,7 @@
 use rosemaryscale_ports::kv::{KeyRange, KvResult, WatchEvent};
 use rosemaryscale_ports::prelude::*;
 use serde_json::Value;
+use tokio::time::Instant;
 
 use super::{KvClient, wire};
 use crate::http_client::HttpError;
@@ -16,6 +17,9 @@
 /// A watch is reopened after this time, so that an unresponsive connection delays a change by at
 /// most this time.
 const REOPEN_INTERVAL: Duration = Duration::from_secs(6);
+/// Time without a byte after which a line that has begun to arrive is given up. A thin link may need longer than the
+/// interval above for a line.
+const LINE_PAUSE: Duration = Duration::from_secs(1);
 const RETRY_MIN: Duration = Duration::from_millis(200);
 const RETRY_MAX: Duration = Duration::from_secs(2);
 /// A line of the reply contains changed values of up to 1 MB each, encoded in base64.
@@ -100,13 +104,20 @@
     let mut lines = LineReader {
         body: response.into_body(),
         buffer: Vec::new(),
+        received_at: Instant::now(),
     };
     let reopen = tokio::time::sleep(REOPEN_INTERVAL);
     tokio::pin!(reopen);
     loop {
         let line = tokio::select! {
             line = lines.next() => line?,
-            () = &mut reopen => return Ok(StreamEnd::Reopen(revision)),
+            () = &mut reopen => match lines.expected_until() {
+                Some(until) => {
+                    reopen.as_mut().reset(until);
+                    continue;
+                }
+                None => return Ok(StreamEnd::Reopen(revision)),
+            },
             () = events.closed() => return Ok(StreamEnd::Closed),
         };
         let result = line.get("result").unwrap_or(&Value::Null);
@@ -132,9 +143,17 @@
 struct LineReader {
     body: Incoming,
     buffer: Vec<u8>,
+    /// When the last bytes arrived.
+    received_at: Instant,
 }
 
 impl LineReader {
+    /// Until when the rest of a line that is arriving is waited for.
+    fn expected_until(&self) -> Option<Instant> {
+        let until = self.received_at + LINE_PAUSE;
+        (!self.buffer.is_empty() && Instant::now() < until).then_some(until)
+    }
+
     async fn next(&mut self) -> KvResult<Value> {
         let mut searched = 0;
         loop {
@@ -158,6 +177,7 @@
             let frame = frame.map_err(|error| connection_lost(&error.to_string()))?;
             if let Ok(data) = frame.into_data() {
                 self.buffer.extend_from_slice(&data);
+                self.received_at = Instant::now();
             }
         }
     }
