--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header::{ETAG, IF_NONE_MATCH};
-use http::{HeaderValue, Method, Request, StatusCode, Uri};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
@@ -107,7 +107,7 @@
         body: Bytes,
     ) -> Result<HttpReply, HttpError> {
         let request = self.request(method, path, body)?;
-        self.exchange(self.bounds, request, None).await
+        self.exchange(self.bounds, request).await
     }
 
     /// Makes a call with additional headers and its own bounds.
@@ -126,22 +126,30 @@
         for (name, value) in headers {
             request.headers_mut().insert(*name, value.clone());
         }
-        self.exchange(bounds.into(), request, None).await
+        self.exchange(bounds.into(), request).await
     }
 
-    /// Reads a resource, and publishes the number of bytes received so far.
+    /// Reads a resource, and publishes the number of bytes received so far. Returns `None` if the server states a
+    /// length above `max_bytes`; such a body is not read.
     ///
     /// # Errors
     ///
     /// Fails when the server is silent for too long before or during its reply.
-    pub async fn read_with_progress(
+    pub async fn read_at_most(
         &self,
+        max_bytes: u64,
         bounds: ReplyBounds,
         path: &str,
         progress: &watch::Sender<u64>,
-    ) -> Result<HttpReply, HttpError> {
+    ) -> Result<Option<HttpReply>, HttpError> {
         let request = self.request(Method::GET, path, Bytes::new())?;
-        self.exchange(bounds, request, Some(progress)).await
+        let response = self.open(bounds, request).await?;
+        let length_bytes = response.body().size_hint().lower();
+        if length_bytes > max_bytes {
+            return Ok(None);
+        }
+        let reply = complete(response, bounds, Some(progress)).await?;
+        Ok(Some(reply))
     }
 
     /// Creates a client for the same server that shares no connections with this one.
@@ -165,26 +173,30 @@
         if let Some(etag) = etag {
             request.headers_mut().insert(IF_NONE_MATCH, etag);
         }
-        self.exchange(self.bounds, request, None).await
+        self.exchange(self.bounds, request).await
     }
 
     async fn exchange(
         &self,
         bounds: ReplyBounds,
         request: Request<Full<Bytes>>,
-        progress: Option<&watch::Sender<u64>>,
     ) -> Result<HttpReply, HttpError> {
+        let response = self.open(bounds, request).await?;
+        complete(response, bounds, None).await
+    }
+
+    /// Sends a request and waits until the reply begins.
+    async fn open(
+        &self,
+        bounds: ReplyBounds,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, HttpError> {
         let upload_bytes = request.body().size_hint().lower();
         let bounds = bounds.with_upload(upload_bytes);
         let response = tokio::time::timeout(bounds.head(), self.send(request)).await;
-        let response = response.map_err(|_| ReplyError::NotBegun {
+        response.map_err(|_| ReplyError::NotBegun {
             waited_ms: bounds.head_ms,
-        })??;
-        let status = response.status();
-        let etag = response.headers().get(ETAG).cloned();
-        let body = response.into_body();
-        let body = read_body(body, bounds, RESPONSE_MAX_BYTES, progress).await?;
-        Ok(HttpReply { status, body, etag })
+        })?
     }
 
     /// Makes a call and returns the response when its head has arrived, for bodies that are
@@ -198,7 +210,7 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<http::Response<Incoming>, HttpError> {
+    ) -> Result<Response<Incoming>, HttpError> {
         self.send(self.request(method, path, body)?).await
     }
 
@@ -219,10 +231,7 @@
         Ok(request)
     }
 
-    async fn send(
-        &self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<http::Response<Incoming>, HttpError> {
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, HttpError> {
         self.client.request(request).await.map_err(|error| {
             let (reason, refused) = root_cause(&error);
             if error.is_connect() && refused {
@@ -239,6 +248,19 @@
     }
 }
 
+/// Reads the rest of a reply.
+async fn complete(
+    response: Response<Incoming>,
+    bounds: ReplyBounds,
+    progress: Option<&watch::Sender<u64>>,
+) -> Result<HttpReply, HttpError> {
+    let status = response.status();
+    let etag = response.headers().get(ETAG).cloned();
+    let body = response.into_body();
+    let body = read_body(body, bounds, RESPONSE_MAX_BYTES, progress).await?;
+    Ok(HttpReply { status, body, etag })
+}
+
 /// Returns the text of the innermost cause, which names the failed system call, and whether the
 /// connection was refused.
 fn root_cause(error: &(dyn std::error::Error + 'static)) -> (String, bool) {
