--- a/crates/adapters/tests/kv_watch.rs
+++ b/crates/adapters/tests/kv_watch.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use rosemaryscale_adapters::log::DroppedLines;
 use rosemaryscale_adapters::{kv_client, metrics_registry};
 use rosemaryscale_ports::kv::{KeyRange, Update, WatchEvent};
@@ -45,7 +44,7 @@
     let [Update::Put(entry)] = updates.as_slice() else {
         panic!("unexpected {} updates", updates.len());
     };
-    assert!(entry.value == Bytes::from(value));
+    assert!(entry.value == value);
     link.stop().await;
     platform.stop().await;
 }
--- a/crates/adapters/tests/worker_gateway.rs
+++ b/crates/adapters/tests/worker_gateway.rs
@@ -319,7 +319,7 @@
     // The first poll moves an idle worker to the gateway, the second one goes through it.
     for _ in 0..2 {
         for worker in &polls {
-            let poll = WorkerCall::Poll(*worker, poll.clone());
+            let poll = WorkerCall::Poll(*worker, poll);
             leader.call(poll).await;
         }
         for _ in &polls {
