--- a/crates/daemon/src/jobs/config_sync.rs
+++ b/crates/daemon/src/jobs/config_sync.rs
@@ -177,14 +177,18 @@
             return;
         }
         let log = &self.options.log;
+        let bytes = text.as_ref().map(|text| text.len());
+        self.options.metrics.gauge("config.version", config.version);
         match origin {
-            Origin::Store => info!(log, "configuration in force"; "version" => config.version),
+            Origin::Store => {
+                info!(log, "configuration in force"; "version" => config.version, "bytes" => bytes);
+            }
             Origin::Peer { name, confirmed_at } => {
                 let now = self.options.clock.now();
                 let age_ms = confirmed_at.map(|at| now.ms_since(at));
                 self.options.metrics.count("config.peer_versions", 1);
                 info!(log, "configuration in force"; "version" => config.version,
-                    "peer" => name, "age_ms" => age_ms);
+                    "bytes" => bytes, "peer" => name, "age_ms" => age_ms);
             }
         }
         for problem in &config.problems {
