Keep the bandwidth of the thin link on a busy machine

Cause: the stand-in. A relay task that woke late began the next packet at that time, so each late wake-up took away from the bandwidth. Now a packet that follows within 100 ms continues the schedule of the last one; after a pause the link starts anew, without credit.

--- a/crates/standins/src/thin_link.rs
+++ b/crates/standins/src/thin_link.rs
@@ -13,6 +13,9 @@
 
 /// Unit in which connections take turns.
 const PACKET_BYTES: usize = 4_096;
+/// Pause after which the link counts as idle. Within it, the next packet follows the last one without a gap, so that
+/// tasks which wake late on a busy machine do not reduce the bandwidth.
+const IDLE_AFTER: Duration = Duration::from_millis(100);
 /// Packets that may wait for the link; a connection has one at a time.
 const QUEUE_CAPACITY: usize = 256;
 
@@ -109,7 +112,11 @@
             std::future::pending::<()>().await;
         }
         let duration_us = packet.bytes as u64 * 8 * 1_000 / kbit_per_s;
-        free_at = free_at.max(Instant::now()) + Duration::from_micros(duration_us);
+        let now = Instant::now();
+        if now > free_at + IDLE_AFTER {
+            free_at = now;
+        }
+        free_at += Duration::from_micros(duration_us);
         tokio::time::sleep_until(free_at).await;
         let bytes = packet.bytes as u64;
         direction.carried_bytes.fetch_add(bytes, Ordering::Relaxed);
