--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::path::Path;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,7 @@
 
 use crate::fleet::{Fleet, Shape};
 use crate::record;
+use crate::runner::Runner;
 
 /// Result of a case.
 pub struct Outcome {
@@ -20,6 +22,7 @@
 pub fn play(name: &str, program: &Path, has_trouble: bool) -> io::Result<Outcome> {
     match name {
         "store-down" => store_down(program, has_trouble),
+        "crashes" => crashes(program, has_trouble),
         _ => Err(io::Error::other(format!("there is no case {name}"))),
     }
 }
@@ -60,3 +63,85 @@
     broken.sort();
     Ok(Outcome { broken, record: fleet.recorder.text() })
 }
+
+/// Longest wait for something that takes well below a second.
+const SOON: Duration = Duration::from_secs(15);
+
+/// Waits until a condition holds; an error names what was awaited.
+fn wait_for(what: &str, mut holds: impl FnMut() -> bool) -> io::Result<()> {
+    let until = Instant::now() + SOON;
+    while Instant::now() < until {
+        if holds() {
+            return Ok(());
+        }
+        pause(5);
+    }
+    Err(io::Error::other(format!("{what}: not within {} s", SOON.as_secs())))
+}
+
+/// The runner that runs a work unit.
+fn runner_of<'f>(fleet: &'f Fleet, task: &str) -> Option<&'f Arc<Runner>> {
+    let runs = |runner: &&Arc<Runner>| runner.running().iter().any(|(running, _)| running == task);
+    fleet.runners.iter().find(runs)
+}
+
+/// Crashes the runner of a work unit some time after the unit has started there, and starts it again.
+fn crash_under(fleet: &Fleet, task: &str, age_ms: u64) -> io::Result<bool> {
+    let began = Instant::now();
+    while runner_of(fleet, task).is_none() {
+        if began.elapsed() > Duration::from_secs(4) {
+            return Ok(false);
+        }
+        pause(5);
+    }
+    pause(age_ms);
+    let Some(runner) = runner_of(fleet, task).cloned() else {
+        return Ok(false);
+    };
+    runner.crash();
+    thread::spawn(move || {
+        pause(600);
+        runner.restart();
+    });
+    Ok(true)
+}
+
+/// One runner after the other crashes: four times the one on which a unit that lasts has just started, and five times
+/// the one that runs a unit which ends.
+fn crashes(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    const UNITS: usize = 4;
+    const MAY_MISS: usize = 1;
+    let shape = Shape { racks: vec![4, 4, 1], cpu: 32_000, daemons: 3 };
+    let fleet = Fleet::start(program, &shape)?;
+    let (lasting, ending) = ("00000000000000b1", "00000000000000b2");
+    let steps = json!([{"count": UNITS, "cpu": 4000, "mem_mb": 512, "estimated_ms": 1000, "long_running": true,
+        "anti_affinity": 1, "may_miss": MAY_MISS, "image": "site"}]);
+    if !fleet.submit(lasting, &json!([{"lasts": true}]), &steps) {
+        return Err(io::Error::other("the lasting job was not accepted"));
+    }
+    let unit = |index: usize| format!("{lasting}.0.0.{index}");
+    wait_for("all units that last run", || (0..UNITS).all(|index| runner_of(&fleet, &unit(index)).is_some()))?;
+    pause(2_000);
+    if has_trouble {
+        for _ in 0..4 {
+            crash_under(&fleet, &unit(0), 300)?;
+        }
+    }
+    pause(3_000);
+    let lasting_state = fleet.state(lasting);
+    fleet.recorder.note(format!("the job that lasts is shown as {lasting_state}"));
+    let steps = json!([{"count": 1, "cpu": 4000, "mem_mb": 512, "estimated_ms": 5000}]);
+    if !fleet.submit(ending, &json!([{"ms": 5000}]), &steps) {
+        return Err(io::Error::other("the job that ends was not accepted"));
+    }
+    if has_trouble {
+        for _ in 0..5 {
+            crash_under(&fleet, &format!("{ending}.0.0.0"), 1_500)?;
+        }
+    }
+    let ending_state = fleet.final_state(ending, Duration::from_secs(12));
+    fleet.recorder.note(format!("the job that ends is shown as {ending_state}"));
+    let runs = fleet.recorder.runs();
+    let broken = record::stopped_beyond(&runs, &format!("{lasting}.0.0."), MAY_MISS);
+    Ok(Outcome { broken, record: fleet.recorder.text() })
+}
--- a/review/standin-2/src/runner.rs
+++ b/review/standin-2/src/runner.rs
@@ -27,7 +27,7 @@
 /// Ends that a reply lists at most.
 const ENDS_LISTED: usize = 500;
 /// Time from the start of a unit that lasts until it is at work.
-const STARTUP_MS: u64 = 700;
+pub const STARTUP_MS: u64 = 700;
 
 struct Run {
     task: String,
