--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::fleet::{Fleet, Shape};
-use crate::record;
+use crate::record::{self, RunSeen};
 use crate::runner::Runner;
 
 /// Result of a case.
@@ -23,6 +23,7 @@
     match name {
         "store-down" => store_down(program, has_trouble),
         "crashes" => crashes(program, has_trouble),
+        "rack-power" => rack_power(program, has_trouble),
         _ => Err(io::Error::other(format!("there is no case {name}"))),
     }
 }
@@ -145,3 +146,57 @@
     let broken = record::stopped_beyond(&runs, &format!("{lasting}.0.0."), MAY_MISS);
     Ok(Outcome { broken, record: fleet.recorder.text() })
 }
+
+/// The rack of a service loses power for 0.6 s while it works, and its runners start again under their ids.
+fn rack_power(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    /// "if the 3 s and the 4 s before them are calm".
+    const CALM_BEFORE_MS: u64 = 4_000;
+    const WAIT_MAX_MS: u64 = 3_000;
+    let shape = Shape { racks: vec![2], cpu: 32_000, daemons: 3 };
+    let fleet = Fleet::start(program, &shape)?;
+    let (load, later) = ("00000000000000c1", "00000000000000c2");
+    let steps = json!([{"count": 1000, "cpu": 1000, "mem_mb": 64, "estimated_ms": 300}]);
+    if !fleet.submit(load, &json!([{"ms": 300}]), &steps) {
+        return Err(io::Error::other("the first job was not accepted"));
+    }
+    pause(2_000);
+    if has_trouble {
+        for runner in &fleet.runners {
+            runner.lose_power();
+        }
+        pause(600);
+        for runner in &fleet.runners {
+            runner.power_on();
+        }
+    }
+    let back_ms = fleet.recorder.now_ms();
+    pause(1_500);
+    let steps = json!([{"count": 1, "cpu": 2000, "mem_mb": 64, "estimated_ms": 500}]);
+    if !fleet.submit(later, &json!([{"ms": 500}]), &steps) {
+        return Err(io::Error::other("the second job was not accepted"));
+    }
+    let accepted_ms = fleet.recorder.now_ms();
+    let state = fleet.final_state(later, Duration::from_secs(30));
+    fleet.recorder.note(format!("the second job is shown as {state}"));
+    let runs = fleet.recorder.runs();
+    let first_start_ms = runs.iter().filter(|run| run.task.starts_with(later)).map(|run| run.started_ms).min();
+    let from_ms = accepted_ms.max(back_ms + CALM_BEFORE_MS);
+    let waited_to_ms = first_start_ms.unwrap_or_else(|| fleet.recorder.now_ms());
+    let in_use = |at_ms: u64| {
+        let is_open = |run: &&RunSeen| run.started_ms <= at_ms && run.ended.is_none_or(|(ended, _)| ended > at_ms);
+        runs.iter().filter(is_open).count()
+    };
+    // Nothing else may run in the 3 s: the first job takes a core a unit, and 64 are there.
+    let is_idle = (from_ms..from_ms + WAIT_MAX_MS).step_by(10).all(|at_ms| in_use(at_ms) < 30);
+    let mut broken = Vec::new();
+    if waited_to_ms > from_ms + WAIT_MAX_MS && is_idle {
+        broken.push(format!(
+            "{later} was accepted at {accepted_ms} ms, the runners were back at {back_ms} ms, and nothing of it ran \
+             before {waited_to_ms} ms, while under half of the service was in use"
+        ));
+    }
+    for line in fleet.log_lines("worker held") {
+        fleet.recorder.note(line);
+    }
+    Ok(Outcome { broken, record: fleet.recorder.text() })
+}
--- a/review/standin-2/src/runner.rs
+++ b/review/standin-2/src/runner.rs
@@ -143,7 +143,6 @@
         locked(&self.state).ends.len()
     }
 
-    /// Whether the last poll that has come in acknowledged ends and is still waiting.
     fn write_entry(&self) {
         let entry = {
             let mut state = locked(&self.state);
@@ -179,14 +178,37 @@
         }
     }
 
+    /// Loses power: the process ends, and its connections go silent without a reset.
+    pub fn lose_power(&self) {
+        let mut state = locked(&self.state);
+        state.is_up = false;
+        state.is_dark = true;
+        let process = state.process.clone();
+        for run in state.runs.drain(..) {
+            self.recorder.run_ended(&run.task, run.run, &process, "gone");
+        }
+        state.ends.clear();
+        self.recorder.note(format!("{process} loses power"));
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Starts the next process under the same id and address, after the power was lost.
+    pub fn power_on(&self) {
+        self.begin_process();
+        self.write_entry();
+    }
+
+    fn begin_process(&self) {
+        let mut state = locked(&self.state);
+        let lifetime = state.process.rsplit('/').next().and_then(|text| text.parse().ok());
+        *state = State::new(&self.kind.id, lifetime.unwrap_or(1_u64) + 1);
+        self.recorder.note(format!("{} starts", state.process));
+    }
+
     /// Starts the next process under the same id and address.
     pub fn restart(&self) {
-        {
-            let mut state = locked(&self.state);
-            let lifetime = state.process.rsplit('/').next().and_then(|text| text.parse().ok());
-            *state = State::new(&self.kind.id, lifetime.unwrap_or(1_u64) + 1);
-            self.recorder.note(format!("{} starts", state.process));
-        }
+        self.begin_process();
         if let Some(server) = locked(&self.server).as_ref() {
             let _ = server.reopen();
         }
@@ -202,12 +224,12 @@
 
     fn answer(&self, request: &Request) -> Reply {
         let mut state = locked(&self.state);
-        if !state.is_up {
-            return Reply::Close;
-        }
         if state.is_dark {
             return Reply::Silent;
         }
+        if !state.is_up {
+            return Reply::Close;
+        }
         state.advance(&self.recorder);
         let clock_ms = state.clock_ms();
         let addressee = request.headers.get("x-expect-instance");
@@ -236,8 +258,9 @@
                 let until = Instant::now() + Duration::from_millis(wait_ms);
                 let process = state.process.clone();
                 loop {
+                    // A poll that was open when the power was lost is never answered.
                     if !state.is_up || state.process != process {
-                        return Reply::Close;
+                        return Reply::Silent;
                     }
                     let now = Instant::now();
                     if !state.ends.is_empty() || now >= until {
