review: case 6, a new leader starts units again whose ends it has not read

Cause: a runner counts as known after its first answer, which lists at most 500 ends; units whose ends come after those start again.

--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -39,7 +40,7 @@
             let id = is_up.then_some(&kind.id);
             json!({"machine": kind.machine, "pool": kind.service,
                 "state": if is_up { "up" } else { "down" }, "zone": "z-1",
-                "labels": ["a", kind.rack],
+                "labels": [kind.label, kind.rack],
                 "capacity": {"cpu": kind.cpu, "mem_mb": kind.mem_mb, "gpu": 0}, "id": id})
         });
         let rows: Vec<Value> = rows.collect();
@@ -59,7 +60,10 @@
 
 impl Daemon {
     fn spawn(&self, program: &Path) -> io::Result<()> {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let child = Command::new(program)
             .arg("--job-service")
             .env("ROSEMARYSCALE_SETTINGS", &self.settings)
@@ -79,7 +83,13 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let reply = http::call(self.ready_address, ("GET", "/ready"), &[], "", Duration::from_secs(1));
+        let reply = http::call(
+            self.ready_address,
+            ("GET", "/ready"),
+            &[],
+            "",
+            Duration::from_secs(1),
+        );
         reply.is_ok_and(|(status, _)| status == 200)
     }
 }
@@ -98,12 +108,26 @@
 pub struct Shape {
     /// Runners of each rack.
     pub racks: Vec<usize>,
+    /// How many of them, from the first on, are of the kind "b" instead of "a".
+    pub kind_b: usize,
     pub cpu: u64,
     pub daemons: usize,
 }
 
+/// A free address for a server that starts later. Its port is below those that the system gives to connections, which
+/// could take it meanwhile.
 fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    const FIRST_PORT: u32 = 12_000;
+    const PORTS: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORTS {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (std::process::id().wrapping_mul(37) + step) % PORTS;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::Error::other("no port is free"))
 }
 
 impl Fleet {
@@ -126,7 +150,9 @@
         for (rack, count) in shape.racks.iter().enumerate() {
             for _ in 0..*count {
                 let number = runners.len() + 1;
+                let label = if number <= shape.kind_b { "b" } else { "a" };
                 let kind = Kind {
+                    label: label.to_owned(),
                     id: format!("i-{number}"),
                     machine: format!("m-{number}"),
                     service: "work".to_owned(),
@@ -154,7 +180,12 @@
         Ok(fleet)
     }
 
-    fn add_daemon(&self, number: usize, store: SocketAddr, machines: SocketAddr) -> io::Result<Daemon> {
+    fn add_daemon(
+        &self,
+        number: usize,
+        store: SocketAddr,
+        machines: SocketAddr,
+    ) -> io::Result<Daemon> {
         let name = format!("front-z-1-{number}");
         let caller_address = free_address()?;
         let ready_address = free_address()?;
@@ -195,7 +226,18 @@
     /// The daemon that holds the scheduler key.
     pub fn leader(&self) -> Option<&Daemon> {
         let record = self.store.value("rosemaryscale/view/scheduler")?;
-        self.daemons.iter().find(|daemon| Some(daemon.name.as_str()) == record["daemon"].as_str())
+        self.daemons
+            .iter()
+            .find(|daemon| Some(daemon.name.as_str()) == record["daemon"].as_str())
+    }
+
+    /// Ends that wait for their acknowledgement on the runner with the most of them.
+    pub fn most_kept_ends(&self) -> usize {
+        self.runners
+            .iter()
+            .map(|runner| runner.kept_ends())
+            .max()
+            .unwrap_or(0)
     }
 
     pub fn restart(&self, daemon: &Daemon) -> io::Result<()> {
@@ -207,15 +249,28 @@
         for attempt in 0..5 {
             let daemon = &self.daemons[attempt % self.daemons.len()];
             let path = format!("/q/{id}");
-            let headers = [("host", HOST), ("content-type", "application/json"), ("x-deadline-ms", "3000")];
-            let reply = http::call(daemon.caller_address, (method, &path), &headers, body, CLIENT_DEADLINE);
+            let headers = [
+                ("host", HOST),
+                ("content-type", "application/json"),
+                ("x-deadline-ms", "3000"),
+            ];
+            let reply = http::call(
+                daemon.caller_address,
+                (method, &path),
+                &headers,
+                body,
+                CLIENT_DEADLINE,
+            );
             let text = match &reply {
                 Ok((status, body)) => format!("{status} {body}"),
                 Err(error) => format!("no response: {error}"),
             };
-            self.recorder.note(format!("{method} {path} at {}: {text}", daemon.name));
+            self.recorder
+                .note(format!("{method} {path} at {}: {text}", daemon.name));
             match reply {
-                Ok((status, body)) if !matches!(status, 429 | 502 | 503 | 504) => return Some((status, body)),
+                Ok((status, body)) if !matches!(status, 429 | 502 | 503 | 504) => {
+                    return Some((status, body));
+                }
                 _ => thread::sleep(Duration::from_millis(300)),
             }
         }
@@ -224,7 +279,23 @@
 
     pub fn submit(&self, id: &str, spec: &Value, steps: &Value) -> bool {
         let body = json!({"spec": spec.to_string(), "steps": steps}).to_string();
-        self.request("POST", id, &body).is_some_and(|(status, _)| status == 200)
+        self.request("POST", id, &body)
+            .is_some_and(|(status, _)| status == 200)
+    }
+
+    /// `waiting` of the queue as a daemon gives it.
+    pub fn waiting(&self, daemon: &Daemon) -> Option<u64> {
+        let reply = http::call(
+            daemon.caller_address,
+            ("GET", "/q/"),
+            &[("host", HOST)],
+            "",
+            CLIENT_DEADLINE,
+        );
+        let (status, body) = reply.ok()?;
+        self.recorder
+            .note(format!("GET /q/ at {}: {status} {body}", daemon.name));
+        body["waiting"].as_u64().filter(|_| status == 200)
     }
 
     /// State of a job as a client is shown it.
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -3,15 +3,12 @@
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use serde_json::Value;
 
-use crate::locked;
-
 /// A request as a server has read it.
 pub struct Request {
     pub method: String,
@@ -35,44 +32,19 @@
     fn handle(&self, request: &Request) -> Reply;
 }
 
-/// A server on a loopback address that can go down and come back at its address.
+/// A server on a loopback address.
 pub struct Server {
     pub address: SocketAddr,
-    handler: Arc<dyn Handler>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
-    listening: Mutex<Option<Arc<AtomicBool>>>,
 }
 
 impl Server {
-    pub fn start(handler: Arc<dyn Handler>) -> io::Result<Arc<Self>> {
+    /// Listens until the process ends.
+    pub fn start(handler: Arc<dyn Handler>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let server = Arc::new(Self {
-            address: listener.local_addr()?,
-            handler,
-            connections: Arc::default(),
-            listening: Mutex::new(None),
-        });
-        server.serve(listener)?;
-        Ok(server)
-    }
-
-    fn serve(&self, listener: TcpListener) -> io::Result<()> {
-        let is_open = Arc::new(AtomicBool::new(true));
-        *locked(&self.listening) = Some(Arc::clone(&is_open));
-        listener.set_nonblocking(true)?;
-        let handler = Arc::clone(&self.handler);
-        let connections = Arc::clone(&self.connections);
+        let address = listener.local_addr()?;
         thread::spawn(move || {
-            while is_open.load(Ordering::Relaxed) {
-                let Ok((stream, _)) = listener.accept() else {
-                    thread::sleep(Duration::from_millis(1));
-                    continue;
-                };
-                let _ = stream.set_nonblocking(false);
+            for stream in listener.incoming().flatten() {
                 let _ = stream.set_nodelay(true);
-                if let Ok(copy) = stream.try_clone() {
-                    locked(&connections).push(copy);
-                }
                 let handler = Arc::clone(&handler);
                 thread::spawn(move || {
                     let _ = serve_connection(&stream, &*handler);
@@ -80,30 +52,7 @@
                 });
             }
         });
-        Ok(())
-    }
-
-    /// Closes the listener and all connections, as the end of the process does.
-    pub fn close(&self) {
-        if let Some(is_open) = locked(&self.listening).take() {
-            is_open.store(false, Ordering::Relaxed);
-        }
-        // The listener is closed by its thread.
-        thread::sleep(Duration::from_millis(10));
-        for connection in locked(&self.connections).drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
-    }
-
-    /// Listens again at the same address.
-    pub fn reopen(&self) -> io::Result<()> {
-        for _ in 0..200 {
-            if let Ok(listener) = TcpListener::bind(self.address) {
-                return self.serve(listener);
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        Err(io::Error::other("the address is in use"))
+        Ok(Self { address })
     }
 }
 
@@ -141,7 +90,9 @@
     let method = words.next().unwrap_or_default().to_owned();
     let target = words.next().unwrap_or_default().to_owned();
     let headers = read_headers(reader)?;
-    let length = headers.get("content-length").and_then(|text| text.parse().ok());
+    let length = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body)?;
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
@@ -149,7 +100,9 @@
     Ok(Some(Request {
         method,
         path: path.to_owned(),
-        query: query.map(|(name, value)| (name.to_owned(), decoded(value))).collect(),
+        query: query
+            .map(|(name, value)| (name.to_owned(), decoded(value)))
+            .collect(),
         headers,
         body: serde_json::from_slice(&body).unwrap_or(Value::Null),
     }))
@@ -201,7 +154,10 @@
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(timeout))?;
     stream.set_write_timeout(Some(timeout))?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -210,10 +166,15 @@
     let mut reader = BufReader::new(stream);
     let mut line = String::new();
     reader.read_line(&mut line)?;
-    let status = line.split_whitespace().nth(1).and_then(|text| text.parse().ok());
+    let status = line
+        .split_whitespace()
+        .nth(1)
+        .and_then(|text| text.parse().ok());
     let status = status.ok_or(io::ErrorKind::UnexpectedEof)?;
     let headers = read_headers(&mut reader)?;
-    let length = headers.get("content-length").and_then(|text| text.parse().ok());
+    let length = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body)?;
     Ok((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use crate::locked;
-use crate::runner::STARTUP_MS;
 
 /// A run of a work unit at a runner.
 #[derive(Clone, Debug)]
@@ -37,7 +36,10 @@
 
 impl Recorder {
     pub fn new() -> Arc<Self> {
-        Arc::new(Self { began: Instant::now(), seen: Mutex::default() })
+        Arc::new(Self {
+            began: Instant::now(),
+            seen: Mutex::default(),
+        })
     }
 
     pub fn now_ms(&self) -> u64 {
@@ -61,7 +63,8 @@
             ended: None,
             acknowledged_ms: None,
         });
-        seen.by_name.insert((task.to_owned(), run, process.to_owned()), index);
+        seen.by_name
+            .insert((task.to_owned(), run, process.to_owned()), index);
     }
 
     pub fn run_ended(&self, task: &str, run: u64, process: &str, how: &'static str) {
@@ -129,7 +132,9 @@
             for second in &runs[index + 1..] {
                 let text = match first.ended {
                     Some((ended_ms, "done")) if ended_ms <= second.started_ms => {
-                        let Some(acknowledged_ms) = first.acknowledged_ms else { continue };
+                        let Some(acknowledged_ms) = first.acknowledged_ms else {
+                            continue;
+                        };
                         format!(
                             "{task}: run {} on {} ended done at {ended_ms} ms, which was acknowledged at \
                              {acknowledged_ms} ms, and run {} started on {} at {} ms",
@@ -148,37 +153,3 @@
     }
     found
 }
-
-/// Violations of AVAIL in a job that nobody has cancelled: a unit of the step was stopped while it was at work, and
-/// so many others of the step as may be missed had been stopped before and were not at work again.
-pub fn stopped_beyond(runs: &[RunSeen], step: &str, may_miss: usize) -> Vec<String> {
-    let of_step: Vec<&RunSeen> = runs.iter().filter(|run| run.task.starts_with(step)).collect();
-    let at_work_from = |run: &RunSeen| run.started_ms + STARTUP_MS;
-    let is_at_work = |run: &RunSeen, at_ms: u64| {
-        at_work_from(run) <= at_ms && run.ended.is_none_or(|(ended_ms, _)| ended_ms > at_ms)
-    };
-    let stop_of = |run: &RunSeen| match run.ended {
-        Some((ended_ms, "stopped")) => Some(ended_ms),
-        _ => None,
-    };
-    let mut stops: Vec<(u64, &RunSeen)> =
-        of_step.iter().filter_map(|run| Some((stop_of(run)?, *run))).collect();
-    stops.sort_by_key(|(at_ms, _)| *at_ms);
-    let mut found = Vec::new();
-    for (index, (at_ms, run)) in stops.iter().enumerate() {
-        let was_at_work = at_work_from(run) < *at_ms;
-        let away = stops[..index].iter().filter(|(_, other)| {
-            other.task != run.task
-                && !of_step.iter().any(|again| again.task == other.task && is_at_work(again, *at_ms))
-        });
-        let away = away.count();
-        if was_at_work && away >= may_miss {
-            found.push(format!(
-                "{} was at work on {} and was stopped at {at_ms} ms, while {away} others of its step had been \
-                 stopped and {may_miss} may be missed",
-                run.task, run.process
-            ));
-        }
-    }
-    found
-}
--- a/review/standin-2/src/runner.rs
+++ b/review/standin-2/src/runner.rs
@@ -26,8 +26,10 @@
 const STOP_TIME_MS: u64 = 60;
 /// Ends that a reply lists at most.
 const ENDS_LISTED: usize = 500;
+/// Time from the start of a unit until a runner that fails all units fails it.
+const FAILS_AFTER_MS: u64 = 300;
 /// Time from the start of a unit that lasts until it is at work.
-pub const STARTUP_MS: u64 = 700;
+const STARTUP_MS: u64 = 700;
 
 struct Run {
     task: String,
@@ -47,8 +49,12 @@
 
 struct State {
     is_up: bool,
-    /// Whether the process is up but nothing reaches it.
+    /// Whether no request is answered.
     is_dark: bool,
+    /// Whether it is unhealthy and refuses starts, of which it has then done nothing.
+    is_busy: bool,
+    /// Whether it fails all that it runs.
+    is_failing: bool,
     process: String,
     born_ms: u64,
     booted: Instant,
@@ -58,6 +64,8 @@
     ends: Vec<End>,
     last_number: u64,
     closed: HashMap<String, u64>,
+    /// `ack_cursor` of the poll that waits for its answer; 0 if there is none.
+    open_cursor: u64,
     beats: u64,
 }
 
@@ -68,6 +76,8 @@
     pub machine: String,
     pub service: String,
     pub rack: String,
+    /// Label of its kind.
+    pub label: String,
     pub cpu: u64,
     pub mem_mb: u64,
 }
@@ -77,7 +87,7 @@
     pub kind: Kind,
     state: Mutex<State>,
     changed: Condvar,
-    server: Mutex<Option<Arc<Server>>>,
+    server: Mutex<Option<Server>>,
     store: Arc<Store>,
     recorder: Arc<Recorder>,
 }
@@ -87,7 +97,9 @@
 
 impl Handler for Endpoint {
     fn handle(&self, request: &Request) -> Reply {
-        self.0.upgrade().map_or(Reply::Close, |runner| runner.answer(request))
+        self.0
+            .upgrade()
+            .map_or(Reply::Close, |runner| runner.answer(request))
     }
 }
 
@@ -97,7 +109,11 @@
 }
 
 impl Runner {
-    pub fn start(kind: Kind, store: &Arc<Store>, recorder: &Arc<Recorder>) -> std::io::Result<Arc<Self>> {
+    pub fn start(
+        kind: Kind,
+        store: &Arc<Store>,
+        recorder: &Arc<Recorder>,
+    ) -> std::io::Result<Arc<Self>> {
         let runner = Arc::new(Self {
             state: Mutex::new(State::new(&kind.id, 1)),
             kind,
@@ -132,12 +148,6 @@
         locked(&self.state).is_up
     }
 
-    /// Work units that run, as task and run.
-    pub fn running(&self) -> Vec<(String, u64)> {
-        let state = locked(&self.state);
-        state.runs.iter().map(|run| (run.task.clone(), run.run)).collect()
-    }
-
     /// Ends that wait for their acknowledgement.
     pub fn kept_ends(&self) -> usize {
         locked(&self.state).ends.len()
@@ -154,28 +164,25 @@
             json!({"service": self.kind.service, "address": address, "zone": "z-1", "version": "v1",
                 "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": state.beats,
                 "capacity": {"cpu": self.kind.cpu, "mem_mb": self.kind.mem_mb, "gpu": 0},
-                "labels": ["a", self.kind.rack], "machine": self.kind.machine,
+                "labels": [self.kind.label, self.kind.rack], "machine": self.kind.machine,
                 "born": state.born_ms, "clock_ms": state.clock_ms()})
         };
         self.store.put(&format!("servers/{}", self.kind.id), &entry);
     }
 
-    /// Ends the process at once. Its runs and its ends are gone.
-    pub fn crash(&self) {
-        {
-            let mut state = locked(&self.state);
-            state.is_up = false;
-            let process = state.process.clone();
-            for run in state.runs.drain(..) {
-                self.recorder.run_ended(&run.task, run.run, &process, "gone");
-            }
-            state.ends.clear();
-            self.recorder.note(format!("{process} crashes"));
-        }
-        self.changed.notify_all();
-        if let Some(server) = locked(&self.server).as_ref() {
-            server.close();
-        }
+    /// Whether a poll that acknowledges ends waits for its answer.
+    pub fn has_acknowledging_poll(&self) -> bool {
+        locked(&self.state).open_cursor > 0
+    }
+
+    /// Makes the runner unhealthy, so that it refuses starts, or sound again.
+    pub fn set_busy(&self, is_busy: bool) {
+        locked(&self.state).is_busy = is_busy;
+    }
+
+    /// Makes the runner fail all that it runs, or sound again.
+    pub fn set_failing(&self, is_failing: bool) {
+        locked(&self.state).is_failing = is_failing;
     }
 
     /// Loses power: the process ends, and its connections go silent without a reset.
@@ -185,7 +192,8 @@
         state.is_dark = true;
         let process = state.process.clone();
         for run in state.runs.drain(..) {
-            self.recorder.run_ended(&run.task, run.run, &process, "gone");
+            self.recorder
+                .run_ended(&run.task, run.run, &process, "gone");
         }
         state.ends.clear();
         self.recorder.note(format!("{process} loses power"));
@@ -201,20 +209,15 @@
 
     fn begin_process(&self) {
         let mut state = locked(&self.state);
-        let lifetime = state.process.rsplit('/').next().and_then(|text| text.parse().ok());
+        let lifetime = state
+            .process
+            .rsplit('/')
+            .next()
+            .and_then(|text| text.parse().ok());
         *state = State::new(&self.kind.id, lifetime.unwrap_or(1_u64) + 1);
         self.recorder.note(format!("{} starts", state.process));
     }
 
-    /// Starts the next process under the same id and address.
-    pub fn restart(&self) {
-        self.begin_process();
-        if let Some(server) = locked(&self.server).as_ref() {
-            let _ = server.reopen();
-        }
-        self.write_entry();
-    }
-
     fn advance(&self) {
         let mut state = locked(&self.state);
         if state.is_up && state.advance(&self.recorder) {
@@ -245,6 +248,13 @@
         let task = body["task"].as_str().unwrap_or_default();
         let run = body["run"].as_u64().unwrap_or(0);
         match request.path.as_str() {
+            "/run-start" if state.is_busy => {
+                self.recorder.note(format!(
+                    "{} refuses to start {task} #{run} with 503",
+                    self.kind.id
+                ));
+                Reply::Json(503, json!({"clock_ms": clock_ms}))
+            }
             "/run-start" => state.start(task, run, body, &self.recorder),
             "/run-stop" => {
                 state.stop(task, run);
@@ -257,6 +267,7 @@
                 let wait_ms = body["wait_ms"].as_u64().unwrap_or(0).min(2_000);
                 let until = Instant::now() + Duration::from_millis(wait_ms);
                 let process = state.process.clone();
+                state.open_cursor = body["ack_cursor"].as_u64().unwrap_or(0);
                 loop {
                     // A poll that was open when the power was lost is never answered.
                     if !state.is_up || state.process != process {
@@ -264,6 +275,7 @@
                     }
                     let now = Instant::now();
                     if !state.ends.is_empty() || now >= until {
+                        state.open_cursor = 0;
                         return Reply::Json(200, state.listing());
                     }
                     state = match self.changed.wait_timeout(state, until - now) {
@@ -282,6 +294,8 @@
         Self {
             is_up: true,
             is_dark: false,
+            is_busy: false,
+            is_failing: false,
             process: format!("{id}/{lifetime}"),
             born_ms: wall_ms(),
             booted: Instant::now(),
@@ -291,6 +305,7 @@
             ends: Vec::new(),
             last_number: 0,
             closed: HashMap::new(),
+            open_cursor: 0,
             beats: 0,
         }
     }
@@ -303,7 +318,11 @@
         let clock_ms = self.clock_ms();
         let refused =
             |reason: &str| Reply::Json(409, json!({"clock_ms": clock_ms, "reason": reason}));
-        if self.runs.iter().any(|other| other.task == task && other.run == run) {
+        if self
+            .runs
+            .iter()
+            .any(|other| other.task == task && other.run == run)
+        {
             self.prolong(body);
             return Reply::Json(200, json!({"clock_ms": clock_ms}));
         }
@@ -315,8 +334,12 @@
             return refused("late");
         }
         self.prolong(body);
-        let spec: Value = serde_json::from_str(body["spec"].as_str().unwrap_or("")).unwrap_or(Value::Null);
-        let step = task.split('.').nth(2).and_then(|text| text.parse::<usize>().ok());
+        let spec: Value =
+            serde_json::from_str(body["spec"].as_str().unwrap_or("")).unwrap_or(Value::Null);
+        let step = task
+            .split('.')
+            .nth(2)
+            .and_then(|text| text.parse::<usize>().ok());
         let step = &spec[step.unwrap_or(0)];
         let lasts = step["lasts"].as_bool().unwrap_or(false);
         let work_ms = step["ms"].as_u64().unwrap_or(0);
@@ -335,7 +358,11 @@
         let stop_ms = self.clock_ms() + STOP_TIME_MS;
         let closed = self.closed.entry(task.to_owned()).or_default();
         *closed = (*closed).max(run);
-        for stopped in self.runs.iter_mut().filter(|other| other.task == task && other.run == run) {
+        for stopped in self
+            .runs
+            .iter_mut()
+            .filter(|other| other.task == task && other.run == run)
+        {
             stopped.stop_ms.get_or_insert(stop_ms);
         }
     }
@@ -360,14 +387,22 @@
     /// Ends what is over. Returns whether anything was.
     fn advance(&mut self, recorder: &Recorder) -> bool {
         let (now_ms, lease_ms) = (self.clock_ms(), self.lease_ms);
+        let is_failing = self.is_failing;
         let end_of = |run: &Run| {
             let ends = [
+                (
+                    is_failing.then_some(run.started_ms + FAILS_AFTER_MS),
+                    "failed",
+                ),
                 (run.done_ms, "done"),
                 (run.stop_ms, "stopped"),
                 (Some(lease_ms), "lapsed"),
             ];
-            let ends = ends.into_iter().filter_map(|(at_ms, how)| Some((at_ms?, how)));
-            ends.min_by_key(|(at_ms, _)| *at_ms).filter(|(at_ms, _)| *at_ms <= now_ms)
+            let ends = ends
+                .into_iter()
+                .filter_map(|(at_ms, how)| Some((at_ms?, how)));
+            ends.min_by_key(|(at_ms, _)| *at_ms)
+                .filter(|(at_ms, _)| *at_ms <= now_ms)
         };
         let mut over: Vec<(u64, &'static str, String, u64)> = Vec::new();
         self.runs.retain(|run| match end_of(run) {
@@ -384,7 +419,12 @@
             let closed = self.closed.entry(task.clone()).or_default();
             *closed = (*closed).max(run);
             self.last_number += 1;
-            self.ends.push(End { number: self.last_number, task, run, how });
+            self.ends.push(End {
+                number: self.last_number,
+                task,
+                run,
+                how,
+            });
         }
         is_changed
     }
@@ -398,17 +438,13 @@
                 None => (age_ms * 100 / STARTUP_MS).min(100),
             }
         };
-        let running = self.runs.iter().map(|run| json!([run.task, run.run, "", percent(run), 0]));
+        let running = self
+            .runs
+            .iter()
+            .map(|run| json!([run.task, run.run, "", percent(run), 0]));
         let ends = self.ends.iter().take(ENDS_LISTED);
         let ends = ends.map(|end| json!([end.number, end.task, end.run, end.how, ""]));
         json!({"clock_ms": now_ms, "born": self.born_ms,
             "running": running.collect::<Vec<_>>(), "ended_runs": ends.collect::<Vec<_>>()})
     }
 }
-
-impl Runner {
-    /// Cuts the runner off without a reset, or lets it be reached again.
-    pub fn set_dark(&self, is_dark: bool) {
-        locked(&self.state).is_dark = is_dark;
-    }
-}
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -36,7 +36,6 @@
     changes: Vec<(u64, String, Option<Item>)>,
     leases: BTreeMap<u64, Lease>,
     next_lease: u64,
-    down_since: Option<Instant>,
 }
 
 /// The store.
@@ -52,18 +51,8 @@
     }
 
     /// Writes as the operator or a runner does.
-    pub fn put(&self, key: &str, value: &Value) -> bool {
-        let mut state = locked(&self.state);
-        if state.down_since.is_some() {
-            return false;
-        }
-        state.put(key, STANDARD.encode(value.to_string()), 0);
-        self.changed.notify_all();
-        true
-    }
-
-    pub fn remove(&self, key: &str) {
-        locked(&self.state).remove(key);
+    pub fn put(&self, key: &str, value: &Value) {
+        locked(&self.state).put(key, STANDARD.encode(value.to_string()), 0);
         self.changed.notify_all();
     }
 
@@ -74,21 +63,6 @@
         serde_json::from_slice(&bytes).ok()
     }
 
-    /// Takes the store down; it answers nothing until it is up again.
-    pub fn set_down(&self, is_down: bool) {
-        let mut state = locked(&self.state);
-        if is_down {
-            state.down_since = state.down_since.or(Some(Instant::now()));
-        } else if let Some(since) = state.down_since.take() {
-            // Leases pause while the store is down.
-            let pause = since.elapsed();
-            for lease in state.leases.values_mut() {
-                lease.ends_at += pause;
-            }
-        }
-        self.changed.notify_all();
-    }
-
     fn watch(&self, request: &Request) -> Reply {
         let prefix = request.query.get("prefix").cloned().unwrap_or_default();
         let number = |name: &str| request.query.get(name).and_then(|text| text.parse().ok());
@@ -96,9 +70,6 @@
         let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
         let mut state = locked(&self.state);
         loop {
-            if state.down_since.is_some() {
-                return Reply::Silent;
-            }
             state.expire();
             let changes = state.changes.iter();
             let events: Vec<Value> = changes
@@ -137,7 +108,12 @@
 
     fn put_at(&mut self, revision: u64, key: &str, value: String, lease: u64) {
         let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.items.insert(key.to_owned(), item.clone());
         self.changes.push((revision, key.to_owned(), Some(item)));
     }
@@ -195,7 +171,10 @@
                 let ttl_ms = body["ttl_ms"].as_u64().unwrap_or(0).clamp(1_000, 600_000);
                 self.next_lease += 1;
                 let ttl = Duration::from_millis(ttl_ms);
-                let lease = Lease { ttl, ends_at: Instant::now() + ttl };
+                let lease = Lease {
+                    ttl,
+                    ends_at: Instant::now() + ttl,
+                };
                 self.leases.insert(self.next_lease, lease);
                 Reply::Json(200, json!({"lease": self.next_lease, "ttl_ms": ttl_ms}))
             }
@@ -256,7 +235,10 @@
             return Reply::Json(412, json!({"items": items.collect::<Vec<_>>()}));
         }
         let lease_of = |row: &Value| row["lease"].as_u64().unwrap_or(0);
-        if puts.iter().any(|row| lease_of(row) != 0 && !self.leases.contains_key(&lease_of(row))) {
+        if puts
+            .iter()
+            .any(|row| lease_of(row) != 0 && !self.leases.contains_key(&lease_of(row)))
+        {
             return Reply::Json(404, json!({}));
         }
         self.revision += 1;
@@ -279,9 +261,6 @@
         }
         std::thread::sleep(ANSWER_TIME);
         let mut state = locked(&self.state);
-        if state.down_since.is_some() {
-            return Reply::Silent;
-        }
         let reply = state.answer(request);
         self.changed.notify_all();
         reply
