Tell an answer with all ends of a worker from one with the first of them

A worker answers a poll with at most 500 of its ends.

The scheduler keeps since when a worker's answers are cut, and reports the change: log lines 'worker ends cut' and 'worker ends complete', counter workers.ends_cut. Decisions are unchanged. Frames to gateways carry the field, so their version is now 2.

--- a/crates/adapters/src/worker_gateway/wire.rs
+++ b/crates/adapters/src/worker_gateway/wire.rs
@@ -11,7 +11,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Version of the frames. A gateway of another version refuses the leader, which then uses other ones.
-pub(super) const PROTOCOL_VERSION: u32 = 1;
+pub(super) const PROTOCOL_VERSION: u32 = 2;
 /// A frame holds the orders or results of one cycle, each of a few kilobytes at most.
 const FRAME_MAX_BYTES: usize = 16 << 20;
 /// Size at which a frame takes no further message. The other side hears a frame when it is complete, so a link of
--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -130,6 +130,20 @@
                     warn!(self.options.log, "worker rows unreadable"; "worker" => &*worker,
                         "runs" => runs, "ends" => ends, "reason" => &*reason);
                 }
+                SchedulerEvent::WorkerEndsCut {
+                    worker,
+                    ends,
+                    unlisted_runs,
+                } => {
+                    self.options.metrics.count("workers.ends_cut", 1);
+                    warn!(self.options.log, "worker ends cut"; "worker" => &*worker,
+                        "ends" => ends, "unlisted_runs" => unlisted_runs,
+                        "lease_age_ms" => self.lease_age_ms());
+                }
+                SchedulerEvent::WorkerEndsComplete { worker, cut_ms } => {
+                    info!(self.options.log, "worker ends complete"; "worker" => &*worker,
+                        "cut_ms" => cut_ms);
+                }
                 SchedulerEvent::JobRefused { job, reason } => {
                     warn!(self.options.log, "job beyond the limits"; "job" => &*job,
                         "reason" => reason);
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -12,6 +12,7 @@
 mod configuration;
 mod copies;
 mod crashes;
+mod cut_ends;
 mod durations;
 mod ends;
 mod entry;
--- /dev/null
+++ b/crates/domain/src/schedule/cut_ends.rs
@@ -0,0 +1,43 @@
+//! Answers that hold only the first of a worker's ends.
+//!
+//! A run whose end was left out is in neither list of the answer. It has ended, but nobody knows how, so its task
+//! must not start again until the end is read: the ends before it have to be stored and acknowledged first.
+
+use super::Scheduler;
+use super::order::{Listing, SchedulerEvent};
+use crate::prelude::*;
+
+impl Scheduler {
+    /// Notes whether an answer holds all ends of a worker, and reports a change.
+    pub(super) fn note_cut_ends(
+        &mut self,
+        key: WorkerKey,
+        listing: &Listing,
+        listed: &FastSet<RunKey>,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let id = Arc::clone(&worker.report.id);
+        match (worker.ends_cut_since, listing.has_more_ends) {
+            (None, true) => {
+                worker.ends_cut_since = Some(now);
+                let unlisted = worker.runs().iter().filter(|run| !listed.contains(run));
+                self.events.push(SchedulerEvent::WorkerEndsCut {
+                    worker: id,
+                    ends: listing.ended.len(),
+                    unlisted_runs: unlisted.count(),
+                });
+            }
+            (Some(since), false) => {
+                worker.ends_cut_since = None;
+                self.events.push(SchedulerEvent::WorkerEndsComplete {
+                    worker: id,
+                    cut_ms: now.ms_since(since),
+                });
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/domain/src/schedule/lost_workers.rs
+++ b/crates/domain/src/schedule/lost_workers.rs
@@ -96,6 +96,7 @@
         worker.unknown_runs_since = None;
         worker.unknown_ends.clear();
         worker.unknown_ends_since = None;
+        worker.ends_cut_since = None;
         worker.next_poll_at = now.after_ms(UNRESPONSIVE_POLL_INTERVAL_MS);
         for run in worker.runs().to_vec() {
             let Some(placed) = self.runs.get_mut(run) else {
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -152,6 +152,7 @@
         }
         self.apply_ends(key, &listing.ended, now, wall);
         let listed = self.apply_running(key, &listing.running, now);
+        self.note_cut_ends(key, listing, &listed, now);
         if !self.has_unreadable_runs(key) {
             self.drop_unlisted(key, &listed, sent_at, now);
         }
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -322,6 +322,8 @@
     pub running: Vec<ListedRun>,
     /// Ends that have not been acknowledged, in order.
     pub ended: Vec<ListedEnd>,
+    /// Whether the worker may have ends after these: its answer holds as many as fit. Their runs are in neither list.
+    pub has_more_ends: bool,
 }
 
 /// The platform's list of instances.
@@ -463,6 +465,22 @@
         /// Why the first of them could not be decoded.
         reason: Arc<str>,
     },
+    /// An answer holds only the first of a worker's ends; the former answer held all.
+    WorkerEndsCut {
+        /// The worker.
+        worker: Arc<str>,
+        /// Number of ends that the answer holds.
+        ends: usize,
+        /// Number of the worker's runs that the answer doesn't name.
+        unlisted_runs: usize,
+    },
+    /// An answer holds all ends of a worker again.
+    WorkerEndsComplete {
+        /// The worker.
+        worker: Arc<str>,
+        /// Time since an answer first left ends out.
+        cut_ms: u64,
+    },
     /// A task was given up, and its job fails: worker after worker crashed soon after starting it.
     TaskGivenUp {
         /// The task.
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -80,6 +80,8 @@
     pub unknown_ends_since: Option<Millis>,
     /// Rows of its last answer that could not be read.
     pub unreadable_rows: Option<UnreadableRows>,
+    /// Since when its answers hold only the first of its ends; `None` if the last one held all.
+    pub ends_cut_since: Option<Millis>,
     /// Last reading of its clock, and the time of the reading.
     pub clock: Option<(u64, Millis)>,
     /// End of its lease: no run survives this time unless the lease is renewed.
@@ -155,6 +157,7 @@
             unknown_ends: Vec::new(),
             unknown_ends_since: None,
             unreadable_rows: None,
+            ends_cut_since: None,
             clock: None,
             lease_end,
             last_end_sequence: 0,
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -152,6 +152,8 @@
     pub(crate) unreadable_instances: FastSet<Arc<str>>,
     /// Tasks whose rows in the answers of workers cannot be read.
     pub(crate) unreadable_tasks: FastSet<String>,
+    /// Number of ends that an answer of a worker holds at most.
+    pub(crate) ends_per_answer: usize,
     /// Checkpoint that workers report for a running task; none by default.
     pub(crate) checkpoints: FastMap<String, Arc<str>>,
     /// Checkpoint of the last start order for a task.
@@ -211,6 +213,7 @@
             progress_reports: FastMap::default(),
             unreadable_instances: FastSet::default(),
             unreadable_tasks: FastSet::default(),
+            ends_per_answer: usize::MAX,
             checkpoints: FastMap::default(),
             started_from: FastMap::default(),
             concurrent_runs_max: FastMap::default(),
@@ -804,11 +807,14 @@
                 }
             })
             .collect();
+        let mut ended = worker.ended.clone();
+        ended.truncate(self.ends_per_answer);
         let listing = Listing {
             clock_ms: worker.clock_ms(self.now),
             started_wall_ms: worker.report.started_wall_ms,
             running,
-            ended: worker.ended.clone(),
+            has_more_ends: ended.len() == self.ends_per_answer,
+            ended,
         };
         self.read_rows(listing)
     }
--- a/crates/domain/tests/takeover_model/conditions.rs
+++ b/crates/domain/tests/takeover_model/conditions.rs
@@ -27,6 +27,8 @@
     pub(super) quota_changes_per_mille: u32,
     /// Probability that another writer replaces the entry of a worker, for each tick and worker.
     pub(super) odd_entries_per_mille: u32,
+    /// Number of ends that an answer of a worker holds at most.
+    pub(super) ends_per_answer: usize,
 }
 
 /// What a worker keeps over a restart, and which orders its next incarnation may receive.
@@ -53,6 +55,7 @@
         workspace_count: 0,
         quota_changes_per_mille: 0,
         odd_entries_per_mille: 0,
+        ends_per_answer: usize::MAX,
     };
 
     /// Frequent cancellations of jobs with long runs.
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -480,6 +480,7 @@
         let (now, fencing_token) = (self.now, self.leaders[leader].fencing_token);
         let failed = self.draw_chance(40);
         let work_ms = self.draw_work_ms();
+        let ends_per_answer = self.conditions.ends_per_answer;
         let target = &mut self.workers[worker.1];
         let answer = match &order {
             Order::Poll(_) if reception == Reception::NotListening => {
@@ -509,7 +510,8 @@
             }
             Order::Stop(stop) => Answer::Order(target.stop(stop, fencing_token, now)),
             Order::Poll(poll) => {
-                let (result, acknowledged) = target.poll(*poll, fencing_token, now);
+                let (result, acknowledged) =
+                    target.poll(*poll, fencing_token, ends_per_answer, now);
                 for end in acknowledged {
                     self.checks.acknowledged(worker.1, target, &end)?;
                 }
--- a/crates/domain/tests/takeover_model/worker.rs
+++ b/crates/domain/tests/takeover_model/worker.rs
@@ -223,11 +223,12 @@
         }
     }
 
-    /// Handles a poll; also returns the ends that it acknowledges.
+    /// Handles a poll; also returns the ends that it acknowledges. The answer holds so many of the others at most.
     pub(super) fn poll(
         &mut self,
         order: PollOrder,
         fencing_token: u64,
+        ends_per_answer: usize,
         now: Millis,
     ) -> (PollResult, Vec<ListedEnd>) {
         if self.refuses_fencing_token(fencing_token) {
@@ -250,11 +251,13 @@
             percent: 100,
             gauge: 0,
         });
+        let ended: Vec<ListedEnd> = self.ended.iter().take(ends_per_answer).cloned().collect();
         let listing = Listing {
             clock_ms: self.clock_ms(now),
             started_wall_ms: self.incarnation,
             running: listed.collect(),
-            ended: self.ended.clone(),
+            has_more_ends: ended.len() == ends_per_answer,
+            ended,
         };
         (PollResult::Listed(listing), acknowledged)
     }
