Wait after a takeover until all ends of a worker are read

Cause: a worker counts as known after its first answer, which holds at most 500 ends. The recovery then released the tasks whose ends came after those.

Now the recovery awaits a worker until an answer holds all of its ends. Related: - the wait ended when the leases of the former leader were over; that says nothing about ends from before, which can't be acknowledged while the store is down; - an idle worker that the list lacks was removed with its unread ends; - the acknowledgement that brings the next ends was sent 500 ms after the write to an idle worker, and is now sent at once, since tasks wait. Ends behind an unreadable one are not waited for: none from it on is acknowledged, so that the worker never lists them.

Tests, each failed before (a task had 2 starts in place of 1): a_new_leader_reads_all_ends_before_it_starts_tasks, a_new_leader_without_the_store_waits_for_ends_that_were_left_out, an_unlisted_worker_is_kept_until_its_ends_are_read.

--- a/crates/domain/src/schedule/cut_ends.rs
+++ b/crates/domain/src/schedule/cut_ends.rs
@@ -5,8 +5,19 @@
 
 use super::Scheduler;
 use super::order::{Listing, SchedulerEvent};
+use super::worker::Worker;
 use crate::prelude::*;
 
+impl Worker {
+    /// Whether its last answer left out ends that a later one will hold. Those behind an unreadable end are not waited
+    /// for: no end from it on is acknowledged, so that the worker never lists them.
+    pub(super) fn has_unread_ends(&self) -> bool {
+        let rows = self.unreadable_rows.as_ref();
+        let is_blocked = rows.is_some_and(|rows| rows.acknowledge_max.is_some());
+        self.ends_cut_since.is_some() && !is_blocked
+    }
+}
+
 impl Scheduler {
     /// Notes whether an answer holds all ends of a worker, and reports a change.
     pub(super) fn note_cut_ends(
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -260,7 +260,8 @@
                 worker.unwritten_ends.pop_front();
             }
             if worker.unwritten_ends.is_empty() && worker.acknowledged < worker.ack_ready {
-                worker.next_poll_at = if worker.runs().is_empty() {
+                let is_urgent = worker.has_unread_ends() || !worker.runs().is_empty();
+                worker.next_poll_at = if !is_urgent {
                     now.after_ms(super::ACK_DELAY_MS)
                 } else {
                     worker.next_poll_at.min(now)
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -2,7 +2,7 @@
 //!
 //! A task that the former leader may have started must not start elsewhere until its run is found
 //! or cannot exist any more. A worker that has answered this leader accepts no order of the former
-//! one, and lists its runs.
+//! one, and lists its runs, and its ends in one or more answers.
 
 use super::job_table::{Job, TaskStatus};
 use super::{FormerTerm, RecordedWorker, Scheduler};
@@ -20,7 +20,7 @@
 /// State of the recovery after a change of the leader.
 #[derive(Debug)]
 pub(super) struct Recovery {
-    /// Workers that may still have unknown runs of the former leader.
+    /// Workers that may still have unknown runs of the former leader, or ends that are still to be read.
     awaited: FastSet<WorkerKey>,
     /// Awaited workers whose process has ended, and until when their next incarnation is awaited.
     ended: FastMap<WorkerKey, Millis>,
@@ -170,6 +170,7 @@
             return;
         };
         let workers = &self.workers;
+        let is_lease_over = now >= recovery.until;
         let before = recovery.awaited.len();
         recovery.awaited.retain(|key| {
             let worker = workers.get(*key);
@@ -177,17 +178,19 @@
                 left.contains(key) || recovery.ended.get(key).is_some_and(|until| *until <= now);
             !is_over
                 && worker.is_some_and(|worker| {
-                    !worker.synced
+                    let may_have_runs = !worker.synced
                         || !worker.unknown_runs.is_empty()
-                        || !worker.unknown_ends.is_empty()
+                        || !worker.unknown_ends.is_empty();
+                    // The lease of the runs says nothing about ends that they had before.
+                    worker.has_unread_ends() || (may_have_runs && !is_lease_over)
                 })
         });
         recovery
             .ended
             .retain(|key, _| recovery.awaited.contains(key));
         let changed = std::mem::take(&mut recovery.changed) || recovery.awaited.len() != before;
-        let all_known = recovery.awaited.is_empty() && !recovery.unknown_workers;
-        if all_known || now >= recovery.until {
+        recovery.unknown_workers &= !is_lease_over;
+        if recovery.awaited.is_empty() && !recovery.unknown_workers {
             self.recovery = None;
             self.interruptions_allowed_from =
                 now.after_ms(self.settings.stop_grace_ms + STOP_LISTED_MS);
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -269,6 +269,7 @@
                 !worker.listed
                     && !self.awaits_next_incarnation(*key)
                     && worker.runs().is_empty()
+                    && !worker.has_unread_ends()
                     && (worker.synced || worker.lease_end < now)
             })
             .map(|(key, _)| key)
--- a/crates/domain/tests/cut_ends.rs
+++ b/crates/domain/tests/cut_ends.rs
@@ -2,6 +2,7 @@
 
 mod scheduler_harness;
 
+use rosemaryscale_domain::job::JobState;
 use rosemaryscale_domain::schedule::order::{RunEndKind, SchedulerEvent};
 use scheduler_harness::{SchedulerHarness, job, step};
 
@@ -17,6 +18,42 @@
     harness
 }
 
+fn assert_started_once(harness: &SchedulerHarness) {
+    for task in TASKS {
+        assert_eq!(harness.start_count(task), 1, "{task}");
+    }
+}
+
+/// Guards against tasks that run again after a takeover because the first answer of a worker left their ends out
+/// (review/6).
+#[test]
+fn a_new_leader_reads_all_ends_before_it_starts_tasks() {
+    let mut harness = four_running_tasks();
+    harness.end_all_runs(RunEndKind::Done);
+    harness.change_leader();
+    harness.run_for(2_000);
+    assert_started_once(&harness);
+    assert_eq!(harness.state("a"), JobState::Completed);
+}
+
+/// Guards against the same while the store is down: the ends that were left out are read only after it is back, which
+/// may be later than the leases of the former leader.
+#[test]
+fn a_new_leader_without_the_store_waits_for_ends_that_were_left_out() {
+    let mut harness = four_running_tasks();
+    harness.end_all_runs(RunEndKind::Done);
+    harness.change_leader();
+    harness.stall_writes = true;
+    harness.run_for(20_000);
+    assert_started_once(&harness);
+    assert!(harness.scheduler.is_recovering());
+    harness.stall_writes = false;
+    harness.run_for(2_000);
+    assert_started_once(&harness);
+    assert_eq!(harness.state("a"), JobState::Completed);
+    assert!(!harness.scheduler.is_recovering());
+}
+
 /// Guards against a log that does not tell a worker with ends to be read from one that has none.
 #[test]
 fn ends_that_were_left_out_are_reported() {
@@ -39,3 +76,23 @@
     assert_eq!(events.iter().filter(|event| is_cut(event)).count(), 1);
     assert_eq!(events.iter().filter(|event| is_complete(event)).count(), 1);
 }
+
+/// Guards against tasks that run again because their worker was removed while the platform did not list it, with ends
+/// that were still to be read.
+#[test]
+fn an_unlisted_worker_is_kept_until_its_ends_are_read() {
+    let mut harness = four_running_tasks();
+    harness.end_all_runs(RunEndKind::Done);
+    harness.change_leader();
+    harness.stall_writes = true;
+    harness.run_for(500);
+    harness.scheduler.worker_unlisted("w0");
+    harness.run_for(500);
+    let report = harness.workers[0].report.clone();
+    harness.scheduler.worker_listed(report, harness.now);
+    harness.run_for(500);
+    harness.stall_writes = false;
+    harness.run_for(2_000);
+    assert_started_once(&harness);
+    assert_eq!(harness.state("a"), JobState::Completed);
+}
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -103,8 +103,9 @@
     pub(crate) worker_indices: FastMap<WorkerKey, usize>,
     pub(crate) term: u32,
     pub(crate) lose_stops: bool,
-    /// Whether writes of batches never complete.
+    /// Whether no write of a batch completes. The one in flight completes once this ends, under the same leader.
     pub(crate) stall_writes: bool,
+    stalled_batch: Option<Batch>,
     pub(crate) lose_starts: bool,
     pub(crate) refuse_fencing_token: bool,
     /// Whether starts stay in transit until [`SchedulerHarness::deliver_starts`].
@@ -187,6 +188,7 @@
             term: 1,
             lose_stops: false,
             stall_writes: false,
+            stalled_batch: None,
             lose_starts: false,
             refuse_fencing_token: false,
             hold_starts: false,
@@ -362,6 +364,7 @@
     /// Replaces the scheduler by one of a new leader, restored from the store.
     pub(crate) fn change_leader(&mut self) {
         self.term += 1;
+        self.stalled_batch = None;
         self.worker_indices.clear();
         let recorded = self.store.workers.clone();
         let mut settings = ScheduleSettings {
@@ -497,8 +500,10 @@
             for action in self.scheduler.advance(self.now, self.now) {
                 self.execute(action);
             }
-            if let Some(batch) = self.scheduler.take_batch(self.now)
-                && !self.stall_writes
+            let batch = self.scheduler.take_batch(self.now);
+            self.stalled_batch = self.stalled_batch.take().or(batch);
+            if !self.stall_writes
+                && let Some(batch) = self.stalled_batch.take()
             {
                 self.write(&batch);
             }
