End no long-running job because its workers crash

Cause: three crashes of workers in a row before a task is in service ended its job, also a long-running one, whose tasks are to be started again however they end. Crashes with other causes add up like those of the task.

Crashes now end finite jobs only. A long-running suspect still starts apart from others, and from the third crash on after 0.5, 1 and 2 s, so that a task that does crash its workers takes one in about 2 s at most.

--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -115,7 +115,7 @@
 const ACK_DELAY_MS: u64 = 500;
 /// Delay before an unanswered stop is sent again.
 const STOP_RESEND_DELAY_MS: u64 = 300;
-/// Delay before a long-running task is restarted.
+/// Delay before a long-running task is restarted, unless its workers have crashed one after the other.
 const RESTART_DELAY_MS: u64 = 50;
 /// Interval between passes over all workers and runs. An event arrives up to a thousand times a second
 /// in a large fleet, and these passes read the state of every worker.
--- a/crates/domain/src/schedule/crashes.rs
+++ b/crates/domain/src/schedule/crashes.rs
@@ -2,19 +2,20 @@
 //!
 //! A task may crash each worker that starts it, but a crash doesn't show which of the worker's tasks caused
 //! it. Tasks that had just started there are therefore suspects: they restart apart from other suspects, and
-//! after a further crash alone on a worker. A task is given up once no other one explains the crashes.
+//! after a further crash alone on a worker. A finite task is given up once no other one explains the crashes. A
+//! long-running one is restarted until its job is cancelled, after a growing pause.
 
-use super::Scheduler;
 use super::job_table::{Task, TaskStatus};
 use super::order::SchedulerEvent;
 use super::run::PlacedRun;
 use super::worker::Worker;
+use super::{RESTART_DELAY_MS, Scheduler};
 use crate::job::JobState;
 use crate::prelude::*;
 
 /// Early crashes in a row after which a task shares its worker with no task that starts after it.
 const ISOLATED_CRASHES_MIN: u32 = 2;
-/// Early crashes in a row after which a task is given up. The last one happened while the task ran alone; two
+/// Early crashes in a row after which a finite task is given up. The last one happened while the task ran alone; two
 /// may also be those of a task that only shared its workers.
 const EARLY_CRASHES_MAX: u32 = 3;
 /// Crashes after which a finite task is given up, however long it had been running.
@@ -22,6 +23,10 @@
 /// Duration of a run that clears its task, and for which a suspect keeps other ones away from its worker. A task
 /// that crashes its worker usually does so within milliseconds of its start.
 const PROBATION_MS: u64 = 1_000;
+/// Pause of a long-running task after as many early crashes as end a finite one. It doubles with each further one.
+const FIRST_RESTART_PAUSE_MS: u64 = 500;
+/// Longest such pause. A task with room must run again within 9 s of the crash, which may be noticed seconds later.
+const MAX_RESTART_PAUSE_MS: u64 = 2_000;
 
 impl Task {
     /// Workers that have crashed with the task, in a row or in all.
@@ -29,6 +34,17 @@
         self.crashes.max(self.early_crashes)
     }
 
+    /// Time after the end of a run before a long-running task starts again.
+    pub(super) fn restart_pause_ms(&self) -> u64 {
+        let Some(further_crashes) = self.early_crashes.checked_sub(EARLY_CRASHES_MAX) else {
+            return RESTART_DELAY_MS;
+        };
+        let factor = 1_u64.checked_shl(further_crashes).unwrap_or(u64::MAX);
+        FIRST_RESTART_PAUSE_MS
+            .saturating_mul(factor)
+            .min(MAX_RESTART_PAUSE_MS)
+    }
+
     /// Whether the task starts only on a worker without suspects, which takes no other task meanwhile.
     pub(super) const fn is_isolated(&self) -> bool {
         self.early_crashes >= ISOLATED_CRASHES_MIN
@@ -63,7 +79,7 @@
 }
 
 impl Scheduler {
-    /// Counts the crash of its worker for the task of a run. The job is given up by
+    /// Counts the crash of its worker for the task of a run. The job of a finite task is given up by
     /// [`Self::give_up_crashing_tasks`].
     pub(super) fn count_crash(&mut self, key: RunKey, now: Millis) {
         let Some(run) = self.runs.get(key) else {
@@ -93,9 +109,9 @@
         task.early_crashes = if was_sound { 0 } else { task.early_crashes + 1 };
         if !long_running {
             task.crashes += 1;
-        }
-        if task.early_crashes >= EARLY_CRASHES_MAX || task.crashes >= CRASHES_MAX {
-            self.crashing_tasks.push(info.task);
+            if task.early_crashes >= EARLY_CRASHES_MAX || task.crashes >= CRASHES_MAX {
+                self.crashing_tasks.push(info.task);
+            }
         }
         if let Some(job) = self.job_table.jobs.get_mut(task.job) {
             job.dirty = true;
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -201,7 +201,9 @@
                 continue;
             }
             if task.not_before > now {
-                self.services[service].placement_due = true;
+                // The next full pass comes soon enough for a longer pause.
+                let next_full_pass_at = now.after_ms(FULL_PLACEMENT_INTERVAL_MS);
+                self.services[service].placement_due |= task.not_before < next_full_pass_at;
                 waiting.push(key);
                 continue;
             }
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -5,7 +5,7 @@
 use super::recovery::STOP_LISTED_MS;
 use super::stop_reason::{StopCause, StopReason};
 use super::worker::Worker;
-use super::{RESTART_DELAY_MS, STOP_RESEND_DELAY_MS, Scheduler};
+use super::{STOP_RESEND_DELAY_MS, Scheduler};
 use crate::prelude::*;
 
 /// Times that a start is sent; if the last one also gets no answer, the run is stopped.
@@ -232,7 +232,7 @@
             worker.isolated_until = Millis::ZERO;
         }
         if long_running {
-            task.not_before = now.after_ms(RESTART_DELAY_MS);
+            task.not_before = now.after_ms(task.restart_pause_ms());
             task.not_running_since = task.not_running_since.or(Some(now));
         }
         if !self.promote_copy(info.task, now) {
--- a/crates/domain/tests/crashes.rs
+++ b/crates/domain/tests/crashes.rs
@@ -167,6 +167,40 @@
     assert_eq!(harness.running().len(), 4, "the room has grown again");
 }
 
+/// Guards against a long-running job that ends as failed, with all of its tasks, because workers crash one after the
+/// other before one of them is in service: its tasks run until the job is cancelled (review/3).
+#[test]
+fn crashes_end_no_long_running_job() {
+    let mut harness = SchedulerHarness::new(9);
+    harness.submit("lasting", job(vec![lasting(5)], 3));
+    for task in ["lasting.0.0.0", "lasting.0.0.1"] {
+        harness.progress_reports.insert(task.into(), (10, 0));
+    }
+    crash_workers_of(&mut harness, "lasting.0.0.0", 30_000);
+    assert_ne!(harness.state("lasting"), JobState::Failed);
+    assert_eq!(harness.running().len(), 4);
+    harness.run_for(6_000);
+    assert_eq!(harness.running().len(), 5);
+}
+
+/// Guards against a long-running task that crashes worker after worker without a pause, and against one that is left
+/// alone for longer than the 9 s in which a task with room must run again.
+#[test]
+fn restarts_of_a_long_running_task_that_crashes_workers_are_spaced() {
+    let mut harness = SchedulerHarness::new(9);
+    harness.submit("bad", job(vec![lasting(1)], 3));
+    harness.progress_reports.insert("bad.0.0.0".into(), (10, 0));
+    crash_workers_of(&mut harness, "bad.0.0.0", 60_000);
+    let starts: Vec<u64> = harness.starts.iter().map(|(at, ..)| at.as_ms()).collect();
+    let gaps_ms = starts.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(gaps_ms.max().expect("several starts") < 9_000);
+    assert!(
+        starts.len() > 20 && starts.len() < 40,
+        "{} starts",
+        starts.len()
+    );
+}
+
 /// Guards against long-running tasks that never start again because one of them stays a suspect for ever.
 #[test]
 fn long_running_tasks_that_shared_two_crashes_all_run_again() {
