Hold a restarted worker only for polls that it can have received

A poll is given up 1.25 s after it was sent, so that one sent to the former process counted as received by the next.

The HTTP client now notes when a call gets its connection. A connection ends with its process, so a process that began later has not received the call. Results of polls without an answer carry this (PollReception), also through gateways, and only a poll that got its connection after the new process had begun holds it.

--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -9,10 +9,11 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use snafu::Snafu;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::reply::{ReplyBounds, ReplyError, read_body};
 
@@ -45,6 +46,8 @@
         reason: String,
         /// Bytes of the reply's body that had arrived.
         received_bytes: u64,
+        /// Time since the call got its connection; `None` if it had none.
+        connection_age_ms: Option<u64>,
     },
 }
 
@@ -53,10 +56,25 @@
         Self::NoReply {
             reason: error.to_string(),
             received_bytes: error.received_bytes(),
+            connection_age_ms: None,
         }
     }
 }
 
+impl HttpError {
+    /// Adds when the call got its connection.
+    fn with_connection(mut self, connected_at: Option<Instant>) -> Self {
+        if let Self::NoReply {
+            connection_age_ms, ..
+        } = &mut self
+        {
+            let age_ms = |at: Instant| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
+            *connection_age_ms = connected_at.map(age_ms);
+        }
+        self
+    }
+}
+
 /// A complete reply.
 #[derive(Clone, Debug)]
 pub struct HttpReply {
@@ -143,7 +161,7 @@
         progress: &watch::Sender<u64>,
     ) -> Result<Option<HttpReply>, HttpError> {
         let request = self.request(Method::GET, path, Bytes::new())?;
-        let response = self.open(bounds, request).await?;
+        let response = self.open(bounds, request, &mut None).await?;
         let length_bytes = response.body().size_hint().lower();
         if length_bytes > max_bytes {
             return Ok(None);
@@ -181,19 +199,37 @@
         bounds: ReplyBounds,
         request: Request<Full<Bytes>>,
     ) -> Result<HttpReply, HttpError> {
-        let response = self.open(bounds, request).await?;
-        complete(response, bounds, None).await
+        let mut connected_at = None;
+        let reply = async {
+            let response = self.open(bounds, request, &mut connected_at).await?;
+            complete(response, bounds, None).await
+        };
+        let reply = reply.await;
+        reply.map_err(|error| error.with_connection(connected_at))
     }
 
-    /// Sends a request and waits until the reply begins.
+    /// Sends a request and waits until the reply begins. Notes when the request got its connection.
     async fn open(
         &self,
         bounds: ReplyBounds,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
+        connected_at: &mut Option<Instant>,
     ) -> Result<Response<Incoming>, HttpError> {
         let upload_bytes = request.body().size_hint().lower();
         let bounds = bounds.with_upload(upload_bytes);
-        let response = tokio::time::timeout(bounds.head(), self.send(request)).await;
+        let mut connection = capture_connection(&mut request);
+        let response = async {
+            let response = self.send(request);
+            tokio::pin!(response);
+            tokio::select! {
+                result = &mut response => return result,
+                connected = connection.wait_for_connection_metadata() => {
+                    *connected_at = connected.as_ref().map(|_| Instant::now());
+                }
+            }
+            response.await
+        };
+        let response = tokio::time::timeout(bounds.head(), response).await;
         response.map_err(|_| ReplyError::NotBegun {
             waited_ms: bounds.head_ms,
         })?
@@ -242,6 +278,7 @@
                 HttpError::NoReply {
                     reason,
                     received_bytes: 0,
+                    connection_age_ms: None,
                 }
             }
         })
--- a/crates/adapters/src/kv_client/watch.rs
+++ b/crates/adapters/src/kv_client/watch.rs
@@ -98,6 +98,7 @@
             Err(HttpError::NoReply {
                 reason: "the watch did not open".into(),
                 received_bytes: 0,
+                connection_age_ms: None,
             })
         })
         .map_err(super::kv_error)?;
--- a/crates/adapters/src/worker_gateway/pending.rs
+++ b/crates/adapters/src/worker_gateway/pending.rs
@@ -1,6 +1,6 @@
 //! Calls that were passed to a gateway.
 
-use rosemaryscale_domain::schedule::order::{OrderResult, PaceOrder, PollResult};
+use rosemaryscale_domain::schedule::order::{OrderResult, PaceOrder, PollReception, PollResult};
 use rosemaryscale_ports::prelude::*;
 use rosemaryscale_ports::worker::WorkerEvent;
 
@@ -39,7 +39,7 @@
             },
             PendingKind::Poll => WorkerEvent::Polled {
                 worker,
-                result: PollResult::LinkClosed,
+                result: PollResult::LinkClosed(PollReception::Unknown),
             },
         }
     }
--- a/crates/adapters/src/worker_gateway/router.rs
+++ b/crates/adapters/src/worker_gateway/router.rs
@@ -344,9 +344,9 @@
         self.count_result(worker);
         // The end of a link says nothing about the worker.
         if let WorkerEvent::Polled { result, .. } = &event
-            && *result != PollResult::LinkClosed
+            && !matches!(result, PollResult::LinkClosed(_))
         {
-            let is_answered = *result != PollResult::Unanswered;
+            let is_answered = !matches!(result, PollResult::Unanswered(_));
             self.plan.polled(worker, is_answered);
         }
         let _ = self.events.send(event);
--- a/crates/adapters/src/worker_gateway/server.rs
+++ b/crates/adapters/src/worker_gateway/server.rs
@@ -6,7 +6,7 @@
 
 use futures_util::{SinkExt, StreamExt};
 use rosemaryscale_domain::schedule::order::{
-    OrderResult, PaceOrder, PollResult, StartOrder, StopOrder,
+    OrderResult, PaceOrder, PollReception, PollResult, StartOrder, StopOrder,
 };
 use rosemaryscale_ports::clock::ClockHandle;
 use rosemaryscale_ports::prelude::*;
@@ -292,7 +292,7 @@
             },
             GatewayOrder::Poll { call, .. } => GatewayResult::Poll {
                 call: *call,
-                result: PollResult::LinkClosed,
+                result: PollResult::LinkClosed(PollReception::Nowhere),
             },
             GatewayOrder::Open { .. } | GatewayOrder::Close { .. } => return,
         };
--- a/crates/adapters/tests/http_client.rs
+++ b/crates/adapters/tests/http_client.rs
@@ -59,6 +59,7 @@
     let Err(HttpError::NoReply {
         reason,
         received_bytes,
+        ..
     }) = result
     else {
         panic!("unexpected {result:?}");
@@ -68,6 +69,28 @@
     assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
 }
 
+/// Guards against a call that counts as received by a process that began after the call had got its connection, and
+/// against one that counts as sent although no connection was open.
+#[tokio::test]
+async fn a_call_without_a_reply_tells_the_age_of_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let client = HttpClient::new(listener.local_addr().expect("bound"), BOUNDS);
+    for _ in 0..2 {
+        let result = client.call(Method::GET, "/", Bytes::new()).await;
+        let Err(HttpError::NoReply {
+            connection_age_ms: Some(age_ms),
+            ..
+        }) = result
+        else {
+            panic!("unexpected {result:?}");
+        };
+        assert!(
+            (BOUNDS.head_ms - 100..BOUNDS.head_ms + 500).contains(&age_ms),
+            "{age_ms}"
+        );
+    }
+}
+
 /// Guards against a server that holds a call by single bytes.
 #[tokio::test]
 async fn single_bytes_are_no_progress() {
--- a/crates/adapters/tests/worker_gateway.rs
+++ b/crates/adapters/tests/worker_gateway.rs
@@ -13,7 +13,7 @@
 };
 use rosemaryscale_domain::job::{TaskName, TaskPosition};
 use rosemaryscale_domain::schedule::order::{
-    ListedRun, Listing, OrderResult, PollOrder, PollResult, StartOrder,
+    ListedRun, Listing, OrderResult, PollOrder, PollReception, PollResult, StartOrder,
 };
 use rosemaryscale_domain::worker_route::GatewayOffer;
 use rosemaryscale_ports::prelude::*;
@@ -360,7 +360,10 @@
             other => panic!("unexpected {other:?}"),
         }
     }
-    let lost = (Some(OrderResult::Unanswered), Some(PollResult::LinkClosed));
+    let lost = (
+        Some(OrderResult::Unanswered),
+        Some(PollResult::LinkClosed(PollReception::Unknown)),
+    );
     assert_eq!(results, lost);
     leader.poll_until(LOCAL).await;
 }
@@ -463,7 +466,7 @@
     let mut leader = Leader::start(5).await;
     let offers = vec![gateway.offer.clone()];
     leader.router.offers.send_replace(offers);
-    while leader.poll().await != PollResult::Unanswered {
+    while !matches!(leader.poll().await, PollResult::Unanswered(_)) {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     leader.poll_until(LOCAL).await;
@@ -537,6 +540,9 @@
         ),
         "{results:?}"
     );
-    assert_eq!(results.1, Some(PollResult::LinkClosed));
+    assert_eq!(
+        results.1,
+        Some(PollResult::LinkClosed(PollReception::Unknown))
+    );
     leader.poll_until(GATEWAY).await;
 }
--- a/crates/domain/src/schedule/late_polls.rs
+++ b/crates/domain/src/schedule/late_polls.rs
@@ -3,7 +3,7 @@
 //! The next process may have the same id, and numbers its ends anew. A poll that acknowledges ends of the former
 //! process makes it drop ends that nobody has read, so that their tasks run again.
 
-use super::order::SchedulerEvent;
+use super::order::{PollReception, SchedulerEvent};
 use super::stop_reason::StopReason;
 use super::worker::Worker;
 use super::{CLOCK_DRIFT_PERCENT, LATE_ORDER_MS, Scheduler};
@@ -15,26 +15,42 @@
 /// overtake each other. Above the longest time for which an answer is waited for.
 const CLOCK_REORDERING_MS: u64 = 2_000;
 
-/// Polls that acknowledged ends and got no answer: for each worker id, when the last one was given up.
+/// The last polls of a worker that acknowledged ends and got no answer.
+#[derive(Clone, Copy, Debug)]
+struct LatePoll {
+    /// Latest time at which a process may have received one of them.
+    received_until: Millis,
+    /// When the last one can no longer be carried out.
+    expires_at: Millis,
+}
+
+/// Polls that acknowledged ends and got no answer, by the id of their worker.
 #[derive(Debug, Default)]
 pub(super) struct LatePolls {
-    given_up_at: FastMap<Arc<str>, Millis>,
+    by_worker: FastMap<Arc<str>, LatePoll>,
 }
 
 impl LatePolls {
-    fn record(&mut self, worker: &Arc<str>, now: Millis) {
-        self.given_up_at
-            .retain(|_, at| at.after_ms(LATE_ORDER_MS) > now);
-        self.given_up_at.insert(Arc::clone(worker), now);
+    fn record(&mut self, worker: &Arc<str>, received_until: Millis, now: Millis) {
+        self.by_worker.retain(|_, poll| poll.expires_at > now);
+        let expires_at = now.after_ms(LATE_ORDER_MS);
+        let poll = self
+            .by_worker
+            .entry(Arc::clone(worker))
+            .or_insert(LatePoll {
+                received_until,
+                expires_at,
+            });
+        poll.received_until = poll.received_until.max(received_until);
+        poll.expires_at = expires_at;
     }
 
-    /// Until when a process that began at this time may carry out such a poll. What was given up before that has
-    /// only reached the former process, and has ended with it.
+    /// Until when a process that began at this time may carry out such a poll. What was received before that has
+    /// ended with the former process.
     fn pending_until(&self, worker: &str, process_began_at: Millis) -> Option<Millis> {
-        let given_up_at = self.given_up_at.get(worker);
-        given_up_at
-            .filter(|at| **at >= process_began_at)
-            .map(|at| at.after_ms(LATE_ORDER_MS))
+        let poll = self.by_worker.get(worker);
+        poll.filter(|poll| poll.received_until >= process_began_at)
+            .map(|poll| poll.expires_at)
     }
 }
 
@@ -69,11 +85,19 @@
 
 impl Scheduler {
     /// Notes that the last poll of a worker was given up.
-    pub(super) fn poll_given_up(&mut self, key: WorkerKey, now: Millis) {
+    pub(super) fn poll_given_up(&mut self, key: WorkerKey, reception: PollReception, now: Millis) {
+        let received_until = match reception {
+            PollReception::Nowhere => return,
+            PollReception::Connected { age_ms } => {
+                Millis::from_ms(now.as_ms().saturating_sub(age_ms))
+            }
+            PollReception::Unknown => now,
+        };
         if let Some(worker) = self.workers.get(key)
             && worker.poll_cursor > 0
         {
-            self.late_polls.record(&worker.report.id, now);
+            self.late_polls
+                .record(&worker.report.id, received_until, now);
         }
     }
 
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -2,7 +2,7 @@
 
 use super::job_table::TaskStatus;
 use super::order::{
-    ListedEnd, ListedRun, Listing, PollResult, Refusal, RunEndKind, SchedulerEvent,
+    ListedEnd, ListedRun, Listing, PollReception, PollResult, Refusal, RunEndKind, SchedulerEvent,
 };
 use super::run::{EndEvidence, Phase, PlacedRun, Run, RunInfo};
 use super::stop_reason::StopReason;
@@ -44,7 +44,8 @@
                 if is_usable {
                     self.apply_listing(key, &listing, now, wall);
                 } else {
-                    self.poll_unanswered(key, now);
+                    // The process that has answered is the one that has received it.
+                    self.poll_unanswered(key, PollReception::Unknown, now);
                 }
             }
             PollResult::Refused(Refusal::OtherIncarnation) => {
@@ -62,16 +63,16 @@
                 self.fenced |= refusal == Refusal::Fenced && !worker.may_have_missed(sent_at);
                 self.try_other_address(key, now);
             }
-            PollResult::LinkClosed => {
+            PollResult::LinkClosed(reception) => {
                 worker.next_poll_at = now.after_ms(POLL_INTERVAL_MS);
-                self.poll_given_up(key, now);
+                self.poll_given_up(key, reception, now);
             }
-            PollResult::Unanswered => self.poll_unanswered(key, now),
+            PollResult::Unanswered(reception) => self.poll_unanswered(key, reception, now),
         }
     }
 
-    fn poll_unanswered(&mut self, key: WorkerKey, now: Millis) {
-        self.poll_given_up(key, now);
+    fn poll_unanswered(&mut self, key: WorkerKey, reception: PollReception, now: Millis) {
+        self.poll_given_up(key, reception, now);
         let worker = &mut self.workers[key];
         let became_unresponsive = worker.count_failed_poll(now);
         worker.next_poll_at = if worker.unresponsive {
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -358,6 +358,21 @@
     pub reason: Arc<str>,
 }
 
+/// Which process of a worker may have received a poll without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum PollReception {
+    /// None: the poll was not sent.
+    Nowhere,
+    /// One that existed when the poll got its connection: a connection ends with its process.
+    Connected {
+        /// Time since then.
+        age_ms: u64,
+    },
+    /// Any until now.
+    Unknown,
+}
+
 /// Result of a poll.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -369,9 +384,9 @@
     /// Nothing listens at the worker's address.
     NotListening,
     /// No answer arrived in time.
-    Unanswered,
+    Unanswered(PollReception),
     /// The link was closed before an answer arrived, which says nothing about the worker.
-    LinkClosed,
+    LinkClosed(PollReception),
     /// The worker answered, but some rows could not be decoded.
     ListedInPart(Listing, UnreadableRows),
 }
--- a/crates/domain/tests/late_polls.rs
+++ b/crates/domain/tests/late_polls.rs
@@ -3,7 +3,7 @@
 mod scheduler_harness;
 
 use rosemaryscale_domain::job::{JobState, StepSpec};
-use rosemaryscale_domain::schedule::order::RunEndKind;
+use rosemaryscale_domain::schedule::order::{PollReception, RunEndKind};
 use scheduler_harness::{SchedulerHarness, job, step};
 
 /// Time for which an order without an answer may still be carried out.
@@ -78,6 +78,47 @@
     assert_eq!(harness.running().len(), 3, "the tasks that were not done");
 }
 
+/// A worker whose power fails while polls that acknowledge ends are open, and is back under its id before they are given
+/// up.
+fn back_before_its_polls_are_given_up(reception: PollReception) -> SchedulerHarness {
+    let mut harness = SchedulerHarness::new(1);
+    harness.submit("a", job(vec![step(4)], 3));
+    harness.run_for(100);
+    harness.end_task("a.0.0.0", RunEndKind::Done);
+    harness.run_for(60);
+    harness.restart_unlisted(0);
+    harness.poll_reception = reception;
+    harness.delay_next_acknowledgement = true;
+    harness.run_for(500);
+    assert!(!harness.delay_next_acknowledgement, "given up");
+    harness.submit("b", job(vec![step(1)], 3));
+    harness.run_for(3_000);
+    harness
+}
+
+/// Guards against a worker that gets no task for 12.5 s after it was without power for less than a second: its open polls
+/// ended with the connections of the former process (review/7).
+#[test]
+fn polls_on_connections_of_the_former_process_do_not_hold_the_next_one() {
+    let sent_before = PollReception::Connected { age_ms: 1_500 };
+    let harness = back_before_its_polls_are_given_up(sent_before);
+    assert_eq!(harness.start_count("b.0.0.0"), 1);
+    let never_sent = back_before_its_polls_are_given_up(PollReception::Nowhere);
+    assert_eq!(never_sent.start_count("b.0.0.0"), 1);
+}
+
+/// Guards against a new process that drops ends unread by a poll that it may have received.
+#[test]
+fn polls_on_connections_of_the_next_process_hold_it() {
+    for reception in [
+        PollReception::Unknown,
+        PollReception::Connected { age_ms: 0 },
+    ] {
+        let harness = back_before_its_polls_are_given_up(reception);
+        assert_eq!(harness.start_count("b.0.0.0"), 0, "{reception:?}");
+    }
+}
+
 /// Guards against the end of a run that the new process has accepted before the leader knew of it: the run would end
 /// unread.
 #[test]
--- a/crates/domain/tests/scheduler_harness/address.rs
+++ b/crates/domain/tests/scheduler_harness/address.rs
@@ -1,7 +1,7 @@
 //! What an address at which no worker listens does with orders.
 
 use rosemaryscale_domain::prelude::*;
-use rosemaryscale_domain::schedule::order::{OrderResult, PollResult, Refusal};
+use rosemaryscale_domain::schedule::order::{OrderResult, PollReception, PollResult, Refusal};
 
 use super::SchedulerHarness;
 
@@ -31,7 +31,7 @@
         match self {
             Self::Fenced => PollResult::Refused(Refusal::Fenced),
             Self::NotListening => PollResult::NotListening,
-            Self::Unanswered => PollResult::Unanswered,
+            Self::Unanswered => PollResult::Unanswered(PollReception::Unknown),
         }
     }
 }
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -14,8 +14,8 @@
 use rosemaryscale_domain::schedule::locality::PlacementWait;
 use rosemaryscale_domain::schedule::order::{
     Action, InstanceListing, InstanceOrderResult, InstanceReport, InstanceState, ListedRun,
-    Listing, OrderResult, PollOrder, PollResult, Refusal, RunEndKind, StartOrder, StopOrder,
-    UnreadableRows, WorkerReport,
+    Listing, OrderResult, PollOrder, PollReception, PollResult, Refusal, RunEndKind, StartOrder,
+    StopOrder, UnreadableRows, WorkerReport,
 };
 use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
@@ -120,6 +120,8 @@
     /// Whether the next poll that acknowledges ends stays in transit until
     /// [`SchedulerHarness::deliver_delayed_poll`], without a response.
     pub(crate) delay_next_acknowledgement: bool,
+    /// Which process may receive the polls that get no response.
+    pub(crate) poll_reception: PollReception,
     /// Worker and cursor of that poll.
     delayed_poll: Option<(usize, u64)>,
     /// Whether answers to polls wait until [`SchedulerHarness::freeze_leader`] has ended.
@@ -197,6 +199,7 @@
             lose_next_polls: 0,
             close_next_polls: 0,
             delay_next_acknowledgement: false,
+            poll_reception: PollReception::Unknown,
             delayed_poll: None,
             hold_answers: false,
             held_answers: Vec::new(),
@@ -754,7 +757,9 @@
         let address = self.scheduler.worker(key).map(|report| &report.address);
         match &self.dead_address {
             Some((dead, true)) if Some(dead) == address => PollResult::NotListening,
-            Some((dead, false)) if Some(dead) == address => PollResult::Unanswered,
+            Some((dead, false)) if Some(dead) == address => {
+                PollResult::Unanswered(self.poll_reception)
+            }
             _ => self.poll(key, order),
         }
     }
@@ -765,17 +770,17 @@
         }
         if self.lose_next_polls > 0 {
             self.lose_next_polls -= 1;
-            return PollResult::Unanswered;
+            return PollResult::Unanswered(self.poll_reception);
         }
         if self.close_next_polls > 0 {
             self.close_next_polls -= 1;
-            return PollResult::LinkClosed;
+            return PollResult::LinkClosed(PollReception::Unknown);
         }
         let Some(index) = self
             .worker_index(key)
             .filter(|index| !self.workers[*index].partitioned)
         else {
-            return PollResult::Unanswered;
+            return PollResult::Unanswered(self.poll_reception);
         };
         if !self.workers[index].listening {
             return PollResult::NotListening;
@@ -783,7 +788,7 @@
         if self.delay_next_acknowledgement && order.acknowledged > 0 {
             self.delay_next_acknowledgement = false;
             self.delayed_poll = Some((index, order.acknowledged));
-            return PollResult::Unanswered;
+            return PollResult::Unanswered(self.poll_reception);
         }
         let worker = &mut self.workers[index];
         worker.ended.retain(|end| end.sequence > order.acknowledged);
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -24,7 +24,9 @@
 use rosemaryscale_domain::job::{JobProgress, JobRecord};
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::locality::PlacementWait;
-use rosemaryscale_domain::schedule::order::{Action, OrderResult, PollResult, Refusal, RunEndKind};
+use rosemaryscale_domain::schedule::order::{
+    Action, OrderResult, PollReception, PollResult, Refusal, RunEndKind,
+};
 use rosemaryscale_domain::schedule::{
     Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
@@ -377,7 +379,7 @@
         let mut events = Vec::new();
         if !is_answered {
             let answer = match &order {
-                Order::Poll(_) => Answer::Poll(PollResult::Unanswered),
+                Order::Poll(_) => Answer::Poll(PollResult::Unanswered(PollReception::Unknown)),
                 Order::Start(_) | Order::Stop(_) => Answer::Order(OrderResult::Unanswered),
             };
             let order = order.clone();
--- a/crates/domain/tests/takeover_model/odd_entries.rs
+++ b/crates/domain/tests/takeover_model/odd_entries.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rosemaryscale_domain::prelude::*;
-use rosemaryscale_domain::schedule::order::{OrderResult, PollResult, WorkerReport};
+use rosemaryscale_domain::schedule::order::{OrderResult, PollReception, PollResult, WorkerReport};
 
 use super::messages::{Answer, Order};
 use super::{ORDER_TIMEOUT_MS, TICK_MS, TakeoverModel, WORKER_COUNT};
@@ -142,7 +142,7 @@
         let is_refused = self.odd_entries.rng.random_bool(0.5);
         let result = match (order, is_refused) {
             (Order::Poll(_), true) => Answer::Poll(PollResult::NotListening),
-            (Order::Poll(_), false) => Answer::Poll(PollResult::Unanswered),
+            (Order::Poll(_), false) => Answer::Poll(PollResult::Unanswered(PollReception::Unknown)),
             (_, true) => Answer::Order(OrderResult::NotListening),
             (_, false) => Answer::Order(OrderResult::Unanswered),
         };
--- a/crates/ports/src/worker.rs
+++ b/crates/ports/src/worker.rs
@@ -4,7 +4,7 @@
 
 use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::{
-    OrderResult, PaceOrder, PollOrder, PollResult, StartOrder, StopOrder,
+    OrderResult, PaceOrder, PollOrder, PollReception, PollResult, StartOrder, StopOrder,
 };
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -60,7 +60,10 @@
             },
             Self::Poll(worker, _) => WorkerEvent::Polled {
                 worker,
-                result: PollResult::Unanswered,
+                result: PollResult::Unanswered(match result {
+                    OrderResult::NotSent => PollReception::Nowhere,
+                    _ => PollReception::Unknown,
+                }),
             },
             Self::Open { .. } | Self::Close(_) => return None,
         })
