Count a job as running once a run of it has begun

Cause: ordering the first start set the job to running, and a refused or lost order took nothing back. Frontends count waiting jobs by the state.

A job is now running from the first run that a worker confirms by its answer, lists as active, or lists as ended.

--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -247,6 +247,7 @@
         run.progress.percent_changed_at = now;
         run.is_listed = true;
         let run = self.runs.insert(run, &mut self.workers[worker]);
+        self.mark_job_begun(task, now);
         let has_ended = self
             .job_table
             .tasks
@@ -269,10 +270,10 @@
     }
 
     fn update_progress(&mut self, key: RunKey, listed_run: &ListedRun, now: Millis) {
+        self.confirm_run(key, now);
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
-        run.confirm(now);
         run.is_listed = true;
         run.progress.first.get_or_insert((listed_run.percent, now));
         if run.progress.percent != listed_run.percent {
@@ -360,6 +361,7 @@
         let Some(task) = self.find_listed(&end.task) else {
             return;
         };
+        self.mark_job_begun(task, now);
         self.record_end(key, task, end);
         let ended_run = self.run_at(key, task, end.number);
         match end.kind {
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -34,9 +34,7 @@
                         worker.keep_lease_until(self.settings.longest_lease_from(now));
                     }
                 }
-                if let Some(run) = self.runs.get_mut(run) {
-                    run.confirm(now);
-                }
+                self.confirm_run(run, now);
             }
             OrderResult::Refused(Refusal::OtherIncarnation) => {
                 self.order_found_other_process(worker, Some(sent_at), now);
--- a/crates/domain/src/schedule/start.rs
+++ b/crates/domain/src/schedule/start.rs
@@ -16,8 +16,24 @@
         let task = &mut self.job_table.tasks[key];
         task.status = TaskStatus::Placed(run);
         task.last_run_lost = false;
-        let job_key = task.job;
-        let job = &mut self.job_table.jobs[job_key];
+    }
+
+    /// Notes that a worker has begun a run.
+    pub(super) fn confirm_run(&mut self, key: RunKey, now: Millis) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        run.confirm(now);
+        let task = run.info().task;
+        self.mark_job_begun(task, now);
+    }
+
+    /// Notes that a run of the task's job has begun. An order alone does not show it: the worker may refuse it.
+    pub(super) fn mark_job_begun(&mut self, task: TaskKey, now: Millis) {
+        let job = self.job_table.tasks.get(task).map(|task| task.job);
+        let Some(job) = job.and_then(|job| self.job_table.jobs.get_mut(job)) else {
+            return;
+        };
         if job.state == JobState::Queued {
             job.state = JobState::Running;
             job.dirty = true;
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -107,6 +107,8 @@
     pub(crate) stall_writes: bool,
     stalled_batch: Option<Batch>,
     pub(crate) lose_starts: bool,
+    /// Whether workers refuse starts as unhealthy ones do.
+    pub(crate) refuse_starts: bool,
     pub(crate) refuse_fencing_token: bool,
     /// Whether starts stay in transit until [`SchedulerHarness::deliver_starts`].
     pub(crate) hold_starts: bool,
@@ -192,6 +194,7 @@
             stall_writes: false,
             stalled_batch: None,
             lose_starts: false,
+            refuse_starts: false,
             refuse_fencing_token: false,
             hold_starts: false,
             held_starts: Vec::new(),
@@ -707,6 +710,9 @@
             self.lose_next_starts = self.lose_next_starts.saturating_sub(1);
             return OrderResult::Unanswered;
         }
+        if self.refuse_starts {
+            return OrderResult::Refused(Refusal::Unhealthy);
+        }
         let worker = &mut self.workers[index];
         if !self.advisor.accepts(order, &worker.report.id, self.now) {
             return OrderResult::Refused(Refusal::Ticket);
--- a/crates/domain/tests/status.rs
+++ b/crates/domain/tests/status.rs
@@ -2,6 +2,7 @@
 
 mod scheduler_harness;
 
+use rosemaryscale_domain::job::JobState;
 use rosemaryscale_domain::schedule::status::{Exclusion, SchedulerStatus};
 use scheduler_harness::{SchedulerHarness, job, step};
 
@@ -57,3 +58,23 @@
         [(Exclusion::Unsynced, 1), (Exclusion::Unresponsive, 1)]
     );
 }
+
+/// Guards against a job that is shown as running, and is left out of the jobs that wait, although its worker has refused
+/// or not received every start (review/8).
+#[test]
+fn a_job_is_queued_until_a_run_of_it_has_begun() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.refuse_starts = true;
+    harness.submit("refused", job(vec![step(1)], 3));
+    harness.run_for(2_000);
+    assert!(harness.start_count("refused.0.0.0") > 1);
+    assert_eq!(harness.state("refused"), JobState::Queued);
+    harness.refuse_starts = false;
+    harness.lose_starts = true;
+    harness.run_for(2_000);
+    assert_eq!(harness.state("refused"), JobState::Queued);
+    harness.lose_starts = false;
+    harness.run_for(2_000);
+    assert_eq!(harness.running(), ["refused.0.0.0"]);
+    assert_eq!(harness.state("refused"), JobState::Running);
+}
