Try a long-running task on the only worker for it in its quarantine

Cause: a worker on which task after task fails is quarantined for 4 to 30 s if another worker of its service is free. It is not asked whether that one can run the tasks that failed, and only time ends a quarantine.

A long-running task for which no other worker has room, label and limit per worker is now tried on a quarantined worker once a second. It has no limit of attempts. Finite tasks are still kept away.

--- a/crates/domain/src/schedule/choice.rs
+++ b/crates/domain/src/schedule/choice.rs
@@ -1,6 +1,7 @@
 //! Choice of a worker for a ready task.
 
 use super::job_table::Task;
+use super::status::Exclusion;
 use super::view::PlacementView;
 use super::worker::Worker;
 use crate::job::StepSpec;
@@ -30,12 +31,45 @@
         key: TaskKey,
         workers: impl Iterator<Item = WorkerKey>,
         planned: &[(WorkerKey, Resources)],
+    ) -> Option<WorkerKey> {
+        let workers = workers.filter(|key| self.is_worker(*key, Self::may_start_on));
+        self.best_candidate(key, workers, planned)
+    }
+
+    /// Selects the best quarantined worker of a service for a long-running task that no other worker can take. The
+    /// task loses nothing by a further failure, and nothing else shows that the worker is sound again.
+    pub(super) fn best_quarantined_worker(
+        &self,
+        key: TaskKey,
+        service: ServiceKey,
+        planned: &[(WorkerKey, Resources)],
+    ) -> Option<WorkerKey> {
+        if !self.job_table.is_long_running(key) {
+            return None;
+        }
+        let workers = self.services.get(service)?.workers.iter().copied();
+        let workers = workers.filter(|key| self.is_worker(*key, Self::may_be_tried));
+        self.best_candidate(key, workers, planned)
+    }
+
+    fn is_worker(&self, key: WorkerKey, condition: impl Fn(&Self, &Worker) -> bool) -> bool {
+        self.workers
+            .get(key)
+            .is_some_and(|worker| condition(self, worker))
+    }
+
+    /// Selects the best one of the candidates with room for the task.
+    fn best_candidate(
+        &self,
+        key: TaskKey,
+        candidates: impl Iterator<Item = WorkerKey>,
+        planned: &[(WorkerKey, Resources)],
     ) -> Option<WorkerKey> {
         let task = self.job_table.tasks.get(key)?;
         let step = self.job_table.step_of(key)?;
         let step_key = self.job_table.step_key(key)?;
         let advised = self.job_table.advice_of(key).is_some();
-        self.fitting_among(key, workers, planned)
+        self.fitting_among(key, candidates, planned)
             .filter(|worker| !task.is_isolated() || !self.workers[*worker].has_suspects(self.now))
             .filter(|worker| !advised || self.advice.ticket(step_key, *worker, self.now).is_some())
             .map(|key| {
@@ -68,6 +102,7 @@
     ) -> impl Iterator<Item = WorkerKey> {
         let service = self.services.get(service).into_iter();
         let workers = service.flat_map(|service| service.workers.iter().copied());
+        let workers = workers.filter(|key| self.is_worker(*key, Self::may_start_on));
         self.fitting_among(key, workers, planned)
     }
 
@@ -94,8 +129,7 @@
                 let Some(worker) = self.workers.get(*key) else {
                     return false;
                 };
-                self.may_start_on(worker)
-                    && step.need().plus(planned_need(*key)).fits(worker.free())
+                step.need().plus(planned_need(*key)).fits(worker.free())
                     && step
                         .requirement
                         .as_ref()
@@ -122,9 +156,20 @@
 
     /// Whether the worker takes work, also of a leader that may have been replaced.
     pub(super) fn may_start_on(&self, worker: &Worker) -> bool {
-        worker.takes_work(self.now)
-            && (!self.leadership_unconfirmed
-                || self.now.ms_since(worker.answer_asked_at) <= UNCONFIRMED_LEADER_ANSWER_AGE_MS)
+        worker.takes_work(self.now) && self.has_recent_answer(worker)
+    }
+
+    /// Whether nothing but its quarantine keeps the worker from taking work, and a try is due.
+    fn may_be_tried(&self, worker: &Worker) -> bool {
+        worker.exclusion(self.now) == Some(Exclusion::Quarantined)
+            && worker.quarantine.is_try_due(self.now)
+            && self.has_recent_answer(worker)
+    }
+
+    /// Whether the worker's last answer is recent enough for a start by this leader.
+    fn has_recent_answer(&self, worker: &Worker) -> bool {
+        !self.leadership_unconfirmed
+            || self.now.ms_since(worker.answer_asked_at) <= UNCONFIRMED_LEADER_ANSWER_AGE_MS
     }
 
     /// Whether the worker is below the step's limit of tasks per worker.
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -317,9 +317,10 @@
         }
         let held = self.held_room(key, service);
         self.placement_effort.searches += 1;
-        let found = self
-            .view(now)
-            .best_worker_among(key, rooms.fitting(need), &held);
+        let view = self.view(now);
+        let found = view
+            .best_worker_among(key, rooms.fitting(need), &held)
+            .or_else(|| view.best_quarantined_worker(key, service, &held));
         let Some(worker) = found else {
             self.placement_effort.failed_searches += 1;
             return Placement::NoRoom;
--- a/crates/domain/src/schedule/quarantine.rs
+++ b/crates/domain/src/schedule/quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! A failure may be the fault of the worker or of the task. Tasks that fail wherever they run would have all
 //! workers of a service quarantined, so only a part of them is at the same time: a worker is quarantined for
-//! being worse than the others.
+//! being worse than the others. Long-running tasks that no other worker can take are still tried on it.
 
 use super::Scheduler;
 use crate::prelude::*;
@@ -17,6 +17,9 @@
 /// One of this many workers of a service may be quarantined at a time; of a few workers, one.
 const WORKERS_PER_QUARANTINE: usize = 4;
 
+/// Time between two tries of a quarantined worker.
+const TRY_INTERVAL_MS: u64 = 1_000;
+
 /// Failures of tasks on a worker, and its quarantine.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Quarantine {
@@ -24,6 +27,8 @@
     /// Number of quarantines so far.
     count: u32,
     until: Millis,
+    /// When tasks were last started on the worker in its quarantine; until then, when that began.
+    tried_at: Millis,
 }
 
 impl Quarantine {
@@ -45,8 +50,21 @@
     fn begin(&mut self, now: Millis) {
         let duration_ms = (QUARANTINE_MS << self.count.min(8)).min(QUARANTINE_MAX_MS);
         self.until = self.until.max(now.after_ms(duration_ms));
+        self.tried_at = now;
         self.count += 1;
     }
+
+    /// Whether tasks may be tried on the worker now. All tasks of a placement pass make up one try.
+    pub(super) fn is_try_due(&self, now: Millis) -> bool {
+        self.tried_at == now || now.ms_since(self.tried_at) >= TRY_INTERVAL_MS
+    }
+
+    /// Notes that a task was started on the worker.
+    pub(super) fn note_start(&mut self, now: Millis) {
+        if self.is_active(now) {
+            self.tried_at = now;
+        }
+    }
 }
 
 impl Scheduler {
--- a/crates/domain/src/schedule/start.rs
+++ b/crates/domain/src/schedule/start.rs
@@ -65,6 +65,7 @@
         let run = PlacedRun::new(Phase::Sent(Run::new(info)));
         let run = self.runs.insert(run, worker);
         worker.begin_probation(&self.job_table.tasks[key], now);
+        worker.quarantine.note_start(now);
         worker.keep_lease_until(self.settings.lease_from(now));
         if !worker.poll_in_flight {
             worker.next_poll_at = worker.next_poll_at.min(now.after_ms(POLL_INTERVAL_MS));
