--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -44,7 +44,7 @@
                 if is_usable {
                     self.apply_listing(key, &listing, now, wall);
                 } else {
-                    // The process that has answered is the one that has received it.
+                    // The process that has answered has received it, whenever it began.
                     self.poll_unanswered(key, PollReception::Unknown, now);
                 }
             }
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -261,10 +261,10 @@
             }
             if worker.unwritten_ends.is_empty() && worker.acknowledged < worker.ack_ready {
                 let is_urgent = worker.has_unread_ends() || !worker.runs().is_empty();
-                worker.next_poll_at = if !is_urgent {
-                    now.after_ms(super::ACK_DELAY_MS)
-                } else {
+                worker.next_poll_at = if is_urgent {
                     worker.next_poll_at.min(now)
+                } else {
+                    now.after_ms(super::ACK_DELAY_MS)
                 };
             }
         }
