--- a/crates/adapters/tests/http_client.rs
+++ b/crates/adapters/tests/http_client.rs
@@ -69,8 +69,7 @@
     assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
 }
 
-/// Guards against a call that counts as received by a process that began after the call had got its connection, and
-/// against one that counts as sent although no connection was open.
+/// Guards against a call that counts as received by a process that began after the call had got its connection.
 #[tokio::test]
 async fn a_call_without_a_reply_tells_the_age_of_its_connection() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
