--- a/review/standin-3/src/daemon.rs
+++ b/review/standin-3/src/daemon.rs
@@ -31,6 +31,55 @@
     pub advisor: SocketAddr,
 }
 
+/// Period of the quota of a processor share, and what it leaves of the period at a share of 0.25.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+const QUOTA_NS: u64 = 25_000_000;
+
+/// Gives a process the processor of its machine: DEPLOY.md, "a core's share is a quota. The core runs at full speed until the
+/// quota is used up, and then runs not at all for the rest of that tenth of a second". Ends with the process.
+fn hold_to_quota(process: u32) {
+    thread::spawn(move || {
+        let mut used_before_ns = match used_ns(process) {
+            Some(used_ns) => used_ns,
+            None => return,
+        };
+        loop {
+            let until = Instant::now() + QUOTA_PERIOD;
+            while Instant::now() < until {
+                let Some(used_ns) = used_ns(process) else { return };
+                if used_ns - used_before_ns >= QUOTA_NS {
+                    send(process, SIGSTOP);
+                    thread::sleep(until.saturating_duration_since(Instant::now()));
+                    send(process, SIGCONT);
+                    break;
+                }
+                thread::sleep(Duration::from_millis(1));
+            }
+            // What was used beyond a quota is taken off the next one.
+            used_before_ns += used_ns(process).map_or(0, |used_ns| (used_ns - used_before_ns).min(QUOTA_NS));
+        }
+    });
+}
+
+/// Processor time of a process.
+fn used_ns(process: u32) -> Option<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/schedstat")).ok()?;
+    let is_over = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?.contains(") Z ");
+    text.split(' ').next()?.parse().ok().filter(|_| !is_over)
+}
+
+const SIGSTOP: i32 = 19;
+const SIGCONT: i32 = 18;
+
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+fn send(process: u32, signal: i32) {
+    // SAFETY: the call has no effect on this process; the id is that of a child that has not been waited for.
+    unsafe { kill(process as i32, signal) };
+}
+
 /// A daemon and its process.
 pub struct Daemon {
     pub name: String,
@@ -131,6 +180,13 @@
         }
     }
 
+    /// Holds the process to the processor share of its machine.
+    pub fn hold_to_share(&self) {
+        if let Some(process) = self.process() {
+            hold_to_quota(process);
+        }
+    }
+
     /// Id of the process.
     pub fn process(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
--- a/review/standin-3/src/runner.rs
+++ b/review/standin-3/src/runner.rs
@@ -216,7 +216,7 @@
             return self.refusal("late");
         }
         let spec = body.get("spec").text();
-        let run_ms: Option<u64> = spec.strip_prefix("run_ms=").and_then(|text| text.parse().ok());
+        let run_ms = run_ms(spec);
         self.record.note(&format!("{task} run {number} starts on {}, fence {}", self.id, state.fence));
         // A work unit on a runner that fails everything ends soon after its start.
         let (ends_ms, end) = match run_ms {
@@ -290,6 +290,13 @@
     }
 }
 
+/// Time that a work unit takes by the text of its job: a fixed one, or until a time of day. `None` if it lasts.
+fn run_ms(spec: &str) -> Option<u64> {
+    let (word, number) = spec.split_once('=')?;
+    let number: u64 = number.parse().ok()?;
+    Some(if word == "until_ms" { number.saturating_sub(wall_ms()).max(50) } else { number })
+}
+
 impl State {
     fn prolong(&mut self, deadline_ms: u64, now_ms: u64) {
         self.lease_ms = self.lease_ms.max(deadline_ms.min(now_ms + MAX_HOLD_MS));
