Review case 13: four wide jobs instead of one

Cause: with one job the stand-still was at times too short to show the rule. Change: four jobs of 0.05 cores a task at once.

--- a/review/standin-3/src/bin/wide_jobs.rs
+++ b/review/standin-3/src/bin/wide_jobs.rs
@@ -14,7 +14,7 @@
 use review_standin_3::record::Record;
 
 /// Jobs that come at once, and the work units of each of their two steps.
-const JOBS: u64 = 1;
+const JOBS: u64 = 4;
 const WIDTH: u64 = 2_500;
 const WORK_MS: u64 = 4_000;
 /// Interval of the changes of the manifest, and their number.
@@ -99,7 +99,7 @@
 }
 
 fn wide_step() -> Json {
-    step(WIDTH, 200, WORK_MS, false)
+    step(WIDTH, 50, WORK_MS, false)
 }
 
 /// The manifest with the first queue and one more for each version since the first change.
