Review case 11: a task runs twice after a restart of its worker and a planned stop of the leader

Cause: a new leader reckons with the usual lease for a worker that was restarted under its predecessor, which may hold the longest one.

--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -45,7 +45,20 @@
 impl Server {
     /// Listens at a free port of a loopback address.
     pub fn start(handler: impl Fn(Request) -> Answer + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Self::start_at(0, handler)
+    }
+
+    /// Listens at a port of a loopback address, once it is free.
+    pub fn start_at(port: u16, handler: impl Fn(Request) -> Answer + Send + Sync + 'static) -> Self {
+        let mut listener = TcpListener::bind(("127.0.0.1", port));
+        for _ in 0..100 {
+            if listener.is_ok() {
+                break;
+            }
+            thread::sleep(Duration::from_millis(10));
+            listener = TcpListener::bind(("127.0.0.1", port));
+        }
+        let listener = listener.expect("a free port");
         let address = listener.local_addr().expect("bound");
         let closed = Arc::new(AtomicBool::new(false));
         let connections = Arc::new(Mutex::new(Vec::new()));
--- a/review/standin-3/src/platform.rs
+++ b/review/standin-3/src/platform.rs
@@ -117,6 +117,18 @@
         });
     }
 
+    /// Crashes the runner of a machine and starts it again under its id, at its address. It writes its entry at its next check-in.
+    pub fn restart_under_id(&self, machine: &str, down_ms: u64) {
+        let Some(runner) = self.runner_on(machine) else { return };
+        let port = runner.address().rsplit(':').next().and_then(|port| port.parse().ok()).unwrap_or(0);
+        runner.crash();
+        thread::sleep(Duration::from_millis(down_ms));
+        let next = Runner::start_at(port, &runner.id, machine, &self.record);
+        if let Some(entry) = self.locked().get_mut(machine) {
+            entry.runner = Some(next);
+        }
+    }
+
     /// The runners that are up.
     pub fn runners(&self) -> Vec<Arc<Runner>> {
         self.locked().values().filter_map(|machine| machine.runner.clone()).collect()
--- a/review/standin-3/src/runner.rs
+++ b/review/standin-3/src/runner.rs
@@ -36,6 +36,8 @@
     closed: BTreeMap<String, u64>,
     /// Everything that runs or starts fails.
     fails: bool,
+    /// Cut off: nothing is heard or answered.
+    is_cut: bool,
     is_over: bool,
 }
 
@@ -53,6 +55,11 @@
 
 impl Runner {
     pub fn start(id: &str, machine: &str, record: &Record) -> Arc<Self> {
+        Self::start_at(0, id, machine, record)
+    }
+
+    /// Starts a runner at a port, once it is free.
+    pub fn start_at(port: u16, id: &str, machine: &str, record: &Record) -> Arc<Self> {
         let runner = Arc::new(Self {
             id: id.to_owned(),
             machine: machine.to_owned(),
@@ -64,7 +71,7 @@
             server: Mutex::new(None),
         });
         let handler = Arc::clone(&runner);
-        let server = Server::start(move |request| handler.handle(&request));
+        let server = Server::start_at(port, move |request| handler.handle(&request));
         *runner.server.lock().expect("no panic") = Some(server);
         let clock = Arc::clone(&runner);
         thread::spawn(move || {
@@ -77,6 +84,12 @@
         runner
     }
 
+    /// Cuts the runner off, or ends that. What runs on it goes on.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.record.note(&format!("runner {} is cut off: {is_cut}", self.id));
+        self.locked().is_cut = is_cut;
+    }
+
     pub fn address(&self) -> String {
         let server = self.server.lock().unwrap_or_else(PoisonError::into_inner);
         server.as_ref().map_or(String::new(), |server| server.address.to_string())
@@ -172,7 +185,7 @@
         }
         let body = &request.body;
         let mut state = self.locked();
-        if state.is_over {
+        if state.is_over || state.is_cut {
             return None;
         }
         let fence = body.get("fencing_token").number().unwrap_or(0);
@@ -186,7 +199,9 @@
             "/pace" => Some((200, self.clock())),
             "/hold" => {
                 drop(state);
-                Some(self.hold(body))
+                let answer = self.hold(body);
+                // An answer that is due while the runner is cut off is lost.
+                (!self.locked().is_cut).then_some(answer)
             }
             _ => Some((404, Json::map(vec![]))),
         }
