Log how long a recovery waits for workers, and which it gives up

Change: `recovery began` states the recorded workers, whether the former leader released its term, and the longest wait; `awaited worker given up` and its counter name a worker whose leases have ended unanswered.

--- a/crates/daemon/src/jobs/leader/actions.rs
+++ b/crates/daemon/src/jobs/leader/actions.rs
@@ -109,6 +109,12 @@
                         "answer_age_ms" => answer_age_ms, "list_age_ms" => self.list_age_ms(),
                         "lease_age_ms" => self.lease_age_ms());
                 }
+                SchedulerEvent::AwaitedWorkerGivenUp { worker, waited_ms } => {
+                    self.options.metrics.count("workers.given_up", 1);
+                    warn!(self.options.log, "awaited worker given up"; "worker" => &*worker,
+                        "waited_ms" => waited_ms, "reason" => "the leases of its runs have ended",
+                        "lease_age_ms" => self.lease_age_ms());
+                }
                 SchedulerEvent::WorkerRefusesConnects { worker, runs } => {
                     self.options.metrics.count("workers.refusing", 1);
                     warn!(self.options.log, "worker refuses connects"; "worker" => &*worker,
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -202,9 +202,12 @@
             workers: workers.unwrap_or_default(),
             rerouted: former_record.rerouted,
         };
+        let recorded_count = former_term.workers.len();
         let mut scheduler = Scheduler::new(settings, former_term, now);
         info!(options.log, "recovery began"; "term" => term, "jobs" => stored.len(),
-            "former_over" => former_term_ended, "revision" => revision,
+            "former_over" => former_term_ended, "released" => former_record.released,
+            "workers" => recorded_count, "wait_max_ms" => scheduler.recovery_wait_ms(now),
+            "revision" => revision,
             "lease_age_ms" => now.ms_since(lease.confirmed_at));
         for job in stored {
             scheduler.restore(job, now, wall);
--- a/crates/domain/src/schedule/order.rs
+++ b/crates/domain/src/schedule/order.rs
@@ -454,6 +454,13 @@
         /// Time since the poll was sent that it answered last.
         answer_age_ms: u64,
     },
+    /// A worker of the former leader has not answered this one, and the leases of its runs have ended.
+    AwaitedWorkerGivenUp {
+        /// The worker.
+        worker: Arc<str>,
+        /// Time since the recovery began.
+        waited_ms: u64,
+    },
     /// The address of a worker with runs has begun to refuse connects.
     WorkerRefusesConnects {
         /// The worker.
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -5,6 +5,7 @@
 //! one, and lists its runs, and its ends in one or more answers.
 
 use super::job_table::{Job, TaskStatus};
+use super::order::SchedulerEvent;
 use super::{FormerTerm, RecordedWorker, Scheduler};
 use crate::placement::Resources;
 use crate::prelude::*;
@@ -34,6 +35,7 @@
     until: Millis,
     /// Whether tasks may have become ready since the last check.
     changed: bool,
+    began_at: Millis,
 }
 
 impl Scheduler {
@@ -64,6 +66,7 @@
             unknown_workers,
             until: lease_end,
             changed: true,
+            began_at: now,
         });
     }
 
@@ -73,6 +76,13 @@
         self.recovery.is_some()
     }
 
+    /// Longest time for which the recovery still waits for a worker that does not answer.
+    #[must_use]
+    pub fn recovery_wait_ms(&self, now: Millis) -> u64 {
+        let recovery = self.recovery.as_ref();
+        recovery.map_or(0, |recovery| recovery.until.ms_since(now))
+    }
+
     /// Whether workers that are not recorded may have runs of a former leader.
     #[must_use]
     pub fn awaits_unknown_workers(&self) -> bool {
@@ -172,18 +182,25 @@
         let workers = &self.workers;
         let is_lease_over = now >= recovery.until;
         let before = recovery.awaited.len();
+        let events = &mut self.events;
         recovery.awaited.retain(|key| {
             let worker = workers.get(*key);
             let is_over =
                 left.contains(key) || recovery.ended.get(key).is_some_and(|until| *until <= now);
-            !is_over
-                && worker.is_some_and(|worker| {
-                    let may_have_runs = !worker.synced
-                        || !worker.unknown_runs.is_empty()
-                        || !worker.unknown_ends.is_empty();
-                    // The lease of the runs says nothing about ends that they had before.
-                    worker.has_unread_ends() || (may_have_runs && !is_lease_over)
-                })
+            let Some(worker) = worker.filter(|_| !is_over) else {
+                return false;
+            };
+            let may_have_runs = !worker.synced
+                || !worker.unknown_runs.is_empty()
+                || !worker.unknown_ends.is_empty();
+            if !worker.synced && is_lease_over {
+                events.push(SchedulerEvent::AwaitedWorkerGivenUp {
+                    worker: Arc::clone(&worker.report.id),
+                    waited_ms: now.ms_since(recovery.began_at),
+                });
+            }
+            // The lease of the runs says nothing about ends that they had before.
+            worker.has_unread_ends() || (may_have_runs && !is_lease_over)
         });
         recovery
             .ended
