Tell a restarted worker by what its clock must show by now

Cause: an order is answered by the next process of a worker, under the same id. The leader compared the reading of its clock with the last one, not with what the clock must show by now. An idle worker is polled every 20 s, so that the last reading was 8 s old; the new process looked like the former one, and the leader reckoned with a lease of 5.5 s where the worker gave 10 s.

Change: a reading is compared with the earliest one that the clock can have shown when the order was sent. The margin for answers that overtake each other stays.

Evidence: the_lease_of_the_next_process_of_a_young_one_is_not_underrated failed before (2 concurrent runs) and passes.

--- a/crates/domain/src/schedule/late_polls.rs
+++ b/crates/domain/src/schedule/late_polls.rs
@@ -69,17 +69,18 @@
         }
     }
 
-    /// Notes a clock reading in the answer to an order. One far below the last one is that of another process,
-    /// whose ends this leader has not read.
-    pub(super) fn note_order_clock(&mut self, clock_ms: u64, now: Millis) {
-        self.has_clock_gone_back |= self.is_clock_of_other_process(clock_ms);
+    /// Notes a clock reading in the answer to an order. One far below what the clock shows by now is that of another
+    /// process, whose ends this leader has not read.
+    pub(super) fn note_order_clock(&mut self, clock_ms: u64, sent_at: Millis, now: Millis) {
+        self.has_clock_gone_back |= self.is_clock_of_other_process(clock_ms, sent_at);
         self.update_clock(clock_ms, now);
     }
 
-    /// Whether a clock reading is so far below the last one that it is of another process.
-    pub(super) fn is_clock_of_other_process(&self, clock_ms: u64) -> bool {
-        let last = self.clock.map_or(0, |(clock_ms, _)| clock_ms);
-        clock_ms.saturating_add(CLOCK_REORDERING_MS) < last
+    /// Whether a clock reading in the answer to an order is so far below what the clock showed when the order was sent
+    /// that it is of another process. The last reading alone does not tell: that of an idle worker is old.
+    pub(super) fn is_clock_of_other_process(&self, clock_ms: u64, sent_at: Millis) -> bool {
+        let earliest = self.estimated_clock_at(sent_at);
+        earliest.is_some_and(|earliest| clock_ms.saturating_add(CLOCK_REORDERING_MS) < earliest)
     }
 }
 
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -93,7 +93,7 @@
         let started_ms = listing.started_wall_ms;
         let sent_at = worker.poll_sent_at;
         let is_other = if started_ms == 0 {
-            worker.is_clock_of_other_process(listing.clock_ms)
+            worker.is_clock_of_other_process(listing.clock_ms, sent_at)
         } else {
             known_start_ms != 0 && started_ms != known_start_ms
         };
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -29,7 +29,7 @@
         match result {
             OrderResult::Accepted { clock_ms } => {
                 if let Some(worker) = self.workers.get_mut(worker) {
-                    worker.note_order_clock(clock_ms, now);
+                    worker.note_order_clock(clock_ms, sent_at, now);
                     if worker.has_clock_gone_back {
                         worker.keep_lease_until(self.settings.longest_lease_from(now));
                     }
--- a/crates/domain/tests/leases.rs
+++ b/crates/domain/tests/leases.rs
@@ -37,6 +37,21 @@
     cut_off_after_a_start(&mut harness);
 }
 
+/// Guards against the same if the former process was read early in its life (review/11): its last reading is close to the
+/// first ones of the new process, and only the time since tells the two apart.
+#[test]
+fn the_lease_of_the_next_process_of_a_young_one_is_not_underrated() {
+    for age_ms in [1_000, 1_900, 8_000, 15_000] {
+        let mut harness = SchedulerHarness::new(2);
+        harness.restart(0);
+        harness.run_for(age_ms);
+        harness.restart_unlisted(0);
+        // The poll after the start waits for an end.
+        harness.lose_next_polls = 1;
+        cut_off_after_a_start(&mut harness);
+    }
+}
+
 /// Guards against the same once the new process has answered: an order with such a deadline was sent before.
 #[test]
 fn the_lease_of_a_new_process_that_has_answered_is_not_underrated() {
