Reckon with the longest lease where the record can't hold the former one

What callers would see: two runs of a task at the same time, after a kill of the leader whose daemon leads again, or with a record that can't be decoded.

A leader that is killed stores nothing of what it learnt since its last batch. Its daemon waits for no orders of its former process, and reckoned with the usual lease of 5.5 s from its start. The same held for workers that no record names.

Change: unless the former leader has released its term, and for workers that are not recorded or whose process has changed, a new leader reckons with the longest lease (10.5 s) from its start, or with 9 s and the usual lease if that is longer, as it is after another daemon.

Evidence: two tests of hand_overs.rs failed before (a_daemon_that_leads_again_waits_for_the_longest_lease, unknown_workers_are_reckoned_with_the_longest_lease) and pass; hand_overs, recovery, leases, quotas and odd_entries pass.

--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -201,6 +201,8 @@
             unknown_workers: workers.is_none() || former_record.unknown_workers,
             workers: workers.unwrap_or_default(),
             rerouted: former_record.rerouted,
+            released: former_record.released,
+            order_age_max_ms: former_record.order_age_max_ms,
         };
         let recorded_count = former_term.workers.len();
         let mut scheduler = Scheduler::new(settings, former_term, now);
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -148,6 +148,10 @@
     pub unknown_workers: bool,
     /// Queues that have been routed to more than one service.
     pub rerouted: Vec<Arc<str>>,
+    /// Whether the former leader has stored all that it knew and then sent no more orders.
+    pub released: bool,
+    /// Time for which a gateway may still carry out an order of the former leader.
+    pub order_age_max_ms: u64,
 }
 
 /// A job read from the store by a new leader.
@@ -274,7 +278,7 @@
             locality: Locality::new(settings.placement_wait),
             placement_effort: PlacementEffort::default(),
             recovery: None,
-            rerouted: former.rerouted.into_iter().collect(),
+            rerouted: former.rerouted.iter().cloned().collect(),
             policies: FastMap::default(),
             short_polls_until: Millis::ZERO,
             leadership_unconfirmed: false,
@@ -288,7 +292,7 @@
             batches: BatchQueue::new(now),
             fenced: false,
         };
-        scheduler.begin_recovery(former.workers, former.unknown_workers, now);
+        scheduler.begin_recovery(former, now);
         scheduler
     }
 
@@ -308,8 +312,7 @@
         }
         let restored =
             stored.acceptance == Acceptance::BeforeTerm || self.job_table.jobs[key].is_held;
-        let unseen_ms =
-            self.settings.leader_grace_ms + self.settings.run_lease_ms + LEASE_MARGIN_MS;
+        let unseen_ms = self.settings.leader_grace_ms + self.settings.longest_lease_ms();
         let is_final = stored.progress.as_ref().is_some_and(|p| p.state.is_final());
         if !is_final && !stored.cancelled && self.end_refused_job(key, now, wall) {
             return;
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -32,28 +32,32 @@
     unknown_workers: bool,
     /// All workers that the former leader stored.
     recorded: FastSet<WorkerKey>,
-    /// End of the last lease that a run can have which the record of the workers does not cover.
-    unrecorded_until: Millis,
+    /// End of the last lease that a run can have on a process that the former leader did not know of.
+    unknown_process_until: Millis,
     /// Whether tasks may have become ready since the last check.
     changed: bool,
     began_at: Millis,
 }
 
 impl Scheduler {
-    pub(super) fn begin_recovery(
-        &mut self,
-        recorded: Vec<RecordedWorker>,
-        unknown_workers: bool,
-        now: Millis,
-    ) {
+    pub(super) fn begin_recovery(&mut self, former: FormerTerm, now: Millis) {
         let settings = self.settings;
-        let last_order_at = now.after_ms(settings.leader_grace_ms);
-        let unrecorded_until = settings.lease_from(last_order_at);
+        let known_process_until = settings.lease_from(now.after_ms(settings.leader_grace_ms));
+        // A process that has replaced the known one under its id gives an order of before the takeover the longest
+        // lease.
+        let unknown_process_until = known_process_until
+            .max(settings.longest_lease_from(now.after_ms(former.order_age_max_ms)));
+        // What a leader has learnt since its last batch is not in its record, unless it has released its term.
+        let unrecorded_until = if former.released {
+            known_process_until
+        } else {
+            unknown_process_until
+        };
         let longest_lease_ms = settings.longest_lease_ms();
         let mut awaited = FastMap::default();
-        for worker in recorded {
-            let recorded_until = now.after_ms(worker.lease_ms.unwrap_or(longest_lease_ms));
-            let lease_end = unrecorded_until.max(recorded_until);
+        for worker in former.workers {
+            let lease_ms = worker.lease_ms.unwrap_or(longest_lease_ms);
+            let lease_end = unrecorded_until.max(now.after_ms(lease_ms));
             let key = self.insert_worker(worker.into_report(), lease_end);
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.listed = false;
@@ -67,8 +71,8 @@
             awaited,
             ended: FastMap::default(),
             is_list_known: false,
-            unknown_workers,
-            unrecorded_until,
+            unknown_workers: former.unknown_workers,
+            unknown_process_until,
             changed: true,
             began_at: now,
         });
@@ -86,7 +90,7 @@
         let recovery = self.recovery.as_ref();
         recovery.map_or(0, |recovery| {
             let awaited_until = recovery.awaited.values().max().copied();
-            let until = awaited_until.unwrap_or(recovery.unrecorded_until);
+            let until = awaited_until.unwrap_or(recovery.unknown_process_until);
             until.ms_since(now)
         })
     }
@@ -145,7 +149,7 @@
             && recovery.recorded.contains(&key)
         {
             let until = recovery.awaited.entry(key).or_default();
-            *until = recovery.unrecorded_until.max(*until);
+            *until = recovery.unknown_process_until.max(*until);
             recovery.ended.remove(&key);
             self.unseen_use.request_renewal();
         }
@@ -221,7 +225,7 @@
             .ended
             .retain(|key, _| recovery.awaited.contains_key(key));
         let changed = std::mem::take(&mut recovery.changed) || recovery.awaited.len() != before;
-        recovery.unknown_workers &= now < recovery.unrecorded_until;
+        recovery.unknown_workers &= now < recovery.unknown_process_until;
         if recovery.awaited.is_empty() && !recovery.unknown_workers {
             self.recovery = None;
             self.interruptions_allowed_from =
--- a/crates/domain/tests/hand_overs.rs
+++ b/crates/domain/tests/hand_overs.rs
@@ -127,3 +127,33 @@
     harness.run_for(300);
     assert_eq!(harness.start_count(TASK), 1);
 }
+
+/// Guards against two runs of a task at the same time: the leader is killed, the same daemon leads again at once, and what it
+/// knew about a restarted worker is in no record.
+#[test]
+fn a_daemon_that_leads_again_waits_for_the_longest_lease() {
+    let mut harness = running_on_a_restarted_worker();
+    harness.partition(0);
+    for worker in &mut harness.store.workers {
+        worker.lease_ms = Some(RUN_LEASE_MS + 500);
+    }
+    harness.change_leader_in_same_daemon();
+    harness.run_for(ALL_LEASES_MS);
+    assert_runs_again_without_overlap(&harness);
+}
+
+/// Guards against two runs of a task at the same time: the record of the workers can't be read, and a worker that it named was
+/// restarted under the former leader.
+#[test]
+fn unknown_workers_are_reckoned_with_the_longest_lease() {
+    let mut harness = running_on_a_restarted_worker();
+    harness.release();
+    harness.store.workers.clear();
+    harness.store.unknown_workers = true;
+    let lost = harness.workers.remove(0);
+    harness.change_leader();
+    harness.workers.push(lost);
+    harness.partition(1);
+    harness.run_for(ALL_LEASES_MS);
+    assert_runs_again_without_overlap(&harness);
+}
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -378,19 +378,32 @@
 
     /// Replaces the scheduler by one of a new leader, restored from the store.
     pub(crate) fn change_leader(&mut self) {
+        let grace_ms = if self.store.released {
+            0
+        } else {
+            self.settings.leader_grace_ms
+        };
+        self.start_leader(grace_ms);
+    }
+
+    /// Replaces the scheduler by one of the next process of the same daemon, so that the former one sends nothing more.
+    pub(crate) fn change_leader_in_same_daemon(&mut self) {
+        self.start_leader(0);
+    }
+
+    fn start_leader(&mut self, leader_grace_ms: u64) {
         self.term += 1;
         self.stalled_batch = None;
         self.worker_indices.clear();
         let recorded = self.store.workers.clone();
-        let mut settings = ScheduleSettings {
+        let settings = ScheduleSettings {
             term: self.term,
+            leader_grace_ms,
             ..self.settings
         };
-        if self.store.released {
-            settings.leader_grace_ms = 0;
-        }
         let former = FormerTerm {
             unknown_workers: self.store.unknown_workers,
+            released: self.store.released,
             ..FormerTerm::with_workers(recorded)
         };
         self.scheduler = Scheduler::new(settings, former, self.now);
