Reckon with another process until a start is answered

What callers would see: two runs of a task at the same time, when the answer to a start is lost and the worker is cut off, also after a planned stop of the leader.

A start that gets no answer may have been carried out by a new process under the same id, which gives it the longest lease. The leader took the run as over with the usual lease, and its last batch did not mention the start. Runs that were kept for the next process of a worker also ended with the usual lease.

Change: the end of the usual lease ends no run whose start was not answered; it is kept until its worker answers, or until the longest lease has ended. If the list of instances shows no process of the worker, the usual lease stays. The last batch states the longest lease for workers with such starts.

Evidence: two tests of leases.rs failed before (the_lease_of_a_run_whose_start_was_not_answered_is_not_underrated, an_unanswered_start_is_handed_over_with_the_longest_lease) and pass; an_unanswered_start_on_a_crashed_worker_delays_its_task_no_longer_than_the_usual_lease guards the other side.

--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -126,6 +126,11 @@
         })
     }
 
+    /// Whether the latest list shows a worker with this id on an instance.
+    pub(in crate::schedule) fn is_listed_on_instance(&self, worker: &str) -> bool {
+        self.fleet.listed_workers.contains(worker)
+    }
+
     fn may_have_runs(&self, key: WorkerKey) -> bool {
         let has_runs = self
             .workers
--- a/crates/domain/src/schedule/lost_workers.rs
+++ b/crates/domain/src/schedule/lost_workers.rs
@@ -6,7 +6,7 @@
 use super::order::{LossEvidence, SchedulerEvent};
 use super::run::EndEvidence;
 use super::worker::{Claim, IncarnationEnd, Worker};
-use super::{LEASE_MARGIN_MS, Scheduler, UNRESPONSIVE_POLL_INTERVAL_MS};
+use super::{Scheduler, UNRESPONSIVE_POLL_INTERVAL_MS};
 use crate::prelude::*;
 
 impl Scheduler {
@@ -138,21 +138,27 @@
         }
     }
 
-    /// Drops the runs that were kept for the next incarnation of a worker and whose lease has ended.
+    /// Drops the runs that were kept for the next incarnation of a worker and whose lease has ended. That incarnation
+    /// gives the longest lease to a start with a deadline on the clock of the former one, unless the list of instances
+    /// shows that there is none.
     pub(super) fn drop_unclaimed_runs(&mut self, now: Millis) {
-        let lease_ms = self.settings.run_lease_ms + LEASE_MARGIN_MS;
-        let unclaimed: Vec<RunKey> = self
-            .workers
-            .values()
-            .filter(|worker| !worker.synced && worker.lease_end < now)
-            .flat_map(Worker::runs)
-            .copied()
-            .filter(|run| {
-                self.runs.get(*run).is_some_and(|run| {
+        let settings = self.settings;
+        let mut unclaimed = Vec::new();
+        for worker in self.workers.values() {
+            if worker.synced || worker.lease_end >= now {
+                continue;
+            }
+            let lease_ms = if self.is_listed_on_instance(&worker.report.id) {
+                settings.longest_lease_ms()
+            } else {
+                settings.usual_lease_ms()
+            };
+            unclaimed.extend(worker.runs().iter().filter(|run| {
+                self.runs.get(**run).is_some_and(|run| {
                     !run.start_in_flight && run.settled_at.after_ms(lease_ms) < now
                 })
-            })
-            .collect();
+            }));
+        }
         for run in unclaimed {
             self.drop_lost_run(run, now);
         }
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -275,6 +275,7 @@
             return;
         };
         run.is_listed = true;
+        run.has_unanswered_start = false;
         run.progress.first.get_or_insert((listed_run.percent, now));
         if run.progress.percent != listed_run.percent {
             run.progress.percent = listed_run.percent;
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -4,6 +4,7 @@
 
 use super::fleet::WaveRecord;
 use super::order::WorkerReport;
+use super::run::PlacedRun;
 use super::{LOW_PRIORITY_BATCH_DELAY_MS, Scheduler};
 use crate::job::{JobProgress, JobState};
 use crate::placement::Resources;
@@ -213,11 +214,11 @@
     /// Workers that may have runs before the next batch is stored. An unresponsive worker without
     /// runs is left out: it gets no start until it has answered and is recorded again.
     fn workers_to_record(&mut self, now: Millis) -> Vec<RecordedWorker> {
-        let usual_lease_ms = self.settings.usual_lease_ms();
         let mut recorded = Vec::with_capacity(self.workers.len());
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
             let awaited = self.is_awaited(key);
+            let lease_ms = self.lease_to_record(key, now);
             let worker = &mut self.workers[key];
             if worker.unresponsive && worker.runs().is_empty() && !awaited {
                 worker.recorded = false;
@@ -229,12 +230,27 @@
                 service: worker.service_of_runs(),
                 machine: Arc::clone(&worker.report.instance),
                 started_wall_ms: worker.report.started_wall_ms,
-                lease_ms: Some(worker.lease_end.ms_since(now).max(usual_lease_ms)),
+                lease_ms: Some(lease_ms),
             });
         }
         recorded
     }
 
+    /// Time for which the runs of a worker may last without another order. Starts without an answer count only in the
+    /// last batch: most starts are in flight for a moment, and a successor of a leader that has not released its term
+    /// reckons with unknown processes anyway.
+    fn lease_to_record(&self, key: WorkerKey, now: Millis) -> u64 {
+        let worker = &self.workers[key];
+        let mut runs = worker.runs().iter().filter_map(|run| self.runs.get(*run));
+        let usual_lease_ms = self.settings.usual_lease_ms();
+        let lease_ms = usual_lease_ms.max(worker.lease_end.ms_since(now));
+        if self.batches.released && runs.any(PlacedRun::may_be_of_unknown_process) {
+            lease_ms.max(self.settings.longest_lease_ms())
+        } else {
+            lease_ms
+        }
+    }
+
     /// Offers the workers of the last batch again, because the store has rejected their record. The next
     /// leader would not know of them, so they get no work before it is stored.
     pub fn workers_not_stored(&mut self, now: Millis) {
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -57,7 +57,9 @@
         let mut awaited = FastMap::default();
         for worker in former.workers {
             let lease_ms = worker.lease_ms.unwrap_or(longest_lease_ms);
-            let lease_end = unrecorded_until.max(now.after_ms(lease_ms));
+            // A start that it had sent to a gateway may be carried out later by this time.
+            let recorded_until = now.after_ms(former.order_age_max_ms + lease_ms);
+            let lease_end = unrecorded_until.max(recorded_until);
             let key = self.insert_worker(worker.into_report(), lease_end);
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.listed = false;
--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -82,7 +82,7 @@
     Order { sent_at: Millis },
     /// The platform or the next incarnation names another incarnation.
     Listing,
-    /// Its lease has expired.
+    /// The lease of its known process has expired.
     Lease,
 }
 
@@ -119,6 +119,9 @@
     pub start_attempts: u32,
     /// Whether a start is in flight.
     pub start_in_flight: bool,
+    /// Whether the last start got no answer, and the worker has not listed the run since. The process that has begun it
+    /// may be another one than the leader knows.
+    pub has_unanswered_start: bool,
     /// When the last start was sent.
     pub start_sent_at: Millis,
     /// When the last start got its result; until then, when the run was created.
@@ -153,6 +156,7 @@
             is_answered: false,
             start_attempts: 0,
             start_in_flight: false,
+            has_unanswered_start: false,
             start_sent_at: since,
             settled_at: since,
             is_listed: false,
@@ -185,13 +189,18 @@
         matches!(self.phase, Phase::Stopping(_))
     }
 
+    /// Whether a process that the leader does not know may have begun it.
+    pub(super) const fn may_be_of_unknown_process(&self) -> bool {
+        self.start_in_flight || self.has_unanswered_start
+    }
+
     /// Whether it can only be a run of the incarnation that has ended, and not of the next one.
     pub(super) fn has_ended_with(&self, evidence: EndEvidence) -> bool {
         if self.start_in_flight {
             return false;
         }
         match evidence {
-            EndEvidence::Lease => true,
+            EndEvidence::Lease => !self.has_unanswered_start,
             EndEvidence::Order { sent_at } => self.is_listed || self.settled_at < sent_at,
             EndEvidence::Listing => self.is_listed,
         }
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -18,6 +18,7 @@
             return;
         };
         placed.start_in_flight = false;
+        placed.has_unanswered_start = result == OrderResult::Unanswered;
         placed.settled_at = now;
         let is_known_to_run = placed.is_listed && result == OrderResult::Unanswered;
         // A start that was sent again may have reached the next incarnation after the former one listed the run.
--- a/crates/domain/tests/leases.rs
+++ b/crates/domain/tests/leases.rs
@@ -2,6 +2,7 @@
 
 mod scheduler_harness;
 
+use rosemaryscale_domain::schedule::order::InstanceState;
 use scheduler_harness::{RUN_LEASE_MAX_MS, RUN_LEASE_MS, SchedulerHarness, job, step};
 
 /// Runs a task on the first of two workers, cuts that worker off, and plays until any lease must have ended.
@@ -67,6 +68,59 @@
     assert_eq!(harness.concurrent_runs_max("b.0.0.0"), 1);
 }
 
+/// Two workers on instances. The first one has been restarted under its id, and has begun a task whose start is not answered.
+fn unanswered_start_on_a_restarted_worker() -> SchedulerHarness {
+    let mut harness = SchedulerHarness::new(2);
+    for worker in ["w0", "w1"] {
+        harness.add_instance(&format!("machine-{worker}"), "service", Some(worker));
+    }
+    harness.run_for(20_000);
+    harness.restart_unlisted(0);
+    harness.lose_next_start_answers = 1;
+    harness.lose_next_polls = 1;
+    harness.submit("a", job(vec![step(1)], 3));
+    while harness.start_count("a.0.0.0") == 0 {
+        harness.run_for(10);
+    }
+    assert_eq!(harness.worker_running("a.0.0.0"), Some(0));
+    harness.partition(0);
+    harness
+}
+
+/// Guards against the same if the answer to the start was lost, so that nothing shows that another process has begun the run.
+#[test]
+fn the_lease_of_a_run_whose_start_was_not_answered_is_not_underrated() {
+    let mut harness = unanswered_start_on_a_restarted_worker();
+    harness.run_for(RUN_LEASE_MAX_MS + 2_000);
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+    assert_eq!(harness.worker_running("a.0.0.0"), Some(1), "it runs again");
+}
+
+/// Guards against the same after a planned stop of the leader.
+#[test]
+fn an_unanswered_start_is_handed_over_with_the_longest_lease() {
+    let mut harness = unanswered_start_on_a_restarted_worker();
+    harness.release();
+    // The entry of the new process is not written yet.
+    harness.workers[0].report.started_wall_ms -= 1;
+    harness.change_leader();
+    harness.run_for(RUN_LEASE_MAX_MS + 2_000);
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+    assert_eq!(harness.worker_running("a.0.0.0"), Some(1), "it runs again");
+}
+
+/// Guards against a task that waits for the longest lease although the list of instances shows that no process of its
+/// worker can have begun it.
+#[test]
+fn an_unanswered_start_on_a_crashed_worker_delays_its_task_no_longer_than_the_usual_lease() {
+    let mut harness = unanswered_start_on_a_restarted_worker();
+    harness.crash(0);
+    harness.instances[0].worker = None;
+    harness.instances[0].state = InstanceState::Down;
+    harness.run_for(RUN_LEASE_MS + 1_000);
+    assert_eq!(harness.worker_running("a.0.0.0"), Some(1));
+}
+
 /// Guards against a worker that gets no start because the last reading of its clock is old.
 #[test]
 fn a_worker_that_was_idle_for_long_takes_tasks_at_once() {
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -115,6 +115,8 @@
     held_starts: Vec<(WorkerKey, StartOrder)>,
     /// Number of next starts that are lost: no response and no effect.
     pub(crate) lose_next_starts: usize,
+    /// Number of next starts that take effect without a response.
+    pub(crate) lose_next_start_answers: usize,
     /// Number of next polls that get no response.
     pub(crate) lose_next_polls: usize,
     /// Number of next polls whose link is closed before the response.
@@ -199,6 +201,7 @@
             hold_starts: false,
             held_starts: Vec::new(),
             lose_next_starts: 0,
+            lose_next_start_answers: 0,
             lose_next_polls: 0,
             close_next_polls: 0,
             delay_next_acknowledgement: false,
@@ -752,6 +755,10 @@
         }
         worker.prolong_lease(order.deadline_ms, self.now);
         let clock_ms = worker.clock_ms(self.now);
+        if self.lose_next_start_answers > 0 {
+            self.lose_next_start_answers -= 1;
+            return OrderResult::Unanswered;
+        }
         OrderResult::Accepted { clock_ms }
     }
 
