Reckon with the lease that an accepted start has given

What callers would see: two runs of a task at the same time. The process of a worker is replaced within 2 s of its start, the next one accepts a start, and the worker is cut off.

Cause: answers may overtake each other, so a clock that shows up to 2 s less than expected counts as the known one. The lease of a start on such a clock is up to 2 s longer than the usual one with its margin of 0.5 s.

--- a/crates/domain/src/schedule/run.rs
+++ b/crates/domain/src/schedule/run.rs
@@ -124,6 +124,8 @@
     pub has_unanswered_start: bool,
     /// When the last start was sent.
     pub start_sent_at: Millis,
+    /// Deadline of the last start, on the clock of the worker.
+    pub start_deadline_ms: u64,
     /// When the last start got its result; until then, when the run was created.
     pub settled_at: Millis,
     /// Whether the current incarnation of its worker has listed it.
@@ -158,6 +160,7 @@
             start_in_flight: false,
             has_unanswered_start: false,
             start_sent_at: since,
+            start_deadline_ms: 0,
             settled_at: since,
             is_listed: false,
             stop_in_flight: false,
--- a/crates/domain/src/schedule/runs.rs
+++ b/crates/domain/src/schedule/runs.rs
@@ -24,6 +24,7 @@
         // A start that was sent again may have reached the next incarnation after the former one listed the run.
         placed.is_listed &= placed.start_attempts == 1;
         let sent_at = placed.start_sent_at;
+        let deadline_ms = placed.start_deadline_ms;
         if result == OrderResult::Unanswered {
             self.record_late_start(worker, run, now);
         }
@@ -31,9 +32,13 @@
             OrderResult::Accepted { clock_ms } => {
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.note_order_clock(clock_ms, sent_at, now);
-                    if worker.has_clock_gone_back {
-                        worker.keep_lease_until(self.settings.longest_lease_from(now));
-                    }
+                    worker.keep_lease_until(if worker.has_clock_gone_back {
+                        self.settings.longest_lease_from(now)
+                    } else {
+                        // The clock of another process may be too close to the known one to tell them apart.
+                        let lease_ms = deadline_ms.saturating_sub(clock_ms);
+                        self.settings.end_of_lease(lease_ms, now)
+                    });
                 }
                 self.confirm_run(run, now);
             }
--- a/crates/domain/src/schedule/settings.rs
+++ b/crates/domain/src/schedule/settings.rs
@@ -42,6 +42,11 @@
         now.after_ms(self.longest_lease_ms())
     }
 
+    /// End of a lease that a worker has given for this time on its clock.
+    pub(super) fn end_of_lease(&self, lease_ms: u64, now: Millis) -> Millis {
+        now.after_ms(lease_ms.min(self.run_lease_max_ms) + LEASE_MARGIN_MS)
+    }
+
     /// The longest time for which a worker keeps a run without another order, with a margin.
     pub(super) const fn longest_lease_ms(&self) -> u64 {
         self.run_lease_max_ms + LEASE_MARGIN_MS
--- a/crates/domain/src/schedule/start.rs
+++ b/crates/domain/src/schedule/start.rs
@@ -86,6 +86,7 @@
         run.start_attempts += 1;
         run.start_in_flight = true;
         run.start_sent_at = now;
+        run.start_deadline_ms = order.deadline_ms;
         self.actions.push(Action::Start(run.info().worker, order));
         true
     }
--- a/crates/domain/tests/leases.rs
+++ b/crates/domain/tests/leases.rs
@@ -68,6 +68,29 @@
     assert_eq!(harness.concurrent_runs_max("b.0.0.0"), 1);
 }
 
+/// Guards against the same for a process that has replaced one of less than 2 s, whose clock is too close to tell the two apart.
+#[test]
+fn the_lease_of_a_process_with_a_similar_clock_is_not_underrated() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.submit("filler", job(vec![step(4)], 3));
+    harness.run_for(100);
+    harness.add_worker("new", "service");
+    harness.workers[1].clock_origin = harness.now;
+    harness.run_for(1_900);
+    harness.restart_unlisted(1);
+    harness.lose_next_polls = 1;
+    harness.submit("a", job(vec![step(1)], 3));
+    while harness.start_count("a.0.0.0") == 0 {
+        harness.run_for(10);
+    }
+    assert_eq!(harness.worker_running("a.0.0.0"), Some(1));
+    harness.partition(1);
+    harness.end_runs_of_job("filler");
+    harness.run_for(RUN_LEASE_MAX_MS + 2_000);
+    assert_eq!(harness.start_count("a.0.0.0"), 2, "it runs again");
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+}
+
 /// Two workers on instances. The first one has been restarted under its id, and has begun a task whose start is not answered.
 fn unanswered_start_on_a_restarted_worker() -> SchedulerHarness {
     let mut harness = SchedulerHarness::new(2);
