Believe no list of instances that may be older than a worker's process

What callers would see: two runs of a task at the same time. A worker has just begun, or was restarted under its id; the leader changes, and the worker is cut off.

Cause: the list of instances may be up to 1.5 s old. A leader waits for that time after the first entry of a worker; its successor took the worker as long known and ended it by the first list that lacked it. Also under one leader, a list of before a restart, which shows the instance as down, ended the runs of the process that had followed under the same id.

Change: the record of the workers states whether a list has shown the worker; one that was not shown, or that a record of an earlier version names, counts as begun at the hand-over. A list that shows an instance as down ends only a process that the leader has known for the age of a list before it was asked for. A list that shows another worker there still counts at once, so that the recovery after moves takes as long as before.

--- a/crates/domain/src/schedule/entry.rs
+++ b/crates/domain/src/schedule/entry.rs
@@ -1,9 +1,9 @@
 //! What the entry of a worker counts for. Other writers can write entries too, so the list of instances, which only
 //! the platform writes, and the answers of the worker bound what an entry says.
 
-use super::Scheduler;
-use super::order::{InstanceReport, WorkerReport};
+use super::order::{InstanceReport, InstanceState, WorkerReport};
 use super::worker::Worker;
+use super::{RUN_END_BATCH_DELAY_MS, Scheduler};
 use crate::placement::Resources;
 use crate::prelude::*;
 
@@ -47,6 +47,8 @@
     /// Labels that were in force when the current incarnation had first answered and been listed.
     pub labels: Option<Vec<Arc<str>>>,
     pub instance: Option<ListedInstance>,
+    /// Whether a list has shown the worker to a former leader.
+    pub was_shown: bool,
     /// Since when the service is the one in force.
     pub service_since: Millis,
     /// Whether a list that was requested after that shows the worker in another pool.
@@ -62,6 +64,7 @@
             is_of_lifetime: false,
             labels: None,
             instance: None,
+            was_shown: false,
             service_since: Millis::ZERO,
             is_in_other_pool: false,
             has_changed_service: false,
@@ -113,9 +116,13 @@
     }
 
     /// Whether a list that was requested at this time would show the worker if it ran: an earlier one has done so, or
-    /// the list can no longer be of before its first entry.
-    pub(super) fn is_list_current(&self, requested_at: Millis) -> bool {
-        let is_shown = self.entry.instance.is_some();
+    /// the list can no longer be of before its first entry. An instance that is down may have been so before the
+    /// current process, under the same id, so the list must be of after that has begun.
+    pub(super) fn is_list_current(&self, requested_at: Millis, state: InstanceState) -> bool {
+        if state == InstanceState::Down && requested_at < self.began_by.after_ms(LIST_LAG_MAX_MS) {
+            return false;
+        }
+        let is_shown = self.entry.instance.is_some() || self.entry.was_shown;
         is_shown || requested_at >= self.entry.service_since.after_ms(LIST_LAG_MAX_MS)
     }
 
@@ -202,7 +209,9 @@
             // The bounds of an instance that the list lacks hold, but it contradicts no service.
             if let Some(instance) = instance {
                 worker.full_capacity = bounded_capacity(worker.full_capacity, instance.capacity);
-                worker.entry.instance = Some(instance);
+                if worker.entry.instance.replace(instance).is_none() && !worker.entry.was_shown {
+                    self.batches.request(now.after_ms(RUN_END_BATCH_DELAY_MS));
+                }
             }
             // Answers may have brought the current ones.
             worker.entry.report.address = Arc::clone(&worker.report.address);
--- a/crates/domain/src/schedule/fleet/incarnations.rs
+++ b/crates/domain/src/schedule/fleet/incarnations.rs
@@ -30,6 +30,12 @@
         let Some(key) = former else {
             return;
         };
+        let requested_at = self.fleet.list_requested_at;
+        let worker = self.workers.get(key);
+        // A later list decides.
+        if worker.is_some_and(|worker| !worker.is_list_current(requested_at, report.state)) {
+            return;
+        }
         if self.may_answer(key) {
             self.workers[key].contradicted_at = Some(self.fleet.list_requested_at);
             self.workers[key].next_poll_at = now;
@@ -87,7 +93,12 @@
                 _ if self.fleet.listed_workers.contains(&worker.report.id) => {
                     worker.unlisted_since = None;
                 }
-                Some(_) if worker.is_list_current(self.fleet.list_requested_at) => ended.push(key),
+                Some(instance)
+                    if worker
+                        .is_list_current(self.fleet.list_requested_at, instance.report.state) =>
+                {
+                    ended.push(key);
+                }
                 None if is_complete => {
                     let since = *worker.unlisted_since.get_or_insert(now);
                     if now.ms_since(since) >= UNRESPONSIVE_ABSENCE_TIMEOUT_MS {
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -30,6 +30,9 @@
     /// a version that does not store it.
     #[serde(default)]
     pub lease_ms: Option<u64>,
+    /// Whether the list of instances has shown it, so that one without it shows that it has ended.
+    #[serde(default)]
+    pub was_shown: bool,
 }
 
 impl RecordedWorker {
@@ -231,6 +234,7 @@
                 machine: Arc::clone(&worker.report.instance),
                 started_wall_ms: worker.report.started_wall_ms,
                 lease_ms: Some(lease_ms),
+                was_shown: worker.entry.instance.is_some() || worker.entry.was_shown,
             });
         }
         recorded
--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -60,10 +60,15 @@
             // A start that it had sent to a gateway may be carried out later by this time.
             let recorded_until = now.after_ms(former.order_age_max_ms + lease_ms);
             let lease_end = unrecorded_until.max(recorded_until);
+            let was_shown = worker.was_shown;
             let key = self.insert_worker(worker.into_report(), lease_end);
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.listed = false;
                 worker.recorded = true;
+                // Its process may have begun just now, so that a list may still show the state before.
+                worker.began_by = now;
+                worker.entry.service_since = now;
+                worker.entry.was_shown = was_shown;
             }
             awaited.insert(key, lease_end);
         }
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -21,6 +21,7 @@
             let lease_end = self.settings.lease_from(now);
             let key = self.insert_worker(report, lease_end);
             self.workers[key].entry.service_since = now;
+            self.workers[key].began_by = now;
             self.request_batch(now);
             return;
         };
--- a/crates/domain/src/schedule/worker.rs
+++ b/crates/domain/src/schedule/worker.rs
@@ -56,6 +56,8 @@
     pub full_capacity: Resources,
     /// Since when this leader knows of the current incarnation.
     pub incarnation_since: Millis,
+    /// Latest time at which the process that this leader knows of can have begun.
+    pub began_by: Millis,
     /// Key of its service.
     pub service: Option<ServiceKey>,
     /// Whether the platform lists the worker.
@@ -145,6 +147,7 @@
             claim: None,
             claim_link_until: None,
             incarnation_since: Millis::ZERO,
+            began_by: Millis::ZERO,
             service: None,
             listed: true,
             synced: false,
@@ -321,6 +324,7 @@
             bookings: std::mem::take(&mut self.bookings),
             entry: Entry {
                 instance: self.entry.instance.take(),
+                was_shown: self.entry.was_shown,
                 ..Entry::new(report.clone())
             },
             poll_in_flight: self.poll_in_flight,
@@ -331,6 +335,7 @@
             // The answer that has shown the incarnation may be the unreadable one.
             unreadable_rows: self.unreadable_rows.take(),
             incarnation_since: now,
+            began_by: now,
             ..Self::new(report, Millis::ZERO)
         };
     }
--- a/crates/domain/tests/hand_overs.rs
+++ b/crates/domain/tests/hand_overs.rs
@@ -2,7 +2,7 @@
 
 mod scheduler_harness;
 
-use rosemaryscale_domain::schedule::order::RunEndKind;
+use rosemaryscale_domain::schedule::order::{InstanceState, RunEndKind};
 use scheduler_harness::{RUN_LEASE_MAX_MS, RUN_LEASE_MS, SchedulerHarness, job, step};
 
 const TASK: &str = "a.0.0.0";
@@ -157,3 +157,52 @@
     harness.run_for(ALL_LEASES_MS);
     assert_runs_again_without_overlap(&harness);
 }
+
+/// Guards against two runs of a task at the same time: a worker has just begun when the leader changes, it is cut off, and the
+/// list of instances still lacks it.
+#[test]
+fn a_list_that_lags_behind_ends_no_worker_that_had_just_begun() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.add_instance("machine-w0", "service", Some("w0"));
+    harness.add_instance("machine-new", "service", None);
+    harness.run_for(1_100);
+    harness.add_worker("new", "service");
+    harness.run_for(100);
+    harness.submit("a", job(vec![step(8)], 3));
+    harness.run_for(100);
+    assert_eq!(harness.running().len(), 8);
+    harness.end_runs_on_worker(0, RunEndKind::Done);
+    harness.release();
+    harness.partition(1);
+    harness.change_leader();
+    harness.run_for(1_000);
+    harness.instances[1].worker = Some("new".into());
+    harness.run_for(1_000);
+    harness.workers[1].partitioned = false;
+    harness.run_for(500);
+    assert_eq!(harness.running().len(), 4);
+    let tasks = (0..8).map(|index| format!("a.0.0.{index}"));
+    for task in tasks {
+        assert_eq!(harness.start_count(&task), 1, "{task}");
+    }
+}
+
+/// Guards against the same if the list still shows that the former process of the worker has ended.
+#[test]
+fn a_list_that_lags_behind_ends_no_worker_that_was_restarted_before_the_hand_over() {
+    let mut harness = running_on_a_restarted_worker();
+    for worker in ["w0", "w1"] {
+        harness.add_instance(&format!("machine-{worker}"), "service", Some(worker));
+    }
+    harness.run_for(1_200);
+    harness.release();
+    harness.instances[0].worker = None;
+    harness.instances[0].state = InstanceState::Down;
+    harness.partition(0);
+    harness.change_leader();
+    harness.run_for(1_000);
+    harness.instances[0].worker = Some("w0".into());
+    harness.instances[0].state = InstanceState::Up;
+    harness.run_for(ALL_LEASES_MS);
+    assert_runs_again_without_overlap(&harness);
+}
--- a/crates/domain/tests/lost_workers.rs
+++ b/crates/domain/tests/lost_workers.rs
@@ -116,3 +116,29 @@
     harness.run_for(1_500);
     assert_eq!(harness.worker_running(TASK), Some(1));
 }
+
+/// Guards against two runs of a task at the same time: the list lags behind, so it shows that the former process of a worker
+/// has ended, while the current one, under the same id, runs a task and is cut off for a moment.
+#[test]
+fn a_list_of_before_a_restart_ends_no_run_of_the_next_process() {
+    let mut harness = running();
+    harness.restart(0);
+    harness.run_for(300);
+    assert_eq!(harness.start_count(TASK), 2);
+    harness.submit("b", job(vec![step(7)], 3));
+    harness.run_for(100);
+    assert_eq!(harness.workers[0].running.len(), 4);
+    harness.end_runs_on_worker(1, RunEndKind::Done);
+    harness.instances[0].worker = None;
+    harness.instances[0].state = InstanceState::Down;
+    harness.run_for(300);
+    harness.partition(0);
+    harness.run_for(500);
+    harness.instances[0].worker = Some("w0".into());
+    harness.instances[0].state = InstanceState::Up;
+    harness.run_for(300);
+    harness.workers[0].partitioned = false;
+    harness.run_for(1_000);
+    let runs = harness.starts.len();
+    assert_eq!(runs, 2 + 7, "nothing is started again");
+}
