Take no lease as ended while another daemon may lead

What callers would see: two runs of a task at the same time, over several hand-overs. A leader has not reached a worker since it took over, and loses the store. Its successor is killed after it has reached that worker; the worker's runs go on under renewed leases. The first leader, still within its 9 s, takes them as ended and starts their tasks elsewhere.

Cause: the end of a lease was reckoned as if nobody else could renew it, also while the leader key was not confirmed. For runs that a leader has seen itself this was ruled out before.

Change: a recovery waits beyond the end of a lease until the leader key is confirmed again.

--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -202,6 +202,8 @@
 
     pub(super) fn check_recovery(&mut self, now: Millis) {
         let left = self.left_workers();
+        // A successor that this leader does not know of may have renewed the leases.
+        let may_be_replaced = self.leadership_unconfirmed;
         let Some(recovery) = &mut self.recovery else {
             return;
         };
@@ -215,7 +217,7 @@
             let Some(worker) = worker.filter(|_| !is_over) else {
                 return false;
             };
-            let is_lease_over = now >= *until;
+            let is_lease_over = now >= *until && !may_be_replaced;
             let may_have_runs = !worker.synced
                 || !worker.unknown_runs.is_empty()
                 || !worker.unknown_ends.is_empty();
@@ -232,7 +234,7 @@
             .ended
             .retain(|key, _| recovery.awaited.contains_key(key));
         let changed = std::mem::take(&mut recovery.changed) || recovery.awaited.len() != before;
-        recovery.unknown_workers &= now < recovery.unknown_process_until;
+        recovery.unknown_workers &= now < recovery.unknown_process_until || may_be_replaced;
         if recovery.awaited.is_empty() && !recovery.unknown_workers {
             self.recovery = None;
             self.interruptions_allowed_from =
--- a/crates/domain/tests/unconfirmed_leader.rs
+++ b/crates/domain/tests/unconfirmed_leader.rs
@@ -4,7 +4,7 @@
 
 use rosemaryscale_domain::job::StepSpec;
 use rosemaryscale_domain::schedule::order::WaveRequest;
-use scheduler_harness::{SchedulerHarness, job, step};
+use scheduler_harness::{RUN_LEASE_MS, SchedulerHarness, job, step};
 
 /// Two workers on instances of a pool that needs neither, beside one spare instance.
 fn idle_pool() -> SchedulerHarness {
@@ -123,3 +123,28 @@
     harness.run_for(300);
     assert!(harness.stop_causes.is_empty(), "{:?}", harness.stop_causes);
 }
+
+/// Guards against two runs of a task at the same time: a leader has not reached a worker since it took over, and its successor,
+/// of which it does not know, has reached the worker and renews its leases.
+#[test]
+fn an_unconfirmed_leader_takes_no_lease_of_its_predecessor_as_ended() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    let worker = harness.worker_running("a.0.0.0").expect("it runs");
+    harness.release();
+    harness.partition(worker);
+    harness.change_leader();
+    harness.run_for(1_000);
+    harness.scheduler.set_leadership_unconfirmed(true);
+    for _ in 0..9 {
+        harness.workers[worker].renew_lease(RUN_LEASE_MS, harness.now);
+        harness.run_for(1_000);
+    }
+    assert_eq!(harness.start_count("a.0.0.0"), 1);
+    harness.run_for(RUN_LEASE_MS);
+    harness.scheduler.set_leadership_unconfirmed(false);
+    harness.run_for(100);
+    assert_eq!(harness.start_count("a.0.0.0"), 2);
+    assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
+}
