Draw series of hand-overs in the takeover schedules

hand_overs_in_series_keep_the_invariants draws up to three hand-overs in a row, planned, killed, and with the same daemon again; each new leader is cut off from workers before its first poll, workers restart under their ids and give leases of 10 s, and the list of instances is 1 s old.

--- a/crates/domain/tests/takeover_model/conditions.rs
+++ b/crates/domain/tests/takeover_model/conditions.rs
@@ -29,6 +29,12 @@
     pub(super) odd_entries_per_mille: u32,
     /// Number of ends that an answer of a worker holds at most.
     pub(super) ends_per_answer: usize,
+    /// Longest lease that a worker gives to its runs.
+    pub(super) lease_max_ms: u64,
+    /// Probability that a series of hand-overs begins, for each tick.
+    pub(super) hand_overs_per_mille: u32,
+    /// Age of what the platform's list of instances shows.
+    pub(super) list_lag_ms: u64,
 }
 
 /// What a worker keeps over a restart, and which orders its next incarnation may receive.
@@ -56,6 +62,9 @@
         quota_changes_per_mille: 0,
         odd_entries_per_mille: 0,
         ends_per_answer: usize::MAX,
+        lease_max_ms: 6_000,
+        hand_overs_per_mille: 0,
+        list_lag_ms: 0,
     };
 
     /// Frequent cancellations of jobs with long runs.
@@ -104,6 +113,19 @@
         ..Self::RESTARTS
     };
 
+    /// Hand-overs in series, planned or by a kill, to the same daemon or another one, while workers with long leases
+    /// restart under their ids and are cut off.
+    pub(crate) const HAND_OVERS: Self = Self {
+        cancels_per_mille: 2,
+        long_runs_percent: 60,
+        crashes_per_mille: 6,
+        restarts_per_mille: 100,
+        lease_max_ms: 10_000,
+        hand_overs_per_mille: 4,
+        list_lag_ms: 1_000,
+        ..Self::RESTARTS_LISTED_LATE
+    };
+
     pub(super) const fn uneven_work(&self) -> UnevenWork {
         let has_copies = self.speculative_percent > 0;
         UnevenWork {
--- a/crates/domain/tests/takeover_model/mod.rs
+++ b/crates/domain/tests/takeover_model/mod.rs
@@ -6,6 +6,7 @@
 mod checks;
 mod conditions;
 mod faults;
+mod hand_overs;
 mod messages;
 mod odd_entries;
 mod quotas;
@@ -16,6 +17,7 @@
 use checks::Checks;
 pub(crate) use conditions::Conditions;
 use conditions::Restart;
+use hand_overs::HandOvers;
 use messages::{Answer, Delivery, Event, InTransit, Order, Reception};
 use odd_entries::OddEntries;
 use quotas::Quotas;
@@ -30,7 +32,7 @@
 use rosemaryscale_domain::schedule::{
     Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
 };
-use worker::{ModelWorker, instance_report};
+use worker::ModelWorker;
 
 const TICK_MS: u64 = 10;
 const WORKER_COUNT: usize = 4;
@@ -57,9 +59,10 @@
 /// protects the worker: it knows neither a fencing token nor the stops that its predecessor accepted.
 const STOPS_REPEATED_MS: u64 = 2_000;
 
-/// A daemon that is or was the leader, with its scheduler.
+/// A term of a daemon that is or was the leader, with its scheduler.
 struct Leader {
     scheduler: Scheduler,
+    daemon: usize,
     fencing_token: u64,
     /// Id and index of each worker that it is connected to.
     worker_indices: FastMap<WorkerKey, (Arc<str>, usize)>,
@@ -77,6 +80,10 @@
     cancelled: FastSet<Arc<str>>,
     progress: FastMap<Arc<str>, JobProgress>,
     workers: Vec<RecordedWorker>,
+    /// Daemon that has written the last batch.
+    daemon: usize,
+    /// Whether that batch says that it gives no more orders.
+    released: bool,
 }
 
 /// State of one schedule.
@@ -94,6 +101,7 @@
     checks: Checks,
     quotas: Quotas,
     odd_entries: OddEntries,
+    hand_overs: HandOvers,
 }
 
 /// Runs the schedule of a seed; `Err` describes the violated invariant.
@@ -117,7 +125,9 @@
         let mut model = Self {
             rng,
             now: Millis::from_ms(1_000),
-            workers: (0..WORKER_COUNT).map(ModelWorker::new).collect(),
+            workers: (0..WORKER_COUNT)
+                .map(|index| ModelWorker::new(index, conditions.lease_max_ms))
+                .collect(),
             leaders: Vec::new(),
             takeover_at: None,
             store: Store::default(),
@@ -127,6 +137,7 @@
             checks: Checks::default(),
             quotas: Quotas::default(),
             odd_entries: OddEntries::new(seed),
+            hand_overs: HandOvers::default(),
         };
         model.draw_quotas();
         model.start_leader();
@@ -173,10 +184,12 @@
 
     fn tick(&mut self) -> Result<(), String> {
         self.now = self.now.after_ms(TICK_MS);
+        self.record_instances();
         let faults_active = self.now.as_ms() < FAULTS_END_MS;
         if faults_active {
             self.submit_and_cancel();
             self.inject_faults();
+            self.hand_over();
             self.change_quota();
             self.replace_entries();
         } else {
@@ -217,18 +230,25 @@
 
     /// Starts the next leader from the contents of the store. A former one may continue without the store.
     fn start_leader(&mut self) {
+        let daemon = self
+            .hand_overs
+            .next_daemon(self.leaders.last().map(|leader| leader.daemon));
+        let is_former_over = self.store.released || self.store.daemon == daemon;
         let term = u32::try_from(self.leaders.len()).unwrap_or(u32::MAX) + 1;
         let settings = ScheduleSettings {
             run_lease_ms: RUN_LEASE_MS,
-            run_lease_max_ms: worker::MAX_LEASE_MS,
+            run_lease_max_ms: self.conditions.lease_max_ms,
             poll_wait_ms: 0,
-            leader_grace_ms: LEADER_GRACE_MS,
+            leader_grace_ms: if is_former_over { 0 } else { LEADER_GRACE_MS },
             stop_grace_ms: STOP_GRACE_MS,
             term,
             uneven_work: self.conditions.uneven_work(),
             placement_wait: PlacementWait::Off,
         };
-        let former = FormerTerm::with_workers(self.store.workers.clone());
+        let former = FormerTerm {
+            released: self.store.released,
+            ..FormerTerm::with_workers(self.store.workers.clone())
+        };
         let mut scheduler = Scheduler::new(settings, former, self.now);
         for (id, record) in &self.store.jobs {
             let stored = StoredJob {
@@ -242,15 +262,17 @@
             scheduler.restore(stored, self.now, self.now);
         }
         scheduler.configure(&FastMap::default(), &self.quotas.configured());
+        let partitioned_from = self.draw_cut_workers();
         self.leaders.push(Leader {
             scheduler,
+            daemon,
             fencing_token: u64::from(term),
             worker_indices: FastMap::default(),
             links_to_nobody: FastSet::default(),
             is_active: true,
             reaches_store: true,
             lost_store_at: Millis::MAX,
-            partitioned_from: FastSet::default(),
+            partitioned_from,
         });
     }
 
@@ -328,7 +350,9 @@
             Action::Stop(key, order, _) => self.send(index, key, Order::Stop(order)),
             Action::Poll(key, order) => self.send(index, key, Order::Poll(order)),
             Action::ListInstances => {
-                let instances: Vec<_> = self.workers.iter().map(instance_report).collect();
+                let instances = self
+                    .hand_overs
+                    .listed_instances(now, self.conditions.list_lag_ms);
                 leader
                     .scheduler
                     .instances_listed(Some(instances.into()), now);
@@ -563,6 +587,8 @@
         if let Some(workers) = &batch.workers {
             self.store.workers.clone_from(workers);
         }
+        self.store.daemon = leader.daemon;
+        self.store.released = batch.released;
         leader.scheduler.batch_written(batch, self.now);
     }
 }
--- a/crates/domain/tests/takeover_model/worker.rs
+++ b/crates/domain/tests/takeover_model/worker.rs
@@ -11,9 +11,6 @@
 /// Number of tasks that fit on a worker.
 pub(super) const TASK_CAPACITY: usize = 4;
 
-/// Longest lease that a worker gives to its runs.
-pub(super) const MAX_LEASE_MS: u64 = 6_000;
-
 /// A run in progress.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
@@ -43,13 +40,15 @@
     sequence: u64,
     closed: FastMap<TaskName, u32>,
     lease_end_ms: u64,
+    /// Longest lease that it gives to its runs.
+    lease_max_ms: u64,
     /// When its lease last expired. Acknowledged ends from before then do not count.
     pub(super) lease_expired_at: Millis,
     report: WorkerReport,
 }
 
 impl ModelWorker {
-    pub(super) fn new(index: usize) -> Self {
+    pub(super) fn new(index: usize, lease_max_ms: u64) -> Self {
         let id: Arc<str> = format!("w{index}").into();
         Self {
             report: first_report(&id),
@@ -65,6 +64,7 @@
             sequence: 0,
             closed: FastMap::default(),
             lease_end_ms: 0,
+            lease_max_ms,
             lease_expired_at: Millis::ZERO,
         }
     }
@@ -102,7 +102,7 @@
     }
 
     fn prolong_lease(&mut self, deadline_ms: u64, now: Millis) {
-        let longest_ms = self.clock_ms(now) + MAX_LEASE_MS;
+        let longest_ms = self.clock_ms(now) + self.lease_max_ms;
         self.lease_end_ms = self.lease_end_ms.max(deadline_ms.min(longest_ms));
     }
 
--- a/crates/domain/tests/takeovers.rs
+++ b/crates/domain/tests/takeovers.rs
@@ -12,6 +12,8 @@
 const DEFAULT_SCHEDULES: u64 = 4_000;
 /// Number of schedules with odd entries in a default run.
 const DEFAULT_ODD_SCHEDULES: u64 = 1_000;
+/// Number of schedules with series of hand-overs in a default run.
+const DEFAULT_HAND_OVER_SCHEDULES: u64 = 1_000;
 /// Maximum number of threads that play the schedules of a test. Other tests run beside them.
 const MAX_THREADS: usize = 4;
 
@@ -112,6 +114,17 @@
     play("quotas_hold_in_every_schedule", Conditions::QUOTAS, &[]);
 }
 
+/// Guards against runs beside a lease that only a former leader knew of, over up to three hand-overs in a row (review/11).
+#[test]
+fn hand_overs_in_series_keep_the_invariants() {
+    play_number(
+        "hand_overs_in_series_keep_the_invariants",
+        Conditions::HAND_OVERS,
+        DEFAULT_HAND_OVER_SCHEDULES,
+        &[],
+    );
+}
+
 /// Guards against entries of another writer, alone or in turn with the true ones, that break any of the same rules:
 /// a capacity, service, instance, labels, state, start or address that a live worker does not have.
 #[test]
