Hand over the orders to instances that may still be carried out

What callers would see: work that is ended by a move or maintenance which the former leader ordered (AVAIL), and more instances in maintenance than a wave allows (LIMIT).

Cause: a leader cordons an instance from the order on until the list shows its effect, up to 12.5 s later. After a planned stop its successor leads within about 0.1 s, knew nothing of such orders, and used the instance or ordered the maintenance of another one beside it. The platform refuses an order of the former leader only once the successor has sent one for the same instance.

Change: each batch names the orders that are not settled (no further call: the record is written with every batch). The successor keeps work off these instances and counts their maintenance until the list shows the effect, it has ordered something itself, or 12.5 s have passed, and hands them on. After a kill the record holds only what the last batch knew.

--- a/crates/daemon/src/jobs/batch.rs
+++ b/crates/daemon/src/jobs/batch.rs
@@ -136,6 +136,7 @@
             term: self.term,
             rerouted: batch.rerouted.clone(),
             waves: batch.waves.clone(),
+            instance_orders: batch.instance_orders.clone(),
             daemon: Arc::clone(&self.daemon),
             released: batch.released,
             order_age_max_ms: self.order_age_max_ms,
--- a/crates/daemon/src/jobs/leader/start.rs
+++ b/crates/daemon/src/jobs/leader/start.rs
@@ -201,6 +201,7 @@
             unknown_workers: workers.is_none() || former_record.unknown_workers,
             workers: workers.unwrap_or_default(),
             rerouted: former_record.rerouted,
+            instance_orders: former_record.instance_orders,
             released: former_record.released,
             order_age_max_ms: former_record.order_age_max_ms,
         };
--- a/crates/daemon/src/jobs/records.rs
+++ b/crates/daemon/src/jobs/records.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use rosemaryscale_domain::job::{JobProgress, JobRecord, JobState};
-use rosemaryscale_domain::schedule::WaveRecord;
+use rosemaryscale_domain::schedule::{InstanceOrderRecord, WaveRecord};
 use rosemaryscale_domain::worker_route::GatewayOffer;
 use rosemaryscale_domain::workspace::Caller;
 use rosemaryscale_ports::kv::{Change, KvEntry};
@@ -135,6 +135,9 @@
     /// Maintenance waves.
     #[serde(default)]
     pub(super) waves: Vec<WaveRecord>,
+    /// Orders to instances that may still be carried out.
+    #[serde(default)]
+    pub(super) instance_orders: Vec<InstanceOrderRecord>,
     /// Name of the leader's daemon.
     #[serde(default)]
     pub(super) daemon: Arc<str>,
--- a/crates/domain/src/schedule.rs
+++ b/crates/domain/src/schedule.rs
@@ -69,7 +69,7 @@
 use copies::Copies;
 use durations::Durations;
 use fleet::Fleet;
-pub use fleet::WaveRecord;
+pub use fleet::{InstanceOrderRecord, WaveRecord};
 use job_table::{JobOwner, JobTable, TaskStatus};
 use late_polls::LatePolls;
 use late_starts::LateStarts;
@@ -148,6 +148,8 @@
     pub unknown_workers: bool,
     /// Queues that have been routed to more than one service.
     pub rerouted: Vec<Arc<str>>,
+    /// Orders to instances that may still be carried out.
+    pub instance_orders: Vec<InstanceOrderRecord>,
     /// Whether the former leader has stored all that it knew and then sent no more orders.
     pub released: bool,
     /// Time for which a gateway may still carry out an order of the former leader.
@@ -254,7 +256,7 @@
 impl Scheduler {
     /// Creates a scheduler that waits for the workers of the former leader.
     #[must_use]
-    pub fn new(settings: ScheduleSettings, former: FormerTerm, now: Millis) -> Self {
+    pub fn new(settings: ScheduleSettings, mut former: FormerTerm, now: Millis) -> Self {
         let mut scheduler = Self {
             settings,
             job_table: JobTable::default(),
@@ -292,6 +294,8 @@
             batches: BatchQueue::new(now),
             fenced: false,
         };
+        let instance_orders = std::mem::take(&mut former.instance_orders);
+        scheduler.inherit_instance_orders(instance_orders, now);
         scheduler.begin_recovery(former, now);
         scheduler
     }
--- a/crates/domain/src/schedule/fleet.rs
+++ b/crates/domain/src/schedule/fleet.rs
@@ -4,6 +4,7 @@
 //! orders either one only for an instance that runs nothing.
 
 mod incarnations;
+mod inherited;
 mod moves;
 mod orders;
 mod waves;
@@ -17,6 +18,8 @@
 use super::{RUN_END_BATCH_DELAY_MS, Scheduler};
 use crate::placement::Resources;
 use crate::prelude::*;
+use inherited::InheritedOrders;
+pub use inherited::InstanceOrderRecord;
 
 /// Interval at which the platform's instance list is read while operations are in progress.
 const ACTIVE_LIST_INTERVAL_MS: u64 = 300;
@@ -122,6 +125,7 @@
     by_name: FastMap<Arc<str>, FleetInstanceKey>,
     waves: Vec<Wave>,
     recorded_waves: Vec<WaveRecord>,
+    inherited: InheritedOrders,
     /// Instances that each pool has and needs, as of the last planning pass.
     pool_demand: FastMap<ServiceKey, usize>,
     spare_services: FastSet<ServiceKey>,
@@ -157,7 +161,13 @@
             } => number == wave,
             _ => instance.report.state == InstanceState::Maintenance,
         };
-        self.instances.values().filter(down).count()
+        let inherited = self.inherited.of_wave(wave);
+        let may_go_down = inherited.filter(|name| {
+            let instance = self.by_name.get(*name);
+            let instance = instance.and_then(|key| self.instances.get(*key));
+            instance.is_none_or(|instance| !down(&instance))
+        });
+        self.instances.values().filter(down).count() + may_go_down.count()
     }
 }
 
@@ -289,6 +299,7 @@
             .filter_map(|instance| instance.worker.clone())
             .collect();
         self.end_unlisted_incarnations(now);
+        self.settle_inherited_orders(now);
         self.compare_entries_with_list(self.fleet.list_requested_at, now);
     }
 
@@ -361,11 +372,13 @@
         let Some(worker) = self.workers.get(key) else {
             return false;
         };
-        self.fleet.instances.values().any(|instance| {
-            instance.operation_state != OperationState::Inactive
-                && (instance.report.worker.as_ref() == Some(&worker.report.id)
-                    || instance.report.name == worker.report.instance)
-        })
+        let is_inherited = self.fleet.inherited.contains(&worker.report.instance);
+        is_inherited
+            || self.fleet.instances.values().any(|instance| {
+                instance.operation_state != OperationState::Inactive
+                    && (instance.report.worker.as_ref() == Some(&worker.report.id)
+                        || instance.report.name == worker.report.instance)
+            })
     }
 
     /// Cordons or uncordons every worker of an instance. A worker may register before the list shows
--- a/crates/domain/src/schedule/fleet/orders.rs
+++ b/crates/domain/src/schedule/fleet/orders.rs
@@ -98,6 +98,7 @@
                         now,
                     );
                 }
+                self.drop_inherited_order(&name);
                 if let Operation::Maintain(number) = operation {
                     self.mark_maintenance_begun(number, name, now);
                 }
--- a/crates/domain/src/schedule/fleet/waves.rs
+++ b/crates/domain/src/schedule/fleet/waves.rs
@@ -61,8 +61,10 @@
             .collect();
         candidates.sort_unstable();
         for (long_running_count, key) in candidates {
-            if down_budget == 0 {
-                return;
+            // The order of a former leader counts already, and repeating it has no further effect.
+            let is_counted = self.has_inherited_order(key);
+            if down_budget == 0 && !is_counted {
+                continue;
             }
             if long_running_count > 0 {
                 let instance = &mut self.fleet.instances[key];
@@ -74,7 +76,7 @@
                     continue;
                 }
             }
-            down_budget -= 1;
+            down_budget -= usize::from(!is_counted);
             self.fleet.instances[key].operation_state =
                 OperationState::Evacuating(Operation::Maintain(number));
             self.set_cordon(key, true);
--- a/crates/domain/src/schedule/persist.rs
+++ b/crates/domain/src/schedule/persist.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::fleet::WaveRecord;
+use super::fleet::{InstanceOrderRecord, WaveRecord};
 use super::order::WorkerReport;
 use super::run::PlacedRun;
 use super::{LOW_PRIORITY_BATCH_DELAY_MS, Scheduler};
@@ -94,6 +94,8 @@
     pub rerouted: Vec<Arc<str>>,
     /// The maintenance waves.
     pub waves: Vec<WaveRecord>,
+    /// Orders to instances that may still be carried out.
+    pub instance_orders: Vec<InstanceOrderRecord>,
     /// Maintenance waves whose state is to be published: number, and whether the wave has
     /// completed.
     pub wave_states: Vec<(u64, bool)>,
@@ -209,6 +211,7 @@
             unknown_workers: self.awaits_unknown_workers(),
             rerouted: self.rerouted_queues(),
             waves: self.wave_records(),
+            instance_orders: self.instance_order_records(),
             wave_states: self.take_wave_states(),
             released: self.batches.released,
         })
--- a/crates/domain/tests/scheduler_harness/mod.rs
+++ b/crates/domain/tests/scheduler_harness/mod.rs
@@ -19,8 +19,8 @@
 };
 use rosemaryscale_domain::schedule::stop_reason::StopCause;
 use rosemaryscale_domain::schedule::{
-    Acceptance, Batch, FormerTerm, RecordedWorker, ScheduleSettings, Scheduler, StoredJob,
-    UnevenWork,
+    Acceptance, Batch, FormerTerm, InstanceOrderRecord, RecordedWorker, ScheduleSettings,
+    Scheduler, StoredJob, UnevenWork,
 };
 use rosemaryscale_domain::workspace::Caller;
 
@@ -80,6 +80,7 @@
     /// Whether other workers may have runs of a former leader.
     pub(crate) unknown_workers: bool,
     pub(crate) released: bool,
+    pub(crate) instance_orders: Vec<InstanceOrderRecord>,
 }
 
 impl Store {
@@ -407,6 +408,7 @@
         let former = FormerTerm {
             unknown_workers: self.store.unknown_workers,
             released: self.store.released,
+            instance_orders: self.store.instance_orders.clone(),
             ..FormerTerm::with_workers(recorded)
         };
         self.scheduler = Scheduler::new(settings, former, self.now);
@@ -553,6 +555,9 @@
         }
         self.store.unknown_workers = batch.unknown_workers;
         self.store.released = batch.released;
+        self.store
+            .instance_orders
+            .clone_from(&batch.instance_orders);
         self.scheduler.batch_written(batch, self.now);
     }
 
