Release no work of a former leader while another daemon may lead

What callers would see: a task that is done runs again. A leader waits for a worker of its predecessor and loses the store. Its successor reads the end of a run there and acknowledges it; then the worker ends. The first leader, still within its 9 s, learns that the worker has ended, takes the run as lost and starts the task elsewhere.

--- a/crates/domain/src/schedule/recovery.rs
+++ b/crates/domain/src/schedule/recovery.rs
@@ -202,7 +202,8 @@
 
     pub(super) fn check_recovery(&mut self, now: Millis) {
         let left = self.left_workers();
-        // A successor that this leader does not know of may have renewed the leases.
+        // A successor that this leader does not know of may have renewed the leases of a worker, or read its ends
+        // before it ended.
         let may_be_replaced = self.leadership_unconfirmed;
         let Some(recovery) = &mut self.recovery else {
             return;
@@ -212,8 +213,9 @@
         let events = &mut self.events;
         recovery.awaited.retain(|key, until| {
             let worker = workers.get(*key);
-            let is_over =
+            let has_ended =
                 left.contains(key) || recovery.ended.get(key).is_some_and(|until| *until <= now);
+            let is_over = has_ended && !may_be_replaced;
             let Some(worker) = worker.filter(|_| !is_over) else {
                 return false;
             };
--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -268,6 +268,7 @@
             .iter()
             .filter(|(key, worker)| {
                 !worker.listed
+                    && !(self.leadership_unconfirmed && self.is_awaited(*key))
                     && !self.awaits_next_incarnation(*key)
                     && worker.runs().is_empty()
                     && !worker.has_unread_ends()
--- a/crates/domain/tests/unconfirmed_leader.rs
+++ b/crates/domain/tests/unconfirmed_leader.rs
@@ -3,6 +3,7 @@
 mod scheduler_harness;
 
 use rosemaryscale_domain::job::StepSpec;
+use rosemaryscale_domain::prelude::*;
 use rosemaryscale_domain::schedule::order::WaveRequest;
 use scheduler_harness::{RUN_LEASE_MS, SchedulerHarness, job, step};
 
@@ -148,3 +149,31 @@
     assert_eq!(harness.start_count("a.0.0.0"), 2);
     assert_eq!(harness.concurrent_runs_max("a.0.0.0"), 1);
 }
+
+/// Guards against a second run of a task that is done: a leader has not reached a worker since it took over, its successor has
+/// read the end of the run, and then the worker ends.
+#[test]
+fn an_unconfirmed_leader_starts_nothing_for_a_worker_that_has_ended() {
+    let mut harness = SchedulerHarness::new(2);
+    for worker in ["w0", "w1"] {
+        harness.add_instance(&format!("machine-{worker}"), "service", Some(worker));
+    }
+    harness.run_for(1_200);
+    harness.submit("a", job(vec![step(1)], 3));
+    harness.run_for(100);
+    let worker = harness.worker_running("a.0.0.0").expect("it runs");
+    harness.release();
+    harness.partition(worker);
+    harness.change_leader();
+    harness.run_for(100);
+    harness.scheduler.set_leadership_unconfirmed(true);
+    harness.crash(worker);
+    let id = Arc::clone(&harness.workers[worker].report.id);
+    harness.scheduler.worker_unlisted(&id);
+    harness.instances[worker].worker = Some("w9".into());
+    harness.run_for(8_000);
+    assert_eq!(harness.start_count("a.0.0.0"), 1);
+    harness.scheduler.set_leadership_unconfirmed(false);
+    harness.run_for(100);
+    assert_eq!(harness.start_count("a.0.0.0"), 2);
+}
