--- a/crates/domain/src/schedule/roster.rs
+++ b/crates/domain/src/schedule/roster.rs
@@ -267,9 +267,10 @@
             .workers
             .iter()
             .filter(|(key, worker)| {
+                let is_awaited = self.awaits_next_incarnation(*key)
+                    || (self.leadership_unconfirmed && self.is_awaited(*key));
                 !worker.listed
-                    && !(self.leadership_unconfirmed && self.is_awaited(*key))
-                    && !self.awaits_next_incarnation(*key)
+                    && !is_awaited
                     && worker.runs().is_empty()
                     && !worker.has_unread_ends()
                     && (worker.synced || worker.lease_end < now)
