Search quarantined workers for steps with room nowhere else

Cause: a worker on which tasks fail is quarantined, and long-running tasks are tried on it once a second all the same. But a placement pass first drops each step that fits on no worker outside quarantine, so that the try is made only while some other worker has room for the step.

Change: the index of rooms also holds those of the quarantined workers on which a try is due, and long-running steps that fit there are searched for.

--- a/crates/domain/src/schedule/choice.rs
+++ b/crates/domain/src/schedule/choice.rs
@@ -160,7 +160,7 @@
     }
 
     /// Whether nothing but its quarantine keeps the worker from taking work, and a try is due.
-    fn may_be_tried(&self, worker: &Worker) -> bool {
+    pub(super) fn may_be_tried(&self, worker: &Worker) -> bool {
         worker.exclusion(self.now) == Some(Exclusion::Quarantined)
             && worker.quarantine.is_try_due(self.now)
             && self.has_recent_answer(worker)
--- a/crates/domain/src/schedule/place.rs
+++ b/crates/domain/src/schedule/place.rs
@@ -145,7 +145,10 @@
             let Some(need) = self
                 .view(now)
                 .step_need(step)
-                .filter(|need| rooms.may_fit(*need) || self.shares.held.is_for(service, step))
+                .filter(|need| {
+                    self.may_fit_somewhere(step, *need, &rooms)
+                        || self.shares.held.is_for(service, step)
+                })
                 .filter(|_| self.view(now).has_quota(step))
             else {
                 continue;
@@ -261,8 +264,9 @@
             .ready
             .steps()
             .filter(|(step, _)| {
-                view.step_need(*step)
-                    .is_some_and(|need| rooms.may_fit(need) && view.has_quota(*step))
+                view.step_need(*step).is_some_and(|need| {
+                    self.may_fit_somewhere(*step, need, rooms) && view.has_quota(*step)
+                })
             })
             .filter_map(|(step, _)| view.rank(step, limits, capacity))
             .collect();
@@ -270,6 +274,14 @@
         ranked
     }
 
+    /// Whether a worker may have room for a task of the step, counting quarantined ones for a long-running step.
+    fn may_fit_somewhere(&self, step: StepKey, need: Resources, rooms: &RoomIndex) -> bool {
+        let job = self.job_table.jobs.get(step.job);
+        let spec = job.and_then(|job| job.step(step.step));
+        let is_long_running = spec.is_some_and(|spec| spec.long_running);
+        rooms.may_fit(need) || (is_long_running && rooms.may_fit_trial(need))
+    }
+
     /// Whether any worker of the service with enough room can run the task.
     fn is_unconstrained(&self, key: TaskKey) -> bool {
         let is_isolated = self.job_table.tasks.get(key).is_some_and(Task::is_isolated);
@@ -284,7 +296,11 @@
         let view = self.view(now);
         let workers = self.services[service].workers.iter();
         let workers = workers.filter_map(|key| Some((*key, self.workers.get(*key)?)));
-        RoomIndex::new(workers.filter(|(_, worker)| view.may_start_on(worker)))
+        let trial_workers = workers.clone().map(|(_, worker)| worker);
+        RoomIndex::new(
+            workers.filter(|(_, worker)| view.may_start_on(worker)),
+            trial_workers.filter(|worker| view.may_be_tried(worker)),
+        )
     }
 
     /// Per-resource maximum of the capacities of the workers that have answered this leader; of all workers until
--- a/crates/domain/src/schedule/room_index.rs
+++ b/crates/domain/src/schedule/room_index.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 pub(super) struct RoomIndex {
     rooms: Vec<(WorkerKey, Resources)>,
+    /// Rooms of the quarantined workers on which long-running tasks may be tried.
+    trial_rooms: Vec<Resources>,
     /// Rooms that none of the others contains. Placement only takes room, so they bound what fits until they are
     /// determined again.
     largest: Vec<Resources>,
@@ -20,10 +22,14 @@
 }
 
 impl RoomIndex {
-    pub(super) fn new<'a>(workers: impl Iterator<Item = (WorkerKey, &'a Worker)>) -> Self {
+    pub(super) fn new<'a>(
+        workers: impl Iterator<Item = (WorkerKey, &'a Worker)>,
+        trial_workers: impl Iterator<Item = &'a Worker>,
+    ) -> Self {
         let rooms = workers.map(|(key, worker)| (key, worker.free())).collect();
         let mut index = Self {
             rooms,
+            trial_rooms: trial_workers.map(Worker::free).collect(),
             ..Self::default()
         };
         index.find_largest();
@@ -38,6 +44,11 @@
                 .is_some_and(|unplaceable| unplaceable.fits(need))
     }
 
+    /// Whether a quarantined worker may have room for a try.
+    pub(super) fn may_fit_trial(&self, need: Resources) -> bool {
+        self.trial_rooms.iter().any(|room| need.fits(*room))
+    }
+
     /// Workers with room for the need.
     pub(super) fn fitting(&self, need: Resources) -> impl Iterator<Item = WorkerKey> {
         let rooms = self.rooms.iter();
--- a/crates/domain/tests/quarantine.rs
+++ b/crates/domain/tests/quarantine.rs
@@ -67,6 +67,38 @@
     );
 }
 
+/// Guards against a long-running task that waits for the end of a quarantine because no worker outside it has any room that
+/// would do (review/14), also after the quarantined worker has been sound for a while.
+#[test]
+fn a_long_running_task_is_tried_on_the_only_worker_with_room() {
+    let lasting = |processors_milli| StepSpec {
+        long_running: true,
+        processors_milli,
+        ..step(1)
+    };
+    let mut harness = SchedulerHarness::new(3);
+    for worker in 1..3 {
+        let id = format!("filler{worker}");
+        harness.submit(&id, job(vec![lasting(2_600)], 3));
+        harness.run_for(100);
+    }
+    harness.submit("lasting", job(vec![lasting(2_000)], 3));
+    harness.run_for(100);
+    let worker = harness.worker_running(TASK).expect("it runs");
+    for _ in 0..65 {
+        harness.run_for(100);
+        harness.end_runs_on_worker(worker, RunEndKind::Failed);
+    }
+    harness.run_for(1_500);
+    assert_eq!(harness.worker_running(TASK), Some(worker));
+    harness.run_for(6_000);
+    harness.end_runs_on_worker(worker, RunEndKind::Failed);
+    harness.run_for(1_500);
+    assert!(is_quarantined(&harness));
+    assert_eq!(harness.worker_running(TASK), Some(worker));
+    assert_eq!(harness.running().len(), 3);
+}
+
 /// Guards against tasks that start on a quarantined worker although another one has room for them, and against finite
 /// tasks that use up their attempts there.
 #[test]
