Count the unfinished tasks of a step instead of searching them

Cause: each end of a task released each waiting task of its occurrence anew, and each of these looked for an unfinished task among those that it waits for: for steps of N tasks N x N x N / 2 looks, in the one thread that also serves callers and applies the configuration.

Change: each occurrence counts its unfinished tasks by step, and only the end that completes a step releases the tasks that wait for it.

--- a/crates/domain/src/schedule/job_table.rs
+++ b/crates/domain/src/schedule/job_table.rs
@@ -100,6 +100,8 @@
     pub unfinished_tasks: usize,
     /// Tasks that have not completed, by step.
     pub unfinished_by_step: Vec<u64>,
+    /// Tasks that have not completed, by occurrence and step.
+    unfinished_by_occurrence: Vec<Vec<u64>>,
     /// Bytes of the checkpoints of unfinished tasks, as encoded in the progress.
     pub checkpoint_bytes: usize,
     /// Whether any checkpoint was dropped in this term.
@@ -115,6 +117,13 @@
         self.record.spec.steps.get(usize::from(number))
     }
 
+    /// Whether all tasks of a step of an occurrence are done. It is asked for each task that waits for the step, so the
+    /// tasks are counted and not searched.
+    pub(super) fn is_step_done(&self, occurrence: u32, step: u16) -> bool {
+        let steps = self.unfinished_by_occurrence.get(occurrence as usize);
+        steps.and_then(|steps| steps.get(usize::from(step))) == Some(&0)
+    }
+
     pub(super) fn occurrences_total(&self) -> u32 {
         self.record.spec.repeat.map_or(1, |repeat| repeat.count)
     }
@@ -177,6 +186,7 @@
             objective_ms: record.objective_ms(),
             remaining_paths_ms: record.spec.remaining_paths_ms(),
             unfinished_by_step: vec![0; record.spec.steps.len()],
+            unfinished_by_occurrence: Vec::new(),
             service: owner.service,
             workspace: owner.workspace,
             is_excess: false,
@@ -239,6 +249,8 @@
             job.unfinished_by_step[number] += u64::from(step.count);
             steps.push(tasks);
         }
+        let counts = steps.iter().map(|tasks| tasks.len() as u64);
+        job.unfinished_by_occurrence.push(counts.collect());
         job.occurrences.push(steps);
     }
 
@@ -362,9 +374,15 @@
         };
         task.done = true;
         task.status = TaskStatus::Finished;
-        let step = task.position.step;
+        let TaskPosition {
+            occurrence, step, ..
+        } = task.position;
         if let Some(job) = self.jobs.get_mut(task.job) {
             job.unfinished_tasks = job.unfinished_tasks.saturating_sub(1);
+            let of_occurrence = job.unfinished_by_occurrence.get_mut(occurrence as usize);
+            if let Some(count) = of_occurrence.and_then(|steps| steps.get_mut(usize::from(step))) {
+                *count = count.saturating_sub(1);
+            }
             if let Some(count) = job.unfinished_by_step.get_mut(usize::from(step)) {
                 *count = count.saturating_sub(1);
             }
@@ -390,7 +408,7 @@
                 && step
                     .after
                     .iter()
-                    .all(|earlier| self.is_step_done(job, task.position.occurrence, *earlier))
+                    .all(|earlier| job.is_step_done(task.position.occurrence, *earlier))
         });
         if ready {
             TaskStatus::Ready
@@ -399,18 +417,6 @@
         }
     }
 
-    fn is_step_done(&self, job: &Job, occurrence: u32, step: u16) -> bool {
-        let tasks = job
-            .occurrences
-            .get(occurrence as usize)
-            .and_then(|steps| steps.get(usize::from(step)));
-        tasks.is_some_and(|tasks| {
-            tasks
-                .iter()
-                .all(|task| self.tasks.get(*task).is_some_and(|task| task.done))
-        })
-    }
-
     /// Progress of a job, to be stored.
     pub(super) fn progress(&self, key: JobKey) -> Option<JobProgress> {
         let job = self.jobs.get(key)?;
--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -11,7 +11,7 @@
     JOB_END_BATCH_DELAY_MS, POLL_INTERVAL_MS, Scheduler, UNRESPONSIVE_POLL_INTERVAL_MS,
     UNWRITTEN_ENDS_POLL_INTERVAL_MS,
 };
-use crate::job::{JobState, TaskName};
+use crate::job::{JobState, TaskName, TaskPosition};
 use crate::prelude::*;
 
 /// Polls stay short for this long after a poll of a responsive worker was lost, so that the next
@@ -438,7 +438,7 @@
                 self.stop_run(run, reason, now);
             }
         }
-        self.complete_or_unblock(job, position.occurrence, now, wall);
+        self.complete_or_unblock(job, position, now, wall);
     }
 
     fn tasks_of_step(&self, job: JobKey, occurrence: u32, step: u16) -> Vec<TaskKey> {
@@ -453,8 +453,8 @@
             .unwrap_or_default()
     }
 
-    /// Completes the job, or releases steps that are no longer blocked.
-    fn complete_or_unblock(&mut self, key: JobKey, occurrence: u32, now: Millis, wall: Millis) {
+    /// Completes the job, or releases the steps that have waited for the one of a task that is done.
+    fn complete_or_unblock(&mut self, key: JobKey, done: TaskPosition, now: Millis, wall: Millis) {
         let Some(job) = self.job_table.jobs.get(key) else {
             return;
         };
@@ -465,12 +465,16 @@
             self.request_batch(now.after_ms(JOB_END_BATCH_DELAY_MS));
             return;
         }
-        let blocked: Vec<TaskKey> = job
-            .occurrences
-            .get(occurrence as usize)
-            .into_iter()
-            .flatten()
+        if !job.is_step_done(done.occurrence, done.step) {
+            return;
+        }
+        let steps = job.occurrences.get(done.occurrence as usize).into_iter();
+        let waiting = steps
             .flatten()
+            .zip(&job.record.spec.steps)
+            .filter(|(_, step)| step.after.contains(&done.step));
+        let blocked: Vec<TaskKey> = waiting
+            .flat_map(|(tasks, _)| tasks)
             .copied()
             .filter(|task| {
                 self.job_table
