Hold inherited orders no longer than an order may take

No order to an instance is sent once the lease of its leader is not certain, so that the 9 s in which a former leader may still send other orders do not count.

--- a/crates/domain/src/schedule/fleet/inherited.rs
+++ b/crates/domain/src/schedule/fleet/inherited.rs
@@ -59,7 +59,8 @@
     ) {
         self.fleet.inherited = InheritedOrders {
             records,
-            expires_at: now.after_ms(self.settings.leader_grace_ms + LATE_ORDER_MS),
+            // A leader sends no order to an instance once its lease is not certain, so none is sent after this.
+            expires_at: now.after_ms(LATE_ORDER_MS),
             began_at: now,
         };
     }
