Look a run up by its task before searching the runs of its worker

Each row of an answer is looked up among all runs of its worker: with 1,280 runs of 0.05 cores on a worker of 64 cores that is over a million looks an answer. The task mostly names the run.

--- a/crates/domain/src/schedule/observe.rs
+++ b/crates/domain/src/schedule/observe.rs
@@ -216,12 +216,21 @@
     }
 
     pub(super) fn run_at(&self, worker: WorkerKey, task: TaskKey, number: u32) -> Option<RunKey> {
+        let is_run = |run: &RunKey| {
+            self.runs.get(*run).is_some_and(|run| {
+                let info = run.info();
+                (info.worker, info.task, info.number) == (worker, task, number)
+            })
+        };
+        // Each row of an answer is looked up, and a worker may have over a thousand runs.
+        if let Some(TaskStatus::Placed(run)) =
+            self.job_table.tasks.get(task).map(|task| task.status)
+            && is_run(&run)
+        {
+            return Some(run);
+        }
         let runs = self.workers.get(worker)?.runs();
-        runs.iter().copied().find(|run| {
-            self.runs
-                .get(*run)
-                .is_some_and(|run| run.info().task == task && run.info().number == number)
-        })
+        runs.iter().copied().find(is_run)
     }
 
     /// Adopts a run that this leader did not start, or stops it if its task needs no run.
