Give up a crashing task only once its attempts are used up

Cause: a finite task was given up after three early crashes in a row, or five in all, whatever its job allowed.

Change: early crashes, three at least, and failed runs together use up the attempts of the job; the limit of all crashes is five or the attempts.

Ruled out: never to give up such a task.

--- a/crates/domain/src/schedule/crashes.rs
+++ b/crates/domain/src/schedule/crashes.rs
@@ -2,8 +2,8 @@
 //!
 //! A task may crash each worker that starts it, but a crash doesn't show which of the worker's tasks caused
 //! it. Tasks that had just started there are therefore suspects: they restart apart from other suspects, and
-//! after a further crash alone on a worker. A finite task is given up once no other one explains the crashes. A
-//! long-running one is restarted until its job is cancelled, after a growing pause.
+//! after a further crash alone on a worker. A finite task is given up once no other one explains the crashes and its
+//! attempts are used up. A long-running one is restarted until its job is cancelled, after a growing pause.
 
 use super::job_table::{Task, TaskStatus};
 use super::order::SchedulerEvent;
@@ -15,10 +15,11 @@
 
 /// Early crashes in a row after which a task shares its worker with no task that starts after it.
 const ISOLATED_CRASHES_MIN: u32 = 2;
-/// Early crashes in a row after which a finite task is given up. The last one happened while the task ran alone; two
-/// may also be those of a task that only shared its workers.
+/// Early crashes in a row before which no finite task is given up, however few attempts its job allows. The last one
+/// happened while the task ran alone; two may also be those of a task that only shared its workers.
 const EARLY_CRASHES_MAX: u32 = 3;
-/// Crashes after which a finite task is given up, however long it had been running.
+/// Crashes after which a finite task is given up, however long it had been running, unless its job allows more
+/// attempts.
 const CRASHES_MAX: u32 = 5;
 /// Duration of a run that clears its task, and for which a suspect keeps other ones away from its worker. A task
 /// that crashes its worker usually does so within milliseconds of its start.
@@ -34,6 +35,14 @@
         self.crashes.max(self.early_crashes)
     }
 
+    /// Whether the crashes of its workers use up the attempts of a finite task, together with its failed runs.
+    fn is_given_up(&self, attempts_max: u32) -> bool {
+        let attempts = self.early_crashes as usize + self.failed_runs.len();
+        let is_out_of_attempts = attempts >= attempts_max as usize;
+        (self.early_crashes >= EARLY_CRASHES_MAX && is_out_of_attempts)
+            || self.crashes >= CRASHES_MAX.max(attempts_max)
+    }
+
     /// Time after the end of a run before a long-running task starts again.
     pub(super) fn restart_pause_ms(&self) -> u64 {
         let Some(further_crashes) = self.early_crashes.checked_sub(EARLY_CRASHES_MAX) else {
@@ -109,7 +118,8 @@
         task.early_crashes = if was_sound { 0 } else { task.early_crashes + 1 };
         if !long_running {
             task.crashes += 1;
-            if task.early_crashes >= EARLY_CRASHES_MAX || task.crashes >= CRASHES_MAX {
+            let job = self.job_table.jobs.get(task.job);
+            if job.is_some_and(|job| task.is_given_up(job.policy.attempts_max)) {
                 self.crashing_tasks.push(info.task);
             }
         }
