Record a fault that a new test shows: crashes right after a start

a_task_that_crashes_each_worker_at_once_is_given_up fails: a crash before an answer has listed the run is not counted, so that the task is started without bound.

--- a/crates/domain/tests/crashes.rs
+++ b/crates/domain/tests/crashes.rs
@@ -82,6 +82,18 @@
     assert_eq!(harness.start_count("bad.0.0.0"), 7);
 }
 
+/// Guards against unbounded starts of a task whose workers crash before they have listed its run.
+#[test]
+fn a_task_that_crashes_each_worker_at_once_is_given_up() {
+    let mut harness = SchedulerHarness::new(6);
+    harness.submit("bad", job(vec![step(1)], 4));
+    harness.run_for(200);
+    harness.end_task("bad.0.0.0", RunEndKind::Failed);
+    crash_workers_of(&mut harness, "bad.0.0.0", 5_000);
+    assert_eq!(harness.state("bad"), JobState::Failed);
+    assert_eq!(harness.start_count("bad.0.0.0"), 4);
+}
+
 /// Guards against giving up a task that only shared a worker with one that crashed it.
 #[test]
 fn a_task_beside_one_that_crashes_workers_completes() {
